all: workspace, events, wire messages and the reducer's loop

Contracts that the areas build on: the event and effect types, the closed list of error kinds, the platform's, endpoints' and peers' messages, settings with defaults. make test is green.

--- /dev/null
+++ b/figctl/main.go
@@ -0,0 +1,4 @@
+// Command figctl is the operator's command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/figd/authority.go
@@ -0,0 +1,4 @@
+package main
+
+// addAuthority adds the parts, executors and actors of this area.
+func (d *daemon) addAuthority() {}
--- /dev/null
+++ b/figd/daemon.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+
+	"github.com/oklog/run"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/figshift/figshift/internal/call"
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/loop"
+	"github.com/figshift/figshift/internal/reduce"
+)
+
+// daemon is the composition of one figd process. Each area adds its parts, executors and actors to it.
+type daemon struct {
+	process     config.Process
+	incarnation string
+	log         *zap.Logger
+	scope       tally.Scope
+	state       *reduce.State
+	loop        *loop.Loop
+	group       run.Group
+
+	// Set by the authority area, read by the others.
+	trust event.Trust
+	keys  *keys.Table
+	// Set by the rollout area, read by the request area.
+	samples  call.Samples
+	handlers map[string]httpHandler
+}
+
+// addPart appends a part; parts see each event in the order in which they were added.
+func (d *daemon) addPart(p event.Part) { d.state.Parts = append(d.state.Parts, p) }
+
+// addExecutor appends an executor.
+func (d *daemon) addExecutor(x loop.Executor) { d.loop.Executors = append(d.loop.Executors, x) }
+
+// addActor runs f until its context is cancelled; the process ends when any actor ends.
+func (d *daemon) addActor(f func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.group.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
--- /dev/null
+++ b/figd/rollouts.go
@@ -0,0 +1,4 @@
+package main
+
+// addRollouts adds the parts, executors and actors of this area.
+func (d *daemon) addRollouts() {}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,131 @@
+// Package config holds the settings: those of one process, and those of the site that all daemons share.
+package config
+
+import "time"
+
+// Class orders requests: interactive goes before background, background before rollout.
+type Class string
+
+// The classes of requests.
+const (
+	Interactive Class = "Interactive"
+	Background  Class = "Background"
+	Rollout     Class = "Rollout"
+)
+
+// Process is what one daemon learns from its own files and never shares.
+type Process struct {
+	Host           string
+	Zone           string
+	Listen         string // callers' listener, host:port
+	Operators      string // operators' listener, host:port
+	Peer           string // peer listener, host:port
+	PeerAdvertise  string // address that peers dial; Peer when empty
+	Platform       string // base URL of the platform
+	PeerSecretFile string
+	CredentialFile string // operators' credential
+	DataFolder     string // "" keeps nothing on disk
+	LogLevel       string
+	BalancerDelay  time.Duration // time between going unready and closing the callers' listener
+}
+
+// Site is what all daemons share. Revision rises strictly with each accepted change.
+type Site struct {
+	Revision      uint64
+	Organisations map[string]Organisation
+	Routes        map[string]Route
+	Rollouts      map[string]RolloutLimits
+	Zones         map[string]Zone
+	Limits        Limits
+	Lease         Lease
+	Trust         Trust
+	Usage         Usage
+	Weights       Weights
+	Retry         Retry
+}
+
+// Organisation is a tenant and its part of the capacity.
+type Organisation struct {
+	Name   string
+	Weight int // 1 to 1000
+}
+
+// Route maps a path prefix to endpoints. The longest matching prefix wins.
+type Route struct {
+	Name       string
+	Prefix     string
+	Service    string // a plain service, or
+	Model      string // a model on the engines
+	Class      Class
+	Open       bool // no key needed
+	Idempotent bool // calls may be repeated
+	Timeout    time.Duration
+}
+
+// RolloutLimits bounds every rollout of one organisation.
+type RolloutLimits struct {
+	Organisation string
+	MaxGroups    int
+	MaxStaleness int // in versions
+}
+
+// Zone is the fleet's rule for one availability zone.
+type Zone struct {
+	Name            string
+	OnDemandFloor   int
+	MaxEndpoints    int
+	MaxCheap        int
+	TokensPerEngine int           // queued and running tokens that one engine carries
+	StartTime       time.Duration // from order to live
+	ScaleDownAfter  time.Duration
+	Model           string
+}
+
+// Limits bounds what callers send and what waits.
+type Limits struct {
+	MaxBodyBytes       int64
+	MaxHeaderBytes     int
+	QueuePerDaemon     int
+	QueuePerOrg        int
+	ConcurrencyPerNode int // requests that run on one endpoint from one daemon
+	DefaultTimeout     time.Duration
+}
+
+// Lease sets the timing of the duties.
+type Lease struct {
+	TTL         time.Duration
+	Renew       time.Duration
+	Margin      time.Duration
+	OrderFlight time.Duration // longest time that an order may be under way
+}
+
+// Trust sets the timing of membership and of the evidence for keys and configuration.
+type Trust struct {
+	Bound     time.Duration // greatest age of the evidence
+	Beat      time.Duration // interval of the beats
+	HostLost  time.Duration // silence after which a host counts as lost
+	MeshUpTo  int           // hosts up to which all are connected to all
+	Neighbors int           // connections of a host in a larger fleet
+	Watchers  int           // watchers of the store in each zone
+}
+
+// Usage sets the reporting of tokens.
+type Usage struct {
+	Window time.Duration
+	Grace  time.Duration
+	Flush  time.Duration
+}
+
+// Weights sets the publishing of model versions.
+type Weights struct {
+	WaveShare     float64 // greatest share of a model's engines that swap at once
+	RetryBackoff  time.Duration
+	OrderDeadline time.Duration
+}
+
+// Retry sets the retry budget.
+type Retry struct {
+	BudgetShare float64 // retries as a share of the served requests
+	Backoff     time.Duration
+	MaxAttempts int
+}
--- /dev/null
+++ b/internal/config/defaults.go
@@ -0,0 +1,26 @@
+package config
+
+import "time"
+
+// Defaults returns a site with every timing and limit set and nothing configured.
+func Defaults() *Site {
+	return &Site{
+		Organisations: map[string]Organisation{},
+		Routes:        map[string]Route{},
+		Rollouts:      map[string]RolloutLimits{},
+		Zones:         map[string]Zone{},
+		Limits: Limits{
+			MaxBodyBytes:       4 << 20,
+			MaxHeaderBytes:     32 << 10,
+			QueuePerDaemon:     2000,
+			QueuePerOrg:        500,
+			ConcurrencyPerNode: 16,
+			DefaultTimeout:     30 * time.Second,
+		},
+		Lease:   Lease{TTL: 5 * time.Second, Renew: 1500 * time.Millisecond, Margin: time.Second, OrderFlight: time.Second},
+		Trust:   Trust{Bound: 3 * time.Second, Beat: 250 * time.Millisecond, HostLost: 2 * time.Second, MeshUpTo: 16, Neighbors: 6, Watchers: 2},
+		Usage:   Usage{Window: time.Minute, Grace: 10 * time.Second, Flush: time.Second},
+		Weights: Weights{WaveShare: 0.34, RetryBackoff: 500 * time.Millisecond, OrderDeadline: 5 * time.Second},
+		Retry:   Retry{BudgetShare: 0.1, Backoff: 50 * time.Millisecond, MaxAttempts: 3},
+	}
+}
--- /dev/null
+++ b/internal/event/peer.go
@@ -0,0 +1,99 @@
+package event
+
+import (
+	"time"
+
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Host is one daemon's host as its Hosts object tells.
+type Host struct {
+	Name        string
+	Zone        string
+	Address     string // of the peer listener, host:port
+	Incarnation string
+}
+
+// ConnectPeers gives the hosts to keep connections to; the others are closed.
+type ConnectPeers struct{ Hosts []Host }
+
+// SendPeer sends a frame to one host; it is dropped when there is no connection.
+type SendPeer struct {
+	Host    string
+	Message wire.Message
+}
+
+// PeerUp says that a peer connection has passed its handshake.
+type PeerUp struct{ Host, Incarnation string }
+
+// PeerDown says that a peer connection has ended.
+type PeerDown struct{ Host, Incarnation string }
+
+// PeerReceived is a frame from an authenticated peer.
+type PeerReceived struct {
+	Host        string
+	Incarnation string
+	Message     wire.Message
+}
+
+// HostsChanged is raised when the known hosts changed; Hosts are sorted by name and include this one.
+type HostsChanged struct{ Hosts []Host }
+
+// BeatSeen is raised for each beat that is newer than the last one of its sender.
+type BeatSeen struct {
+	Host string
+	Beat wire.Beat
+}
+
+// HostLost is raised when no beat came from a host for the failure timeout.
+type HostLost struct{ Host string }
+
+// AskDuty calls the holder of a duty, wherever it is; AskDone answers. The caller of Ask is a listener or a part.
+type AskDuty struct {
+	Owner    string
+	Seq      uint64
+	Duty     string
+	Call     string
+	Body     []byte
+	Deadline time.Duration
+}
+
+// AskDone ends an AskDuty. Kind is "" for success.
+type AskDone struct {
+	Owner string
+	Seq   uint64
+	Kind  kinds.Kind
+	Body  []byte
+}
+
+// DutyAsked is raised at the holder for a call to its duty; the part answers with AnswerDuty.
+type DutyAsked struct {
+	From string // host, or this host
+	ID   uint64
+	Duty string
+	Call string
+	Body []byte
+}
+
+// AnswerDuty is raised by a part to answer a DutyAsked.
+type AnswerDuty struct {
+	To   string
+	ID   uint64
+	Kind kinds.Kind
+	Body []byte
+}
+
+func (ConnectPeers) isEffect() {}
+func (SendPeer) isEffect()     {}
+func (PeerUp) isEvent()        {}
+func (PeerDown) isEvent()      {}
+func (PeerReceived) isEvent()  {}
+func (HostsChanged) isEvent()  {}
+func (BeatSeen) isEvent()      {}
+func (HostLost) isEvent()      {}
+func (AskDuty) isEvent()       {}
+func (AskDone) isEvent()       {}
+func (AskDone) isEffect()      {}
+func (DutyAsked) isEvent()     {}
+func (AnswerDuty) isEvent()    {}
--- /dev/null
+++ b/internal/event/status.go
@@ -0,0 +1,23 @@
+package event
+
+import "github.com/figshift/figshift/internal/wire"
+
+// StatusAsked asks every part for its share of the status.
+type StatusAsked struct{ Seq uint64 }
+
+// StatusPart is one part's share; the fields that it does not fill are zero.
+type StatusPart struct {
+	Seq    uint64
+	Status wire.Status
+}
+
+// AuthoriseCall asks whether a key may be used now, for calls that figshift answers itself.
+type AuthoriseCall struct {
+	Owner   string
+	Seq     uint64
+	KeyHash string
+}
+
+func (StatusAsked) isEvent()   {}
+func (StatusPart) isEffect()   {}
+func (AuthoriseCall) isEvent() {}
--- /dev/null
+++ b/internal/event/store.go
@@ -0,0 +1,92 @@
+package event
+
+import (
+	"time"
+
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// ObjectCall identifies one call to the object API: the part that made it and that part's number.
+type ObjectCall struct {
+	Owner string
+	Seq   uint64
+}
+
+// GetObject reads one object.
+type GetObject struct {
+	Call ObjectCall
+	Name string
+}
+
+// PutObject writes one object conditionally. Version is the one read, 0 to create. Writer is unique to the write,
+// so that a lost answer can be told from another's write. It is not sent after Before (0: no limit).
+type PutObject struct {
+	Call    ObjectCall
+	Name    string
+	Version uint64
+	Writer  string
+	Value   []byte
+	Urgent  bool // renewals, which go before other calls
+	Before  time.Duration
+}
+
+// DeleteObject removes one object conditionally.
+type DeleteObject struct {
+	Call    ObjectCall
+	Name    string
+	Version uint64
+}
+
+// ListObjects reads all objects under a prefix.
+type ListObjects struct {
+	Call   ObjectCall
+	Prefix string
+}
+
+// WatchObjects is a long poll for changes under a prefix after a revision.
+type WatchObjects struct {
+	Call   ObjectCall
+	Prefix string
+	After  uint64
+	Wait   time.Duration
+}
+
+// ListEndpoints reads the platform's lagging endpoint list.
+type ListEndpoints struct{ Call ObjectCall }
+
+// ObjectDone ends a GetObject, PutObject or DeleteObject. Kind is "" for success, NotFound, Conflict, or
+// StoreUnavailable, after which a write may or may not have taken effect. SentAt is the time at which the call was sent.
+type ObjectDone struct {
+	Call   ObjectCall
+	Object wire.Object
+	Kind   kinds.Kind
+	SentAt time.Duration
+}
+
+// ObjectsDone ends a ListObjects or WatchObjects.
+type ObjectsDone struct {
+	Call   ObjectCall
+	Prefix string
+	List   wire.ObjectList
+	Kind   kinds.Kind
+	SentAt time.Duration
+}
+
+// EndpointsDone ends a ListEndpoints.
+type EndpointsDone struct {
+	Call   ObjectCall
+	List   wire.EndpointList
+	Kind   kinds.Kind
+	SentAt time.Duration
+}
+
+func (GetObject) isEffect()     {}
+func (PutObject) isEffect()     {}
+func (DeleteObject) isEffect()  {}
+func (ListObjects) isEffect()   {}
+func (WatchObjects) isEffect()  {}
+func (ListEndpoints) isEffect() {}
+func (ObjectDone) isEvent()     {}
+func (ObjectsDone) isEvent()    {}
+func (EndpointsDone) isEvent()  {}
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,54 @@
+// Package keys holds organisation keys by their hash. A key itself is never kept.
+package keys
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Prefix is the prefix of the objects that hold Shard values as JSON.
+const Prefix = "Keys/"
+
+// State says whether a key may be used.
+type State string
+
+// The states of a key.
+const (
+	Active    State = "Active"
+	Withdrawn State = "Withdrawn"
+)
+
+// Entry is one key's record.
+type Entry struct {
+	Organisation string
+	State        State
+	Revision     uint64
+}
+
+// Shard is the value of one Keys object. Keys is indexed by the key's hash.
+type Shard struct {
+	Revision uint64
+	Keys     map[string]Entry
+}
+
+// Table is the set of all known keys. It must not be used concurrently.
+type Table struct {
+	Entries map[string]Entry
+}
+
+// Lookup returns the entry for a key's hash.
+func (t *Table) Lookup(hash string) (Entry, bool) {
+	e, ok := t.Entries[hash]
+	return e, ok
+}
+
+// Hash returns the lower-case hex SHA-256 of a key. It may be called concurrently.
+func Hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// ShardOf returns the name of the object that holds a hash. It may be called concurrently.
+func ShardOf(hash string) string {
+	return Prefix + hash[:1]
+}
--- /dev/null
+++ b/internal/kinds/error.go
@@ -0,0 +1,35 @@
+package kinds
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Error is an error of the closed list with its detail for people.
+type Error struct {
+	Kind   Kind
+	Detail string
+}
+
+// Error returns the kind and the detail on one line.
+func (e *Error) Error() string {
+	return string(e.Kind) + ": " + e.Detail
+}
+
+// New returns an error of kind k whose detail is formatted like fmt.Sprintf does.
+func New(k Kind, format string, args ...any) error {
+	return &Error{Kind: k, Detail: fmt.Sprintf(format, args...)}
+}
+
+// From returns the kind of err, Internal when err has none, and "" for nil.
+func From(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,85 @@
+// Package loop runs the reducer on one goroutine and hands its effects to the executors.
+package loop
+
+import (
+	"context"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/reduce"
+)
+
+// Executor carries out the effects that it knows. Do reports whether it knows the effect and must not block;
+// results come back by Loop.Post.
+type Executor interface {
+	Do(effect event.Effect) bool
+}
+
+// Loop steps the reducer. Its exported fields are set before Run.
+type Loop struct {
+	State     *reduce.State
+	Executors []Executor
+	TickEvery time.Duration
+	QueueSize int
+	Record    func(now time.Duration, ev event.Event) // called for each event when not nil
+
+	start  time.Time
+	events chan event.Event
+	done   chan struct{}
+}
+
+// Prepare makes the event queue and starts the clock; it is called once, before Run and Post.
+func (l *Loop) Prepare() {
+	l.start = time.Now()
+	l.events = make(chan event.Event, l.QueueSize)
+	l.done = make(chan struct{})
+}
+
+// Now returns the monotonic time since Prepare. It may be called concurrently.
+func (l *Loop) Now() time.Duration { return time.Since(l.start) }
+
+// Post hands an event to the reducer and waits while the queue is full.
+// It returns false when the loop has ended. It may be called concurrently, but not by an Executor's Do.
+func (l *Loop) Post(ev event.Event) bool {
+	select {
+	case l.events <- ev:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Run steps the reducer until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.done)
+	tick := time.NewTicker(l.TickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-l.events:
+			l.step(ev)
+		case <-tick.C:
+			l.step(event.Tick{})
+		}
+	}
+}
+
+func (l *Loop) step(ev event.Event) {
+	now := l.Now()
+	if l.Record != nil {
+		l.Record(now, ev)
+	}
+	for _, effect := range l.State.Step(now, ev) {
+		l.execute(effect)
+	}
+}
+
+func (l *Loop) execute(effect event.Effect) {
+	for _, x := range l.Executors {
+		if x.Do(effect) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/peer.go
@@ -0,0 +1,128 @@
+package wire
+
+// Message is one frame between daemons; exactly one field is set. Unknown fields pass.
+type Message struct {
+	Hello     *Hello       `msgpack:",omitempty"`
+	Proof     *Proof       `msgpack:",omitempty"`
+	Beat      *Beat        `msgpack:",omitempty"`
+	Push      *Push        `msgpack:",omitempty"`
+	Pull      *Pull        `msgpack:",omitempty"`
+	Usage     *UsageDelta  `msgpack:",omitempty"`
+	UsageAck  *UsageAck    `msgpack:",omitempty"`
+	Ask       *Ask         `msgpack:",omitempty"`
+	Reply     *Reply       `msgpack:",omitempty"`
+	Endpoints *EndpointSet `msgpack:",omitempty"`
+}
+
+// Hello opens a connection. Challenge is random and is answered by Proof.
+type Hello struct {
+	Version     int
+	Host        string
+	Zone        string
+	Incarnation string
+	Challenge   []byte
+}
+
+// Proof is the HMAC over the other side's challenge with the shared secret.
+type Proof struct{ MAC []byte }
+
+// DutyHeld names a duty that the sender holds, with its epoch.
+type DutyHeld struct {
+	Duty  string
+	Epoch uint64
+}
+
+// Served is what one organisation was served by the sender since its start, and has queued and running now.
+type Served struct {
+	Organisation string
+	Tokens       uint64
+	Queued       int
+	Running      int
+	Refused      uint64
+}
+
+// LeaveMark says that an endpoint incarnation takes no new work; it is final.
+type LeaveMark struct {
+	Endpoint    string
+	Incarnation string
+}
+
+// Beat is the periodic state of one daemon.
+type Beat struct {
+	Seq            uint64
+	ConfigRevision uint64
+	KeysRevision   uint64
+	EvidenceAgeMS  int64 // age of the last contact with the store, own or relayed; -1 for none
+	OwnContactMS   int64 // age of the sender's own contact with the store; -1 for none
+	Ready          bool
+	Stopping       bool
+	Duties         []DutyHeld   `msgpack:",omitempty"`
+	Served         []Served     `msgpack:",omitempty"`
+	Leaving        []LeaveMark  `msgpack:",omitempty"`
+	Loads          []LoadReport `msgpack:",omitempty"`
+	Demand         []Demand     `msgpack:",omitempty"`
+}
+
+// LoadReport relays one endpoint's load and true version.
+type LoadReport struct {
+	Endpoint    string
+	Incarnation string
+	Version     uint64
+	Tokens      int
+	AgeMS       int64
+}
+
+// Demand is the sender's queued and running tokens by class and model.
+type Demand struct {
+	Model   string
+	Class   string
+	Queued  int
+	Running int
+}
+
+// Push carries objects from a watcher to the other daemons.
+type Push struct {
+	Revision uint64
+	Objects  []Object
+}
+
+// Pull asks a peer for all objects it has of these prefixes, for a start during a store outage.
+type Pull struct{ Prefixes []string }
+
+// EndpointSet relays the platform's endpoint list from a watcher.
+type EndpointSet struct {
+	Revision  uint64
+	Endpoints []Endpoint
+}
+
+// UsageDelta is one daemon's counts since its last acknowledged delta. Seq starts at 1 for each incarnation.
+type UsageDelta struct {
+	Host        string
+	Incarnation string
+	Seq         uint64
+	Window      uint64
+	Figures     []UsageFigure
+}
+
+// UsageAck confirms that all deltas up to Seq are in the ledger.
+type UsageAck struct {
+	Host        string
+	Incarnation string
+	Seq         uint64
+	Epoch       uint64
+}
+
+// Ask is a call to the holder of a duty; ID is unique per sender incarnation. Body is the call's own JSON.
+type Ask struct {
+	ID   uint64
+	Duty string
+	Call string
+	Body []byte
+}
+
+// Reply answers an Ask; Kind is "" for success.
+type Reply struct {
+	ID   uint64
+	Kind string
+	Body []byte
+}
--- /dev/null
+++ b/internal/wire/rollout.go
@@ -0,0 +1,70 @@
+package wire
+
+// Paths of the trainers' API on the callers' listener; {name} is the rollout's.
+const (
+	PathRollouts = "/v1/rollouts/" // prefix of all
+	CallLots     = "lots"          // POST /v1/rollouts/{name}/lots: LotAsk, answered by Lot
+	CallVersions = "versions"      // POST /v1/rollouts/{name}/versions: Publish, answered by Published
+	CallRelease  = "release"       // POST /v1/rollouts/{name}/release: Release
+)
+
+// PrefixRollouts is the prefix of the objects that hold RolloutSpec values as JSON.
+const PrefixRollouts = "Rollouts/"
+
+// RolloutSpec is what an operator creates for a trainer. It never changes once created.
+type RolloutSpec struct {
+	Name            string
+	Organisation    string
+	Model           string
+	Scorer          string // name of the plain service that scores samples; "" for none
+	Lots            uint64 // number of lots; 0 for no end
+	Groups          int    // groups of a lot
+	SamplesPerGroup int
+	SpareGroups     int
+	MaxTokens       int
+	MaxStaleness    int // greatest age in versions of any of a sample's versions at hand-over
+	SealAhead       int // lots that may be sealed before they are asked for
+	Prompts         []string
+}
+
+// LotAsk asks for the lot after Cursor ("I hold lots up to Cursor"), which acknowledges all up to Cursor.
+type LotAsk struct {
+	Consumer string
+	Cursor   uint64
+}
+
+// Lot is a sealed lot, whole. Checksum is the xxhash of the samples' JSON, in hex.
+type Lot struct {
+	Rollout  string
+	Lot      uint64
+	Attempt  uint64
+	Newest   uint64 // newest published version at hand-over
+	Count    int
+	Checksum string
+	Samples  []Sample
+}
+
+// Sample is one finished sample. Versions are those that the engine reported, in order.
+type Sample struct {
+	ID       string // rollout/lot/attempt/group/index
+	Group    int
+	Index    int
+	Prompt   string
+	Text     string
+	Tokens   int
+	Versions []uint64
+	Score    float64
+	Scored   bool
+}
+
+// Publish says that a new version of the rollout's model is in the weight store.
+type Publish struct {
+	Consumer string
+	Version  uint64
+}
+
+// Published answers a Publish once it is recorded.
+type Published struct{ Version uint64 }
+
+// Release gives up the consumer's hold on the rollout, so that another consumer may take it.
+type Release struct{ Consumer string }
--- /dev/null
+++ b/internal/wire/status.go
@@ -0,0 +1,70 @@
+package wire
+
+// Status is what one daemon knows; each part fills its own fields.
+type Status struct {
+	Host           string
+	Zone           string
+	Incarnation    string
+	Ready          bool
+	Reason         string
+	ConfigRevision uint64
+	KeysRevision   uint64
+	EvidenceAgeMS  int64
+	Hosts          []HostStatus         `json:",omitempty"`
+	Duties         []DutyStatus         `json:",omitempty"`
+	Endpoints      []EndpointStatus     `json:",omitempty"`
+	Organisations  []OrganisationStatus `json:",omitempty"`
+	Rollouts       []RolloutStatus      `json:",omitempty"`
+	Windows        []UsageReport        `json:",omitempty"`
+}
+
+// HostStatus is one host as this daemon sees it.
+type HostStatus struct {
+	Host           string
+	Zone           string
+	Alive          bool
+	BeatAgeMS      int64
+	ConfigRevision uint64
+	KeysRevision   uint64
+}
+
+// DutyStatus is one duty and its holder, as far as this daemon knows.
+type DutyStatus struct {
+	Duty   string
+	Holder string
+	Epoch  uint64
+}
+
+// EndpointStatus is one endpoint with its version and load.
+type EndpointStatus struct {
+	Endpoint    string
+	Zone        string
+	Kind        EndpointKind
+	Price       Price
+	State       EndpointState
+	Version     uint64
+	Outstanding int
+	LoadTokens  int
+	Ejected     bool
+}
+
+// OrganisationStatus is one organisation's service on this daemon.
+type OrganisationStatus struct {
+	Organisation string
+	Weight       int
+	Share        float64 // of the tokens served by all daemons
+	Queued       int
+	Running      int
+	Refused      map[string]uint64 // by kind
+}
+
+// RolloutStatus is one rollout, told by its holder.
+type RolloutStatus struct {
+	Rollout   string
+	Sealed    uint64
+	Handed    uint64
+	Newest    uint64
+	Consumer  string
+	Running   int
+	Delivered uint64 // samples
+}
