--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -21,7 +21,8 @@
 	Executors []Executor
 	TickEvery time.Duration
 	QueueSize int
-	Record    func(now time.Duration, ev event.Event) // called for each event when not nil
+	// Record is called after each step when not nil; it must not keep the effects.
+	Record func(now time.Duration, ev event.Event, effects []event.Effect)
 
 	start  time.Time
 	events chan event.Event
@@ -68,10 +69,11 @@
 
 func (l *Loop) step(ev event.Event) {
 	now := l.Now()
+	effects := l.State.Step(now, ev)
 	if l.Record != nil {
-		l.Record(now, ev)
+		l.Record(now, ev, effects)
 	}
-	for _, effect := range l.State.Step(now, ev) {
+	for _, effect := range effects {
 		l.execute(effect)
 	}
 }
--- /dev/null
+++ b/internal/reduce/reduce_test.go
@@ -0,0 +1,48 @@
+package reduce
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+)
+
+// first raises a lost host for each stop; second answers that with an effect.
+type (
+	first  struct{}
+	second struct{}
+)
+
+func (first) Step(_ time.Duration, ev event.Event, out *event.Batch) {
+	if _, ok := ev.(event.StopAsked); ok {
+		out.Raise(event.HostLost{Host: "a"})
+		out.Raise(event.HostLost{Host: "b"})
+	}
+}
+
+func (second) Step(_ time.Duration, ev event.Event, out *event.Batch) {
+	if e, ok := ev.(event.HostLost); ok {
+		out.Emit(event.SendPeer{Host: e.Host})
+	}
+}
+
+func TestRaisedEventsRunInOrderWithinTheStep(t *testing.T) {
+	cases := map[string]struct {
+		ev   event.Event
+		want []event.Effect
+	}{
+		"raised":  {event.StopAsked{}, []event.Effect{event.SendPeer{Host: "a"}, event.SendPeer{Host: "b"}}},
+		"nothing": {event.Tick{}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := State{Parts: []event.Part{first{}, second{}}}
+			got := s.Step(time.Second, c.ev)
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("effects (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,111 @@
+// Package trace records a run of the reducer and reads it back for replay.
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"reflect"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/figshift/figshift/internal/event"
+)
+
+// Step is one recorded step: the event, its time, and a digest of the effects that it gave.
+type Step struct {
+	At      time.Duration
+	Event   event.Event
+	Effects uint64
+}
+
+// line is the form of a Step in the file, one JSON object a line.
+type line struct {
+	At      time.Duration
+	Type    string
+	Event   json.RawMessage
+	Effects uint64
+}
+
+// Writer records steps. Out is set before the first Add; it must not be used concurrently.
+type Writer struct {
+	Out io.Writer
+}
+
+// Add records one step. It returns an error when the event can't be encoded or Out fails.
+func (w *Writer) Add(at time.Duration, ev event.Event, effects []event.Effect) error {
+	digest, err := Digest(effects)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(ev)
+	if err != nil {
+		return errors.Wrap(err, "encode event")
+	}
+	text, err := json.Marshal(line{At: at, Type: typeName(ev), Event: body, Effects: digest})
+	if err != nil {
+		return errors.Wrap(err, "encode step")
+	}
+	_, err = w.Out.Write(append(text, '\n'))
+	return errors.Wrap(err, "write step")
+}
+
+// Digest returns a hash over the effects, their types and their order.
+// It returns an error when an effect can't be encoded. It may be called concurrently.
+func Digest(effects []event.Effect) (uint64, error) {
+	sum := xxhash.New()
+	enc := json.NewEncoder(sum)
+	for _, e := range effects {
+		_, _ = sum.WriteString(typeName(e))
+		if err := enc.Encode(e); err != nil {
+			return 0, errors.Wrapf(err, "encode effect %s", typeName(e))
+		}
+	}
+	return sum.Sum64(), nil
+}
+
+// Read returns all steps of a recorded run. It returns an error for a line that is cut or of an unknown event type.
+func Read(in io.Reader) ([]Step, error) {
+	types := eventTypes()
+	dec := json.NewDecoder(bufio.NewReader(in))
+	var steps []Step
+	for {
+		var l line
+		err := dec.Decode(&l)
+		if errors.Is(err, io.EOF) {
+			return steps, nil
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "step %d", len(steps)+1)
+		}
+		ev, err := decodeEvent(types, l)
+		if err != nil {
+			return nil, errors.Wrapf(err, "step %d", len(steps)+1)
+		}
+		steps = append(steps, Step{At: l.At, Event: ev, Effects: l.Effects})
+	}
+}
+
+func decodeEvent(types map[string]reflect.Type, l line) (event.Event, error) {
+	t, ok := types[l.Type]
+	if !ok {
+		return nil, errors.Errorf("unknown event type %q", l.Type)
+	}
+	v := reflect.New(t)
+	if err := json.Unmarshal(l.Event, v.Interface()); err != nil {
+		return nil, errors.Wrapf(err, "event %s", l.Type)
+	}
+	return v.Elem().Interface().(event.Event), nil
+}
+
+func eventTypes() map[string]reflect.Type {
+	types := map[string]reflect.Type{}
+	for _, ev := range event.Types() {
+		types[typeName(ev)] = reflect.TypeOf(ev)
+	}
+	return types
+}
+
+func typeName(v any) string { return reflect.TypeOf(v).Name() }
