--- /dev/null
+++ b/error.go
@@ -0,0 +1,60 @@
+package figshift
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Kind names one way in which a request is refused or fails.
+type Kind = kinds.Kind
+
+// Run says what is known about the request's run on an endpoint.
+type Run = kinds.Run
+
+// The three truths about a run.
+const (
+	NotRun  = kinds.NotRun
+	Unknown = kinds.Unknown
+	Ran     = kinds.Ran
+)
+
+// Error is a refusal or failure that the service reported.
+type Error struct {
+	Status     int // HTTP status
+	Kind       Kind
+	Run        Run
+	Detail     string
+	Request    string        // request id, for the operators
+	RetryAfter time.Duration // 0 when the service gives none
+}
+
+// Error returns the kind, what is known about the run, and the detail on one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Kind, e.Run, e.Detail)
+}
+
+// maxErrorBytes bounds how much of a refusal's body is read.
+const maxErrorBytes = 64 << 10
+
+// readError reads a refusal. An answer that is not the service's own, such as a balancer's, has run state Unknown.
+func readError(resp *http.Response) error {
+	var body wire.Refusal
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err := json.Unmarshal(text, &body); err != nil || body.Kind == "" {
+		return &Error{Status: resp.StatusCode, Kind: kinds.Internal, Run: Unknown, Detail: resp.Status}
+	}
+	return &Error{
+		Status:     resp.StatusCode,
+		Kind:       Kind(body.Kind),
+		Run:        Run(body.Run),
+		Detail:     body.Detail,
+		Request:    body.Request,
+		RetryAfter: time.Duration(body.RetryAfterMS) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/wire/answer.go
@@ -0,0 +1,16 @@
+package wire
+
+// Headers of the daemons' answers to callers.
+const (
+	HeaderKind = "X-Figshift-Kind" // error kind of a refusal
+	HeaderRun  = "X-Figshift-Run"  // NotRun, Unknown or Ran
+)
+
+// Refusal is the body of every answer that a daemon makes itself instead of passing an endpoint's.
+type Refusal struct {
+	Kind         string
+	Run          string
+	Detail       string
+	RetryAfterMS int64
+	Request      string
+}
