objapi, peer, member, watch, trust, lease: first whole version

The parts, executors and wiring of the authority area compile and are wired into figd. Not tried yet against a platform. Beats carry an echo, so that evidence is dated by the sending of the own beat that a peer answers: a beat that waited in a socket's buffer while the process was stopped proves nothing new.

--- a/figd/daemon.go
+++ b/figd/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/loop"
+	"github.com/figshift/figshift/internal/member"
 	"github.com/figshift/figshift/internal/reduce"
 )
 
@@ -26,8 +27,9 @@
 	group       run.Group
 
 	// Set by the authority area, read by the others.
-	trust event.Trust
-	keys  *keys.Table
+	trust   event.Trust
+	keys    *keys.Table
+	members *member.Part // takes the other areas' Contributors
 	// Set by the rollout area, read by the request area.
 	samples  call.Samples
 	handlers map[string]httpHandler
--- a/internal/event/peer.go
+++ b/internal/event/peer.go
@@ -24,10 +24,15 @@
 	Message wire.Message
 }
 
-// PeerUp says that a peer connection has passed its handshake.
-type PeerUp struct{ Host, Incarnation string }
+// PeerUp says that a connection from a peer has passed its handshake: what the peer sends is received.
+type PeerUp struct {
+	Host        string
+	Incarnation string
+	Zone        string
+	Address     string // of the peer's own listener, host:port
+}
 
-// PeerDown says that a peer connection has ended.
+// PeerDown says that the connection from a peer has ended.
 type PeerDown struct{ Host, Incarnation string }
 
 // PeerReceived is a frame from an authenticated peer.
@@ -40,10 +45,13 @@
 // HostsChanged is raised when the known hosts changed; Hosts are sorted by name and include this one.
 type HostsChanged struct{ Hosts []Host }
 
-// BeatSeen is raised for each beat that is newer than the last one of its sender.
+// BeatSeen is raised for each beat that is newer than the last one of its sender. When Anchored is set, the
+// beat was built after Anchor on this daemon's clock: it answers a beat that was sent from here at that time.
 type BeatSeen struct {
-	Host string
-	Beat wire.Beat
+	Host     string
+	Beat     wire.Beat
+	Anchor   time.Duration
+	Anchored bool
 }
 
 // HostLost is raised when no beat came from a host for the failure timeout.
--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -56,6 +56,7 @@
 type ListEndpoints struct{ Call ObjectCall }
 
 // ObjectDone ends a GetObject, PutObject or DeleteObject. Kind is "" for success, NotFound, Conflict, or
+// DeadlineExceeded for a write that was not sent because of its Before, or
 // StoreUnavailable, after which a write may or may not have taken effect. SentAt is the time at which the call was sent.
 type ObjectDone struct {
 	Call   ObjectCall
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -25,7 +25,7 @@
 	Revision     uint64
 }
 
-// Shard is the value of one Keys object. Keys is indexed by the key's hash.
+// Shard is the value of one Keys object. Keys is indexed by the key's hash; Revision rises with each change.
 type Shard struct {
 	Revision uint64
 	Keys     map[string]Entry
@@ -42,6 +42,30 @@
 	return e, ok
 }
 
+// SetShard replaces the entries of the shard called name, such as ShardOf returns, by those of shard.
+func (t *Table) SetShard(name string, shard Shard) {
+	t.RemoveShard(name)
+	if t.Entries == nil {
+		t.Entries = map[string]Entry{}
+	}
+	for hash, e := range shard.Keys {
+		if validHash(hash) && ShardOf(hash) == name {
+			t.Entries[hash] = e
+		}
+	}
+}
+
+// RemoveShard removes the entries of the shard called name.
+func (t *Table) RemoveShard(name string) {
+	for hash := range t.Entries {
+		if ShardOf(hash) == name {
+			delete(t.Entries, hash)
+		}
+	}
+}
+
+func validHash(hash string) bool { return len(hash) == hex.EncodedLen(sha256.Size) }
+
 // Hash returns the lower-case hex SHA-256 of a key. It may be called concurrently.
 func Hash(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- /dev/null
+++ b/internal/lease/compete.go
@@ -0,0 +1,120 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/ranks"
+)
+
+// freshRead is the greatest age of a read that a takeover goes by.
+const freshRead = time.Second
+
+// compete takes a duty that nobody holds. Only a few candidates for each duty read its object, and only while no
+// beat claims it, so that the calls grow with the duties and not with the hosts.
+func (p *Part) compete(now time.Duration, d *duty, out *event.Batch) {
+	if p.stopping || p.readyAt == 0 || now < p.readyAt || d.busy || now < d.next {
+		return
+	}
+	rank := p.rank(d, now)
+	if rank < 0 || rank >= candidates {
+		return
+	}
+	if holder, _ := p.Roster.Holder(d.name, now); holder != "" && holder != p.Self.Name {
+		d.known = false
+		return
+	}
+	if !d.known || d.suspect {
+		p.read(d, out)
+		return
+	}
+	takeAt := p.takeAt(d, rank)
+	if now < takeAt {
+		return
+	}
+	if now-d.readAt > freshRead {
+		p.read(d, out)
+		return
+	}
+	p.takeOver(d, out)
+}
+
+func (p *Part) rank(d *duty, now time.Duration) int {
+	var alive []string
+	for _, h := range p.Roster.Alive(now) {
+		alive = append(alive, h.Name)
+	}
+	return ranks.Of(d.name, alive, p.Self.Name)
+}
+
+// takeAt returns the time from which this daemon may take a duty over. An expired lease of this very process
+// needs no wait: it has given the duty up before.
+func (p *Part) takeAt(d *duty, rank int) time.Duration {
+	later := time.Duration(rank) * stagger
+	switch {
+	case d.record.Holder == "":
+		return d.since + later
+	case d.record.Holder == p.Self.Name && d.record.Incarnation == p.Self.Incarnation:
+		return d.since
+	default:
+		return d.since + d.record.Timing.TTL + d.record.Timing.Margin + later
+	}
+}
+
+func (p *Part) takeOver(d *duty, out *event.Batch) {
+	record := d.record
+	record.Holder = p.Self.Name
+	record.Incarnation = p.Self.Incarnation
+	record.Epoch++
+	record.Renewals = 0
+	record.Timing = p.timing
+	p.write(d, record, 0, out)
+	d.writing.takeover = true
+	d.writing.wait = max(d.record.Timing.OrderFlight, p.timing.OrderFlight)
+	if record.Epoch == 1 {
+		d.writing.wait = 0
+	}
+}
+
+// taken goes on from a takeover that is known to be stored. A lease that has already run out is taken anew.
+func (p *Part) taken(now time.Duration, d *duty, w write, out *event.Batch) {
+	until := trustUntil(w.sentAt, w.record.Timing)
+	if now >= until {
+		return
+	}
+	d.phase = waiting
+	d.until = until
+	d.renewAt = w.sentAt + p.timing.Renew
+	d.gainAt = now + w.wait
+	p.keep(now, d, out)
+}
+
+// sight takes what a read showed of a duty that is not held here.
+func (p *Part) sight(now time.Duration, d *duty, e event.ObjectDone) {
+	d.readAt = now
+	if e.Kind == kinds.NotFound {
+		d.adopt(now, 0, Record{})
+		return
+	}
+	record, ok := decodeRecord(e.Object.Value)
+	if !ok {
+		d.next = now + retryAfter
+		return
+	}
+	d.adopt(now, e.Object.Version, record)
+	if d.heard.version == d.version {
+		d.since = min(d.since, d.heard.since)
+	}
+}
+
+// hear notes when a beat first claimed a version. The holder had sent the write of that version before, so that
+// the wait for an unchanged version may count from there.
+func (p *Part) hear(now time.Duration, e event.BeatSeen) {
+	for _, claim := range e.Beat.Duties {
+		d := p.duties[claim.Duty]
+		if d != nil && claim.Version > d.heard.version {
+			d.heard = heard{version: claim.Version, since: now}
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/figshift/figshift/internal/event"
+)
+
+const (
+	dialTimeout    = time.Second
+	writeTimeout   = 2 * time.Second
+	firstRedial    = 50 * time.Millisecond
+	greatestRedial = time.Second
+)
+
+// link is the outgoing connection to one host. It is dialled again after a failure until its context ends.
+type link struct {
+	mesh   *Mesh
+	host   event.Host
+	queue  *queue
+	cancel context.CancelFunc
+}
+
+func (l *link) run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstRedial
+	pause.MaxInterval = greatestRedial
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := l.connect(ctx)
+		l.mesh.count("link_ended", "host", l.host.Name)
+		l.mesh.debug("PeerLinkEnded", l.host.Name, err)
+		if time.Since(began) > greatestRedial {
+			pause.Reset()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause.NextBackOff()):
+		}
+	}
+}
+
+// connect dials, proves the secret and sends until the connection fails or ctx ends.
+func (l *link) connect(ctx context.Context) error {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", l.host.Address)
+	if err != nil {
+		return errors.Wrap(err, "dialling a peer")
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	hello, err := l.mesh.handshake().dial(conn)
+	if err != nil {
+		return err
+	}
+	if hello.Host != l.host.Name {
+		return errors.Errorf("the listener at %s is host %s, not %s", l.host.Address, hello.Host, l.host.Name)
+	}
+	l.queue.take() // what waited while there was no connection is outdated
+	return l.send(ctx, conn)
+}
+
+func (l *link) send(ctx context.Context, conn net.Conn) error {
+	closed := watchClose(conn)
+	w := bufio.NewWriter(conn)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-closed:
+			return errors.New("closed by the peer")
+		case <-l.queue.filled:
+		}
+		if err := l.flush(conn, w); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *link) flush(conn net.Conn, w *bufio.Writer) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return errors.Wrap(err, "setting a write deadline")
+	}
+	for _, message := range l.queue.take() {
+		frame, err := Encode(message)
+		if err != nil {
+			l.mesh.count("frame_refused", "reason", "TooLarge")
+			continue
+		}
+		if _, err := w.Write(frame); err != nil {
+			return errors.Wrap(err, "writing a frame")
+		}
+		l.mesh.bytes("sent", len(frame))
+	}
+	return errors.Wrap(w.Flush(), "writing frames")
+}
+
+// watchClose returns a channel that is closed when the other side closes the connection.
+// The listening side sends nothing after the handshake.
+func watchClose(conn net.Conn) <-chan struct{} {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_, _ = conn.Read(make([]byte, 1))
+	}()
+	return closed
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -20,16 +20,18 @@
 	Host        string
 	Zone        string
 	Incarnation string
+	Address     string // of the sender's peer listener, host:port
 	Challenge   []byte
 }
 
 // Proof is the HMAC over the other side's challenge with the shared secret.
 type Proof struct{ MAC []byte }
 
-// DutyHeld names a duty that the sender holds, with its epoch.
+// DutyHeld names a duty that the sender holds, with its epoch and the version of its object as last written.
 type DutyHeld struct {
-	Duty  string
-	Epoch uint64
+	Duty    string
+	Epoch   uint64
+	Version uint64
 }
 
 // Served is what one organisation was served by the sender since its start, and has queued and running now.
@@ -56,11 +58,17 @@
 	OwnContactMS   int64 // age of the sender's own contact with the store; -1 for none
 	Ready          bool
 	Stopping       bool
-	Duties         []DutyHeld   `msgpack:",omitempty"`
-	Served         []Served     `msgpack:",omitempty"`
-	Leaving        []LeaveMark  `msgpack:",omitempty"`
-	Loads          []LoadReport `msgpack:",omitempty"`
-	Demand         []Demand     `msgpack:",omitempty"`
+	// Complete says that the sender's objects are whole: read from the store, or from a majority of the hosts.
+	Complete         bool
+	HostsRevision    uint64       // store revision up to which the sender knows the Hosts objects
+	RolloutsRevision uint64       // store revision up to which the sender knows the Rollouts objects
+	Echo             uint64       // highest Seq that the sender has from the receiver, 0 for none
+	EchoIncarnation  string       // incarnation of the receiver that sent Echo
+	Duties           []DutyHeld   `msgpack:",omitempty"`
+	Served           []Served     `msgpack:",omitempty"`
+	Leaving          []LeaveMark  `msgpack:",omitempty"`
+	Loads            []LoadReport `msgpack:",omitempty"`
+	Demand           []Demand     `msgpack:",omitempty"`
 }
 
 // LoadReport relays one endpoint's load and true version.
@@ -80,14 +88,20 @@
 	Running int
 }
 
-// Push carries objects from a watcher to the other daemons.
+// Push carries the objects under Prefix that changed after store revision After, up to Revision.
+// A receiver that knows the prefix up to After knows it up to Revision with these objects.
 type Push struct {
+	Prefix   string
+	After    uint64
 	Revision uint64
 	Objects  []Object
 }
 
-// Pull asks a peer for all objects it has of these prefixes, for a start during a store outage.
-type Pull struct{ Prefixes []string }
+// Pull asks a peer for the objects under each prefix that changed after the revision of the same index.
+type Pull struct {
+	Prefixes []string
+	After    []uint64
+}
 
 // EndpointSet relays the platform's endpoint list from a watcher.
 type EndpointSet struct {
