--- a/internal/wire/endpoint.go
+++ b/internal/wire/endpoint.go
@@ -19,6 +19,7 @@
 	HeaderOrganisation = "X-Figshift-Organisation" // organisation, ours; a caller's own is dropped
 	HeaderNotRun       = "X-Not-Run"               // "true" on an endpoint's refusal before any work
 	HeaderLoad         = "X-Endpoint-Load"         // tokens queued and running, on each answer
+	HeaderLeaving      = "X-Endpoint-Leaving"      // "true" on each answer of an endpoint that takes no new work
 )
 
 // Generate is a generation request. Held are the tokens that a resumed answer has already
@@ -53,6 +54,7 @@
 	RunningTokens int
 	Running       int
 	AgeMS         int
+	Leaving       bool `json:",omitempty"` // takes no new work
 }
 
 // EngineState is the engine's true state now.
