flow, admit, route, retry, call, serve: thin request area

From the key to one answer: fair queue, endpoint table with leave marks, attempts whose bytes are counted at the connection, streams resumed or ended visibly, drain. Tests against httptest endpoints in internal/serve.

--- a/figd/requests.go
+++ b/figd/requests.go
@@ -1,4 +1,36 @@
 package main
 
+import (
+	"math/rand/v2"
+
+	"github.com/figshift/figshift/internal/call"
+	"github.com/figshift/figshift/internal/flow"
+	"github.com/figshift/figshift/internal/serve"
+)
+
 // addRequests adds the parts, executors and actors of this area.
-func (d *daemon) addRequests() {}
+func (d *daemon) addRequests() {
+	part := &flow.Part{
+		Host:    d.process.Host,
+		Zone:    d.process.Zone,
+		Trust:   d.trust,
+		Keys:    d.keys,
+		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Process: d.process,
+	}
+	d.addPart(part)
+	executor := &call.Executor{Incarnation: d.incarnation, Post: d.loop.Post, Now: d.loop.Now, Samples: d.samples}
+	executor.Prepare()
+	server := &serve.Server{
+		Address:  d.process.Listen,
+		Executor: executor,
+		Post:     d.loop.Post,
+		Now:      d.loop.Now,
+		Handlers: d.handlers,
+	}
+	server.Prepare()
+	d.addExecutor(server)
+	d.addExecutor(executor)
+	d.addActor(executor.Run)
+	d.addActor(server.Run)
+}
--- /dev/null
+++ b/internal/admit/ledger.go
@@ -0,0 +1,81 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Ledger counts the tokens served to each organisation, here and by the other daemons.
+// Its zero value is empty. It must not be used concurrently.
+type Ledger struct {
+	own   map[tenant]uint64
+	hosts map[string]map[tenant]uint64 // by host, as its last beat told
+	total map[string]uint64            // by organisation, all daemons
+	sum   uint64
+}
+
+// Serve counts tokens that this daemon served.
+func (l *Ledger) Serve(organisation string, class config.Class, tokens uint64) {
+	if l.own == nil {
+		l.own = map[tenant]uint64{}
+	}
+	l.own[tenant{class: class, organisation: organisation}] += tokens
+	l.count(organisation, tokens)
+}
+
+func (l *Ledger) count(organisation string, tokens uint64) {
+	if l.total == nil {
+		l.total = map[string]uint64{}
+	}
+	l.total[organisation] += tokens
+	l.sum += tokens
+}
+
+// Seen takes a host's counts and calls charge with what each organisation was served there since the last ones.
+// The first counts of a host, and those of one that started again, only set the mark.
+func (l *Ledger) Seen(host string, served []wire.Served, charge func(organisation string, class config.Class, tokens uint64)) {
+	last, ok := l.hosts[host]
+	if !ok {
+		last = map[tenant]uint64{}
+		if l.hosts == nil {
+			l.hosts = map[string]map[tenant]uint64{}
+		}
+		l.hosts[host] = last
+	}
+	for _, s := range served {
+		id := tenant{class: config.Class(s.Class), organisation: s.Organisation}
+		before, known := last[id]
+		last[id] = s.Tokens
+		if (!ok && !known) || s.Tokens <= before {
+			continue
+		}
+		l.count(s.Organisation, s.Tokens-before)
+		charge(s.Organisation, id.class, s.Tokens-before)
+	}
+}
+
+// Forget drops a lost host's counts.
+func (l *Ledger) Forget(host string) { delete(l.hosts, host) }
+
+// Share returns an organisation's part of the tokens that all daemons served, 0 to 1.
+func (l *Ledger) Share(organisation string) float64 {
+	if l.sum == 0 {
+		return 0
+	}
+	return float64(l.total[organisation]) / float64(l.sum)
+}
+
+// Served returns this daemon's counts, sorted.
+func (l *Ledger) Served() []wire.Served {
+	all := make([]wire.Served, 0, len(l.own))
+	for id, tokens := range l.own {
+		all = append(all, wire.Served{Organisation: id.organisation, Class: string(id.class), Tokens: tokens})
+	}
+	slices.SortFunc(all, func(a, b wire.Served) int {
+		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Class, b.Class))
+	})
+	return all
+}
--- /dev/null
+++ b/internal/flow/arrive.go
@@ -0,0 +1,173 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/figshift/figshift/internal/admit"
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/route"
+)
+
+// arrive admits a request to the queue or refuses it at once.
+func (p *Part) arrive(now time.Duration, e event.RequestArrived, out *event.Batch) {
+	if _, ok := p.requests[e.Request]; ok {
+		return
+	}
+	r := &request{arrived: e, started: now, idempotent: true, generation: e.Generation}
+	p.requests[e.Request] = r
+	if kind := p.identify(now, r); kind != "" {
+		p.finish(now, r, kind, out)
+		return
+	}
+	if kind := p.admit(now, r, out); kind != "" {
+		p.finish(now, r, kind, out)
+		return
+	}
+	p.enqueue(r, false)
+	p.timers.add(r.deadline, r.id())
+	p.dispatch(now, out)
+}
+
+// identify sets the request's organisation, route and deadline, or returns why it is refused.
+func (p *Part) identify(now time.Duration, r *request) kinds.Kind {
+	if p.drain.stopped {
+		return kinds.Stopping
+	}
+	if p.site == nil {
+		return kinds.NotReady
+	}
+	if r.arrived.Sample != nil {
+		return p.identifySample(now, r)
+	}
+	matched, ok := p.routes.Match(r.arrived.Path)
+	if !ok {
+		return kinds.RouteUnknown
+	}
+	r.route = matched
+	if kind := p.identifyCaller(now, r); kind != "" {
+		return kind
+	}
+	if r.arrived.Generation != (matched.Model != "") {
+		return kinds.NotReady
+	}
+	r.class = matched.Class
+	if r.class == "" {
+		r.class = config.Interactive
+	}
+	r.pool = route.PoolOf(matched)
+	r.idempotent = matched.Idempotent
+	r.deadline = p.deadline(now, r.arrived.Deadline, matched.Timeout)
+	return ""
+}
+
+func (p *Part) identifySample(now time.Duration, r *request) kinds.Kind {
+	if _, ok := p.Trust.Trusted(now); !ok {
+		return kinds.AuthorityStale
+	}
+	r.organisation = r.arrived.Organisation
+	r.class = config.Rollout
+	r.pool = route.EnginePool(r.arrived.Model)
+	if r.arrived.Service != "" {
+		r.pool = route.ServicePool(r.arrived.Service)
+	}
+	r.deadline = r.arrived.Deadline
+	if r.deadline == 0 {
+		r.deadline = now + p.site.Limits.DefaultTimeout
+	}
+	return ""
+}
+
+// identifyCaller finds the organisation of the key. An open route runs without one.
+func (p *Part) identifyCaller(now time.Duration, r *request) kinds.Kind {
+	organisation, kind := p.holder(now, r.arrived.KeyHash)
+	if kind == "" {
+		r.organisation = organisation
+		return ""
+	}
+	if r.route.Open {
+		return ""
+	}
+	return kind
+}
+
+// holder returns the organisation that a key admits now.
+func (p *Part) holder(now time.Duration, hash string) (string, kinds.Kind) {
+	if hash == "" {
+		return "", kinds.KeyMissing
+	}
+	if _, ok := p.Trust.Trusted(now); !ok {
+		return "", kinds.AuthorityStale
+	}
+	entry, ok := p.Keys.Lookup(hash)
+	if !ok {
+		return "", kinds.KeyUnknown
+	}
+	if entry.State != keys.Active {
+		return "", kinds.KeyWithdrawn
+	}
+	if _, ok := p.site.Organisations[entry.Organisation]; !ok {
+		return "", kinds.Forbidden
+	}
+	return entry.Organisation, ""
+}
+
+func (p *Part) deadline(now, asked, timeout time.Duration) time.Duration {
+	if timeout == 0 {
+		timeout = p.site.Limits.DefaultTimeout
+	}
+	if asked != 0 {
+		return min(asked, now+timeout)
+	}
+	return now + timeout
+}
+
+// admit checks that the request can be served within its deadline and that the queue has room, making room if need be.
+func (p *Part) admit(now time.Duration, r *request, out *event.Batch) kinds.Kind {
+	if r.deadline <= now {
+		return kinds.DeadlineExceeded
+	}
+	r.item = admit.Item[uint64]{
+		Organisation: r.organisation,
+		Class:        r.class,
+		Pool:         r.pool,
+		Cost:         max(1, r.arrived.Tokens),
+		Value:        r.id(),
+	}
+	if r.class == config.Interactive && !p.table.Serves(r.pool) {
+		p.demand.miss(now, r)
+		return kinds.NoEndpoint
+	}
+	if now+p.rate(r.pool).Wait(p.Queue.Ahead(r.item)) > r.deadline {
+		return kinds.DeadlineTooShort
+	}
+	return p.makeRoom(now, r, out)
+}
+
+func (p *Part) makeRoom(now time.Duration, r *request, out *event.Batch) kinds.Kind {
+	own, all := p.Queue.Len(r.organisation)
+	if own >= p.site.Limits.QueuePerOrg {
+		return kinds.QueueFull
+	}
+	if all < p.site.Limits.QueuePerDaemon {
+		return ""
+	}
+	evicted, ok := p.Queue.Evict(r.organisation)
+	if !ok {
+		return kinds.QueueFull
+	}
+	victim := p.requests[evicted.Value]
+	p.waiting[victim.pool]--
+	victim.phase = backingOff
+	p.finish(now, victim, kinds.QueueFull, out)
+	return ""
+}
+
+func (p *Part) enqueue(r *request, front bool) {
+	r.phase = queued
+	r.item.Front = front
+	p.Queue.Push(r.item)
+	p.waiting[r.pool]++
+}
--- /dev/null
+++ b/internal/flow/drain.go
@@ -0,0 +1,35 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+)
+
+// drain ends the service of a stopping daemon: unready, accepting for the balancer's delay, closed, drained.
+type drain struct {
+	asked   bool
+	stopped bool // the listener was told to close
+	closed  bool // and has closed
+	done    bool
+	closeAt time.Duration
+}
+
+func (d *drain) begin(now, delay time.Duration, out *event.Batch) {
+	if d.asked {
+		return
+	}
+	d.asked, d.closeAt = true, now+delay
+	out.Emit(event.BeginDrain{})
+}
+
+func (d *drain) tick(now time.Duration, requests int, out *event.Batch) {
+	if d.asked && !d.stopped && now >= d.closeAt {
+		d.stopped = true
+		out.Emit(event.StopListening{})
+	}
+	if d.closed && !d.done && requests == 0 {
+		d.done = true
+		out.Raise(event.Drained{})
+	}
+}
--- /dev/null
+++ b/internal/flow/status.go
@@ -0,0 +1,80 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+func (p *Part) status(now time.Duration, e event.StatusAsked, out *event.Batch) {
+	part := event.StatusPart{Seq: e.Seq}
+	part.Status.Endpoints = p.endpointStatus(now)
+	part.Status.Organisations = p.organisationStatus()
+	out.Emit(part)
+}
+
+func (p *Part) endpointStatus(now time.Duration) []wire.EndpointStatus {
+	var all []wire.EndpointStatus
+	for _, e := range p.table.All() {
+		all = append(all, wire.EndpointStatus{
+			Endpoint:    e.Name,
+			Zone:        e.Zone,
+			Kind:        e.Kind,
+			Price:       e.Price,
+			State:       p.table.State(e),
+			Version:     e.Version,
+			Outstanding: e.Running,
+			LoadTokens:  e.Load(),
+			Ejected:     e.Ejected(now),
+		})
+	}
+	return all
+}
+
+func (p *Part) organisationStatus() []wire.OrganisationStatus {
+	if p.site == nil {
+		return nil
+	}
+	running := map[string]int{}
+	for _, r := range p.requests {
+		if r.phase != queued && r.phase != backingOff {
+			running[r.organisation]++
+		}
+	}
+	var all []wire.OrganisationStatus
+	for _, name := range sortedNames(p.site.Organisations) {
+		waiting, _ := p.Queue.Len(name)
+		all = append(all, wire.OrganisationStatus{
+			Organisation: name,
+			Weight:       p.site.Organisations[name].Weight,
+			Share:        p.ledger.Share(name),
+			Queued:       waiting,
+			Running:      running[name],
+			Refused:      byName(p.refused[name]),
+		})
+	}
+	return all
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func byName(refused map[kinds.Kind]uint64) map[string]uint64 {
+	if len(refused) == 0 {
+		return nil
+	}
+	all := make(map[string]uint64, len(refused))
+	for k, n := range refused {
+		all[string(k)] = n
+	}
+	return all
+}
--- /dev/null
+++ b/internal/route/match.go
@@ -0,0 +1,62 @@
+// Package route matches requests to routes and chooses endpoints for them.
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Routes is a set of routes, longest prefix first. It may be read concurrently.
+type Routes []config.Route
+
+// NewRoutes returns the routes of a site in the order in which they are tried.
+// It may be called concurrently.
+func NewRoutes(site *config.Site) Routes {
+	rs := make(Routes, 0, len(site.Routes))
+	for _, r := range site.Routes {
+		rs = append(rs, r)
+	}
+	slices.SortFunc(rs, func(a, b config.Route) int {
+		return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
+	})
+	return rs
+}
+
+// Match returns the route with the longest prefix of path, false when there is none.
+// A prefix ends at a path segment's boundary. It may be called concurrently.
+func (rs Routes) Match(path string) (config.Route, bool) {
+	for _, r := range rs {
+		if covers(r.Prefix, path) {
+			return r, true
+		}
+	}
+	return config.Route{}, false
+}
+
+func covers(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	rest := path[len(prefix):]
+	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
+}
+
+// EnginePool returns the name of the pool of engines that serve a model.
+// It may be called concurrently.
+func EnginePool(model string) string { return string(wire.Engine) + "/" + model }
+
+// ServicePool returns the name of the pool of a plain service's endpoints.
+// It may be called concurrently.
+func ServicePool(service string) string { return string(wire.Service) + "/" + service }
+
+// PoolOf returns the pool that serves a route. It may be called concurrently.
+func PoolOf(r config.Route) string {
+	if r.Model != "" {
+		return EnginePool(r.Model)
+	}
+	return ServicePool(r.Service)
+}
--- /dev/null
+++ b/internal/serve/answer.go
@@ -0,0 +1,113 @@
+package serve
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Headers of the answers that figshift makes itself.
+const (
+	HeaderKind    = "X-Figshift-Kind"
+	HeaderRun     = "X-Figshift-Run"
+	headerRequest = wire.HeaderRequest
+)
+
+// Refusal is the JSON body of an answer that figshift makes itself.
+type Refusal struct {
+	Kind         kinds.Kind
+	Run          kinds.Run
+	Detail       string
+	RetryAfterMS int64
+	Request      string
+}
+
+// WriteError answers with a kind of the closed list and what is true of the request's run.
+// It is called once for an answer that has not begun.
+func WriteError(w http.ResponseWriter, answer event.AnswerRequest, id string) {
+	as := kinds.Of(answer.Kind)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderKind, string(answer.Kind))
+	h.Set(HeaderRun, string(as.Run))
+	h.Set(headerRequest, id)
+	refusal := Refusal{Kind: answer.Kind, Run: as.Run, Detail: answer.Detail, Request: id}
+	if as.RetryAfter {
+		wait := max(answer.RetryAfter, time.Second)
+		refusal.RetryAfterMS = wait.Milliseconds()
+		h.Set("Retry-After", strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
+	}
+	w.WriteHeader(as.Status)
+	_ = json.NewEncoder(w).Encode(refusal)
+}
+
+func detailOf(err error) string {
+	var e *kinds.Error
+	if errors.As(err, &e) {
+		return e.Detail
+	}
+	return ""
+}
+
+// httpSink writes an answer to a caller.
+type httpSink struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	started bool
+}
+
+// Head starts the answer with an endpoint's status and fields.
+func (k *httpSink) Head(status int, header http.Header) error {
+	h := k.writer.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	k.started = true
+	k.writer.WriteHeader(status)
+	return nil
+}
+
+// Body writes and flushes the next bytes.
+func (k *httpSink) Body(p []byte) error {
+	if _, err := k.writer.Write(p); err != nil {
+		return err
+	}
+	return k.control.Flush()
+}
+
+// Trailer adds trailing fields.
+func (k *httpSink) Trailer(trailer http.Header) {
+	for name, values := range trailer {
+		k.writer.Header()[http.TrailerPrefix+name] = values
+	}
+}
+
+// Segment writes and flushes one line.
+func (k *httpSink) Segment(s wire.Segment) error {
+	line, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	if !k.started {
+		k.started = true
+		k.writer.Header().Set("Content-Type", "application/x-ndjson")
+		k.writer.WriteHeader(http.StatusOK)
+	}
+	return k.Body(append(line, '\n'))
+}
+
+// Interrupt ends a write that waits for a slow caller.
+func (k *httpSink) Interrupt() { _ = k.control.SetWriteDeadline(time.Now()) }
+
+// cut writes why a generation ends early, as far as the caller takes it.
+func (k *httpSink) cut(answer event.AnswerRequest, generation bool) {
+	if generation && k.started {
+		_ = k.Segment(wire.Segment{Error: string(answer.Kind)})
+	}
+}
--- /dev/null
+++ b/internal/serve/rig_test.go
@@ -0,0 +1,163 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/call"
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/flow"
+	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/loop"
+	"github.com/figshift/figshift/internal/reduce"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const (
+	testKey     = "fs-test-key-0123456789"
+	testBound   = 5 * time.Second
+	tickForTest = 5 * time.Millisecond
+)
+
+// alwaysTrust trusts the evidence for a while from now.
+type alwaysTrust struct{}
+
+func (alwaysTrust) Trusted(now time.Duration) (time.Duration, bool) { return now + time.Second, true }
+
+func (alwaysTrust) Holds(string, time.Duration) (time.Duration, uint64, bool) { return 0, 0, false }
+
+// rig is a daemon's request area with a listener of its own.
+type rig struct {
+	loop *loop.Loop
+	part *flow.Part
+	url  string
+}
+
+func testSite() *config.Site {
+	site := config.Defaults()
+	site.Revision = 1
+	site.Organisations["Ledger"] = config.Organisation{Name: "Ledger", Weight: 1}
+	site.Routes["Lookup"] = config.Route{Name: "Lookup", Prefix: "/lookup", Service: "lookup", Idempotent: true, Timeout: 2 * time.Second}
+	site.Routes["Order"] = config.Route{Name: "Order", Prefix: "/order", Service: "lookup", Timeout: 2 * time.Second}
+	site.Routes["Draft"] = config.Route{Name: "Draft", Prefix: "/draft", Model: "m", Idempotent: true, Timeout: 5 * time.Second}
+	site.Routes["Public"] = config.Route{Name: "Public", Prefix: "/public", Service: "lookup", Open: true, Idempotent: true}
+	return site
+}
+
+func newRig(tb testing.TB, endpoints ...wire.Endpoint) *rig {
+	tb.Helper()
+	g := &rig{}
+	g.part = &flow.Part{
+		Trust:  alwaysTrust{},
+		Keys:   &keys.Table{Entries: map[string]keys.Entry{keys.Hash(testKey): {Organisation: "Ledger", State: keys.Active}}},
+		Random: rand.New(rand.NewPCG(1, 2)),
+	}
+	g.loop = &loop.Loop{State: &reduce.State{Parts: []event.Part{g.part}}, TickEvery: tickForTest, QueueSize: 1024}
+	g.loop.Prepare()
+	executor := &call.Executor{Incarnation: "test", Post: g.loop.Post, Now: g.loop.Now}
+	executor.Prepare()
+	server := &Server{Executor: executor, Post: g.loop.Post, Now: g.loop.Now}
+	server.Prepare()
+	g.loop.Executors = []loop.Executor{server, executor}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = g.loop.Run(ctx) }()
+	go func() { _ = executor.Run(ctx) }()
+	front := httptest.NewServer(server)
+	g.url = front.URL
+	tb.Cleanup(func() {
+		cancel()
+		front.Close()
+	})
+	g.loop.Post(event.ConfigInForce{Site: testSite()})
+	g.loop.Post(event.EndpointsListed{List: wire.EndpointList{Revision: 1, Endpoints: endpoints}})
+	g.await(tb, func() bool { return server.site.Load() != nil })
+	return g
+}
+
+func (g *rig) await(tb testing.TB, condition func() bool) {
+	tb.Helper()
+	for end := time.Now().Add(testBound); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	tb.Fatal("the condition did not come true")
+}
+
+// service returns an endpoint of the plain service that h answers for.
+func service(tb testing.TB, name string, h http.HandlerFunc) wire.Endpoint {
+	return endpoint(tb, wire.Endpoint{Name: name, Kind: wire.Service, Service: "lookup"}, h)
+}
+
+// engine returns an endpoint of the model that h answers for.
+func engine(tb testing.TB, name string, h http.HandlerFunc) wire.Endpoint {
+	return endpoint(tb, wire.Endpoint{Name: name, Kind: wire.Engine, Model: "m"}, h)
+}
+
+func endpoint(tb testing.TB, e wire.Endpoint, h http.HandlerFunc) wire.Endpoint {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == wire.PathLoad || r.URL.Path == wire.PathState {
+			http.NotFound(w, r)
+			return
+		}
+		h(w, r)
+	}))
+	tb.Cleanup(s.Close)
+	e.Incarnation, e.State, e.Address = "1", wire.Live, strings.TrimPrefix(s.URL, "http://")
+	return e
+}
+
+// deadAddress returns an address that refuses connections.
+func deadAddress(tb testing.TB) string {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// do sends a request with the test's key and returns the answer, its body and the error of reading it.
+func (g *rig) do(tb testing.TB, method, path, body string, header http.Header) (*http.Response, string, error) {
+	tb.Helper()
+	req, err := http.NewRequest(method, g.url+path, strings.NewReader(body))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// wantKind checks a refusal's kind and truth, in the header and in the body.
+func wantKind(tb testing.TB, resp *http.Response, body, kind, run string) {
+	tb.Helper()
+	var refusal Refusal
+	if err := json.Unmarshal([]byte(body), &refusal); err != nil {
+		tb.Fatalf("no refusal: %v: %s", err, body)
+	}
+	got := []string{resp.Header.Get(HeaderKind), resp.Header.Get(HeaderRun), string(refusal.Kind), string(refusal.Run)}
+	if diff := cmp.Diff([]string{kind, run, kind, run}, got); diff != "" {
+		tb.Error(diff, body)
+	}
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -32,9 +32,10 @@
 	Epoch uint64
 }
 
-// Served is what one organisation was served by the sender since its start, and has queued and running now.
+// Served is what one organisation was served in one class by the sender since its start, and has queued and running now.
 type Served struct {
 	Organisation string
+	Class        string
 	Tokens       uint64
 	Queued       int
 	Running      int
