config: settings of process and site, checked with file and line

logs, stats, admin, drain: the log line, metrics, operators' listener and graceful end that figd is composed with. Parts that have work to finish at StopAsked raise DrainBegun and DrainEnded; drain emits Exit.

--- a/figd/daemon.go
+++ b/figd/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 
 	"github.com/oklog/run"
 	"github.com/uber-go/tally/v4"
@@ -24,6 +25,8 @@
 	state       *reduce.State
 	loop        *loop.Loop
 	group       run.Group
+	ready       *readiness // what the listeners ask
+	closers     []io.Closer
 
 	// Set by the authority area, read by the others.
 	trust event.Trust
@@ -44,3 +47,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.group.Add(func() error { return f(ctx) }, func(error) { cancel() })
 }
+
+// close flushes what outlives the actors.
+func (d *daemon) close() {
+	for _, c := range d.closers {
+		_ = c.Close()
+	}
+	_ = d.log.Sync()
+}
--- a/figd/main.go
+++ b/figd/main.go
@@ -1,15 +1,23 @@
 // Command figd is the daemon on each entry host.
+//
+// Exit codes: 0 after a graceful stop (SIGTERM or SIGINT) or a valid --check, 1 after a failure at run time,
+// 2 for a bad command line, 3 for an invalid configuration, 4 when a second signal cut the graceful stop.
 package main
 
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/loop"
 	"github.com/figshift/figshift/internal/reduce"
 )
@@ -19,33 +27,84 @@
 	eventQueueSize = 8192
 )
 
+// The exit codes.
+const (
+	exitStopped = 0
+	exitFailure = 1
+	exitUsage   = 2
+	exitConfig  = 3
+	exitCut     = 4
+)
+
 type httpHandler = http.Handler
 
-// exitFailure is the exit code of a daemon that ended by an error.
-const exitFailure = 1
+func main() { os.Exit(start(os.Args[1:], os.Stderr)) }
 
-func main() {
-	process := config.Process{}
-	d := newDaemon(process)
-	if err := d.group.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailure)
+// start runs the daemon and returns its exit code.
+func start(args []string, stderr io.Writer) int {
+	flags := flag.NewFlagSet("figd", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	base := flags.String("config", "", "base configuration `file`")
+	overlay := flags.String("overlay", "", "overlay `file` of the site and host")
+	only := flags.Bool("check", false, "check the configuration and exit")
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	if *base == "" || flags.NArg() > 0 {
+		fmt.Fprintln(stderr, "usage: figd --config base.ini [--overlay site.ini] [--check]")
+		return exitUsage
+	}
+	loaded, problems := config.Load(*base, *overlay)
+	if len(problems) == 0 {
+		problems = loaded.CheckProcess()
+	}
+	if len(problems) > 0 {
+		fmt.Fprintln(stderr, problems.Error())
+		return exitConfig
+	}
+	if *only {
+		return exitStopped
 	}
+	return serve(loaded.Process, stderr)
+}
+
+func serve(process config.Process, stderr io.Writer) int {
+	d, err := newDaemon(process, stderr)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitCode(err)
+	}
+	defer d.close()
+	return exitCode(d.group.Run())
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil, errors.Is(err, errStopped):
+		return exitStopped
+	case errors.Is(err, errCut):
+		return exitCut
+	case kinds.From(err) == kinds.ConfigInvalid:
+		return exitConfig
+	}
+	return exitFailure
 }
 
 // newDaemon composes the areas. The order fixes the order in which parts see an event.
-func newDaemon(process config.Process) *daemon {
+func newDaemon(process config.Process, stderr io.Writer) (*daemon, error) {
 	d := &daemon{process: process, incarnation: newIncarnation(), state: &reduce.State{}, handlers: map[string]httpHandler{}}
 	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, QueueSize: eventQueueSize}
 	d.loop.Prepare()
-	d.addOperations()
+	if err := d.addOperations(stderr); err != nil {
+		return nil, err
+	}
 	d.addAuthority()
 	d.addRollouts()
 	d.addRequests()
 	d.addUsage()
 	d.addStatus()
 	d.addActor(d.loop.Run)
-	return d
+	return d, nil
 }
 
 func newIncarnation() string {
--- a/figd/operations.go
+++ b/figd/operations.go
@@ -1,7 +1,139 @@
 package main
 
-// addOperations adds the log, metrics and the operators' listener.
-func (d *daemon) addOperations() {}
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/figshift/figshift/internal/admin"
+	"github.com/figshift/figshift/internal/drain"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/logs"
+	"github.com/figshift/figshift/internal/stats"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// drainBound is the time beyond Process.BalancerDelay after which a graceful stop is cut.
+const drainBound = 2 * time.Minute
+
+var (
+	errStopped = errors.New("stopped")
+	errCut     = errors.New("graceful stop cut by a second signal")
+)
+
+// addOperations adds the log, metrics, readiness, signals and the operators' listener.
+func (d *daemon) addOperations(stderr io.Writer) error {
+	credential, err := admin.ReadCredential(d.process.CredentialFile)
+	if err != nil {
+		return err
+	}
+	d.log = logs.New(d.process.LogLevel, d.process.Host, stderr)
+	scope, metrics, closer := stats.New(func(err error) {
+		d.log.Error("MetricRefused", zap.Error(err))
+	})
+	d.scope = scope
+	d.closers = append(d.closers, closer)
+	d.ready = &readiness{}
+	gather := &admin.Gather{Post: d.loop.Post}
+	server := &admin.Server{
+		Address:    d.process.Operators,
+		Credential: credential,
+		Ready:      d.ready.Ready,
+		Status:     gather.Status,
+		Metrics:    metrics,
+		Refused: func(kind kinds.Kind) {
+			scope.Tagged(map[string]string{"Kind": string(kind)}).Counter("OperatorRefused").Inc(1)
+		},
+	}
+	exit := &exiter{asked: make(chan struct{})}
+	d.addExecutor(&logs.Executor{Log: d.log})
+	d.addExecutor(&stats.Executor{Scope: scope})
+	d.addExecutor(d.ready)
+	d.addExecutor(gather)
+	d.addExecutor(exit)
+	d.addActor(server.Run)
+	d.addActor(exit.run)
+	d.addActor(d.watchSignals)
+	d.addPart(&drain.Part{Bound: d.process.BalancerDelay + drainBound})
+	d.log.Info("Started", zap.String("Incarnation", d.incarnation), zap.String("Zone", d.process.Zone))
+	return nil
+}
 
 // addStatus adds the part that ends each status report; it goes last.
-func (d *daemon) addStatus() {}
+func (d *daemon) addStatus() {
+	d.addPart(&admin.StatusEnd{Self: wire.Status{Host: d.process.Host, Zone: d.process.Zone, Incarnation: d.incarnation}})
+}
+
+// watchSignals asks for a graceful stop at the first signal and fails at the second.
+func (d *daemon) watchSignals(ctx context.Context) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+	case <-ctx.Done():
+		return nil
+	}
+	d.loop.Post(event.StopAsked{})
+	select {
+	case <-signals:
+		return errCut
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// readiness keeps the last Ready effect for the listeners.
+type readiness struct{ last atomic.Pointer[event.Ready] }
+
+// Do takes a Ready effect.
+func (r *readiness) Do(effect event.Effect) bool {
+	e, ok := effect.(event.Ready)
+	if !ok {
+		return false
+	}
+	r.last.Store(&e)
+	return true
+}
+
+// Ready reports whether the daemon takes callers' requests, and why not. It may be called concurrently.
+func (r *readiness) Ready() (ready bool, reason string) {
+	last := r.last.Load()
+	if last == nil {
+		return false, "starting"
+	}
+	return last.Ready, last.Reason
+}
+
+// exiter ends the process at an Exit effect.
+type exiter struct{ asked chan struct{} }
+
+// Do takes an Exit effect.
+func (x *exiter) Do(effect event.Effect) bool {
+	if _, ok := effect.(event.Exit); !ok {
+		return false
+	}
+	select {
+	case <-x.asked:
+	default:
+		close(x.asked)
+	}
+	return true
+}
+
+func (x *exiter) run(ctx context.Context) error {
+	select {
+	case <-x.asked:
+		return errStopped
+	case <-ctx.Done():
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,192 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"sort"
+	"time"
+)
+
+// plainSections are the site's sections without a name, as the fields of Site.
+var plainSections = []string{"Limits", "Lease", "Trust", "Usage", "Weights", "Retry", "Spend"}
+
+const (
+	minRenewals      = 2 // renewals that fit into the trusted part of a lease
+	minBeats         = 3 // beats that fit into the silence after which a host is lost
+	minFlushes       = 2 // flushes that fit into a grace
+	minOnDemandZones = 2
+)
+
+// Problems returns every setting of the site that is out of its range or clashes with another one,
+// and nil for a valid site. It may be called concurrently while the site does not change.
+func (s *Site) Problems() Problems {
+	var all Problems
+	v := reflect.ValueOf(*s)
+	for _, k := range plainSections {
+		all = append(all, check(k, k, v.FieldByName(k))...)
+	}
+	all = append(all, checkEach("Organisation", s.Organisations)...)
+	all = append(all, checkEach("Route", s.Routes)...)
+	all = append(all, checkEach("Rollout", s.Rollouts)...)
+	all = append(all, checkEach("Zone", s.Zones)...)
+	all = append(all, s.checkTiming()...)
+	all = append(all, s.checkRoutes()...)
+	all = append(all, s.checkRollouts()...)
+	return append(all, s.checkZones()...)
+}
+
+func checkEach[T any](kind string, all map[string]T) Problems {
+	var problems Problems
+	for _, n := range sortedNames(all) {
+		section := kind + " " + n
+		if !name.MatchString(n) {
+			problems = append(problems, Problem{Section: section, Allowed: "a name of " + named().allowed})
+		}
+		problems = append(problems, check(section, kind, reflect.ValueOf(all[n]))...)
+	}
+	return problems
+}
+
+// check applies the rules to each field of one section.
+func check(section, kind string, v reflect.Value) Problems {
+	var problems Problems
+	for i := range v.NumField() {
+		key := v.Type().Field(i).Name
+		r, known := rules[kind+"."+key]
+		value := v.Field(i).Interface()
+		if !known || r.ok(value) {
+			continue
+		}
+		problems = append(problems, Problem{Section: section, Key: key, Value: fmt.Sprint(value), Allowed: r.allowed})
+	}
+	return problems
+}
+
+func sortedNames[T any](all map[string]T) []string {
+	names := make([]string, 0, len(all))
+	for n := range all {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// checkTiming checks the settings of time against each other, in sections whose own values are in range.
+func (s *Site) checkTiming() Problems {
+	var all Problems
+	if valid("Lease", s.Lease) {
+		all = append(all, s.Lease.checkTiming()...)
+	}
+	if valid("Trust", s.Trust) {
+		all = append(all, atMost("Trust", "Beat", s.Trust.Beat, s.Trust.HostLost/minBeats, "a third of HostLost")...)
+		all = append(all, atMost("Trust", "HostLost", s.Trust.HostLost, s.Trust.Bound, "Bound")...)
+	}
+	if valid("Usage", s.Usage) {
+		all = append(all, atMost("Usage", "Flush", s.Usage.Flush, s.Usage.Grace/minFlushes, "half of Grace")...)
+		all = append(all, atMost("Usage", "Grace", s.Usage.Grace, s.Usage.Window, "Window")...)
+	}
+	return all
+}
+
+func valid(section string, value any) bool {
+	return len(check(section, section, reflect.ValueOf(value))) == 0
+}
+
+func (l Lease) checkTiming() Problems {
+	if p := atMost("Lease", "Margin", l.Margin, l.TTL/2, "half of TTL"); len(p) > 0 {
+		return p
+	}
+	trusted := l.TTL - l.Margin
+	all := atMost("Lease", "Renew", l.Renew, trusted/minRenewals, "half of TTL less Margin")
+	return append(all, atMost("Lease", "OrderFlight", l.OrderFlight, trusted, "TTL less Margin")...)
+}
+
+func atMost(section, key string, value, bound time.Duration, what string) Problems {
+	if value <= bound {
+		return nil
+	}
+	allowed := fmt.Sprintf("at most %s, which is %s", short(bound), what)
+	return Problems{{Section: section, Key: key, Value: value.String(), Allowed: allowed}}
+}
+
+// checkRoutes checks that each route leads to one target and that no two have one prefix.
+func (s *Site) checkRoutes() Problems {
+	var all Problems
+	served := s.models()
+	prefixes := map[string]string{}
+	for _, n := range sortedNames(s.Routes) {
+		r := s.Routes[n]
+		section := "Route " + n
+		if (r.Model == "") == (r.Service == "") {
+			all = append(all, Problem{Section: section, Key: "Service", Value: r.Service, Allowed: "either Service or Model, not both"})
+		}
+		if r.Model != "" && len(served) > 0 && !served[r.Model] {
+			all = append(all, Problem{Section: section, Key: "Model", Value: r.Model, Allowed: "the Model of some Zone section"})
+		}
+		if other, taken := prefixes[r.Prefix]; taken {
+			all = append(all, Problem{Section: section, Key: "Prefix", Value: r.Prefix, Allowed: "a prefix other than that of Route " + other})
+		}
+		prefixes[r.Prefix] = n
+	}
+	return all
+}
+
+// models returns the models that the zones serve.
+func (s *Site) models() map[string]bool {
+	served := map[string]bool{}
+	for _, z := range s.Zones {
+		served[z.Model] = true
+	}
+	return served
+}
+
+func (s *Site) checkRollouts() Problems {
+	var all Problems
+	for _, n := range sortedNames(s.Rollouts) {
+		if _, known := s.Organisations[n]; !known {
+			all = append(all, Problem{Section: "Rollout " + n, Allowed: "the name of an Organisation section"})
+		}
+	}
+	return all
+}
+
+// checkZones checks each zone's numbers and that interactive work survives the loss of a zone's cheap endpoints.
+func (s *Site) checkZones() Problems {
+	var all Problems
+	floors := 0
+	for _, n := range sortedNames(s.Zones) {
+		z := s.Zones[n]
+		if z.OnDemandFloor > z.MaxEndpoints {
+			all = append(all, Problem{
+				Section: "Zone " + n, Key: "OnDemandFloor", Value: fmt.Sprint(z.OnDemandFloor),
+				Allowed: fmt.Sprintf("at most MaxEndpoints, which is %d", z.MaxEndpoints),
+			})
+		}
+		if z.MaxCheap > z.MaxEndpoints {
+			all = append(all, Problem{
+				Section: "Zone " + n, Key: "MaxCheap", Value: fmt.Sprint(z.MaxCheap),
+				Allowed: fmt.Sprintf("at most MaxEndpoints, which is %d", z.MaxEndpoints),
+			})
+		}
+		if z.OnDemandFloor > 0 {
+			floors++
+		}
+	}
+	if len(s.Zones) >= minOnDemandZones && s.interactiveModel() && floors < minOnDemandZones {
+		n := sortedNames(s.Zones)[0]
+		all = append(all, Problem{
+			Section: "Zone " + n, Key: "OnDemandFloor", Value: fmt.Sprint(s.Zones[n].OnDemandFloor),
+			Allowed: fmt.Sprintf("1 or more in at least %d zones while a route of class Interactive has a Model", minOnDemandZones),
+		})
+	}
+	return all
+}
+
+func (s *Site) interactiveModel() bool {
+	for _, r := range s.Routes {
+		if r.Model != "" && r.Class == Interactive {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,7 @@
 	Usage         Usage
 	Weights       Weights
 	Retry         Retry
+	Spend         Spend
 }
 
 // Organisation is a tenant and its part of the capacity.
@@ -129,3 +130,10 @@
 	Backoff     time.Duration
 	MaxAttempts int
 }
+
+// Spend sets the prices that the fleet's decisions weigh, in any one currency.
+type Spend struct {
+	OnDemandPrice float64 // of one on-demand endpoint for an hour
+	CheapPrice    float64 // of one cheap endpoint for an hour
+	IdlePrice     float64 // of one trainer that waits for an hour
+}
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -22,5 +22,23 @@
 		Usage:   Usage{Window: time.Minute, Grace: 10 * time.Second, Flush: time.Second},
 		Weights: Weights{WaveShare: 0.34, RetryBackoff: 500 * time.Millisecond, OrderDeadline: 5 * time.Second},
 		Retry:   Retry{BudgetShare: 0.1, Backoff: 50 * time.Millisecond, MaxAttempts: 3},
+		Spend:   Spend{OnDemandPrice: 3, CheapPrice: 1, IdlePrice: 6},
+	}
+}
+
+const (
+	defaultMaxGroups    = 4096
+	defaultMaxStaleness = 4
+)
+
+// DefaultZone returns the rule of a zone that no setting describes further.
+func DefaultZone(name string) Zone {
+	return Zone{
+		Name:            name,
+		MaxEndpoints:    16,
+		MaxCheap:        8,
+		TokensPerEngine: 8192,
+		StartTime:       2 * time.Second,
+		ScaleDownAfter:  time.Minute,
 	}
 }
--- a/internal/event/status.go
+++ b/internal/event/status.go
@@ -21,3 +21,17 @@
 func (StatusAsked) isEvent()   {}
 func (StatusPart) isEffect()   {}
 func (AuthoriseCall) isEvent() {}
+
+// StatusDone ends the parts of one status report.
+type StatusDone struct{ Seq uint64 }
+
+// DrainBegun is raised by a part, in the step of StopAsked or later, that has work to finish before the process may
+// end. Each DrainBegun is followed by a DrainEnded of the same Owner.
+type DrainBegun struct{ Owner string }
+
+// DrainEnded is raised by a part that has finished what its DrainBegun told of.
+type DrainEnded struct{ Owner string }
+
+func (StatusDone) isEffect() {}
+func (DrainBegun) isEvent()  {}
+func (DrainEnded) isEvent()  {}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,42 @@
+package logs_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/logs"
+)
+
+func TestExecutorWritesOneLine(t *testing.T) {
+	cases := map[string]struct {
+		effect event.Effect
+		done   bool
+		want   string
+	}{
+		"warn": {
+			effect: event.Log{Level: "warn", Event: "LeaseLost", Fields: []event.Field{{Key: "Duty", Value: "Usage"}, {Key: "Why", Value: "a b\n=c"}}},
+			done:   true,
+			want:   "Level=warn Event=LeaseLost Host=h1 Duty=Usage Why=\"a b\\n=c\"\n",
+		},
+		"below level": {effect: event.Log{Level: "debug", Event: "Tick"}, done: true},
+		"bad level":   {effect: event.Log{Level: "loud", Event: "Tick"}, done: true, want: "Level=info Event=Tick Host=h1\n"},
+		"other":       {effect: event.Exit{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			x := &logs.Executor{Log: logs.New("info", "h1", &out)}
+			if done := x.Do(c.effect); done != c.done {
+				t.Errorf("Do() = %v, want %v", done, c.done)
+			}
+			_, line, _ := strings.Cut(out.String(), " ")
+			if diff := cmp.Diff(c.want, line); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/stats/stats_test.go
@@ -0,0 +1,32 @@
+package stats_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/stats"
+)
+
+func TestCountsAreServed(t *testing.T) {
+	scope, handler, closer := stats.New(func(err error) { t.Error(err) })
+	x := &stats.Executor{Scope: scope}
+	for range 3 {
+		x.Do(event.Count{Name: "Refused", Tags: []event.Field{{Key: "Kind", Value: "QueueFull"}}, N: 2})
+	}
+	x.Do(event.Count{Name: "Refused", Tags: []event.Field{{Key: "Kind", Value: "NoEndpoint"}}, N: 1})
+	if x.Do(event.Exit{}) {
+		t.Error("Do() took an Exit")
+	}
+	if err := closer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{`figshift_Refused{Kind="QueueFull"} 6`, `figshift_Refused{Kind="NoEndpoint"} 1`} {
+		if !strings.Contains(answer.Body.String(), want) {
+			t.Errorf("no %s in:\n%s", want, answer.Body.String())
+		}
+	}
+}
