--- a/figctl/main.go
+++ b/figctl/main.go
@@ -1,4 +1,73 @@
 // Command figctl is the operator's command line.
+//
+// Exit codes: 0 done and, for a change, accepted; 1 failure; 2 bad command line; 3 invalid configuration or input;
+// 4 conflict with another operator, nothing changed; 5 stored, but not acknowledged by a majority of the hosts in
+// time; 6 outcome unknown, the change may be stored.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/figshift/figshift/internal/kinds"
+)
+
+// The exit codes beside those of subcommands.
+const (
+	exitInvalid     subcommands.ExitStatus = 3
+	exitConflict    subcommands.ExitStatus = 4
+	exitNotAccepted subcommands.ExitStatus = 5
+	exitUnknown     subcommands.ExitStatus = 6
+)
+
+func main() { os.Exit(int(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))) }
+
+// run carries out one command line and returns its exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) subcommands.ExitStatus {
+	flags := flag.NewFlagSet("figctl", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	root := newCommander(flags, "figctl", stdout, stderr)
+	root.Register(root.HelpCommand(), "")
+	o := output{out: stdout, err: stderr}
+	root.Register(&group{output: o, name: "config", synopsis: "check, render and apply the configuration", commands: []*command{checkConfig(o), renderConfig(o)}}, "")
+	root.Register(fleetCommand(o), "")
+	root.Register(statusCommand(o), "")
+	if flags.Parse(args) != nil {
+		return subcommands.ExitUsageError
+	}
+	return root.Execute(ctx)
+}
+
+func newCommander(flags *flag.FlagSet, name string, stdout, stderr io.Writer) *subcommands.Commander {
+	c := subcommands.NewCommander(flags, name)
+	c.Output = stdout
+	c.Error = stderr
+	return c
+}
+
+// exitOf returns the exit code for an error.
+func exitOf(err error) subcommands.ExitStatus {
+	switch kinds.From(err) {
+	case "":
+		return subcommands.ExitSuccess
+	case kinds.BadRequest, kinds.ConfigInvalid:
+		return exitInvalid
+	case kinds.Conflict:
+		return exitConflict
+	case kinds.NotReady:
+		return exitNotAccepted
+	case kinds.OutcomeUnknown:
+		return exitUnknown
+	}
+	return subcommands.ExitFailure
+}
+
+// output is where a command writes.
+type output struct{ out, err io.Writer }
+
+func (o output) printf(format string, args ...any) { fmt.Fprintf(o.out, format, args...) }
--- /dev/null
+++ b/figctl/main_test.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/subcommands"
+
+	"github.com/figshift/figshift/internal/admin"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const credential = "0123456789abcdef"
+
+func TestExitCodes(t *testing.T) {
+	good := file(t, "good.ini", "[Organisation library]\nWeight = 3\n")
+	bad := file(t, "bad.ini", "[Organisation library]\nWeight = 0\n[Lease]\nTTL = 4\n")
+	secret := file(t, "credential", credential)
+	wrong := file(t, "wrong", "fedcba9876543210")
+	listener := listen(t)
+	cases := map[string]struct {
+		args []string
+		exit subcommands.ExitStatus
+		out  string
+		err  string
+	}{
+		"nothing":          {exit: subcommands.ExitUsageError, err: "Subcommands"},
+		"unknown word":     {args: []string{"confg"}, exit: subcommands.ExitUsageError},
+		"unknown flag":     {args: []string{"config", "check", "--conf", good}, exit: subcommands.ExitUsageError, err: "Example:"},
+		"check":            {args: []string{"config", "check", "--config", good}, out: "valid\n"},
+		"check bad":        {args: []string{"config", "check", "--config", bad}, exit: exitInvalid, err: "bad.ini:4: [Lease] TTL"},
+		"check none":       {args: []string{"config", "check"}, exit: exitInvalid, err: "give --config"},
+		"render":           {args: []string{"config", "render", "--config", good}, out: "Weight = 3 ; " + good + ":2\n"},
+		"stray word":       {args: []string{"config", "render", "--config", good, "x"}, exit: subcommands.ExitUsageError},
+		"status":           {args: []string{"status", "--operators", listener, "--credential-file", secret}, out: "Fleet.z1  h2      4\n"},
+		"status as JSON":   {args: []string{"status", "--json", "--operators", listener, "--credential-file", secret}, out: `"Duty": "Fleet.z1"`},
+		"one of two":       {args: []string{"status", "--operators", "127.0.0.1:1," + listener, "--credential-file", secret}, out: "Fleet.z1"},
+		"fleet":            {args: []string{"fleet", "--operators", listener, "--credential-file", secret}, out: "e1        z1    Engine  Cheap  Live   7"},
+		"nobody":           {args: []string{"fleet", "--operators", "127.0.0.1:1", "--credential-file", secret}, exit: subcommands.ExitFailure, err: "no listener answers"},
+		"wrong credential": {args: []string{"fleet", "--operators", listener, "--credential-file", wrong}, exit: subcommands.ExitFailure, err: "refuses the credential"},
+		"no credential":    {args: []string{"fleet", "--operators", listener}, exit: exitInvalid, err: "--credential-file"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			if exit := run(context.Background(), c.args, &stdout, &stderr); exit != c.exit {
+				t.Errorf("exit %d, want %d: %s", exit, c.exit, stderr.String())
+			}
+			if !strings.Contains(stdout.String(), c.out) {
+				t.Errorf("no %q in:\n%s", c.out, stdout.String())
+			}
+			if !strings.Contains(stderr.String(), c.err) {
+				t.Errorf("no %q in:\n%s", c.err, stderr.String())
+			}
+		})
+	}
+}
+
+// listen serves one fixed report and returns its address.
+func listen(t *testing.T) string {
+	t.Helper()
+	status := wire.Status{
+		Host:      "h1",
+		Duties:    []wire.DutyStatus{{Duty: "Fleet.z1", Holder: "h1", Epoch: 3}, {Duty: "Fleet.z1", Holder: "h2", Epoch: 4}},
+		Endpoints: []wire.EndpointStatus{{Endpoint: "e1", Zone: "z1", Kind: wire.Engine, Price: wire.Cheap, State: wire.Live, Version: 7}},
+	}
+	server := &admin.Server{
+		Credential: credential,
+		Ready:      func() (bool, string) { return true, "" },
+		Status:     func(context.Context) (wire.Status, error) { return status, nil },
+		Metrics:    http.NotFoundHandler(),
+	}
+	s := httptest.NewServer(server.Handler())
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().(*net.TCPAddr).String()
+}
+
+func file(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -27,6 +27,7 @@
 }
 
 const (
+	defaultLogLevel     = "info"
 	defaultMaxGroups    = 4096
 	defaultMaxStaleness = 4
 )
@@ -42,3 +43,13 @@
 		ScaleDownAfter:  time.Minute,
 	}
 }
+
+func freshOrganisation(name string) Organisation { return Organisation{Name: name, Weight: 1} }
+
+func freshRoute(name string, limits Limits) Route {
+	return Route{Name: name, Class: Interactive, Timeout: limits.DefaultTimeout}
+}
+
+func freshRollout(organisation string) RolloutLimits {
+	return RolloutLimits{Organisation: organisation, MaxGroups: defaultMaxGroups, MaxStaleness: defaultMaxStaleness}
+}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -28,7 +28,7 @@
 // It may be called concurrently.
 func Load(base, overlay string) (*Loaded, Problems) {
 	l := &Loaded{
-		Process: Process{LogLevel: "info"},
+		Process: Process{LogLevel: defaultLogLevel},
 		Site:    Defaults(),
 		Origins: map[string]Origin{},
 	}
@@ -110,11 +110,11 @@
 	case titled && !name.MatchString(title):
 		return kind, target, nil
 	case titled && kind == "Organisation":
-		return entry(kind, site.Organisations, title, Organisation{Name: title, Weight: 1})
+		return entry(kind, site.Organisations, title, freshOrganisation(title))
 	case titled && kind == "Route":
-		return entry(kind, site.Routes, title, Route{Name: title, Class: Interactive, Timeout: site.Limits.DefaultTimeout})
+		return entry(kind, site.Routes, title, freshRoute(title, site.Limits))
 	case titled && kind == "Rollout":
-		return entry(kind, site.Rollouts, title, RolloutLimits{Organisation: title, MaxGroups: defaultMaxGroups, MaxStaleness: defaultMaxStaleness})
+		return entry(kind, site.Rollouts, title, freshRollout(title))
 	case titled && kind == "Zone":
 		return entry(kind, site.Zones, title, DefaultZone(title))
 	}
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -7,6 +7,9 @@
 	"gopkg.in/ini.v1"
 )
 
+// options keep values as written: no continuation lines, and a comment behind a value starts after a space.
+var options = ini.LoadOptions{IgnoreContinuation: true, KeyValueDelimiters: "=", SpaceBeforeInlineComment: true}
+
 // setting is one key of one file with its place.
 type setting struct {
 	file    string
@@ -22,7 +25,7 @@
 	if err != nil {
 		return nil, Problems{{File: file, Section: "file", Allowed: err.Error()}}
 	}
-	parsed, err := ini.LoadSources(ini.LoadOptions{IgnoreContinuation: true, KeyValueDelimiters: "="}, text)
+	parsed, err := ini.LoadSources(options, text)
 	if err != nil {
 		return nil, Problems{{File: file, Section: "file", Allowed: err.Error()}}
 	}
