--- a/figbed/main.go
+++ b/figbed/main.go
@@ -1,4 +1,21 @@
 // Command figbed runs the stand-ins, the load tool and the demo.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&platformCommand{}, "stand-ins")
+	subcommands.Register(&engineCommand{}, "stand-ins")
+	subcommands.Register(&serviceCommand{}, "stand-ins")
+	subcommands.Register(&scorerCommand{}, "stand-ins")
+	subcommands.Register(&trainerCommand{}, "stand-ins")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
