--- a/figbed/endpoint.go
+++ b/figbed/endpoint.go
@@ -117,7 +117,8 @@
 
 func (*scorerCommand) Name() string     { return "scorer" }
 func (*scorerCommand) Synopsis() string { return "run the stand-in of a service that scores samples" }
-func (*scorerCommand) Usage() string    { return "scorer --listen host:port --service name [flags]\n" }
+
+func (*scorerCommand) Usage() string { return "scorer --listen host:port --service name [flags]\n" }
 
 func (c *scorerCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "host:port")
--- a/figbed/internal/engin/faults.go
+++ b/figbed/internal/engin/faults.go
@@ -12,14 +12,14 @@
 // Faults are what an engine can be told to do wrong, by POST to wire.PathFaults. A count applies to
 // the next so many generations or orders, counting down.
 type Faults struct {
-	Refuse         int     // refuse before any work, with wire.HeaderNotRun
-	RefuseAll      bool    // the same for all
-	FailAfterStart int     // start the run, then answer 500 without wire.HeaderNotRun
-	CutBefore      int     // close the connection before any work, without an answer
-	Cut            int     // close the stream after CutSegments segments
+	Refuse         int  // refuse before any work, with wire.HeaderNotRun
+	RefuseAll      bool // the same for all
+	FailAfterStart int  // start the run, then answer 500 without wire.HeaderNotRun
+	CutBefore      int  // close the connection before any work, without an answer
+	Cut            int  // close the stream after CutSegments segments
 	CutSegments    int
-	EndEarly       int     // end the stream cleanly after CutSegments segments, without the last line
-	HangMS         int     // time before the first byte of the next Hang answers
+	EndEarly       int // end the stream cleanly after CutSegments segments, without the last line
+	HangMS         int // time before the first byte of the next Hang answers
 	Hang           int
 	NoVersion      bool    // segments name no version
 	Slow           float64 // generation slows down by this factor, 0 is none
--- a/figbed/internal/plat/platform.go
+++ b/figbed/internal/plat/platform.go
@@ -30,16 +30,16 @@
 // Platform is the stand-in of the platform. Set the fields before the first request; a zero rate is no limit.
 // Outage makes the object API and the endpoint list answer 503; orders and usage reports still work.
 type Platform struct {
-	StartTime          time.Duration // from a start order to Live
-	StopTime           time.Duration // from a stop order to the end
-	ReclaimNotice      time.Duration // from a reclaim to the end
-	ReadsPerSecond     int
-	WritesPerSecond    int
-	WeightReadsPerSec  int
-	OnDemandPrice      float64 // units a second
-	CheapPrice         float64 // units a second
-	RefuseOlderEpochs  bool    // orders of a duty with an epoch below the highest seen are refused as Stale
-	LongestWatch       time.Duration
+	StartTime         time.Duration // from a start order to Live
+	StopTime          time.Duration // from a stop order to the end
+	ReclaimNotice     time.Duration // from a reclaim to the end
+	ReadsPerSecond    int
+	WritesPerSecond   int
+	WeightReadsPerSec int
+	OnDemandPrice     float64 // units a second
+	CheapPrice        float64 // units a second
+	RefuseOlderEpochs bool    // orders of a duty with an epoch below the highest seen are refused as Stale
+	LongestWatch      time.Duration
 
 	once    sync.Once
 	mux     *http.ServeMux
--- /dev/null
+++ b/figbed/internal/proc/call.go
@@ -0,0 +1,138 @@
+package proc
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/figshift/figshift/figbed/internal/engin"
+	"github.com/figshift/figshift/figbed/internal/seen"
+	"github.com/figshift/figshift/figbed/internal/servc"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Answer is what a caller got. Err is set when the answer did not come whole; Status is 0 without any.
+type Answer struct {
+	Status   int
+	Header   http.Header
+	Body     string
+	Segments []wire.Segment
+	Err      error
+	Took     time.Duration
+}
+
+// Tokens returns the tokens of all segments.
+func (a Answer) Tokens() []string {
+	var tokens []string
+	for _, segment := range a.Segments {
+		tokens = append(tokens, segment.Tokens...)
+	}
+	return tokens
+}
+
+// Whole reports whether a generation's answer ended with its last line.
+func (a Answer) Whole() bool {
+	n := len(a.Segments)
+	return a.Err == nil && a.Status == http.StatusOK && n > 0 && a.Segments[n-1].Done
+}
+
+// Echo decodes the answer of a plain service.
+func (a Answer) Echo() servc.Echo {
+	var echo servc.Echo
+	_ = json.Unmarshal([]byte(a.Body), &echo)
+	return echo
+}
+
+// Get calls the daemon with a key ("" for none).
+func (h *Host) Get(path, key string) Answer { return h.Call(http.MethodGet, path, key, "") }
+
+// Post calls the daemon with a key ("" for none) and a body.
+func (h *Host) Post(path, key, body string) Answer { return h.Call(http.MethodPost, path, key, body) }
+
+// Call sends one request to the daemon and reads the answer to its end.
+func (h *Host) Call(method, path, key, body string) Answer {
+	req, err := http.NewRequest(method, h.URL()+path, strings.NewReader(body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	return h.cluster.Do(req)
+}
+
+// Do sends a request made by the test and reads the answer to its end.
+func (c *Cluster) Do(req *http.Request) Answer {
+	start := time.Now()
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return Answer{Err: err, Took: time.Since(start)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Err: err, Took: time.Since(start)}
+}
+
+// Generate sends a generation request and reads its segments to the end.
+func (h *Host) Generate(key string, g wire.Generate) Answer {
+	if g.Model == "" {
+		g.Model = Model
+	}
+	data, _ := json.Marshal(g)
+	a := h.Post(wire.PathGenerate, key, string(data))
+	decoder := json.NewDecoder(bytes.NewReader([]byte(a.Body)))
+	for a.Status == http.StatusOK {
+		var segment wire.Segment
+		if decoder.Decode(&segment) != nil {
+			break
+		}
+		a.Segments = append(a.Segments, segment)
+	}
+	return a
+}
+
+// Seen returns what an endpoint received, asked around its link.
+func (r *Running) Seen() seen.Record {
+	var record seen.Record
+	r.get(seen.Path, &record)
+	return record
+}
+
+// State returns an engine's true state, asked around its link.
+func (r *Running) State() wire.EngineState {
+	var state wire.EngineState
+	r.get(wire.PathState, &state)
+	return state
+}
+
+// Faults replaces an engine's faults, sent around its link.
+func (r *Running) Faults(f engin.Faults) { r.post(f) }
+
+// ServiceFaults replaces a plain service's faults, sent around its link.
+func (r *Running) ServiceFaults(f servc.Faults) { r.post(f) }
+
+func (r *Running) get(path string, out any) {
+	r.t.Helper()
+	resp, err := http.Get(r.URL() + path)
+	if err != nil {
+		r.t.Fatalf("%s: %v", r.Name, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		r.t.Fatalf("%s: %v", r.Name, err)
+	}
+}
+
+func (r *Running) post(body any) {
+	r.t.Helper()
+	data, _ := json.Marshal(body)
+	resp, err := http.Post(r.URL()+wire.PathFaults, "application/json", bytes.NewReader(data))
+	if err != nil {
+		r.t.Logf("%s: %v", r.Name, err)
+		return
+	}
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/figbed/internal/proc/host.go
@@ -0,0 +1,143 @@
+package proc
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Host is one daemon with its links. Listen and Operators are its own addresses.
+type Host struct {
+	*Process
+	Name      string
+	Zone      string
+	IP        string
+	Listen    string
+	Operators string
+	Peer      string
+	Store     *Link            // from the daemon to the platform
+	Callers   *Link            // from callers to the daemon; URL goes around it
+	From      map[string]*Link // from each other host to this one, by name; "" for peers whose source is not known
+
+	cluster *Cluster
+	split   *split
+}
+
+func (c *Cluster) startHosts() {
+	c.t.Helper()
+	for i := range c.Daemons {
+		c.Hosts = append(c.Hosts, c.newHost(i))
+	}
+	for _, h := range c.Hosts {
+		h.openPeerLinks()
+	}
+	for _, h := range c.Hosts {
+		h.Run()
+	}
+	if c.Unready {
+		return
+	}
+	for _, h := range c.Hosts {
+		WaitUntil(c.t, readyBound, h.Name+" is ready", h.Ready)
+	}
+}
+
+func (c *Cluster) newHost(i int) *Host {
+	ip := fmt.Sprintf("127.0.0.%d", 11+i)
+	h := &Host{Name: fmt.Sprintf("h%d", i+1), Zone: c.Zones[i%len(c.Zones)], IP: ip, cluster: c}
+	h.Listen = Address(c.t, ip)
+	h.Operators = Address(c.t, ip)
+	h.Peer = Address(c.t, ip)
+	h.Store = NewLink(c.t, ip, c.Store.Listen)
+	h.Callers = NewLink(c.t, "127.0.0.1", h.Listen)
+	return h
+}
+
+func (h *Host) openPeerLinks() {
+	h.From = map[string]*Link{"": NewLink(h.cluster.t, h.IP, h.Peer)}
+	bySource := map[string]*Link{"": h.From[""]}
+	for _, other := range h.cluster.Hosts {
+		if other == h {
+			continue
+		}
+		h.From[other.Name] = NewLink(h.cluster.t, h.IP, h.Peer)
+		bySource[other.IP] = h.From[other.Name]
+	}
+	h.split = newSplit(h.cluster.t, h.IP, bySource)
+}
+
+// Run starts the daemon, again after it has ended, with the same addresses.
+func (h *Host) Run() {
+	c := h.cluster
+	c.t.Helper()
+	base := c.file("base.ini", ini("Host",
+		"Platform", "http://127.0.0.1:1",
+		"PeerSecretFile", c.path("secret"),
+		"CredentialFile", c.path("credential"),
+		"BalancerDelay", "100ms")+c.Overlay)
+	overlay := c.file(h.Name+".ini", ini("Host",
+		"Host", h.Name,
+		"Zone", h.Zone,
+		"Listen", h.Listen,
+		"Operators", h.Operators,
+		"Peer", h.Peer,
+		"PeerAdvertise", h.split.address(),
+		"Platform", "http://"+h.Store.Listen))
+	h.Process = Start(c.t, h.Name, "figd", "--config", base, "--overlay", overlay)
+}
+
+// URL returns the base URL of the callers' listener.
+func (h *Host) URL() string { return "http://" + h.Listen }
+
+// Ready reports whether the daemon's readiness is true.
+func (h *Host) Ready() bool {
+	resp, err := h.operator("/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Status returns the daemon's status and whether it answered.
+func (h *Host) Status() (wire.Status, bool) {
+	var status wire.Status
+	resp, err := h.operator("/status")
+	if err != nil {
+		return status, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	err = json.NewDecoder(resp.Body).Decode(&status)
+	return status, err == nil && resp.StatusCode == http.StatusOK
+}
+
+func (h *Host) operator(path string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+h.Operators+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+credential)
+	client := &http.Client{Transport: h.cluster.client.Transport, Timeout: 2 * time.Second}
+	return client.Do(req)
+}
+
+// CutPeers cuts this daemon from the others, both ways. Its outgoing connections are told from others' only when
+// daemons dial from the IP of their peer listener.
+func (h *Host) CutPeers() { h.eachPeerLink((*Link).Cut) }
+
+// RestorePeers undoes CutPeers.
+func (h *Host) RestorePeers() { h.eachPeerLink((*Link).Restore) }
+
+func (h *Host) eachPeerLink(do func(*Link)) {
+	for _, link := range h.From {
+		do(link)
+	}
+	for _, other := range h.cluster.Hosts {
+		if other != h {
+			do(other.From[h.Name])
+		}
+	}
+}
--- /dev/null
+++ b/figbed/internal/proc/ports.go
@@ -0,0 +1,44 @@
+package proc
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"testing"
+)
+
+// The ports lie below the ephemeral range, so that no outgoing connection takes one.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+	portStep  = 61
+)
+
+var ports struct {
+	mu   sync.Mutex
+	next int
+}
+
+// Address returns a free address on a loopback IP. Test processes start at different places of the range, so that
+// those that run at the same time rarely try the same ones; each is tried by binding it.
+func Address(t testing.TB, ip string) string {
+	t.Helper()
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	span := lastPort - firstPort
+	if ports.next == 0 {
+		ports.next = os.Getpid() * portStep % span
+	}
+	for range span {
+		ports.next = (ports.next + 1) % span
+		address := fmt.Sprintf("%s:%d", ip, firstPort+ports.next)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
--- /dev/null
+++ b/figbed/internal/proc/proc_test.go
@@ -0,0 +1,74 @@
+package proc
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/figbed/internal/engin"
+	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+func TestMain(m *testing.M) { Main(m) }
+
+func TestLinkFaults(t *testing.T) {
+	store := StartStandIn(t, "platform", "platform")
+	cases := map[string]struct {
+		fault func(l *Link)
+		whole bool
+	}{
+		"None":         {func(*Link) {}, true},
+		"Cut":          {func(l *Link) { l.Cut() }, false},
+		"Hold":         {func(l *Link) { l.Hold() }, false},
+		"HoldAnswers":  {func(l *Link) { l.HoldAnswers() }, false},
+		"LimitAnswers": {func(l *Link) { l.LimitAnswers(10) }, false},
+		"Latency":      {func(l *Link) { l.Latency(20 * time.Millisecond) }, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := NewLink(t, "127.0.0.1", store.Listen)
+			test.fault(l)
+			if diff := cmp.Diff(test.whole, reaches(l)); diff != "" {
+				t.Errorf("under the fault (-want +got):\n%s", diff)
+			}
+			l.Restore()
+			WaitUntil(t, 5*time.Second, "the link works again", func() bool { return reaches(l) })
+		})
+	}
+}
+
+func reaches(l *Link) bool {
+	client := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + l.Listen + wire.PathCalls)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
+}
+
+func TestClusterWithoutDaemons(t *testing.T) {
+	c := &Cluster{
+		Engines:  []Endpoint{{Name: "e1", Zone: "a"}},
+		Services: []Endpoint{{Name: "s1", Zone: "b"}},
+	}
+	c.Start(t)
+	o, ok := c.Object(keys.ShardOf(keys.Hash(c.Key("North"))))
+	if !ok || o.Version == 0 {
+		t.Fatalf("no key shard: %+v", o)
+	}
+	e := c.Endpoints["e1"]
+	e.Faults(engin.Faults{SwapFails: 1})
+	var reply wire.SwapReply
+	c.exchange(http.MethodPost, e.URL()+wire.PathSwap, wire.SwapOrder{OrderID: "o1", Fencing: 1, Version: 2}, &reply)
+	if diff := cmp.Diff(wire.SwapReply{Accepted: true, Fencing: 1}, reply); diff != "" {
+		t.Errorf("swap reply (-want +got):\n%s", diff)
+	}
+	WaitUntil(t, 5*time.Second, "the swap has failed", func() bool { return e.State().LastOrderState == "Failed" })
+	if diff := cmp.Diff(uint64(1), e.State().Version); diff != "" {
+		t.Errorf("version after a failed swap (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/figbed/internal/proc/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package proc
+
+const raceEnabled = true
