flow, admit, route: tests of the decisions; charges, drain rate and beats corrected

A request that was tried again and then failed was refunded twice: the charge is now a flag of the request. The drain rate took idle time for slowness and would have refused a first burst; only buckets in which requests waited throughout set it. Beats carry only changed counts and new load reports. Local and on-demand preference spills by the others' mean, which a zone holding most endpoints could never exceed before. With the check of repeatable or of the attempt id taken out, TestAttemptEnds and TestAnyOrder or TestLateAttemptIsDropped fail.

--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,183 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+func item(organisation string, class config.Class, cost, value int) Item[int] {
+	return Item[int]{Organisation: organisation, Class: class, Pool: "p", Cost: cost, Value: value}
+}
+
+func anyItem(Item[int]) bool { return true }
+
+// served pops n items and returns the tokens of each organisation.
+func served(q Queue[int], n int) map[string]int {
+	tokens := map[string]int{}
+	for range n {
+		i, ok := q.Pop(anyItem)
+		if !ok {
+			break
+		}
+		tokens[i.Organisation] += i.Cost
+	}
+	return tokens
+}
+
+func TestShares(t *testing.T) {
+	for name, c := range map[string]struct {
+		queue Queue[int]
+		want  map[string]int
+	}{
+		"equal weights": {queue: &Fair[int]{}, want: map[string]int{"flood": 50, "small": 50}},
+		"weights":       {queue: &Fair[int]{Weights: map[string]int{"small": 3, "flood": 1}}, want: map[string]int{"flood": 25, "small": 75}},
+		"first in":      {queue: &Fifo[int]{}, want: map[string]int{"flood": 100}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range 500 {
+				c.queue.Push(item("flood", config.Interactive, 1, i))
+			}
+			for i := range 100 {
+				c.queue.Push(item("small", config.Interactive, 1, 1000+i))
+			}
+			if diff := cmp.Diff(c.want, served(c.queue, 100)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestServedElsewhereCounts(t *testing.T) {
+	q := &Fair[int]{}
+	for i := range 100 {
+		q.Push(item("spread", config.Interactive, 1, i))
+		q.Push(item("here", config.Interactive, 1, 1000+i))
+	}
+	q.ServedElsewhere("spread", config.Interactive, 30)
+	if diff := cmp.Diff(map[string]int{"here": 40, "spread": 10}, served(q, 50)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestCorrection(t *testing.T) {
+	q := &Fair[int]{}
+	for i := range 100 {
+		q.Push(item("long", config.Interactive, 1, i))
+		q.Push(item("short", config.Interactive, 1, 1000+i))
+	}
+	first, _ := q.Pop(func(i Item[int]) bool { return i.Organisation == "long" })
+	q.Correct(first, 21)
+	if diff := cmp.Diff(map[string]int{"short": 21}, served(q, 21)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestReturnPaysNothingAndSavesNothing(t *testing.T) {
+	q := &Fair[int]{}
+	for i := range 100 {
+		q.Push(item("busy", config.Interactive, 1, i))
+	}
+	served(q, 50)
+	for i := range 100 {
+		q.Push(item("back", config.Interactive, 1, 1000+i))
+	}
+	if diff := cmp.Diff(map[string]int{"busy": 10, "back": 10}, served(q, 20)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestClassesAndFloors(t *testing.T) {
+	q := &Fair[int]{Floors: map[config.Class]float64{config.Background: 0.1, config.Rollout: 0.05}}
+	for i := range 1000 {
+		q.Push(item("a", config.Interactive, 1, i))
+		q.Push(item("b", config.Background, 1, 10_000+i))
+		q.Push(item("c", config.Rollout, 1, 20_000+i))
+	}
+	got := served(q, 400)
+	for organisation, least := range map[string]int{"a": 300, "b": 30, "c": 15} {
+		if got[organisation] < least {
+			t.Errorf("%s was served %d of 400", organisation, got[organisation])
+		}
+	}
+	if got["a"] < got["b"] || got["b"] < got["c"] {
+		t.Error(got)
+	}
+}
+
+func TestPoolWithoutRoomBlocksNoOther(t *testing.T) {
+	for name, q := range map[string]Queue[int]{"fair": &Fair[int]{}, "first in": &Fifo[int]{}} {
+		t.Run(name, func(t *testing.T) {
+			q.Push(item("a", config.Interactive, 1, 1))
+			other := item("a", config.Interactive, 1, 2)
+			other.Pool = "q"
+			q.Push(other)
+			got, ok := q.Pop(func(i Item[int]) bool { return i.Pool == "q" })
+			if !ok || got.Value != 2 {
+				t.Error(got, ok)
+			}
+		})
+	}
+}
+
+func TestAheadSeesOwnShareOnly(t *testing.T) {
+	q := &Fair[int]{}
+	for i := range 100 {
+		q.Push(item("flood", config.Interactive, 10, i))
+	}
+	if diff := cmp.Diff(10.0, q.Ahead(item("small", config.Interactive, 10, 500))); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(1000.0, q.Ahead(item("flood", config.Interactive, 10, 500))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestLedger(t *testing.T) {
+	var l Ledger
+	var charged uint64
+	charge := func(_ string, _ config.Class, tokens uint64) { charged += tokens }
+	beat := func(tokens uint64) []wire.Served {
+		return []wire.Served{{Organisation: "a", Class: "Interactive", Tokens: tokens}}
+	}
+	l.Seen("h", beat(100), charge)
+	l.Seen("h", beat(130), charge)
+	l.Seen("h", nil, charge)
+	l.Seen("h", beat(130), charge)
+	l.Seen("h", beat(5), charge)
+	l.Seen("h", beat(7), charge)
+	if diff := cmp.Diff(uint64(32), charged); diff != "" {
+		t.Error(diff)
+	}
+	l.Serve("a", config.Interactive, 68)
+	if diff := cmp.Diff(1.0, l.Share("a")); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(beat(68), l.News(0)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(0, len(l.News(time.Second))); diff != "" {
+		t.Error("told twice:", diff)
+	}
+	if diff := cmp.Diff(beat(68), l.News(refreshEvery)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestRate(t *testing.T) {
+	r := Rate{Since: time.Hour}
+	r.Done(1)
+	r.Tick(time.Hour+rateBucket, false)
+	if diff := cmp.Diff(time.Duration(0), r.Wait(100)); diff != "" {
+		t.Error("a rate was taken from a time without load:", diff)
+	}
+	r.Done(20)
+	r.Tick(time.Hour+2*rateBucket, true)
+	if diff := cmp.Diff(10*time.Second, r.Wait(100)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -34,13 +34,13 @@
 type account struct {
 	served float64 // tokens per weight
 	flows  int     // flows that have items
-	tokens float64 // queued
 }
 
 type flow[T comparable] struct {
 	tenant
-	pool  string
-	items []Item[T]
+	pool   string
+	items  []Item[T]
+	tokens float64
 }
 
 // Push appends an item to its flow.
@@ -51,7 +51,7 @@
 	} else {
 		f.items = append(f.items, item)
 	}
-	q.tenants[f.tenant].tokens += float64(item.Cost)
+	f.tokens += float64(item.Cost)
 	q.count[item.Organisation]++
 	q.all++
 }
@@ -178,15 +178,14 @@
 func (q *Fair[T]) removeAt(f *flow[T], i int) {
 	item := f.items[i]
 	f.items = slices.Delete(f.items, i, i+1)
-	a := q.tenants[f.tenant]
-	a.tokens -= float64(item.Cost)
+	f.tokens -= float64(item.Cost)
 	q.all--
 	q.count[item.Organisation]--
 	if q.count[item.Organisation] == 0 {
 		delete(q.count, item.Organisation)
 	}
 	if len(f.items) == 0 {
-		a.flows--
+		q.tenants[f.tenant].flows--
 		q.flows = slices.DeleteFunc(q.flows, func(g *flow[T]) bool { return g == f })
 	}
 }
@@ -237,25 +236,16 @@
 		if f.pool != item.Pool || rank(f.class) > rank(item.Class) {
 			continue
 		}
-		tokens := tokensOf(f)
 		if f.organisation == item.Organisation {
-			ownTokens += tokens
+			ownTokens += f.tokens
 			continue
 		}
 		others += q.weight(f.organisation)
-		otherTokens += tokens
+		otherTokens += f.tokens
 	}
 	return ownTokens + min(otherTokens, (ownTokens+float64(item.Cost))*others/own)
 }
 
-func tokensOf[T comparable](f *flow[T]) float64 {
-	sum := 0
-	for i := range f.items {
-		sum += f.items[i].Cost
-	}
-	return float64(sum)
-}
-
 func rank(class config.Class) int { return slices.Index(Classes, class) }
 
 // Correct charges the difference between the true cost and the estimate.
--- a/internal/admit/ledger.go
+++ b/internal/admit/ledger.go
@@ -3,11 +3,14 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/wire"
 )
 
+const refreshEvery = 5 * time.Second // time after which the counts are told again though they have not changed
+
 // Ledger counts the tokens served to each organisation, here and by the other daemons.
 // Its zero value is empty. It must not be used concurrently.
 type Ledger struct {
@@ -15,6 +18,9 @@
 	hosts map[string]map[tenant]uint64 // by host, as its last beat told
 	total map[string]uint64            // by organisation, all daemons
 	sum   uint64
+
+	told   map[tenant]uint64 // own counts in the last beats
+	toldAt time.Duration
 }
 
 // Serve counts tokens that this daemon served.
@@ -68,11 +74,17 @@
 	return float64(l.total[organisation]) / float64(l.sum)
 }
 
-// Served returns this daemon's counts, sorted.
-func (l *Ledger) Served() []wire.Served {
-	all := make([]wire.Served, 0, len(l.own))
+// News returns this daemon's counts for a beat, sorted: those that changed since the last beat, from time to time all.
+func (l *Ledger) News(now time.Duration) []wire.Served {
+	if l.told == nil || now-l.toldAt >= refreshEvery {
+		l.told, l.toldAt = map[tenant]uint64{}, now
+	}
+	var all []wire.Served
 	for id, tokens := range l.own {
-		all = append(all, wire.Served{Organisation: id.organisation, Class: string(id.class), Tokens: tokens})
+		if l.told[id] != tokens {
+			l.told[id] = tokens
+			all = append(all, wire.Served{Organisation: id.organisation, Class: string(id.class), Tokens: tokens})
+		}
 	}
 	slices.SortFunc(all, func(a, b wire.Served) int {
 		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Class, b.Class))
--- a/internal/admit/rate.go
+++ b/internal/admit/rate.go
@@ -3,37 +3,46 @@
 import "time"
 
 const (
-	rateBucket = time.Second
+	rateBucket = 2 * time.Second
 	rateKeep   = 0.7 // part of the former rate that is kept at the end of a bucket
 )
 
 // Rate measures how fast a pool drains while requests wait for it. It must not be used concurrently.
 type Rate struct {
+	Since time.Duration // start of the first bucket
+
 	perSecond float64
 	tokens    float64
-	since     time.Duration
 	idle      bool
 }
 
 // Done counts tokens that were served.
 func (r *Rate) Done(tokens int) { r.tokens += float64(tokens) }
 
-// Tick ends a bucket when it is over. Waiting says whether requests wait now: a bucket in which none
-// waited shows only what was asked for, and can raise the rate but not lower it.
+// Tick ends a bucket when it is over. Waiting says whether requests wait now: a bucket in which at some time
+// none waited shows only what was asked for, and can raise a known rate but not lower it.
 func (r *Rate) Tick(now time.Duration, waiting bool) {
 	r.idle = r.idle || !waiting
-	span := now - r.since
+	span := now - r.Since
 	if span < rateBucket {
 		return
 	}
 	measured := r.tokens / span.Seconds()
 	switch {
-	case r.perSecond == 0 || (r.idle && measured > r.perSecond):
+	case r.idle:
+		r.raise(measured)
+	case r.perSecond == 0:
 		r.perSecond = measured
-	case !r.idle:
+	default:
 		r.perSecond = rateKeep*r.perSecond + (1-rateKeep)*measured
 	}
-	r.tokens, r.since, r.idle = 0, now, false
+	r.tokens, r.Since, r.idle = 0, now, false
+}
+
+func (r *Rate) raise(measured float64) {
+	if r.perSecond > 0 {
+		r.perSecond = max(r.perSecond, measured)
+	}
 }
 
 // Wait returns how long tokens take to drain, 0 while no rate is known.
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -33,7 +33,7 @@
 
 // identify sets the request's organisation, route and deadline, or returns why it is refused.
 func (p *Part) identify(now time.Duration, r *request) kinds.Kind {
-	if p.drain.stopped {
+	if p.drain.closed || (p.drain.stopped && r.arrived.Sample != nil) {
 		return kinds.Stopping
 	}
 	if p.site == nil {
@@ -140,7 +140,7 @@
 		p.demand.miss(now, r)
 		return kinds.NoEndpoint
 	}
-	if now+p.rate(r.pool).Wait(p.Queue.Ahead(r.item)) > r.deadline {
+	if now+p.rate(now, r.pool).Wait(p.Queue.Ahead(r.item)) > r.deadline {
 		return kinds.DeadlineTooShort
 	}
 	return p.makeRoom(now, r, out)
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -39,7 +39,7 @@
 	candidates := p.table.Candidates(now, route.Want{
 		Pool:       r.pool,
 		Zone:       p.Zone,
-		Cheap:      r.class == config.Rollout,
+		Price:      price(r.class),
 		MinVersion: r.arrived.MinVersion,
 		Avoid:      append(slices.Clone(r.arrived.Avoid), r.tried...),
 		Limit:      p.site.Limits.ConcurrencyPerNode,
@@ -50,11 +50,24 @@
 	return p.Picker.Pick(now, candidates, r.arrived.Prefix)
 }
 
+// price returns the price of the endpoints that go first for a class, "" for any.
+func price(class config.Class) wire.Price {
+	switch class {
+	case config.Rollout:
+		return wire.Cheap
+	case config.Interactive:
+		return wire.OnDemand
+	default:
+		return ""
+	}
+}
+
 func (p *Part) start(now time.Duration, r *request, e *route.Endpoint, out *event.Batch) {
 	p.attempts++
 	p.table.Start(e, r.item.Cost)
 	r.attempt, r.phase = p.attempts, connecting
 	r.tries++
+	r.charged = true
 	r.endpoint, r.incarnation, r.price = e.Name, e.Incarnation, string(e.Price)
 	out.Emit(event.StartAttempt{
 		Request:      r.id(),
@@ -193,7 +206,7 @@
 		return false
 	}
 	r.tried = append(r.tried, r.endpoint)
-	r.phase = backingOff
+	r.phase, r.charged = backingOff, false
 	p.Queue.Correct(r.item, 0)
 	p.timers.add(now+wait, r.id())
 	out.Emit(event.Count{Name: "retries", Tags: []event.Field{{Key: "reason", Value: e.Reason}}, N: 1})
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -23,10 +23,10 @@
 		Request:    r.id(),
 		Kind:       kind,
 		Detail:     r.detail(kind),
-		RetryAfter: p.retryAfter(r, kind),
+		RetryAfter: p.retryAfter(now, r, kind),
 		Sample:     r.arrived.Sample,
 	})
-	p.settle(r, kind)
+	p.settle(now, r, kind)
 	p.count(r, kind, out)
 	out.Raise(event.RequestDone{
 		Request:         r.id(),
@@ -62,9 +62,9 @@
 	return ""
 }
 
-// settle charges the true cost.
-func (p *Part) settle(r *request, kind kinds.Kind) {
-	if r.tries == 0 {
+// settle charges the true cost. What did not run costs nothing.
+func (p *Part) settle(now time.Duration, r *request, kind kinds.Kind) {
+	if !r.charged {
 		return
 	}
 	cost := r.item.Cost
@@ -75,7 +75,7 @@
 		cost = 0
 	}
 	p.Queue.Correct(r.item, cost)
-	p.rate(r.pool).Done(cost)
+	p.rate(now, r.pool).Done(cost)
 	p.ledger.Serve(r.organisation, r.class, uint64(cost))
 	if kind == "" {
 		p.budget.Served(r.route.Name)
@@ -106,11 +106,11 @@
 }
 
 // retryAfter returns the time in which what waits now will have drained.
-func (p *Part) retryAfter(r *request, kind kinds.Kind) time.Duration {
+func (p *Part) retryAfter(now time.Duration, r *request, kind kinds.Kind) time.Duration {
 	if !kinds.Of(kind).RetryAfter {
 		return 0
 	}
-	return max(leastRetryIn, p.rate(r.pool).Wait(p.Queue.Ahead(r.item)))
+	return max(leastRetryIn, p.rate(now, r.pool).Wait(p.Queue.Ahead(r.item)))
 }
 
 // giveUp ends a request that nobody waits for.
--- /dev/null
+++ b/internal/flow/flow_test.go
@@ -0,0 +1,302 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+func TestAttemptEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		run     kinds.Run
+		reason  string
+		begun   bool
+		resumes bool
+		again   bool
+		kind    kinds.Kind
+	}{
+		"whole":                          {path: "/order", run: kinds.Ran},
+		"dial failed":                    {path: "/order", run: kinds.NotRun, reason: event.ReasonDial, again: true},
+		"refused":                        {path: "/order", run: kinds.NotRun, reason: event.ReasonRefused, again: true},
+		"broken, not idempotent":         {path: "/order", run: kinds.Unknown, reason: event.ReasonBroken, kind: kinds.OutcomeUnknown},
+		"broken, idempotent":             {path: "/lookup", run: kinds.Unknown, reason: event.ReasonBroken, again: true},
+		"status, not idempotent":         {path: "/order", run: kinds.Unknown, reason: event.ReasonStatus, kind: kinds.OutcomeUnknown},
+		"cut, begun":                     {path: "/lookup", run: kinds.Unknown, reason: event.ReasonCut, begun: true, kind: kinds.StreamCut},
+		"cut, begun, can resume":         {path: "/lookup", run: kinds.Unknown, reason: event.ReasonCut, begun: true, resumes: true, again: true},
+		"cut, not idempotent, resumable": {path: "/order", run: kinds.Unknown, reason: event.ReasonCut, begun: true, resumes: true, kind: kinds.StreamCut},
+		"caller lost":                    {path: "/lookup", run: kinds.Unknown, reason: event.ReasonCaller, kind: kinds.StreamCut},
+		"deadline, nothing written":      {path: "/order", run: kinds.NotRun, reason: event.ReasonStopped, kind: kinds.DeadlineExceeded},
+		"deadline, written":              {path: "/order", run: kinds.Unknown, reason: event.ReasonStopped, kind: kinds.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig()
+			s := g.run(t, arrival(1, "Ledger", c.path))
+			d := done(s, c.run, c.reason)
+			d.Begun, d.CanResume = c.begun, c.resumes
+			effects := g.step(d)
+			if !c.again {
+				wantAnswers(t, effects, c.kind)
+				return
+			}
+			wantAnswers(t, effects)
+			again := started(t, g.after(time.Second))
+			if again.Endpoint == s.Endpoint {
+				t.Error("the same endpoint was tried again before the other one")
+			}
+		})
+	}
+}
+
+func TestTruthOutlivesRetry(t *testing.T) {
+	g := newRig()
+	s := g.run(t, arrival(1, "Ledger", "/lookup"))
+	effects := g.step(done(s, kinds.Unknown, event.ReasonBroken))
+	for range 2 {
+		wantAnswers(t, effects)
+		s = started(t, g.after(time.Second))
+		effects = g.step(done(s, kinds.NotRun, event.ReasonDial))
+	}
+	wantAnswers(t, effects, kinds.OutcomeUnknown)
+}
+
+func TestLateAttemptIsDropped(t *testing.T) {
+	g := newRig()
+	first := g.run(t, arrival(1, "Ledger", "/lookup"))
+	g.step(done(first, kinds.Unknown, event.ReasonBroken))
+	second := started(t, g.after(time.Second))
+	wantAnswers(t, g.step(done(first, kinds.Ran, "")))
+	if sent := pick[event.SendAttempt](g.step(event.AttemptConnected{Request: 1, Attempt: first.Attempt})); len(sent) != 0 {
+		t.Error("a former attempt was let to write")
+	}
+	wantAnswers(t, g.step(done(second, kinds.Ran, "")), "")
+	wantAnswers(t, g.step(done(second, kinds.Ran, "")))
+}
+
+func TestEvidence(t *testing.T) {
+	g := newRig()
+	g.trust.until = g.now
+	wantAnswers(t, g.step(arrival(1, "Ledger", "/lookup")), kinds.AuthorityStale)
+	if len(pick[event.StartAttempt](g.step(arrival(2, "", "/public")))) != 1 {
+		t.Error("an open route needs no evidence")
+	}
+	g.trust.until = farAhead
+	s := started(t, g.step(arrival(3, "Ledger", "/lookup")))
+	g.now += 2 * farAhead
+	effects := g.step(event.AttemptConnected{Request: 3, Attempt: s.Attempt})
+	if len(pick[event.SendAttempt](effects)) != 0 || len(pick[event.StopAttempt](effects)) != 1 {
+		t.Error("an attempt was let to write on lapsed evidence")
+	}
+	wantAnswers(t, g.step(done(s, kinds.NotRun, event.ReasonStopped)), kinds.AuthorityStale)
+}
+
+func TestSendBeforeEvidenceLapses(t *testing.T) {
+	g := newRig()
+	g.trust.until = g.now + time.Second
+	s := started(t, g.step(arrival(1, "Ledger", "/lookup")))
+	sent := pick[event.SendAttempt](g.step(event.AttemptConnected{Request: 1, Attempt: s.Attempt}))
+	want := []event.SendAttempt{{Request: 1, Attempt: s.Attempt, Before: g.trust.until}}
+	if diff := cmp.Diff(want, sent); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestRunningEndsWhenEvidenceStaysLapsed(t *testing.T) {
+	g := newRig()
+	s := g.run(t, arrival(1, "Ledger", "/lookup"))
+	g.trust.until = g.now
+	if len(pick[event.StopAttempt](g.after(0))) != 0 {
+		t.Error("ended at once")
+	}
+	if len(pick[event.StopAttempt](g.after(staleGrace))) != 1 {
+		t.Error("not ended")
+	}
+	d := done(s, kinds.Unknown, event.ReasonStopped)
+	d.Begun = true
+	wantAnswers(t, g.step(d), kinds.StreamCut)
+}
+
+func TestKeyWithdrawn(t *testing.T) {
+	for name, entry := range map[string]keys.Entry{
+		"withdrawn":          {Organisation: "Ledger", State: keys.Withdrawn},
+		"other organisation": {Organisation: "Andina", State: keys.Active},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig()
+			runs := g.run(t, arrival(1, "Ledger", "/lookup"))
+			connects := started(t, g.step(arrival(2, "Ledger", "/lookup")))
+			g.step(arrival(3, "Ledger", "/lookup"))
+			g.keys.Entries["Ledger"] = entry
+			effects := g.step(event.KeysInForce{})
+			wantAnswers(t, effects, kinds.KeyWithdrawn)
+			if diff := cmp.Diff(2, len(pick[event.StopAttempt](effects))); diff != "" {
+				t.Error(diff)
+			}
+			wantAnswers(t, g.step(done(connects, kinds.NotRun, event.ReasonStopped)), kinds.KeyWithdrawn)
+			d := done(runs, kinds.Unknown, event.ReasonStopped)
+			d.Begun = true
+			wantAnswers(t, g.step(d), kinds.StreamCut)
+		})
+	}
+}
+
+func TestBoundedQueue(t *testing.T) {
+	g := newRig()
+	id := uint64(0)
+	send := func(key string, n int) (refused int) {
+		for range n {
+			id++
+			for _, a := range pick[event.AnswerRequest](g.step(arrival(id, key, "/lookup"))) {
+				if diff := cmp.Diff(kinds.QueueFull, a.Kind); diff != "" || a.RetryAfter == 0 {
+					t.Error(diff, a)
+				}
+				refused++
+			}
+		}
+		return refused
+	}
+	if diff := cmp.Diff(4, send("Ledger", 10)); diff != "" {
+		t.Error("the organisation's bound:", diff)
+	}
+	if diff := cmp.Diff(1, send("Andina", 3)); diff != "" {
+		t.Error("room is made at the cost of the longest queue:", diff)
+	}
+}
+
+func TestDeadlineTooShort(t *testing.T) {
+	g := newRig()
+	for i := range uint64(4) {
+		g.step(arrival(i+1, "Ledger", "/lookup"))
+	}
+	rate := g.part.rate(g.now, "Service/s")
+	rate.Done(4)
+	rate.Tick(rate.Since+4*time.Second, true)
+	late := arrival(9, "Ledger", "/lookup")
+	late.Deadline = g.now + 5*time.Second
+	wantAnswers(t, g.step(late), kinds.DeadlineTooShort)
+	other := arrival(10, "Andina", "/lookup")
+	other.Deadline = g.now + 25*time.Second
+	wantAnswers(t, g.step(other))
+}
+
+func TestDeadlineInQueue(t *testing.T) {
+	g := newRig()
+	for i := range uint64(2) {
+		g.step(arrival(i+1, "Ledger", "/lookup"))
+	}
+	waits := arrival(3, "Ledger", "/lookup")
+	waits.Deadline = g.now + time.Second
+	wantAnswers(t, g.step(waits))
+	wantAnswers(t, g.after(time.Second), kinds.DeadlineExceeded)
+}
+
+func TestLeaveMarkIsFinal(t *testing.T) {
+	mark := wire.LeaveMark{Endpoint: "a", Incarnation: "1"}
+	leaving := rigEndpoint("a")
+	leaving.State = wire.Leaving
+	for name, tell := range map[string]func(g *rig){
+		"list": func(g *rig) { g.list(leaving, rigEndpoint("b")) },
+		"beat": func(g *rig) {
+			g.step(event.BeatSeen{Host: "h2", Beat: wire.Beat{Leaving: []wire.LeaveMark{mark}}})
+		},
+		"poll": func(g *rig) { g.step(event.EndpointPolled{Endpoint: "a", Incarnation: "1", Leaving: true}) },
+		"answer": func(g *rig) {
+			for i := uint64(100); ; i++ {
+				s := started(t, g.step(arrival(i, "Ledger", "/order")))
+				d := done(s, kinds.Ran, "")
+				d.Leaving = s.Endpoint == "a"
+				g.step(d)
+				if d.Leaving {
+					return
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig()
+			tell(g)
+			for i := range uint64(20) {
+				g.list(rigEndpoint("a"), rigEndpoint("b"))
+				s := started(t, g.step(arrival(i+1, "Ledger", "/lookup")))
+				if s.Endpoint == "a" {
+					t.Fatal("new work for a leaving endpoint")
+				}
+				g.step(done(s, kinds.Ran, ""))
+				g.list(leaving, rigEndpoint("b"))
+			}
+			var beat wire.Beat
+			g.part.Contribute(g.now, &beat)
+			if diff := cmp.Diff([]wire.LeaveMark{mark}, beat.Leaving); diff != "" {
+				t.Error(diff)
+			}
+			again := rigEndpoint("a")
+			again.Incarnation = "2"
+			g.list(again)
+			if diff := cmp.Diff("a", started(t, g.step(arrival(50, "Ledger", "/lookup"))).Endpoint); diff != "" {
+				t.Error("another incarnation:", diff)
+			}
+		})
+	}
+}
+
+func TestEjection(t *testing.T) {
+	g := newRig()
+	g.list(rigEndpoint("a"))
+	for i := range uint64(3) {
+		g.step(done(g.run(t, arrival(i+1, "Ledger", "/order")), kinds.Unknown, event.ReasonBroken))
+	}
+	if len(pick[event.StartAttempt](g.step(arrival(4, "Ledger", "/order")))) != 0 {
+		t.Error("an ejected endpoint got work")
+	}
+	g.step(arrival(5, "Ledger", "/order"))
+	trial := started(t, g.after(time.Second))
+	g.step(done(trial, kinds.Ran, ""))
+	if g.part.table.All()[0].Ejected(g.now) {
+		t.Error("a trial that succeeded did not end the ejection")
+	}
+}
+
+func TestDrain(t *testing.T) {
+	g := newRig()
+	g.part.Process.BalancerDelay = time.Second
+	s := g.run(t, arrival(1, "Ledger", "/lookup"))
+	if len(pick[event.BeginDrain](g.step(event.StopAsked{}))) != 1 {
+		t.Error("the listener was not told")
+	}
+	late := started(t, g.step(arrival(2, "Ledger", "/lookup")))
+	if len(pick[event.StopListening](g.after(time.Second))) != 1 {
+		t.Error("the listener was not closed")
+	}
+	g.step(done(s, kinds.Ran, ""))
+	g.step(done(late, kinds.Ran, ""))
+	g.step(event.ListenerClosed{})
+	g.after(0)
+	if !g.part.drain.done {
+		t.Error("not drained")
+	}
+}
+
+func TestAuthoriseCall(t *testing.T) {
+	g := newRig()
+	for name, c := range map[string]struct {
+		hash string
+		want event.CallAuthorised
+	}{
+		"active":  {hash: "Ledger", want: event.CallAuthorised{Owner: "o", Seq: 1, Organisation: "Ledger"}},
+		"missing": {want: event.CallAuthorised{Owner: "o", Seq: 1, Kind: kinds.KeyMissing}},
+		"unknown": {hash: "x", want: event.CallAuthorised{Owner: "o", Seq: 1, Kind: kinds.KeyUnknown}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			effects := g.step(event.AuthoriseCall{Owner: "o", Seq: 1, KeyHash: c.hash})
+			if diff := cmp.Diff([]event.CallAuthorised{c.want}, pick[event.CallAuthorised](effects)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -63,7 +63,7 @@
 	case event.BeatSeen:
 		p.beat(now, e, out)
 	case event.HostsChanged:
-		p.polls.hosts = e.Hosts
+		p.polls.setHosts(e.Hosts)
 	case event.HostLost:
 		p.hostLost(e.Host)
 	case event.StopAsked:
@@ -115,7 +115,7 @@
 	p.rates = map[string]*admit.Rate{}
 	p.waiting = map[string]int{}
 	p.refused = map[string]map[kinds.Kind]uint64{}
-	p.polls.host = p.Host
+	p.polls.host, p.polls.lost = p.Host, map[string]bool{}
 	if p.Queue == nil {
 		p.Queue = &admit.Fair[uint64]{
 			Floors: map[config.Class]float64{config.Background: backgroundFloor, config.Rollout: rolloutFloor},
@@ -161,10 +161,10 @@
 	p.drain.tick(now, len(p.requests), out)
 }
 
-func (p *Part) rate(pool string) *admit.Rate {
+func (p *Part) rate(now time.Duration, pool string) *admit.Rate {
 	r, ok := p.rates[pool]
 	if !ok {
-		r = &admit.Rate{}
+		r = &admit.Rate{Since: now}
 		p.rates[pool] = r
 	}
 	return r
@@ -195,6 +195,7 @@
 		p.table.Report(now, r)
 	}
 	p.ledger.Seen(e.Host, e.Beat.Served, p.charge)
+	delete(p.polls.lost, e.Host)
 }
 
 func (p *Part) charge(organisation string, class config.Class, tokens uint64) {
@@ -203,12 +204,15 @@
 	}
 }
 
-func (p *Part) hostLost(host string) { p.ledger.Forget(host) }
+func (p *Part) hostLost(host string) {
+	p.ledger.Forget(host)
+	p.polls.lost[host] = true
+}
 
 // Contribute adds this area's share to a beat.
 func (p *Part) Contribute(now time.Duration, beat *wire.Beat) {
 	beat.Leaving = append(beat.Leaving, p.table.Marks(now)...)
-	beat.Served = append(beat.Served, p.ledger.Served()...)
-	beat.Loads = append(beat.Loads, p.polls.reports(now)...)
+	beat.Served = append(beat.Served, p.ledger.News(now)...)
+	beat.Loads = append(beat.Loads, p.polls.news(now)...)
 	beat.Demand = append(beat.Demand, p.demand.now(now, p)...)
 }
--- a/internal/flow/poller.go
+++ b/internal/flow/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,14 +22,25 @@
 // and keeps the answers for the beats.
 type poller struct {
 	host  string
-	hosts []event.Host
+	hosts []string        // the others
+	lost  map[string]bool // those that send no beats
 	next  time.Duration
 	known []report // sorted by endpoint
 }
 
 type report struct {
 	wire.LoadReport
-	at time.Duration // time that the report tells of
+	at   time.Duration // time that the report tells of
+	sent bool
+}
+
+func (w *poller) setHosts(hosts []event.Host) {
+	w.hosts = w.hosts[:0]
+	for _, h := range hosts {
+		if h.Name != w.host {
+			w.hosts = append(w.hosts, h.Name)
+		}
+	}
 }
 
 func (w *poller) tick(now time.Duration, table *route.Table, out *event.Batch) {
@@ -54,7 +66,7 @@
 	hash := xxhash.Sum64String(endpoint)
 	own, above := route.Rank(hash, w.host), 0
 	for _, h := range w.hosts {
-		if h.Name != w.host && route.Rank(hash, h.Name) > own {
+		if !w.lost[h] && route.Rank(hash, h) > own {
 			above++
 		}
 	}
@@ -67,7 +79,7 @@
 		at:         now - e.Age,
 	}
 	i, ok := slices.BinarySearchFunc(w.known, e.Endpoint, func(k report, name string) int {
-		return compare(k.Endpoint, name)
+		return strings.Compare(k.Endpoint, name)
 	})
 	if ok {
 		w.known[i] = r
@@ -76,19 +88,15 @@
 	w.known = slices.Insert(w.known, i, r)
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
-func (w *poller) reports(now time.Duration) []wire.LoadReport {
-	all := make([]wire.LoadReport, 0, len(w.known))
-	for _, r := range w.known {
+// news returns the reports that no beat has carried yet.
+func (w *poller) news(now time.Duration) []wire.LoadReport {
+	var all []wire.LoadReport
+	for i := range w.known {
+		r := &w.known[i]
+		if r.sent {
+			continue
+		}
+		r.sent = true
 		r.AgeMS = (now - r.at).Milliseconds()
 		all = append(all, r.LoadReport)
 	}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,53 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestBudgetIsAShareOfTheServed(t *testing.T) {
+	b := Budget{Share: 0.1}
+	for range int(budgetStart) {
+		if !b.Take("r") {
+			t.Fatal("the start budget is too small")
+		}
+	}
+	taken := 0
+	for range 100 {
+		b.Served("r")
+		if b.Take("r") {
+			taken++
+		}
+	}
+	if taken < 9 || taken > 10 {
+		t.Error(taken, "retries for 100 served requests")
+	}
+	if !b.Take("other") {
+		t.Error("one route used the budget of another")
+	}
+	b.Keep(func(string) bool { return false })
+	if diff := cmp.Diff(0, len(b.routes)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestBackoffDoublesItsCeiling(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for name, c := range map[string]struct {
+		try     int
+		ceiling time.Duration
+	}{"first": {1, time.Second}, "second": {2, 2 * time.Second}, "fourth": {4, 8 * time.Second}, "huge": {99, 1024 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			greatest := time.Duration(0)
+			for range 200 {
+				greatest = max(greatest, Backoff(random, time.Second, c.try))
+			}
+			if greatest >= c.ceiling || greatest < c.ceiling*3/4 {
+				t.Error(greatest)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,166 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+func TestMatch(t *testing.T) {
+	site := config.Defaults()
+	for _, prefix := range []string{"/a", "/a/b", "/c/"} {
+		site.Routes[prefix] = config.Route{Name: prefix, Prefix: prefix}
+	}
+	routes := NewRoutes(site)
+	for path, want := range map[string]string{"/a": "/a", "/a/x": "/a", "/a/b": "/a/b", "/a/b/c": "/a/b", "/a/bc": "/a", "/ab": "", "/c/d": "/c/", "/c": ""} {
+		t.Run(path, func(t *testing.T) {
+			got, _ := routes.Match(path)
+			if diff := cmp.Diff(want, got.Name); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func live(name, zone string, price wire.Price) wire.Endpoint {
+	return wire.Endpoint{Name: name, Incarnation: "1", Kind: wire.Engine, Model: "m", Zone: zone, Price: price, State: wire.Live}
+}
+
+func names(cs []*Endpoint) []string {
+	var all []string
+	for _, c := range cs {
+		all = append(all, c.Name)
+	}
+	return all
+}
+
+func TestCandidates(t *testing.T) {
+	list := []wire.Endpoint{
+		live("cheap1", "z1", wire.Cheap), live("cheap2", "z2", wire.Cheap),
+		live("firm1", "z1", wire.OnDemand), live("firm2", "z2", wire.OnDemand),
+	}
+	for name, c := range map[string]struct {
+		change func(*Table)
+		want   Want
+		names  []string
+	}{
+		"local zone":          {want: Want{Zone: "z1"}, names: []string{"cheap1", "firm1"}},
+		"rollout":             {want: Want{Zone: "z1", Price: wire.Cheap}, names: []string{"cheap1"}},
+		"interactive":         {want: Want{Zone: "z2", Price: wire.OnDemand}, names: []string{"firm2"}},
+		"avoid":               {want: Want{Zone: "z1", Price: wire.Cheap, Avoid: []string{"cheap1", "cheap2"}}, names: []string{"firm1"}},
+		"nothing but avoided": {want: Want{Zone: "z1", Avoid: []string{"cheap1", "cheap2", "firm1", "firm2"}}, names: []string{"cheap1", "firm1"}},
+		"leaving": {
+			change: func(t *Table) { t.Leave(0, wire.LeaveMark{Endpoint: "cheap1", Incarnation: "1"}) },
+			want:   Want{Zone: "z1", Price: wire.Cheap}, names: []string{"cheap2"},
+		},
+		"true version": {
+			change: func(t *Table) {
+				t.Report(time.Second, wire.LoadReport{Endpoint: "firm2", Incarnation: "1", Version: 7})
+				t.Report(time.Second, wire.LoadReport{Endpoint: "cheap1", Incarnation: "1", Version: 6})
+			},
+			want: Want{Zone: "z1", MinVersion: 7}, names: []string{"firm2"},
+		},
+		"busy local zone": {
+			change: func(t *Table) {
+				for _, n := range []string{"cheap1", "firm1"} {
+					t.Report(time.Second, wire.LoadReport{Endpoint: n, Incarnation: "1", Tokens: 1 << 20})
+				}
+			},
+			want: Want{Zone: "z1"}, names: []string{"cheap1", "cheap2", "firm1", "firm2"},
+		},
+		"full": {
+			change: func(t *Table) { t.Start(t.endpoints["cheap1"], 1) },
+			want:   Want{Zone: "z1", Price: wire.Cheap}, names: []string{"cheap2"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var table Table
+			table.List(0, list)
+			if c.change != nil {
+				c.change(&table)
+			}
+			c.want.Pool, c.want.Limit = EnginePool("m"), 1
+			if diff := cmp.Diff(c.names, names(table.Candidates(time.Second, c.want))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestEjectionGrowsAndTriesOnce(t *testing.T) {
+	var table Table
+	table.List(0, []wire.Endpoint{live("a", "z", wire.Cheap)})
+	e := table.endpoints["a"]
+	id := wire.LeaveMark{Endpoint: "a", Incarnation: "1"}
+	for range ejectAfter {
+		table.Start(e, 1)
+		table.End(0, id, 1, Failed)
+	}
+	for now, want := range map[time.Duration]bool{0: true, ejectFirst - 1: true, ejectFirst: false} {
+		if diff := cmp.Diff(want, e.Ejected(now)); diff != "" {
+			t.Error(now, diff)
+		}
+	}
+	table.Start(e, 1)
+	if !e.Ejected(ejectFirst) {
+		t.Error("a second trial was let through")
+	}
+	table.End(ejectFirst, id, 1, Failed)
+	if !e.Ejected(2*ejectFirst) || e.Ejected(3*ejectFirst) {
+		t.Error("the wait did not double")
+	}
+}
+
+// fixed is a candidate with a set amount of work.
+type fixed struct {
+	name string
+	work float64
+}
+
+func (f *fixed) Key() string                { return f.name }
+func (f *fixed) Work(time.Duration) float64 { return f.work }
+
+func TestAffinity(t *testing.T) {
+	var cs []*fixed
+	for i := range 8 {
+		cs = append(cs, &fixed{name: fmt.Sprint("e", i)})
+	}
+	p := &Affine[*fixed]{Random: rand.New(rand.NewPCG(1, 1)), Slack: 1.25, Spare: 10}
+	first := p.Pick(0, cs, 77)
+	for range 20 {
+		if p.Pick(0, cs, 77) != first {
+			t.Fatal("the same prompt head went elsewhere")
+		}
+	}
+	first.work = 1000
+	if p.Pick(0, cs, 77) == first {
+		t.Error("a busy endpoint kept its prompt heads")
+	}
+	spread := map[string]int{}
+	for i := range uint64(800) {
+		spread[p.Pick(0, cs[1:], i+1).name]++
+	}
+	for name, n := range spread {
+		if n < 60 {
+			t.Error(name, n)
+		}
+	}
+}
+
+func TestTurns(t *testing.T) {
+	cs := []*fixed{{name: "a"}, {name: "b"}}
+	p := &Turns[*fixed]{}
+	got := map[string]int{}
+	for range 10 {
+		got[p.Pick(0, cs, 1).name]++
+	}
+	if diff := cmp.Diff(map[string]int{"a": 5, "b": 5}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/route/want.go
+++ b/internal/route/want.go
@@ -8,16 +8,16 @@
 )
 
 const (
-	localSlack = 2.0    // mean works up to which an endpoint of the local zone goes first
-	localSpare = 2000.0 // tokens by which any local endpoint may exceed that
+	preferSlack = 2.0    // mean works of the others up to which a preferred endpoint goes first
+	preferSpare = 2000.0 // tokens by which a preferred endpoint may exceed that
 )
 
 // Want says what a request needs of its endpoint.
 type Want struct {
 	Pool       string
-	Zone       string // goes first
-	Cheap      bool   // cheap endpoints go first
-	MinVersion uint64 // least true version, 0 for any
+	Zone       string     // goes first
+	Price      wire.Price // goes first, "" for any
+	MinVersion uint64     // least true version, 0 for any
 	Avoid      []string
 	Limit      int // attempts of this daemon that may run on one endpoint
 }
@@ -38,11 +38,12 @@
 		}
 	}
 	cs = prefer(cs, func(e *Endpoint) bool { return !slices.Contains(w.Avoid, e.Name) })
-	if w.Cheap {
-		cs = prefer(cs, func(e *Endpoint) bool { return e.Price == wire.Cheap })
+	if w.Price == wire.Cheap {
+		cs = prefer(cs, func(e *Endpoint) bool { return e.Price == w.Price })
+	} else {
+		cs = preferIdle(now, cs, func(e *Endpoint) bool { return e.Price == w.Price })
 	}
-	bound := localSlack*meanWork(now, cs) + localSpare
-	return prefer(cs, func(e *Endpoint) bool { return e.Zone == w.Zone && e.Work(now) <= bound })
+	return preferIdle(now, cs, func(e *Endpoint) bool { return e.Zone == w.Zone })
 }
 
 func (t *Table) fits(now time.Duration, e *Endpoint, w Want) bool {
@@ -66,13 +67,20 @@
 	return kept
 }
 
-func meanWork(now time.Duration, cs []*Endpoint) float64 {
-	if len(cs) == 0 {
-		return 0
-	}
-	sum := 0.0
+// preferIdle returns the candidates that match and are not much busier than the others, or all when none is.
+func preferIdle(now time.Duration, cs []*Endpoint, match func(*Endpoint) bool) []*Endpoint {
+	bound := preferSlack*meanWork(now, cs, match) + preferSpare
+	return prefer(cs, func(e *Endpoint) bool { return match(e) && e.Work(now) <= bound })
+}
+
+// meanWork returns the mean work of the candidates that do not match.
+func meanWork(now time.Duration, cs []*Endpoint, match func(*Endpoint) bool) float64 {
+	sum, n := 0.0, 0
 	for _, e := range cs {
-		sum += e.Work(now)
+		if !match(e) {
+			sum += e.Work(now)
+			n++
+		}
 	}
-	return sum / float64(len(cs))
+	return sum / float64(max(n, 1))
 }
