--- a/figd/authority.go
+++ b/figd/authority.go
@@ -62,7 +62,6 @@
 	d.addPart(leases)
 	d.addObjectCalls()
 	d.addMesh(self)
-	d.addExit()
 }
 
 func (d *daemon) addObjectCalls() {
@@ -110,27 +109,3 @@
 	}
 	return d.log
 }
-
-// exitExecutor ends the process's actors on event.Exit.
-type exitExecutor struct{ cancel context.CancelFunc }
-
-// Do carries out event.Exit; it returns false for other effects.
-func (x exitExecutor) Do(effect event.Effect) bool {
-	if _, ok := effect.(event.Exit); !ok {
-		return false
-	}
-	x.cancel()
-	return true
-}
-
-func (d *daemon) addExit() {
-	done, cancel := context.WithCancel(context.Background())
-	d.addExecutor(exitExecutor{cancel: cancel})
-	d.addActor(func(ctx context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-done.Done():
-		}
-		return nil
-	})
-}
--- a/figd/main.go
+++ b/figd/main.go
@@ -65,10 +65,10 @@
 	if *only {
 		return exitStopped
 	}
-	return serve(loaded.Process, stderr)
+	return runDaemon(loaded.Process, stderr)
 }
 
-func serve(process config.Process, stderr io.Writer) int {
+func runDaemon(process config.Process, stderr io.Writer) int {
 	d, err := newDaemon(process, stderr)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -16,6 +16,12 @@
 		AskDuty{},
 		RequestArrived{},
 		AuthoriseCall{},
+		CallerGone{},
+		AttemptConnected{},
+		AttemptHead{},
+		AttemptDone{},
+		EndpointPolled{},
+		ListenerClosed{},
 	}
 }
 
@@ -40,5 +46,10 @@
 		ObjectSeen{},
 		RequestDone{},
 		CancelRequest{},
+		DemandSeen{},
+		EndpointLeaving{},
+		Drained{},
+		DrainBegun{},
+		DrainEnded{},
 	}
 }
--- a/internal/flow/drain.go
+++ b/internal/flow/drain.go
@@ -6,6 +6,9 @@
 	"github.com/figshift/figshift/internal/event"
 )
 
+// drainOwner names this part in the graceful stop.
+const drainOwner = "Flow"
+
 // drain ends the service of a stopping daemon: unready, accepting for the balancer's delay, closed, drained.
 type drain struct {
 	asked   bool
@@ -21,6 +24,7 @@
 	}
 	d.asked, d.closeAt = true, now+delay
 	out.Emit(event.BeginDrain{})
+	out.Raise(event.DrainBegun{Owner: drainOwner})
 }
 
 func (d *drain) tick(now time.Duration, requests int, out *event.Batch) {
@@ -31,5 +35,6 @@
 	if d.closed && !d.done && requests == 0 {
 		d.done = true
 		out.Raise(event.Drained{})
+		out.Raise(event.DrainEnded{Owner: drainOwner})
 	}
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -23,6 +23,9 @@
 	handOver   = time.Second            // between StopAsked and the release of what the parts still hold
 )
 
+// drainOwner names this part in the graceful stop.
+const drainOwner = "Lease"
+
 // Roster tells which hosts are alive and who holds a duty.
 type Roster interface {
 	// Alive returns the hosts that are heard at time now sorted by name, this one among them.
@@ -70,6 +73,7 @@
 	case event.StopAsked:
 		p.stopping = true
 		p.stopAt = now
+		out.Raise(event.DrainBegun{Owner: drainOwner})
 	case event.Drained:
 		p.drained = true
 	case event.StatusAsked:
@@ -127,7 +131,7 @@
 	}
 }
 
-// exit ends the process when the requests have ended and no lease is left.
+// exit tells that the leases need the process no more, when the requests have ended and no lease is left.
 func (p *Part) exit(out *event.Batch) {
 	if !p.drained || !p.stopping || p.exited {
 		return
@@ -138,7 +142,7 @@
 		}
 	}
 	p.exited = true
-	out.Emit(event.Exit{})
+	out.Raise(event.DrainEnded{Owner: drainOwner})
 }
 
 func (p *Part) wanted() []string {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -9,8 +9,8 @@
 	"github.com/figshift/figshift/internal/reduce"
 )
 
-// Executor carries out the effects that it knows. Do reports whether it knows the effect and must not block;
-// results come back by Loop.Post.
+// Executor carries out the effects that it knows. Each effect is offered to every executor; Do reports whether
+// this one knows it and must not block. Results come back by Loop.Post.
 type Executor interface {
 	Do(effect event.Effect) bool
 }
@@ -78,10 +78,9 @@
 	}
 }
 
+// execute offers an effect to every executor: more than one may know it.
 func (l *Loop) execute(effect event.Effect) {
 	for _, x := range l.Executors {
-		if x.Do(effect) {
-			return
-		}
+		x.Do(effect)
 	}
 }
