--- a/figd/daemon.go
+++ b/figd/daemon.go
@@ -19,15 +19,15 @@
 
 // daemon is the composition of one figd process. Each area adds its parts, executors and actors to it.
 type daemon struct {
-	process     config.Process
-	incarnation string
-	log         *zap.Logger
-	scope       tally.Scope
-	state       *reduce.State
-	loop        *loop.Loop
-	group       run.Group
-	ready       *readiness // what the listeners ask
-	closers     []io.Closer
+	process config.Process
+	identity
+	log     *zap.Logger
+	scope   tally.Scope
+	state   *reduce.State
+	loop    *loop.Loop
+	group   run.Group
+	ready   *readiness // what the listeners ask
+	closers []io.Closer
 
 	// Set by the authority area, read by the others.
 	trust   event.Trust
--- a/figd/main.go
+++ b/figd/main.go
@@ -5,8 +5,6 @@
 package main
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"flag"
 	"fmt"
 	"io"
@@ -46,12 +44,13 @@
 	flags.SetOutput(stderr)
 	base := flags.String("config", "", "base configuration `file`")
 	overlay := flags.String("overlay", "", "overlay `file` of the site and host")
+	record := flags.String("record", "", "write every step of the reducer to a new `file`")
 	only := flags.Bool("check", false, "check the configuration and exit")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
 	if *base == "" || flags.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: figd --config base.ini [--overlay site.ini] [--check]")
+		fmt.Fprintln(stderr, "usage: figd --config base.ini [--overlay site.ini] [--record run.trace] [--check]")
 		return exitUsage
 	}
 	loaded, problems := config.Load(*base, *overlay)
@@ -65,16 +64,20 @@
 	if *only {
 		return exitStopped
 	}
-	return runDaemon(loaded.Process, stderr)
+	return runDaemon(loaded.Process, *record, stderr)
 }
 
-func runDaemon(process config.Process, stderr io.Writer) int {
-	d, err := newDaemon(process, stderr)
+func runDaemon(process config.Process, record string, stderr io.Writer) int {
+	d, err := newDaemon(process, newIdentity(), stderr)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitCode(err)
 	}
 	defer d.close()
+	if err := d.recordTo(record); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailure
+	}
 	return exitCode(d.group.Run())
 }
 
@@ -91,8 +94,8 @@
 }
 
 // newDaemon composes the areas. The order fixes the order in which parts see an event.
-func newDaemon(process config.Process, stderr io.Writer) (*daemon, error) {
-	d := &daemon{process: process, incarnation: newIncarnation(), state: &reduce.State{}, handlers: map[string]httpHandler{}}
+func newDaemon(process config.Process, self identity, stderr io.Writer) (*daemon, error) {
+	d := &daemon{process: process, identity: self, state: &reduce.State{}, handlers: map[string]httpHandler{}}
 	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, QueueSize: eventQueueSize}
 	d.loop.Prepare()
 	if err := d.addOperations(stderr); err != nil {
@@ -106,9 +109,3 @@
 	d.addActor(d.loop.Run)
 	return d, nil
 }
-
-func newIncarnation() string {
-	b := make([]byte, 8)
-	_, _ = rand.Read(b)
-	return hex.EncodeToString(b)
-}
--- a/figd/requests.go
+++ b/figd/requests.go
@@ -15,7 +15,7 @@
 		Zone:    d.process.Zone,
 		Trust:   d.trust,
 		Keys:    d.keys,
-		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Random:  rand.New(rand.NewPCG(d.seed, 0)),
 		Process: d.process,
 	}
 	d.addPart(part)
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -11,9 +11,17 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 )
 
+// Header opens a recorded run: what the reducer's parts were made from.
+type Header struct {
+	Process     config.Process
+	Incarnation string
+	Seed        uint64
+}
+
 // Step is one recorded step: the event, its time, and a digest of the effects that it gave.
 type Step struct {
 	At      time.Duration
@@ -34,6 +42,11 @@
 	Out io.Writer
 }
 
+// Begin writes the header; it is called once, before the first Add. It returns an error when Out fails.
+func (w *Writer) Begin(h Header) error {
+	return w.write(h)
+}
+
 // Add records one step. It returns an error when the event can't be encoded or Out fails.
 func (w *Writer) Add(at time.Duration, ev event.Event, effects []event.Effect) error {
 	digest, err := Digest(effects)
@@ -44,12 +57,16 @@
 	if err != nil {
 		return errors.Wrap(err, "encode event")
 	}
-	text, err := json.Marshal(line{At: at, Type: typeName(ev), Event: body, Effects: digest})
+	return w.write(line{At: at, Type: typeName(ev), Event: body, Effects: digest})
+}
+
+func (w *Writer) write(v any) error {
+	text, err := json.Marshal(v)
 	if err != nil {
-		return errors.Wrap(err, "encode step")
+		return errors.Wrap(err, "encode line")
 	}
 	_, err = w.Out.Write(append(text, '\n'))
-	return errors.Wrap(err, "write step")
+	return errors.Wrap(err, "write line")
 }
 
 // Digest returns a hash over the effects, their types and their order.
@@ -66,23 +83,28 @@
 	return sum.Sum64(), nil
 }
 
-// Read returns all steps of a recorded run. It returns an error for a line that is cut or of an unknown event type.
-func Read(in io.Reader) ([]Step, error) {
+// Read returns the header and all steps of a recorded run. It returns an error for a line that is cut or of an
+// unknown event type; the steps before it are returned too.
+func Read(in io.Reader) (Header, []Step, error) {
 	types := eventTypes()
 	dec := json.NewDecoder(bufio.NewReader(in))
+	var head Header
+	if err := dec.Decode(&head); err != nil {
+		return head, nil, errors.Wrap(err, "header")
+	}
 	var steps []Step
 	for {
 		var l line
 		err := dec.Decode(&l)
 		if errors.Is(err, io.EOF) {
-			return steps, nil
+			return head, steps, nil
 		}
 		if err != nil {
-			return nil, errors.Wrapf(err, "step %d", len(steps)+1)
+			return head, steps, errors.Wrapf(err, "step %d", len(steps)+1)
 		}
 		ev, err := decodeEvent(types, l)
 		if err != nil {
-			return nil, errors.Wrapf(err, "step %d", len(steps)+1)
+			return head, steps, errors.Wrapf(err, "step %d", len(steps)+1)
 		}
 		steps = append(steps, Step{At: l.At, Event: ev, Effects: l.Effects})
 	}
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -24,15 +25,22 @@
 	}
 	var file bytes.Buffer
 	w := Writer{Out: &file}
+	head := Header{Process: config.Process{Host: "h1"}, Incarnation: "i1", Seed: 1 << 63}
+	if err := w.Begin(head); err != nil {
+		t.Fatal(err)
+	}
 	for _, s := range want {
 		if err := w.Add(s.At, s.Event, effects); err != nil {
 			t.Fatal(err)
 		}
 	}
-	got, err := Read(&file)
+	gotHead, got, err := Read(&file)
 	if err != nil {
 		t.Fatal(err)
 	}
+	if diff := cmp.Diff(head, gotHead); diff != "" {
+		t.Errorf("header (-want +got):\n%s", diff)
+	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("steps (-want +got):\n%s", diff)
 	}
@@ -46,7 +54,7 @@
 	}
 	for name, text := range cases {
 		t.Run(name, func(t *testing.T) {
-			if _, err := Read(bytes.NewBufferString(text)); err == nil {
+			if _, _, err := Read(bytes.NewBufferString("{}\n" + text)); err == nil {
 				t.Error("got no error")
 			}
 		})
