event, wire: lots, blocks, scores and engine orders

A lot's answer names the voided attempts that it replaces, and an ask names the attempt that the consumer holds, so that a remade lot is never taken for the one before it. SampleSent lets a hedge avoid the endpoint of the first try. Scorers get a path and messages of their own.

--- /dev/null
+++ b/internal/event/lot.go
@@ -0,0 +1,110 @@
+package event
+
+import "github.com/figshift/figshift/internal/kinds"
+
+// LotRef names one attempt at one lot of a rollout. Attempts rise and are never used twice.
+type LotRef struct {
+	Rollout string
+	Lot     uint64
+	Attempt uint64
+}
+
+// BlockRef names one immutable block of packed samples. Checksum is the xxhash of its value, in hex.
+type BlockRef struct {
+	Name     string
+	Checksum string
+	Bytes    int
+	Samples  int
+}
+
+// FinishedSample is a sample whose answer is whole. Request is the one whose answer was taken.
+type FinishedSample struct {
+	Ref      SampleRef
+	Request  uint64
+	Tokens   int
+	Versions []uint64
+	Score    float64
+	Scored   bool
+}
+
+// KeepRollout gives the samples' executor a specification, as JSON of wire.RolloutSpec, to make prompts from.
+type KeepRollout struct{ Spec []byte }
+
+// OpenLot tells the samples' executor to take answers for a lot.
+type OpenLot struct{ Lot LotRef }
+
+// DropLot tells the samples' executor to forget all answers for a lot.
+type DropLot struct{ Lot LotRef }
+
+// DropAnswer tells the samples' executor to forget the answer of one request.
+type DropAnswer struct {
+	Lot     LotRef
+	Request uint64
+}
+
+// PackLot writes a lot's samples as blocks, in the order given; LotPacked answers.
+type PackLot struct {
+	Lot     LotRef
+	Samples []FinishedSample
+}
+
+// LotPacked ends a PackLot. Checksum is the xxhash of the samples' JSON array, in hex. Kind is "" when all blocks are stored.
+type LotPacked struct {
+	Lot      LotRef
+	Blocks   []BlockRef
+	Count    int
+	Checksum string
+	Kind     kinds.Kind
+}
+
+// DeleteBlocks removes blocks that no ledger names any more.
+type DeleteBlocks struct{ Names []string }
+
+// ServeBlock answers a peer's call for a block's value with an AnswerDuty.
+type ServeBlock struct {
+	To   string
+	ID   uint64
+	Name string
+}
+
+// ScoreGroup asks a plain service to score the samples of one group; GroupScored answers.
+type ScoreGroup struct {
+	Lot     LotRef
+	Group   int
+	Service string
+	Address string // host:port
+	Samples []FinishedSample
+}
+
+// GroupScored ends a ScoreGroup. Scores stand in the order of the samples.
+type GroupScored struct {
+	Lot    LotRef
+	Group  int
+	Scores []float64
+	Kind   kinds.Kind
+}
+
+// SampleSent is raised when an attempt of a sample's request goes to an endpoint.
+type SampleSent struct {
+	Request  uint64
+	Endpoint string
+}
+
+// VersionPublished is raised when a rollout's ledger holds a newer version of its model.
+type VersionPublished struct {
+	Model   string
+	Version uint64
+}
+
+func (KeepRollout) isEffect()     {}
+func (OpenLot) isEffect()         {}
+func (DropLot) isEffect()         {}
+func (DropAnswer) isEffect()      {}
+func (PackLot) isEffect()         {}
+func (LotPacked) isEvent()        {}
+func (DeleteBlocks) isEffect()    {}
+func (ServeBlock) isEffect()      {}
+func (ScoreGroup) isEffect()      {}
+func (GroupScored) isEvent()      {}
+func (SampleSent) isEvent()       {}
+func (VersionPublished) isEvent() {}
--- a/internal/wire/rollout.go
+++ b/internal/wire/rollout.go
@@ -25,20 +25,25 @@
 	MaxStaleness    int // greatest age in versions of any of a sample's versions at hand-over
 	SealAhead       int // lots that may be sealed before they are asked for
 	Prompts         []string
+	HedgeMultiple   float64 // a sample slower than this multiple of its lot's median is hedged; 0 for the default, below 0 for never
 }
 
 // LotAsk asks for the lot after Cursor ("I hold lots up to Cursor"), which acknowledges all up to Cursor.
+// Attempt names the attempt that the consumer holds of lot Cursor, 0 when it does not say.
 type LotAsk struct {
 	Consumer string
 	Cursor   uint64
+	Attempt  uint64
 }
 
-// Lot is a sealed lot, whole. Checksum is the xxhash of the samples' JSON, in hex.
+// Lot is a sealed lot, whole. Checksum is the xxhash of the samples' JSON array, in hex.
+// Replaces names voided attempts at the same lot: a consumer that received one of them drops it.
 type Lot struct {
 	Rollout  string
 	Lot      uint64
 	Attempt  uint64
-	Newest   uint64 // newest published version at hand-over
+	Replaces []uint64 `json:",omitempty"`
+	Newest   uint64   // newest published version at hand-over
 	Count    int
 	Checksum string
 	Samples  []Sample
@@ -67,4 +72,24 @@
 type Published struct{ Version uint64 }
 
 // Release gives up the consumer's hold on the rollout, so that another consumer may take it.
-type Release struct{ Consumer string }
+// Cursor acknowledges the lots that the consumer holds, as in LotAsk.
+type Release struct {
+	Consumer string
+	Cursor   uint64
+}
+
+// ScoreAsk asks a scorer for the scores of samples.
+type ScoreAsk struct{ Samples []ScoreItem }
+
+// ScoreItem is one sample to be scored.
+type ScoreItem struct {
+	ID     string
+	Prompt string
+	Text   string
+}
+
+// ScoreReply holds the scores in the order of the samples.
+type ScoreReply struct{ Scores []float64 }
+
+// PathScore is the scorers' path: POST ScoreAsk, answered by ScoreReply.
+const PathScore = "/score"
