--- /dev/null
+++ b/figbed/internal/engin/engine_test.go
@@ -0,0 +1,159 @@
+package engin_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/figbed/internal/engin"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+func ExampleTokens() {
+	fmt.Println(len(engin.Tokens(wire.Generate{Prompt: "one two", MaxTokens: 3, Seed: 7})))
+	// Output: 3
+}
+
+func start(t *testing.T, e *engin.Engine) string {
+	t.Helper()
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func post(t *testing.T, url string, body any) *http.Response {
+	t.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func segments(resp *http.Response) []wire.Segment {
+	var all []wire.Segment
+	decoder := json.NewDecoder(resp.Body)
+	for {
+		var s wire.Segment
+		if decoder.Decode(&s) != nil {
+			return all
+		}
+		all = append(all, s)
+	}
+}
+
+func tokens(all []wire.Segment) []string {
+	var joined []string
+	for _, s := range all {
+		joined = append(joined, s.Tokens...)
+	}
+	return joined
+}
+
+func TestResumedAnswerEqualsWhole(t *testing.T) {
+	g := wire.Generate{Prompt: "a b c", MaxTokens: 12, Seed: 3}
+	whole := tokens(segments(post(t, start(t, &engin.Engine{})+wire.PathGenerate, g)))
+	g.Held = whole[:5]
+	rest := segments(post(t, start(t, &engin.Engine{Version: 9})+wire.PathGenerate, g))
+	if diff := cmp.Diff(whole[5:], tokens(rest)); diff != "" {
+		t.Errorf("resumed tokens (-want +got):\n%s", diff)
+	}
+	last := rest[len(rest)-1]
+	want := wire.Segment{Done: true, Version: 9, PromptTokens: 3, GeneratedTokens: 7}
+	if diff := cmp.Diff(want, last); diff != "" {
+		t.Errorf("last line (-want +got):\n%s", diff)
+	}
+}
+
+func TestSegmentsNameTheVersionThatMadeThem(t *testing.T) {
+	url := start(t, &engin.Engine{Version: 1, RequestRate: 200})
+	resp := post(t, url+wire.PathGenerate, wire.Generate{Prompt: "p", MaxTokens: 60})
+	var first wire.Segment
+	decoder := json.NewDecoder(resp.Body)
+	if err := decoder.Decode(&first); err != nil {
+		t.Fatal(err)
+	}
+	post(t, url+wire.PathSwap, wire.SwapOrder{OrderID: "o", Version: 2})
+	last := first
+	for !last.Done && decoder.Decode(&last) == nil {
+	}
+	if diff := cmp.Diff([]uint64{1, 2}, []uint64{first.Version, last.Version}); diff != "" {
+		t.Errorf("first and last version (-want +got):\n%s", diff)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	cases := map[string]struct {
+		faults engin.Faults
+		status int
+		notRun string
+		whole  bool
+	}{
+		"None":           {engin.Faults{}, 200, "", true},
+		"Refuse":         {engin.Faults{Refuse: 1}, 503, "true", false},
+		"FailAfterStart": {engin.Faults{FailAfterStart: 1}, 500, "", false},
+		"Cut":            {engin.Faults{Cut: 1, CutSegments: 1}, 200, "", false},
+		"EndEarly":       {engin.Faults{EndEarly: 1, CutSegments: 1}, 200, "", false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := &engin.Engine{}
+			e.SetFaults(test.faults)
+			resp := post(t, start(t, e)+wire.PathGenerate, wire.Generate{Prompt: "p", MaxTokens: 20})
+			all := segments(resp)
+			whole := len(all) > 0 && all[len(all)-1].Done
+			got := []any{resp.StatusCode, resp.Header.Get(wire.HeaderNotRun), whole}
+			if diff := cmp.Diff([]any{test.status, test.notRun, test.whole}, got); diff != "" {
+				t.Errorf("status, not run, whole (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestFencing(t *testing.T) {
+	cases := map[string]struct {
+		checks bool
+		want   bool
+	}{"Checks": {true, false}, "Ignores": {false, true}}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			url := start(t, &engin.Engine{ChecksFencing: test.checks}) + wire.PathSwap
+			post(t, url, wire.SwapOrder{OrderID: "new", Fencing: 5, Version: 5})
+			var reply wire.SwapReply
+			resp := post(t, url, wire.SwapOrder{OrderID: "old", Fencing: 4, Version: 4})
+			if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(test.want, reply.Accepted); diff != "" {
+				t.Errorf("old order accepted (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestCachedPromptStartsFaster(t *testing.T) {
+	url := start(t, &engin.Engine{PrefillRate: 10}) + wire.PathGenerate
+	g := wire.Generate{Prompt: "one two three", MaxTokens: 1}
+	began := time.Now()
+	segments(post(t, url, g))
+	cold := time.Since(began)
+	began = time.Now()
+	all := segments(post(t, url, g))
+	if warm := time.Since(began); warm >= cold {
+		t.Errorf("warm start took %v, cold %v", warm, cold)
+	}
+	if diff := cmp.Diff(3, all[len(all)-1].CachedTokens); diff != "" {
+		t.Errorf("cached tokens (-want +got):\n%s", diff)
+	}
+}
