--- a/figbed/internal/engin/engine_test.go
+++ b/figbed/internal/engin/engine_test.go
@@ -86,7 +86,10 @@
 	}
 	post(t, url+wire.PathSwap, wire.SwapOrder{OrderID: "o", Version: 2})
 	last := first
-	for !last.Done && decoder.Decode(&last) == nil {
+	for !last.Done {
+		if err := decoder.Decode(&last); err != nil {
+			t.Fatal(err)
+		}
 	}
 	if diff := cmp.Diff([]uint64{1, 2}, []uint64{first.Version, last.Version}); diff != "" {
 		t.Errorf("first and last version (-want +got):\n%s", diff)
