--- a/figd/daemon.go
+++ b/figd/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/loop"
+	"github.com/figshift/figshift/internal/member"
 	"github.com/figshift/figshift/internal/reduce"
 )
 
@@ -29,8 +30,9 @@
 	closers     []io.Closer
 
 	// Set by the authority area, read by the others.
-	trust event.Trust
-	keys  *keys.Table
+	trust   event.Trust
+	keys    *keys.Table
+	members *member.Part // takes the other areas' Contributors
 	// Set by the rollout area, read by the request area.
 	samples  call.Samples
 	handlers map[string]httpHandler
