--- a/figd/requests.go
+++ b/figd/requests.go
@@ -18,6 +18,7 @@
 		Random:  rand.New(rand.NewPCG(d.seed, 0)),
 		Process: d.process,
 	}
+	d.members.Contributors = append(d.members.Contributors, part)
 	d.addPart(part)
 	executor := &call.Executor{Incarnation: d.incarnation, Post: d.loop.Post, Now: d.loop.Now, Samples: d.samples}
 	executor.Prepare()
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -119,6 +119,9 @@
 		before = min(before, until)
 	}
 	r.phase = running
+	if r.arrived.Sample != nil {
+		out.Raise(event.SampleSent{Request: r.id(), Endpoint: r.endpoint})
+	}
 	out.Emit(event.SendAttempt{Request: r.id(), Attempt: r.attempt, Before: before})
 }
 
