proofs: requests against real daemons; an endpoint that only refuses is ejected, a pool without one refuses at once

A refusing endpoint was never ejected, so that a site whose other half refused ran out of retry budget (TestTruthOfRun/refused_by_one: status 503, kind EndpointRefused, 0 runs). Interactive requests waited up to their timeout for a pool of ejected endpoints; they now get NoEndpoint at once. Ejection ends after 5 s at most.

--- /dev/null
+++ b/figbed/proofs/requests_test.go
@@ -0,0 +1,331 @@
+package proofs
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/figbed/internal/engin"
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/figbed/internal/servc"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// soon is the bound for what must happen within seconds.
+const soon = 5 * time.Second
+
+func services(n int) []proc.Endpoint {
+	var all []proc.Endpoint
+	for i := range n {
+		all = append(all, proc.Endpoint{Name: fmt.Sprint("s", i+1), Zone: []string{"a", "b"}[i%2]})
+	}
+	return all
+}
+
+func engines(n int) []proc.Endpoint {
+	var all []proc.Endpoint
+	for i := range n {
+		all = append(all, proc.Endpoint{Name: fmt.Sprint("e", i+1), Zone: []string{"a", "b"}[i%2]})
+	}
+	return all
+}
+
+// awaitService waits until the daemons know the endpoints of the lookup service.
+func awaitService(t *testing.T, c *proc.Cluster) {
+	t.Helper()
+	for _, h := range c.Hosts {
+		proc.WaitUntil(t, soon, "lookups are served by "+h.Name, func() bool { return h.Get("/open", "").Status == http.StatusOK })
+	}
+}
+
+// awaitEngines waits until the daemons know the engines.
+func awaitEngines(t *testing.T, c *proc.Cluster) {
+	t.Helper()
+	for _, h := range c.Hosts {
+		proc.WaitUntil(t, soon, "generations are served by "+h.Name, func() bool {
+			return h.Generate(c.Key("North"), wire.Generate{Prompt: "warm", MaxTokens: 1}).Whole()
+		})
+	}
+}
+
+// runsOf returns how often an id ran on all plain services together.
+func runsOf(c *proc.Cluster, id string) int {
+	n := 0
+	for _, r := range c.Endpoints {
+		n += r.Seen().Runs[id]
+	}
+	return n
+}
+
+// truth returns what our own answer says of the run.
+func truth(a proc.Answer) string { return a.Header.Get("X-Figshift-Run") }
+
+func kind(a proc.Answer) string { return a.Header.Get("X-Figshift-Kind") }
+
+func TestOwnOrganisationOnly(t *testing.T) {
+	c := &proc.Cluster{Daemons: 1, Services: services(2)}
+	c.Start(t)
+	awaitService(t, c)
+	h := c.Hosts[0]
+	organisation := func(key string, header http.Header) string {
+		req, err := http.NewRequest(http.MethodGet, h.URL()+"/lookup", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, values := range header {
+			req.Header[name] = values
+		}
+		req.Header.Set("X-Api-Key", key)
+		return c.Do(req).Echo().Organisation
+	}
+	spoofed := http.Header{
+		wire.HeaderOrganisation: {"South"}, "x-figshift-organisation": {"South"},
+		"X_Figshift_Organisation": {"South"}, "X-Organisation": {"South"}, "Connection": {wire.HeaderOrganisation},
+	}
+	// The client keeps its connections, so that the keys take turns on the same one.
+	for range 20 {
+		if diff := cmp.Diff([]string{"North", "South"}, []string{organisation(c.Key("North"), spoofed), organisation(c.Key("South"), nil)}); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+	a := h.Get("/lookup", "nobody's")
+	if diff := cmp.Diff([]string{"KeyUnknown", "NotRun"}, []string{kind(a), truth(a)}); diff != "" {
+		t.Error(diff)
+	}
+	moved := c.Key("North")
+	c.GiveKey("South", moved)
+	proc.WaitUntil(t, soon, "the moved key counts for its new organisation", func() bool { return organisation(moved, nil) == "South" })
+	for range 20 {
+		if diff := cmp.Diff("South", organisation(moved, nil)); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+}
+
+func TestNoKeyAtEndpoints(t *testing.T) {
+	c := &proc.Cluster{Daemons: 1, Services: services(2), Engines: engines(2)}
+	c.Start(t)
+	awaitService(t, c)
+	awaitEngines(t, c)
+	key := c.Key("North")
+	coded := base64.StdEncoding.EncodeToString([]byte("user:" + key))
+	for name, change := range map[string]func(*http.Request){
+		"bearer":        func(r *http.Request) { r.Header.Set("Authorization", "Bearer "+key) },
+		"odd scheme":    func(r *http.Request) { r.Header["authorization"] = []string{"bEARER  " + key} },
+		"api key":       func(r *http.Request) { r.Header["x-aPi-kEy"] = []string{key} },
+		"underscore":    func(r *http.Request) { r.Header["X_Api_Key"] = []string{key} },
+		"other header":  func(r *http.Request) { r.Header.Set("X-Trace", "a;"+key) },
+		"cookie":        func(r *http.Request) { r.AddCookie(&http.Cookie{Name: "session", Value: key}) },
+		"base64":        func(r *http.Request) { r.Header.Set("X-Basic", "Basic "+coded) },
+		"query":         func(r *http.Request) { r.URL.RawQuery = "api_key=" + key + "&Key=" + key + "&x=1" },
+		"escaped query": func(r *http.Request) { r.URL.RawQuery = "x=" + strings.ReplaceAll(url.QueryEscape(key), "-", "%2D") },
+		"trailer": func(r *http.Request) {
+			r.ContentLength = -1
+			r.Trailer = http.Header{"X-Api-Key": {key}, "X-Sum": {key}}
+		},
+	} {
+		for _, path := range []string{"/lookup", "/write", wire.PathGenerate} {
+			// The first attempt fails, so that a retry has a second endpoint see the request.
+			for _, e := range c.Endpoints {
+				if e.Name[0] == 's' {
+					e.ServiceFaults(servc.Faults{Refuse: 1})
+				} else {
+					e.Faults(engin.Faults{Refuse: 1})
+				}
+			}
+			body := `{"Prompt":"p","MaxTokens":2}`
+			req, err := http.NewRequest(http.MethodPost, c.Hosts[0].URL()+path, strings.NewReader(body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("X-Api-Key", key)
+			change(req)
+			if a := c.Do(req); a.Err != nil || a.Status == http.StatusUnauthorized {
+				t.Errorf("%s %s: %d %v %s", name, path, a.Status, a.Err, a.Body)
+			}
+		}
+	}
+	for _, e := range c.Endpoints {
+		record := e.Seen()
+		if len(record.Requests) < 10 {
+			t.Errorf("%s saw only %d requests", e.Name, len(record.Requests))
+		}
+		for _, secret := range []string{key, coded, strings.ReplaceAll(key, "-", "%2D")} {
+			for _, q := range record.Contains(secret) {
+				t.Errorf("%s saw a key: %+v", e.Name, q)
+			}
+		}
+	}
+	if strings.Contains(c.Hosts[0].Output(), key) {
+		t.Error("the log holds a key")
+	}
+}
+
+func TestWholeOwnAnswer(t *testing.T) {
+	c := &proc.Cluster{Daemons: 1, Engines: engines(2), Services: services(2)}
+	c.Start(t)
+	awaitEngines(t, c)
+	awaitService(t, c)
+	for name, faults := range map[string]engin.Faults{
+		"cut in the middle":   {Cut: 1, CutSegments: 3},
+		"ended early":         {EndEarly: 1, CutSegments: 3},
+		"cut before":          {CutBefore: 1},
+		"failed after start":  {FailAfterStart: 1},
+		"late first segments": {Hang: 1, HangMS: 300},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.Endpoints["e1"].Faults(faults)
+			answers := make(chan error)
+			const callers = 12
+			for i := range callers {
+				g := wire.Generate{Prompt: fmt.Sprint(name, i), MaxTokens: 24, Seed: int64(i)}
+				go func() {
+					a := c.Hosts[0].Generate(c.Key([]string{"North", "South"}[i%2]), g)
+					diff := cmp.Diff(engin.Tokens(g), a.Tokens())
+					if !a.Whole() || diff != "" {
+						answers <- fmt.Errorf("status %d, error %v, kind %s: %s", a.Status, a.Err, kind(a), diff)
+						return
+					}
+					answers <- nil
+				}()
+			}
+			for range callers {
+				if err := <-answers; err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	t.Run("late and out of order", func(t *testing.T) {
+		for _, name := range []string{"s1", "s2"} {
+			c.Endpoints[name].ServiceFaults(servc.Faults{Late: 5, LateMS: 400})
+		}
+		answers := make(chan string)
+		const callers = 40
+		for i := range callers {
+			go func() {
+				id := fmt.Sprint("own", i)
+				echo := c.Hosts[0].Post("/lookup?Id="+id, c.Key("North"), "body "+id).Echo()
+				answers <- cmp.Diff([]string{id, "body " + id}, []string{echo.ID, echo.Body})
+			}()
+		}
+		for range callers {
+			if diff := <-answers; diff != "" {
+				t.Error(diff)
+			}
+		}
+	})
+}
+
+func TestCutAnswerIsSeen(t *testing.T) {
+	c := &proc.Cluster{Daemons: 1, Engines: engines(1), Services: services(1)}
+	c.Start(t)
+	awaitEngines(t, c)
+	awaitService(t, c)
+	c.Endpoints["e1"].Faults(engin.Faults{Cut: 1000, CutSegments: 1})
+	a := c.Hosts[0].Generate(c.Key("North"), wire.Generate{Prompt: "p", MaxTokens: 400})
+	if a.Err == nil || a.Whole() {
+		t.Errorf("a cut generation ended as if it were whole: %d %s", a.Status, a.Body)
+	}
+	c.Endpoints["s1"].ServiceFaults(servc.Faults{CutMiddle: 1000})
+	b := c.Hosts[0].Post("/write?Id=cut", c.Key("North"), "body")
+	if b.Err == nil && truth(b) != "Unknown" {
+		t.Errorf("a cut answer ended as if it were whole: %d %s", b.Status, b.Body)
+	}
+}
+
+// TestTruthOfRun gives each cause to calls that may not be repeated: they run at most once, and those that are said
+// not to have run have not.
+func TestTruthOfRun(t *testing.T) {
+	both := func(f servc.Faults) func(c *proc.Cluster) {
+		return func(c *proc.Cluster) {
+			for _, e := range c.Endpoints {
+				e.ServiceFaults(f)
+			}
+		}
+	}
+	limit := func(n int64) func(c *proc.Cluster) {
+		return func(c *proc.Cluster) {
+			for _, e := range c.Endpoints {
+				e.Link.LimitRequests(n)
+			}
+		}
+	}
+	for name, cause := range map[string]struct {
+		set  func(c *proc.Cluster)
+		want string // truth of every answer, "" for any true one
+		runs bool   // every call ran
+	}{
+		"none":                      {set: both(servc.Faults{}), runs: true},
+		"refused by one":            {set: func(c *proc.Cluster) { c.Endpoints["s1"].ServiceFaults(servc.Faults{RefuseAll: true}) }, runs: true},
+		"refused by all":            {set: both(servc.Faults{RefuseAll: true}), want: "NotRun"},
+		"cut before the run":        {set: both(servc.Faults{CutBefore: 1000}), want: "Unknown"},
+		"cut after the run":         {set: both(servc.Faults{CutAfter: 1000}), want: "Unknown"},
+		"failed after the run":      {set: both(servc.Faults{FailAfter: 1000})},
+		"failed before the run":     {set: both(servc.Faults{FailBefore: 1000})},
+		"cut within the answer":     {set: both(servc.Faults{CutMiddle: 1000})},
+		"no connection":             {set: func(c *proc.Cluster) { c.Endpoints["s1"].Link.Cut(); c.Endpoints["s2"].Link.Cut() }, want: "NotRun"},
+		"cut before the first byte": {set: limit(0)},
+		"cut within the head":       {set: limit(40)},
+		"cut within the body":       {set: limit(500)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &proc.Cluster{Daemons: 1, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}, {Name: "s2", Zone: "a"}}}
+			c.Start(t)
+			awaitLookups(t, c)
+			cause.set(c)
+			for i, header := range []string{"", "Idempotency-Key", "X-Idempotency-Key", "", "Idempotency-Key"} {
+				id := strings.ReplaceAll(fmt.Sprint(name, i), " ", "-")
+				req, err := http.NewRequest(http.MethodPost, c.Hosts[0].URL()+"/write?Id="+id, strings.NewReader(strings.Repeat("x", 4000)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set("X-Api-Key", c.Key("North"))
+				if header != "" {
+					req.Header.Set(header, id)
+				}
+				a := c.Do(req)
+				checkRun(t, a, runsOf(c, id), cause.want, cause.runs)
+				if a.Took > soon {
+					t.Errorf("answered after %v", a.Took)
+				}
+			}
+		})
+	}
+}
+
+// awaitLookups waits until both services serve, also after an ejection.
+func awaitLookups(t *testing.T, c *proc.Cluster) {
+	t.Helper()
+	proc.WaitUntil(t, 4*soon, "both services serve", func() bool {
+		names := map[string]bool{}
+		for range 10 {
+			for _, h := range c.Hosts {
+				names[h.Post("/lookup", c.Key("North"), "").Echo().Service] = true
+			}
+		}
+		return names["s1"] && names["s2"]
+	})
+}
+
+func checkRun(t *testing.T, a proc.Answer, runs int, want string, mustRun bool) {
+	t.Helper()
+	if runs > 1 {
+		t.Errorf("ran %d times", runs)
+	}
+	if truth(a) == "NotRun" && runs != 0 {
+		t.Errorf("%s says not run of a call that ran", kind(a))
+	}
+	if want != "" && truth(a) != want && kind(a) != "NoEndpoint" {
+		t.Errorf("status %d, kind %s: truth %q, want %q (%v)", a.Status, kind(a), truth(a), want, a.Err)
+	}
+	if mustRun && (a.Status != http.StatusOK || runs != 1) {
+		t.Errorf("status %d, kind %s, %d runs", a.Status, kind(a), runs)
+	}
+}
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -136,7 +136,7 @@
 		Cost:         max(1, r.arrived.Tokens),
 		Value:        r.id(),
 	}
-	if r.class == config.Interactive && !p.table.Serves(r.pool) {
+	if r.class == config.Interactive && !p.table.Serves(now, r.pool) {
 		p.demand.miss(now, r)
 		return kinds.NoEndpoint
 	}
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -192,7 +192,7 @@
 	switch e.Reason {
 	case "":
 		return route.Succeeded
-	case event.ReasonDial, event.ReasonBroken, event.ReasonStatus, event.ReasonCut:
+	case event.ReasonDial, event.ReasonRefused, event.ReasonBroken, event.ReasonStatus, event.ReasonCut:
 		return route.Failed
 	default:
 		return route.Undecided
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -251,10 +251,10 @@
 	for i := range uint64(3) {
 		g.step(done(g.run(t, arrival(i+1, "Ledger", "/order")), kinds.Unknown, event.ReasonBroken))
 	}
-	if len(pick[event.StartAttempt](g.step(arrival(4, "Ledger", "/order")))) != 0 {
+	wantAnswers(t, g.step(arrival(4, "Ledger", "/order")), kinds.NoEndpoint)
+	if len(pick[event.StartAttempt](g.step(arrival(5, "Ledger", "/reconcile")))) != 0 {
 		t.Error("an ejected endpoint got work")
 	}
-	g.step(arrival(5, "Ledger", "/order"))
 	trial := started(t, g.after(time.Second))
 	g.step(done(trial, kinds.Ran, ""))
 	if g.part.table.All()[0].Ejected(g.now) {
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -10,7 +10,7 @@
 const (
 	ejectAfter   = 3 // consecutive failures
 	ejectFirst   = time.Second
-	ejectLongest = 30 * time.Second
+	ejectLongest = 5 * time.Second
 	loadHalfLife = 2 * time.Second
 )
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -112,7 +112,7 @@
 		t.Error("a second trial was let through")
 	}
 	table.End(ejectFirst, id, 1, Failed)
-	if !e.Ejected(2*ejectFirst) || e.Ejected(3*ejectFirst) {
+	if !e.Ejected(3*ejectFirst-1) || e.Ejected(3*ejectFirst) {
 		t.Error("the wait did not double")
 	}
 }
--- a/internal/route/want.go
+++ b/internal/route/want.go
@@ -22,10 +22,10 @@
 	Limit      int // attempts of this daemon that may run on one endpoint
 }
 
-// Serves reports whether the pool has an endpoint that is not leaving.
-func (t *Table) Serves(pool string) bool {
+// Serves reports whether the pool has an endpoint that is neither leaving nor ejected at time now.
+func (t *Table) Serves(now time.Duration, pool string) bool {
 	return slices.ContainsFunc(t.pools[pool], func(e *Endpoint) bool {
-		return e.listed && t.State(e) == wire.Live
+		return e.listed && t.State(e) == wire.Live && !e.Ejected(now)
 	})
 }
 
