lots, block, train, weight: rollouts from samples to sealed lots

The holder of a rollout makes its lots of samples, packs them into blocks, seals them by one ledger write and grants them to the trainer's daemon for two seconds. Attempts are numbered under the lease's epoch, so that no ledger write is needed before samples start and none is made twice.

--- /dev/null
+++ b/internal/block/pack.go
@@ -0,0 +1,104 @@
+// Package block keeps the texts of samples, packs finished lots into immutable objects and reads them back.
+package block
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Prefix is the prefix of the objects that hold blocks.
+const Prefix = "Blocks/"
+
+// MaxBytes is the greatest size of a block.
+const MaxBytes = 900 << 10
+
+// Packed is one block: the JSON of its samples, joined by commas.
+type Packed struct {
+	Ref   event.BlockRef
+	Value []byte
+}
+
+// Pack puts samples into blocks in their order and returns the checksum of the samples' JSON array.
+// It fails with kind BodyTooLarge when one sample is larger than a block. It may be called concurrently.
+func Pack(lot event.LotRef, samples []wire.Sample) ([]Packed, string, error) {
+	var blocks []Packed
+	var value bytes.Buffer
+	count := 0
+	flush := func() {
+		if count > 0 {
+			blocks = append(blocks, pack(lot, len(blocks), count, bytes.Clone(value.Bytes())))
+		}
+		value.Reset()
+		count = 0
+	}
+	for i := range samples {
+		data, err := json.Marshal(&samples[i])
+		if err != nil {
+			return nil, "", err
+		}
+		if len(data) > MaxBytes {
+			return nil, "", kinds.New(kinds.BodyTooLarge, "sample %s has %d bytes", samples[i].ID, len(data))
+		}
+		if value.Len()+len(data)+1 > MaxBytes {
+			flush()
+		}
+		if count > 0 {
+			value.WriteByte(',')
+		}
+		value.Write(data)
+		count++
+	}
+	flush()
+	return blocks, checksumOf(blocks), nil
+}
+
+func pack(lot event.LotRef, index, count int, value []byte) Packed {
+	return Packed{
+		Ref: event.BlockRef{
+			Name:     fmt.Sprintf("%s%s/%d-%d-%d", Prefix, lot.Rollout, lot.Lot, lot.Attempt, index),
+			Checksum: Checksum(value), Bytes: len(value), Samples: count,
+		},
+		Value: value,
+	}
+}
+
+func checksumOf(blocks []Packed) string {
+	values := make([][]byte, len(blocks))
+	for i, b := range blocks {
+		values[i] = b.Value
+	}
+	return Checksum(Join(values))
+}
+
+// Join returns the JSON array of the samples in the values of all blocks of a lot. It may be called concurrently.
+func Join(values [][]byte) []byte {
+	size := len(values) + 1
+	for _, v := range values {
+		size += len(v)
+	}
+	all := make([]byte, 0, size)
+	all = append(all, '[')
+	for i, v := range values {
+		if i > 0 {
+			all = append(all, ',')
+		}
+		all = append(all, v...)
+	}
+	return append(all, ']')
+}
+
+// Checksum returns the xxhash of data in hex. It may be called concurrently.
+func Checksum(data []byte) string {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(data)
+	return hex.EncodeToString(d.Sum(nil))
+}
--- /dev/null
+++ b/internal/block/texts.go
@@ -0,0 +1,121 @@
+package block
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Texts keeps the answers to samples' requests until their lot is dropped.
+// It implements call.Samples. Its methods may be called concurrently.
+type Texts struct {
+	mu    sync.Mutex
+	specs map[string]*wire.RolloutSpec
+	lots  map[event.LotRef]map[uint64]*strings.Builder // by request
+}
+
+func (t *Texts) keep(data []byte) {
+	spec := &wire.RolloutSpec{}
+	if err := json.Unmarshal(data, spec); err != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.specs == nil {
+		t.specs = map[string]*wire.RolloutSpec{}
+	}
+	t.specs[spec.Name] = spec
+}
+
+func (t *Texts) open(lot event.LotRef) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lots == nil {
+		t.lots = map[event.LotRef]map[uint64]*strings.Builder{}
+	}
+	if t.lots[lot] == nil {
+		t.lots[lot] = map[uint64]*strings.Builder{}
+	}
+}
+
+func (t *Texts) drop(lot event.LotRef) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.lots, lot)
+}
+
+func (t *Texts) dropAnswer(lot event.LotRef, request uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.lots[lot], request)
+}
+
+// Generate returns the request for a sample, false when its lot is not being made here.
+func (t *Texts) Generate(ref event.SampleRef) (wire.Generate, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	spec, ok := t.specs[ref.Rollout]
+	if !ok || t.lots[lotOf(ref)] == nil {
+		return wire.Generate{}, false
+	}
+	return wire.Generate{
+		Model: spec.Model, Prompt: spec.Prompt(ref.Lot, ref.Group), MaxTokens: spec.MaxTokens,
+		Seed: int64(xxhash.Sum64String(ID(ref)) >> 1),
+	}, true
+}
+
+// Answer takes the next segment of a request's answer.
+func (t *Texts) Answer(ref event.SampleRef, request uint64, segment wire.Segment) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lot := t.lots[lotOf(ref)]
+	if lot == nil {
+		return
+	}
+	text := lot[request]
+	if text == nil {
+		text = &strings.Builder{}
+		lot[request] = text
+	}
+	for _, token := range segment.Tokens {
+		text.WriteString(token)
+	}
+}
+
+// samples returns the finished samples with their texts, false when one is not here.
+func (t *Texts) samples(lot event.LotRef, finished []event.FinishedSample) ([]wire.Sample, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	spec, texts := t.specs[lot.Rollout], t.lots[lot]
+	if spec == nil || texts == nil {
+		return nil, false
+	}
+	all := make([]wire.Sample, len(finished))
+	for i, f := range finished {
+		text := texts[f.Request]
+		if text == nil {
+			return nil, false
+		}
+		all[i] = wire.Sample{
+			ID: ID(f.Ref), Group: f.Ref.Group, Index: f.Ref.Index,
+			Prompt: spec.Prompt(f.Ref.Lot, f.Ref.Group), Text: text.String(),
+			Tokens: f.Tokens, Versions: f.Versions, Score: f.Score, Scored: f.Scored,
+		}
+	}
+	return all, true
+}
+
+func lotOf(ref event.SampleRef) event.LotRef {
+	return event.LotRef{Rollout: ref.Rollout, Lot: ref.Lot, Attempt: ref.Attempt}
+}
+
+// ID returns a sample's name: rollout, lot, attempt, group and index. It may be called concurrently.
+func ID(ref event.SampleRef) string {
+	return fmt.Sprintf("%s/%d/%d/%d/%d", ref.Rollout, ref.Lot, ref.Attempt, ref.Group, ref.Index)
+}
--- a/internal/event/lot.go
+++ b/internal/event/lot.go
@@ -60,6 +60,9 @@
 // DeleteBlocks removes blocks that no ledger names any more.
 type DeleteBlocks struct{ Names []string }
 
+// BlockLeft says that a block could not be deleted.
+type BlockLeft struct{ Name string }
+
 // ServeBlock answers a peer's call for a block's value with an AnswerDuty.
 type ServeBlock struct {
 	To   string
@@ -67,10 +70,11 @@
 	Name string
 }
 
-// ScoreGroup asks a plain service to score the samples of one group; GroupScored answers.
+// ScoreGroup asks a plain service to score the samples of one group; GroupScored answers with the same Turn.
 type ScoreGroup struct {
 	Lot     LotRef
 	Group   int
+	Turn    int
 	Service string
 	Address string // host:port
 	Samples []FinishedSample
@@ -80,6 +84,7 @@
 type GroupScored struct {
 	Lot    LotRef
 	Group  int
+	Turn   int
 	Scores []float64
 	Kind   kinds.Kind
 }
@@ -103,6 +108,7 @@
 func (PackLot) isEffect()         {}
 func (LotPacked) isEvent()        {}
 func (DeleteBlocks) isEffect()    {}
+func (BlockLeft) isEvent()        {}
 func (ServeBlock) isEffect()      {}
 func (ScoreGroup) isEffect()      {}
 func (GroupScored) isEvent()      {}
--- /dev/null
+++ b/internal/lots/ledger.go
@@ -0,0 +1,162 @@
+// Package lots decides over a rollout's lots: which samples run, which groups are taken, what is sealed and
+// which lot a trainer is handed.
+package lots
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+)
+
+// Ledger is what lasts of a rollout, stored with the duty's lease in one object.
+type Ledger struct {
+	Newest    uint64 // newest published version
+	Consumer  string // consumer that holds the rollout, "" for none
+	Acked     uint64 // lots up to it are acknowledged
+	Delivered uint64 // acknowledged samples
+	Lots      []Sealed
+	Voided    []Void
+}
+
+// Sealed is a whole lot that waits for its acknowledgement. Oldest is the oldest version in any of its samples.
+type Sealed struct {
+	Lot      uint64
+	Attempt  uint64
+	Oldest   uint64
+	Count    int
+	Checksum string
+	Blocks   []event.BlockRef
+}
+
+// Void is a sealed attempt that went stale and was replaced; a consumer may have received it while it was fresh.
+type Void struct {
+	Lot     uint64
+	Attempt uint64
+	Count   int
+}
+
+func readLedger(data []byte) (Ledger, error) {
+	var l Ledger
+	if len(data) == 0 {
+		return l, nil
+	}
+	err := json.Unmarshal(data, &l)
+	return l, err
+}
+
+func (l *Ledger) marshal() []byte {
+	data, err := json.Marshal(l)
+	if err != nil {
+		panic(err) // the type holds only values that JSON knows
+	}
+	return data
+}
+
+// fresh reports whether versions from oldest on are within the bound of maxStaleness versions.
+func (l *Ledger) fresh(oldest uint64, maxStaleness int) bool {
+	return oldest+uint64(maxStaleness) >= l.Newest
+}
+
+func (l *Ledger) sealed(lot uint64) (*Sealed, bool) {
+	for i := range l.Lots {
+		if l.Lots[i].Lot == lot {
+			return &l.Lots[i], true
+		}
+	}
+	return nil, false
+}
+
+// voided returns the voided attempts at a lot, oldest first.
+func (l *Ledger) voided(lot uint64) []uint64 {
+	var attempts []uint64
+	for _, v := range l.Voided {
+		if v.Lot == lot {
+			attempts = append(attempts, v.Attempt)
+		}
+	}
+	return attempts
+}
+
+// seal adds a lot, or refuses it when it is older than the bound or another attempt is sealed.
+func (l *Ledger) seal(s Sealed, maxStaleness int) bool {
+	if _, ok := l.sealed(s.Lot); ok || s.Lot <= l.Acked {
+		return false
+	}
+	if !l.fresh(s.Oldest, maxStaleness) {
+		return false
+	}
+	l.Lots = append(l.Lots, s)
+	slices.SortFunc(l.Lots, func(a, b Sealed) int { return int(a.Lot) - int(b.Lot) })
+	return true
+}
+
+// void moves a sealed lot to the voided attempts and returns its blocks.
+func (l *Ledger) void(lot uint64) []event.BlockRef {
+	for i, s := range l.Lots {
+		if s.Lot != lot {
+			continue
+		}
+		l.Voided = append(l.Voided, Void{Lot: s.Lot, Attempt: s.Attempt, Count: s.Count})
+		l.Lots = slices.Delete(l.Lots, i, i+1)
+		return s.Blocks
+	}
+	return nil
+}
+
+// canAck returns the kind of refusal when a consumer cannot hold lots up to cursor; attempt is the one that it
+// holds of lot cursor, 0 when it does not say.
+func (l *Ledger) canAck(cursor, attempt uint64) kinds.Kind {
+	if cursor < l.Acked {
+		return kinds.BadCursor
+	}
+	for lot := l.Acked + 1; lot <= cursor; lot++ {
+		wanted := uint64(0)
+		if lot == cursor {
+			wanted = attempt
+		}
+		if !l.wasSealed(lot, wanted) {
+			return kinds.BadCursor
+		}
+	}
+	return ""
+}
+
+func (l *Ledger) wasSealed(lot, attempt uint64) bool {
+	if s, ok := l.sealed(lot); ok && (attempt == 0 || s.Attempt == attempt) {
+		return true
+	}
+	voided := l.voided(lot)
+	return len(voided) > 0 && (attempt == 0 || slices.Contains(voided, attempt))
+}
+
+// ack removes the lots up to cursor and returns their blocks. canAck has allowed it.
+func (l *Ledger) ack(cursor uint64) []event.BlockRef {
+	var blocks []event.BlockRef
+	for lot := l.Acked + 1; lot <= cursor; lot++ {
+		blocks = append(blocks, l.ackLot(lot)...)
+	}
+	l.Acked = max(l.Acked, cursor)
+	return blocks
+}
+
+func (l *Ledger) ackLot(lot uint64) []event.BlockRef {
+	var blocks []event.BlockRef
+	count := 0
+	l.Lots = slices.DeleteFunc(l.Lots, func(s Sealed) bool {
+		if s.Lot != lot {
+			return false
+		}
+		count, blocks = s.Count, s.Blocks
+		return true
+	})
+	l.Voided = slices.DeleteFunc(l.Voided, func(v Void) bool {
+		if v.Lot == lot && count == 0 {
+			count = v.Count
+		}
+		return v.Lot == lot
+	})
+	l.Delivered += uint64(count)
+	return blocks
+}
--- /dev/null
+++ b/internal/lots/lots_test.go
@@ -0,0 +1,126 @@
+package lots
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// TestHandOver walks a trainer through its lots; each step says what it is answered.
+func TestHandOver(t *testing.T) {
+	d := newDaemon(newSpec(), 1)
+	d.gain(1, nil)
+	d.makeLot(1)
+	steps := []struct {
+		consumer string
+		cursor   uint64
+		kind     kinds.Kind
+		lot      uint64
+	}{
+		{"one", 0, "", 1},
+		{"one", 0, "", 1},
+		{"two", 0, kinds.ConsumerHeld, 0},
+		{"one", 1, "", 2},
+		{"one", 0, kinds.BadCursor, 0},
+		{"one", 2, "", 3},
+		{"one", 9, kinds.BadCursor, 0},
+	}
+	for i, s := range steps {
+		id := uint64(i + 1)
+		d.askLot(id, s.consumer, s.cursor)
+		d.store()
+		d.makeLot(1)
+		a := d.answers[id]
+		if diff := cmp.Diff([]any{s.kind, s.lot}, []any{a.Kind, grantIn(a).Lot}); diff != "" {
+			t.Errorf("step %d: %s", i, diff)
+		}
+	}
+}
+
+// TestStaleAtHandOver has a version published between a lot's seal and its hand-over.
+func TestStaleAtHandOver(t *testing.T) {
+	d := newDaemon(newSpec(), 1)
+	d.gain(1, nil)
+	d.makeLot(1)
+	d.askLot(1, "one", 0)
+	d.store()
+	first := grantIn(d.answers[1])
+	d.publish(2, "one", 5)
+	d.store()
+	if _, ok := d.answers[2]; ok {
+		t.Error("the publish was confirmed while the grant of a stale lot ran")
+	}
+	d.tick(grantTime)
+	if _, ok := d.answers[2]; !ok {
+		t.Error("the publish was not confirmed after the grant had run out")
+	}
+	if a, _ := d.askLot(3, "one", 0); a.Kind != kinds.LotNotReady {
+		t.Errorf("a stale lot was answered with kind %q", a.Kind)
+	}
+	d.makeLot(5)
+	a, _ := d.askLot(4, "one", 0)
+	got := grantIn(a)
+	if got.Lot != first.Lot || got.Attempt <= first.Attempt {
+		t.Errorf("lot %d attempt %d came after attempt %d", got.Lot, got.Attempt, first.Attempt)
+	}
+	if diff := cmp.Diff([]uint64{first.Attempt}, got.Replaces); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestHedge has one sample straggle among done ones.
+func TestHedge(t *testing.T) {
+	spec := newSpec()
+	spec.SpareGroups, spec.SealAhead = 0, 0
+	d := newDaemon(spec, 1)
+	d.gain(1, nil)
+	d.tick(time.Millisecond)
+	slow := d.requests[0]
+	d.step(event.SampleSent{Request: slow.Request, Endpoint: "e1"})
+	d.now += 100 * time.Millisecond
+	for len(d.requests) > 1 {
+		d.finish(1, "", 1)
+	}
+	d.tick(50 * time.Millisecond)
+	if len(d.requests) != 1 {
+		t.Fatal("a hedge started before its time")
+	}
+	d.tick(300 * time.Millisecond)
+	if len(d.requests) != 2 {
+		t.Fatal("no hedge started")
+	}
+	if diff := cmp.Diff([]string{"e1"}, d.requests[1].Avoid); diff != "" {
+		t.Error(diff)
+	}
+	d.finish(1, "", 1)
+	if len(d.requests) != 0 {
+		t.Error("the first try was not cancelled")
+	}
+	if len(d.packs) != 1 {
+		t.Error("the lot was not packed")
+	}
+}
+
+// TestRelease lets a second consumer in where the first has left off.
+func TestRelease(t *testing.T) {
+	d := newDaemon(newSpec(), 1)
+	d.gain(1, nil)
+	d.makeLot(1)
+	d.askLot(1, "one", 0)
+	d.store()
+	d.call(2, wire.AskRelease, wire.RolloutCall{Release: wire.Release{Consumer: "one", Cursor: 1}})
+	if _, ok := d.answers[2]; ok {
+		t.Error("the release was confirmed before it was stored")
+	}
+	d.makeLot(1)
+	d.askLot(3, "two", 1)
+	d.store()
+	if g := grantIn(d.answers[3]); g.Lot != 2 {
+		t.Errorf("the second consumer got lot %d", g.Lot)
+	}
+}
--- /dev/null
+++ b/internal/lots/part.go
@@ -0,0 +1,175 @@
+package lots
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Owner names the part in its calls.
+const Owner = "Rollouts"
+
+// firstRequest keeps the numbers of samples' requests apart from those of callers' requests.
+const firstRequest = uint64(1) << 62
+
+// Part keeps the rollouts whose duties this daemon holds. Its exported fields are set before the first step.
+type Part struct {
+	Host  string
+	Trust event.Trust
+
+	rollouts map[string]*rollout
+	names    []string // sorted
+	requests map[uint64]event.SampleRef
+	request  uint64
+	list     wire.EndpointList
+	perNode  int
+	stopping bool
+	probes   probes
+}
+
+// Step takes one event. It must not be called concurrently.
+func (p *Part) Step(now time.Duration, ev event.Event, out *event.Batch) {
+	p.prepare()
+	p.probes.observe(now, ev)
+	switch e := ev.(type) {
+	case event.Tick:
+		p.tick(now, out)
+	case event.ObjectSeen:
+		p.see(e.Object, out)
+	case event.EndpointsListed:
+		p.list = e.List
+	case event.ConfigInForce:
+		p.perNode = e.Site.Limits.ConcurrencyPerNode
+	case event.StopAsked:
+		p.stop(now, out)
+	case event.StatusAsked:
+		p.status(e.Seq, out)
+	case event.PeerReceived:
+		p.probed(now, e, out)
+	default:
+		p.stepRollout(now, ev, out)
+	}
+}
+
+// stepRollout takes the events that belong to one rollout.
+func (p *Part) stepRollout(now time.Duration, ev event.Event, out *event.Batch) {
+	switch e := ev.(type) {
+	case event.DutyGained:
+		p.withDuty(e.Duty, func(r *rollout) { p.gain(r, e, out) })
+	case event.DutyLost:
+		p.withDuty(e.Duty, func(r *rollout) { p.lose(r, out) })
+	case event.LedgerWritten:
+		p.withDuty(e.Duty, func(r *rollout) { p.written(now, r, e, out) })
+	case event.BeatSeen:
+		p.beat(e, out)
+	case event.DutyAsked:
+		p.withDuty(e.Duty, func(r *rollout) { p.asked(now, r, e, out) })
+	case event.SampleSent:
+		p.sent(e)
+	case event.RequestDone:
+		p.done(now, e, out)
+	case event.LotPacked:
+		p.withRollout(e.Lot.Rollout, func(r *rollout) { p.packed(r, e, out) })
+	case event.GroupScored:
+		p.withRollout(e.Lot.Rollout, func(r *rollout) { p.scored(now, r, e, out) })
+	}
+}
+
+func (p *Part) prepare() {
+	if p.rollouts != nil {
+		return
+	}
+	p.rollouts = map[string]*rollout{}
+	p.requests = map[uint64]event.SampleRef{}
+	p.request = firstRequest
+	p.perNode = config.Defaults().Limits.ConcurrencyPerNode
+}
+
+func (p *Part) withDuty(duty string, f func(*rollout)) {
+	if name, ok := strings.CutPrefix(duty, wire.PrefixRolloutDuty); ok {
+		p.withRollout(name, f)
+	}
+}
+
+func (p *Part) withRollout(name string, f func(*rollout)) {
+	if r, ok := p.rollouts[name]; ok {
+		f(r)
+	}
+}
+
+// see takes an operator's specification, which never changes once created.
+func (p *Part) see(o wire.Object, out *event.Batch) {
+	name, ok := strings.CutPrefix(o.Name, wire.PrefixRollouts)
+	if !ok {
+		return
+	}
+	if o.Deleted {
+		p.remove(name, out)
+		return
+	}
+	if _, ok := p.rollouts[name]; ok {
+		return
+	}
+	r := &rollout{duty: wire.PrefixRolloutDuty + name}
+	if err := json.Unmarshal(o.Value, &r.spec); err != nil || !valid(&r.spec, name) {
+		out.Emit(event.Log{Level: "error", Event: "RolloutInvalid", Fields: []event.Field{{Key: "Rollout", Value: name}}})
+		return
+	}
+	p.rollouts[name] = r
+	p.names = append(p.names, name)
+	slices.Sort(p.names)
+	out.Emit(event.KeepRollout{Spec: o.Value})
+	p.want(out)
+}
+
+func valid(s *wire.RolloutSpec, name string) bool {
+	return s.Name == name && s.Model != "" && s.Organisation != "" && s.Groups > 0 && s.SamplesPerGroup > 0 &&
+		s.SpareGroups >= 0 && s.MaxStaleness >= 0 && s.SealAhead >= 0 && len(s.Prompts) > 0
+}
+
+func (p *Part) remove(name string, out *event.Batch) {
+	r, ok := p.rollouts[name]
+	if !ok {
+		return
+	}
+	p.abandon(r, out)
+	p.refuseWaiting(r, kinds.NotFound, out)
+	delete(p.rollouts, name)
+	p.names = slices.DeleteFunc(p.names, func(n string) bool { return n == name })
+	p.want(out)
+}
+
+func (p *Part) want(out *event.Batch) {
+	duties := make([]string, len(p.names))
+	for i, n := range p.names {
+		duties[i] = wire.PrefixRolloutDuty + n
+	}
+	out.Raise(event.WantDuties{Owner: Owner, Duties: duties})
+}
+
+func (p *Part) tick(now time.Duration, out *event.Batch) {
+	for _, name := range p.names {
+		p.advance(now, p.rollouts[name], out)
+	}
+}
+
+func (p *Part) status(seq uint64, out *event.Batch) {
+	var all []wire.RolloutStatus
+	for _, name := range p.names {
+		r := p.rollouts[name]
+		if !r.held && !r.lapsed {
+			continue
+		}
+		all = append(all, wire.RolloutStatus{
+			Rollout: name, Sealed: r.lastSealed(), Handed: r.lastHanded, Newest: r.ledger.Newest,
+			Consumer: r.ledger.Consumer, Running: r.running(), Delivered: r.ledger.Delivered,
+		})
+	}
+	out.Emit(event.StatusPart{Seq: seq, Status: wire.Status{Rollouts: all}})
+}
--- /dev/null
+++ b/internal/train/lots.go
@@ -0,0 +1,97 @@
+package train
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/figshift/figshift/internal/block"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// lotHead is wire.Lot with the samples as they stand in the blocks.
+type lotHead struct {
+	Rollout  string
+	Lot      uint64
+	Attempt  uint64
+	Replaces []uint64 `json:",omitempty"`
+	Newest   uint64
+	Count    int
+	Checksum string
+	Samples  json.RawMessage
+}
+
+// lots hands a lot over: the holder's grant first, then the blocks, and the first byte only while the grant is valid.
+func (c *rolloutCall) lots(ctx context.Context, w http.ResponseWriter, r *http.Request) error {
+	if err := readBody(r, &c.body.Lot); err != nil {
+		return err
+	}
+	asked := c.h.Calls.Now()
+	grant, err := c.grant(ctx)
+	if err != nil {
+		return err
+	}
+	samples, err := c.samples(ctx, grant)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(lotHead{
+		Rollout: c.name, Lot: grant.Lot, Attempt: grant.Attempt, Replaces: grant.Replaces, Newest: grant.Newest,
+		Count: grant.Count, Checksum: grant.Checksum, Samples: samples,
+	})
+	if err != nil {
+		return err
+	}
+	if c.h.Calls.Now()-asked >= time.Duration(grant.ValidMS)*time.Millisecond {
+		return kinds.New(kinds.LotNotReady, "the grant of lot %d ran out before its hand-over", grant.Lot)
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(handOverTime))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+	return nil
+}
+
+func (c *rolloutCall) grant(ctx context.Context) (wire.LotGrant, error) {
+	var grant wire.LotGrant
+	answer, err := c.ask(ctx, wire.AskLot)
+	if err != nil {
+		return grant, err
+	}
+	err = json.Unmarshal(answer, &grant)
+	return grant, err
+}
+
+// samples returns the lot's JSON array, checked against the checksums of its blocks and its own.
+func (c *rolloutCall) samples(ctx context.Context, grant wire.LotGrant) ([]byte, error) {
+	values := make([][]byte, len(grant.Blocks))
+	for i, b := range grant.Blocks {
+		value, err := c.block(ctx, b)
+		if err != nil {
+			return nil, err
+		}
+		values[i] = value
+	}
+	all := block.Join(values)
+	if block.Checksum(all) != grant.Checksum {
+		return nil, kinds.New(kinds.Internal, "lot %d differs from its checksum", grant.Lot)
+	}
+	return all, nil
+}
+
+// block reads a block here, or from the holder when the store cannot be reached.
+func (c *rolloutCall) block(ctx context.Context, b wire.GrantBlock) ([]byte, error) {
+	value, err := c.h.Blocks.Read(ctx, b.Name)
+	if err != nil {
+		c.body.Block = b.Name
+		value, err = c.ask(ctx, wire.AskBlock)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if block.Checksum(value) != b.Checksum {
+		return nil, kinds.New(kinds.Internal, "block %s differs from its checksum", b.Name)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/weight/model.go
@@ -0,0 +1,151 @@
+package weight
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// Ledger is what lasts of a model's versions. Orders are those that were intended last and may have been sent.
+type Ledger struct {
+	Target uint64
+	Orders []Order
+}
+
+// Order is the intent to have one engine load a version.
+type Order struct {
+	OrderID  string
+	Endpoint string
+	Version  uint64
+}
+
+// model is one model on this daemon.
+type model struct {
+	name     string
+	duty     string
+	held     bool
+	stopping bool
+	epoch    uint64
+	ledger   Ledger
+	seq      uint64
+	stored   uint64
+	orders   uint64
+	engines  map[string]*engine
+	sorted   []string // live engines
+	waiting  []waiting
+}
+
+// waiting is an answer that goes out when a ledger write is stored.
+type waiting struct {
+	seq uint64
+	to  string
+	id  uint64
+}
+
+// engine is one live engine of the model.
+type engine struct {
+	endpoint wire.Endpoint
+	version  uint64
+	known    bool
+	reading  time.Duration // end of a read that is under way, 0 for none
+	order    *Order        // intended or sent
+	seq      uint64        // ledger write that holds the intent
+	sent     bool
+	failures int
+	notUntil time.Duration
+}
+
+func (m *model) listed(list wire.EndpointList) {
+	old := m.engines
+	m.engines = map[string]*engine{}
+	m.sorted = m.sorted[:0]
+	for _, e := range list.Endpoints {
+		if e.Kind != wire.Engine || e.Model != m.name || e.State != wire.Live {
+			continue
+		}
+		known := old[e.Name]
+		if known == nil || known.endpoint.Incarnation != e.Incarnation || known.endpoint.Address != e.Address {
+			known = &engine{endpoint: e}
+		}
+		m.engines[e.Name] = known
+		m.sorted = append(m.sorted, e.Name)
+	}
+	slices.Sort(m.sorted)
+}
+
+func (m *model) reported(r wire.LoadReport) {
+	e := m.engines[r.Endpoint]
+	if e == nil || r.Version == 0 || !e.known || e.order != nil || e.endpoint.Incarnation != r.Incarnation {
+		return
+	}
+	if r.Version != e.version {
+		e.known = false
+	}
+}
+
+// gain starts from the ledger; what the engines hold is read from them, not from the ledger.
+func (m *model) gain(e event.DutyGained, out *event.Batch) {
+	var ledger Ledger
+	if len(e.Ledger) > 0 && json.Unmarshal(e.Ledger, &ledger) != nil {
+		out.Emit(event.Log{Level: "error", Event: "LedgerUnreadable", Fields: []event.Field{{Key: "Duty", Value: m.duty}}})
+		return
+	}
+	m.held, m.epoch, m.ledger = true, e.Epoch, ledger
+	m.seq++
+	m.stored, m.orders = m.seq, 0
+	for _, n := range m.sorted {
+		m.engines[n] = &engine{endpoint: m.engines[n].endpoint}
+	}
+}
+
+func (m *model) lose(out *event.Batch) {
+	m.held = false
+	for _, w := range m.waiting {
+		out.Raise(event.AnswerDuty{To: w.to, ID: w.id, Kind: kinds.NotHolder})
+	}
+	m.waiting = nil
+}
+
+func (m *model) write(out *event.Batch) uint64 {
+	m.seq++
+	data, err := json.Marshal(m.ledger)
+	if err != nil {
+		panic(err) // the type holds only values that JSON knows
+	}
+	out.Raise(event.WriteLedger{Duty: m.duty, Epoch: m.epoch, Seq: m.seq, Ledger: data})
+	return m.seq
+}
+
+// nextOrder returns the intent to swap an engine; its id is never used again.
+func (m *model) nextOrder(e *engine) *Order {
+	m.orders++
+	return &Order{
+		OrderID:  fmt.Sprintf("%s/%d/%d", m.duty, m.epoch, m.orders),
+		Endpoint: e.endpoint.Name, Version: m.ledger.Target,
+	}
+}
+
+func (m *model) swapping() int {
+	n := 0
+	for _, name := range m.sorted {
+		if m.engines[name].order != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// keepOrders writes the intents that are open into the ledger's value.
+func (m *model) keepOrders() {
+	m.ledger.Orders = m.ledger.Orders[:0]
+	for _, name := range m.sorted {
+		if o := m.engines[name].order; o != nil {
+			m.ledger.Orders = append(m.ledger.Orders, *o)
+		}
+	}
+}
--- a/internal/wire/rollout.go
+++ b/internal/wire/rollout.go
@@ -93,3 +93,51 @@
 
 // PathScore is the scorers' path: POST ScoreAsk, answered by ScoreReply.
 const PathScore = "/score"
+
+// Prompt returns the prompt of one group of a lot; lots count from 1, spare groups follow the needed ones.
+func (s *RolloutSpec) Prompt(lot uint64, group int) string {
+	if len(s.Prompts) == 0 {
+		return ""
+	}
+	i := (lot-1)*uint64(s.Groups) + uint64(group)
+	return s.Prompts[i%uint64(len(s.Prompts))]
+}
+
+// PrefixRolloutDuty is the prefix of the duties that keep the rollouts.
+const PrefixRolloutDuty = "Rollout."
+
+// Calls to the holder of a rollout, between daemons. The body of each is a RolloutCall.
+const (
+	AskLot     = "Lot"     // answered by LotGrant
+	AskPublish = "Publish" // answered by Published
+	AskRelease = "Release"
+	AskBlock   = "Block" // answered by the block's value
+)
+
+// RolloutCall is a trainer's call with the organisation of its key; the call's own field is set.
+type RolloutCall struct {
+	Organisation string
+	Lot          LotAsk
+	Publish      Publish
+	Release      Release
+	Block        string
+}
+
+// LotGrant tells the daemon before the trainer which blocks to hand over. It must not begin to do so later
+// than ValidMS after it asked.
+type LotGrant struct {
+	Lot      uint64
+	Attempt  uint64
+	Replaces []uint64
+	Newest   uint64
+	Count    int
+	Checksum string
+	Blocks   []GrantBlock
+	ValidMS  int64
+}
+
+// GrantBlock names one block of a granted lot with its checksum.
+type GrantBlock struct {
+	Name     string
+	Checksum string
+}
