--- a/figd/daemon.go
+++ b/figd/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 
 	"github.com/oklog/run"
 	"github.com/uber-go/tally/v4"
@@ -12,22 +13,26 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/loop"
+	"github.com/figshift/figshift/internal/member"
 	"github.com/figshift/figshift/internal/reduce"
 )
 
 // daemon is the composition of one figd process. Each area adds its parts, executors and actors to it.
 type daemon struct {
-	process     config.Process
-	incarnation string
-	log         *zap.Logger
-	scope       tally.Scope
-	state       *reduce.State
-	loop        *loop.Loop
-	group       run.Group
+	process config.Process
+	identity
+	log     *zap.Logger
+	scope   tally.Scope
+	state   *reduce.State
+	loop    *loop.Loop
+	group   run.Group
+	ready   *readiness // what the listeners ask
+	closers []io.Closer
 
 	// Set by the authority area, read by the others.
-	trust event.Trust
-	keys  *keys.Table
+	trust   event.Trust
+	keys    *keys.Table
+	members *member.Part // takes the other areas' Contributors
 	// Set by the rollout area, read by the request area.
 	samples  call.Samples
 	handlers map[string]httpHandler
@@ -44,3 +49,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.group.Add(func() error { return f(ctx) }, func(error) { cancel() })
 }
+
+// close flushes what outlives the actors.
+func (d *daemon) close() {
+	for _, c := range d.closers {
+		_ = c.Close()
+	}
+	_ = d.log.Sync()
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -9,8 +9,8 @@
 	"github.com/figshift/figshift/internal/reduce"
 )
 
-// Executor carries out the effects that it knows. Do reports whether it knows the effect and must not block;
-// results come back by Loop.Post.
+// Executor carries out the effects that it knows. Each effect is offered to every executor; Do reports whether
+// this one knows it and must not block. Results come back by Loop.Post.
 type Executor interface {
 	Do(effect event.Effect) bool
 }
@@ -21,7 +21,8 @@
 	Executors []Executor
 	TickEvery time.Duration
 	QueueSize int
-	Record    func(now time.Duration, ev event.Event) // called for each event when not nil
+	// Record is called after each step when not nil; it must not keep the effects.
+	Record func(now time.Duration, ev event.Event, effects []event.Effect)
 
 	start  time.Time
 	events chan event.Event
@@ -68,18 +69,18 @@
 
 func (l *Loop) step(ev event.Event) {
 	now := l.Now()
+	effects := l.State.Step(now, ev)
 	if l.Record != nil {
-		l.Record(now, ev)
+		l.Record(now, ev, effects)
 	}
-	for _, effect := range l.State.Step(now, ev) {
+	for _, effect := range effects {
 		l.execute(effect)
 	}
 }
 
+// execute offers an effect to every executor: more than one may know it.
 func (l *Loop) execute(effect event.Effect) {
 	for _, x := range l.Executors {
-		if x.Do(effect) {
-			return
-		}
+		x.Do(effect)
 	}
 }
