lots: lots are handed over in a store outage on evidence from every host

A lapsed holder probes all known hosts. It hands over only when each says, on a round trip, that it knows no later epoch and had no answer from the store since the lease ended; the proof holds for the wait that a successor keeps before it decides. A host that restarted meanwhile gives no evidence.

--- a/internal/lots/advance.go
+++ b/internal/lots/advance.go
@@ -22,10 +22,14 @@
 
 // advance starts what is due: lots, samples, hedges, scores and overdue ledger writes.
 func (p *Part) advance(now time.Duration, r *rollout, out *event.Batch) {
+	if until, epoch, ok := p.Trust.Holds(r.duty, now); ok && epoch == r.epoch {
+		r.until = until
+	}
 	if r.held && r.dirty && now-r.dirtyAt >= lazyWrite {
 		r.write(out)
 	}
 	p.answerStored(now, r, out)
+	p.expireProbes(now, r, out)
 	if p.stopping {
 		p.finishStop(r, out)
 		return
--- a/internal/lots/hand.go
+++ b/internal/lots/hand.go
@@ -61,7 +61,11 @@
 		answer(to, id, kinds.BadRequest, nil, out)
 		return
 	}
-	until, kind := p.authority(now, r, out)
+	until, kind := p.authority(now, r)
+	if kind == kinds.StoreUnavailable {
+		p.probe(now, r, waiting{to: to, id: id, ask: call}, out)
+		return
+	}
 	if kind != "" {
 		answer(to, id, kind, nil, out)
 		return
@@ -83,20 +87,19 @@
 }
 
 // authority returns until when this daemon may hand lots over: while its lease is trusted, or in a store outage
-// while it is shown that no other daemon can have published.
-func (p *Part) authority(now time.Duration, r *rollout, out *event.Batch) (time.Duration, kinds.Kind) {
+// while it is proven that no other host can have published.
+func (p *Part) authority(now time.Duration, r *rollout) (time.Duration, kinds.Kind) {
 	if until, epoch, ok := p.Trust.Holds(r.duty, now); ok && r.held && epoch == r.epoch {
+		r.until = until
 		return until, ""
 	}
-	if !r.held && !r.lapsed {
+	if !r.lapsed {
 		return 0, kinds.NotHolder
 	}
-	until, ok := p.probes.proven(now, r.duty)
-	if !ok {
-		p.probes.ask(now, p.Host, r.duty, r.epoch, out)
-		return 0, kinds.StoreUnavailable
+	if until, ok := p.probes.proven(now, r); ok {
+		return until, ""
 	}
-	return until, ""
+	return 0, kinds.StoreUnavailable
 }
 
 // hold records a consumer, which cannot be done while the lease is lapsed.
--- a/internal/lots/part.go
+++ b/internal/lots/part.go
@@ -36,7 +36,7 @@
 // Step takes one event. It must not be called concurrently.
 func (p *Part) Step(now time.Duration, ev event.Event, out *event.Batch) {
 	p.prepare()
-	p.probes.observe(now, ev)
+	p.probes.observe(now, p.Host, ev)
 	switch e := ev.(type) {
 	case event.Tick:
 		p.tick(now, out)
--- a/internal/lots/rollout.go
+++ b/internal/lots/rollout.go
@@ -1,6 +1,7 @@
 package lots
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -23,6 +24,8 @@
 	held   bool // the lease is trusted
 	lapsed bool // the lease ran out, and no successor is known
 	epoch  uint64
+	until  time.Duration // latest known end of the lease
+	proof  proof
 
 	ledger   Ledger // as decided; the newest write holds it
 	seq      uint64
@@ -65,6 +68,7 @@
 		return
 	}
 	p.refuseWaiting(r, kinds.OutcomeUnknown, out)
+	p.refuseProbes(r, out)
 	r.held, r.lapsed, r.epoch = true, false, e.Epoch
 	r.ledger, r.dirty, r.attempts = ledger, false, 0
 	r.seq++
@@ -102,7 +106,7 @@
 		return
 	}
 	r.held, r.lapsed = false, true
-	p.probes.forget(r.duty)
+	r.proof = proof{known: maps.Clone(p.probes.incarnation)}
 	p.refuseWaiting(r, kinds.OutcomeUnknown, out)
 }
 
@@ -111,6 +115,7 @@
 	for _, d := range e.Beat.Duties {
 		p.withDuty(d.Duty, func(r *rollout) {
 			if r.lapsed && d.Epoch > r.epoch {
+				p.refuseProbes(r, out)
 				r.lapsed = false
 				p.abandon(r, out)
 			}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -12,6 +12,9 @@
 	Ask       *Ask         `msgpack:",omitempty"`
 	Reply     *Reply       `msgpack:",omitempty"`
 	Endpoints *EndpointSet `msgpack:",omitempty"`
+
+	Probe      *Probe      `msgpack:",omitempty"`
+	ProbeReply *ProbeReply `msgpack:",omitempty"`
 }
 
 // Hello opens a connection. Challenge is random and is answered by Proof.
--- a/internal/wire/rollout.go
+++ b/internal/wire/rollout.go
@@ -141,3 +141,18 @@
 	Name     string
 	Checksum string
 }
+
+// Probe asks a host what it knows of a duty, for the last holder of the duty in a store outage.
+type Probe struct {
+	ID   uint64
+	Duty string
+}
+
+// ProbeReply answers a Probe: the highest epoch of the duty that the host knows, and the age of its own last
+// answer from the store, -1 for none since its start.
+type ProbeReply struct {
+	ID        uint64
+	Duty      string
+	Epoch     uint64
+	ContactMS int64
+}
