--- a/figd/main.go
+++ b/figd/main.go
@@ -45,12 +45,16 @@
 	base := flags.String("config", "", "base configuration `file`")
 	overlay := flags.String("overlay", "", "overlay `file` of the site and host")
 	record := flags.String("record", "", "write every step of the reducer to a new `file`")
+	recorded := flags.String("replay", "", "step through a recorded `file`, compare the effects and exit")
 	only := flags.Bool("check", false, "check the configuration and exit")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
+	if *recorded != "" {
+		return runReplay(*recorded, stderr)
+	}
 	if *base == "" || flags.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: figd --config base.ini [--overlay site.ini] [--record run.trace] [--check]")
+		fmt.Fprintln(stderr, "usage: figd --config base.ini [--overlay site.ini] [--record run.trace] [--check]\n       figd --replay run.trace")
 		return exitUsage
 	}
 	loaded, problems := config.Load(*base, *overlay)
@@ -81,6 +85,16 @@
 	return exitCode(d.group.Run())
 }
 
+func runReplay(name string, stderr io.Writer) int {
+	steps, err := replayFile(name, stderr)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailure
+	}
+	fmt.Fprintf(stderr, "Steps=%d Same=true\n", steps)
+	return exitStopped
+}
+
 func exitCode(err error) int {
 	switch {
 	case err == nil, errors.Is(err, errStopped):
