--- a/internal/lease/compete.go
+++ b/internal/lease/compete.go
@@ -8,8 +8,12 @@
 	"github.com/figshift/figshift/internal/ranks"
 )
 
-// freshRead is the greatest age of a read that a takeover goes by.
-const freshRead = time.Second
+const (
+	// freshRead is the greatest age of a read that a takeover goes by.
+	freshRead = time.Second
+	// readEvery is the interval of the reads while a candidate waits.
+	readEvery = 2 * time.Second
+)
 
 // compete takes a duty that nobody holds. Only a few candidates for each duty read its object, and only while no
 // beat claims it, so that the calls grow with the duties and not with the hosts.
@@ -29,15 +33,15 @@
 		p.read(d, out)
 		return
 	}
-	takeAt := p.takeAt(d, rank)
-	if now < takeAt {
-		return
-	}
-	if now-d.readAt > freshRead {
+	age := now - d.readAt
+	due := now >= p.takeAt(d, rank)
+	if age > readEvery || due && age > freshRead {
 		p.read(d, out)
 		return
 	}
-	p.takeOver(d, out)
+	if due {
+		p.takeOver(d, out)
+	}
 }
 
 func (p *Part) rank(d *duty, now time.Duration) int {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -168,11 +168,12 @@
 	return d.until, d.record.Epoch, true
 }
 
-// Contribute adds the held duties to a beat.
+// Contribute adds the duties whose lease is this daemon's to a beat, also while a release is being written: a
+// candidate that read the object before the release would wait for the lease to expire.
 func (p *Part) Contribute(now time.Duration, beat *wire.Beat) {
 	for _, name := range p.names() {
 		d := p.duties[name]
-		if (d.phase == holding || d.phase == waiting) && now < d.until {
+		if d.phase != idle && now < d.until {
 			beat.Duties = append(beat.Duties, wire.DutyHeld{Duty: name, Epoch: d.record.Epoch, Version: d.version})
 		}
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -48,7 +48,8 @@
 
 // connect dials, proves the secret and sends until the connection fails or ctx ends.
 func (l *link) connect(ctx context.Context) error {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", l.host.Address)
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: l.mesh.localAddress()}
+	conn, err := dialer.DialContext(ctx, "tcp", l.host.Address)
 	if err != nil {
 		return errors.Wrap(err, "dialling a peer")
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -168,6 +168,16 @@
 	}
 }
 
+// localAddress returns the address to dial from, that of the listener, so that peers see one address for each host.
+func (m *Mesh) localAddress() net.Addr {
+	host, _, err := net.SplitHostPort(m.Listen)
+	ip := net.ParseIP(host)
+	if err != nil || ip == nil || ip.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: ip}
+}
+
 func connKey(peer event.PeerUp) string { return peer.Host + "/" + peer.Incarnation }
 
 func (m *Mesh) handshake() handshake { return handshake{self: m.Self, secret: m.Secret} }
