--- a/figbed/main.go
+++ b/figbed/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(&serviceCommand{}, "stand-ins")
 	subcommands.Register(&scorerCommand{}, "stand-ins")
 	subcommands.Register(&trainerCommand{}, "stand-ins")
+	subcommands.Register(&loadCommand{}, "measurement")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/figbed/proofs/path_test.go
@@ -0,0 +1,75 @@
+package proofs
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/figbed/internal/engin"
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const headerKind = "X-Figshift-Kind"
+
+func pathCluster(t *testing.T) *proc.Cluster {
+	t.Helper()
+	c := &proc.Cluster{
+		Daemons:  2,
+		Engines:  []proc.Endpoint{{Name: "e1", Zone: "a"}, {Name: "e2", Zone: "b"}},
+		Services: []proc.Endpoint{{Name: "s1", Zone: "a"}},
+	}
+	c.Start(t)
+	return c
+}
+
+func TestPathOfACall(t *testing.T) {
+	c := pathCluster(t)
+	cases := map[string]struct {
+		path   string
+		key    string
+		status int
+		kind   kinds.Kind
+	}{
+		"PlainCall":   {"/lookup?Id=1", c.Key("North"), http.StatusOK, ""},
+		"OpenRoute":   {"/open?Id=2", "", http.StatusOK, ""},
+		"NoKey":       {"/lookup?Id=3", "", http.StatusUnauthorized, kinds.KeyMissing},
+		"WrongKey":    {"/lookup?Id=4", "no-such-key", http.StatusUnauthorized, kinds.KeyUnknown},
+		"NoSuchRoute": {"/nowhere", c.Key("North"), http.StatusNotFound, kinds.RouteUnknown},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := c.Hosts[0].Post(test.path, test.key, "hello")
+			got := []any{a.Status, kinds.Kind(a.Header.Get(headerKind))}
+			if diff := cmp.Diff([]any{test.status, test.kind}, got); diff != "" {
+				t.Errorf("status and kind (-want +got):\n%s\nbody: %s, error: %v", diff, a.Body, a.Err)
+			}
+			if a.Status == http.StatusOK && a.Echo().Body != "hello" {
+				t.Errorf("the service got body %q", a.Echo().Body)
+			}
+		})
+	}
+	if found := c.Endpoints["s1"].Seen().Contains(c.Key("North")); len(found) > 0 {
+		t.Errorf("the service saw the key: %+v", found)
+	}
+}
+
+func TestPathOfAGeneration(t *testing.T) {
+	c := pathCluster(t)
+	for _, h := range c.Hosts {
+		g := wire.Generate{Model: proc.Model, Prompt: "the history of an author", MaxTokens: 40, Seed: 5}
+		a := h.Generate(c.Key("South"), g)
+		if !a.Whole() {
+			t.Fatalf("%s: not whole: status %d, %v, %s", h.Name, a.Status, a.Err, a.Body)
+		}
+		if diff := cmp.Diff(engin.Tokens(g), a.Tokens()); diff != "" {
+			t.Errorf("%s: tokens (-want +got):\n%s", h.Name, diff)
+		}
+		last := a.Segments[len(a.Segments)-1]
+		if diff := cmp.Diff([]int{5, 40}, []int{last.PromptTokens, last.GeneratedTokens}); diff != "" {
+			t.Errorf("%s: prompt and generated tokens (-want +got):\n%s", h.Name, diff)
+		}
+	}
+}
--- a/internal/wire/prefix.go
+++ b/internal/wire/prefix.go
@@ -2,12 +2,13 @@
 
 import "github.com/cespare/xxhash/v2"
 
-const headBytes = 256
+// HeadBytes is the length of the part of a prompt that counts as its head.
+const HeadBytes = 256
 
 // Head returns the head of a prompt, by which prompts that share a prefix are kept together.
 // It may be called concurrently.
 func Head(prompt string) string {
-	return prompt[:min(len(prompt), headBytes)]
+	return prompt[:min(len(prompt), HeadBytes)]
 }
 
 // PromptHead returns the hash of a prompt's head, as cache events name it. It may be called concurrently.
