--- a/figbed/internal/proc/build.go
+++ b/figbed/internal/proc/build.go
@@ -6,7 +6,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"testing"
 
 	"github.com/pkg/errors"
 )
@@ -14,21 +13,27 @@
 var built struct {
 	once   sync.Once
 	folder string
+	kept   bool // the folder is not ours
 	err    error
 }
 
-// Main runs a package's process tests and removes the built programs.
-func Main(m *testing.M) {
+// Main runs a package's process tests, m being its testing.M, and removes the built programs.
+func Main(m interface{ Run() int }) {
 	code := m.Run()
-	if built.folder != "" {
+	if built.folder != "" && !built.kept {
 		_ = os.RemoveAll(built.folder)
 	}
 	os.Exit(code)
 }
 
+// UseFolder takes the programs from a folder in place of building them.
+func UseFolder(folder string) {
+	built.once.Do(func() { built.folder, built.kept = folder, true })
+}
+
 // Program returns the path of a program of the workspace (figd, figctl, figbed), built once for the test binary,
 // with the race detector when the test has it.
-func Program(t testing.TB, name string) string {
+func Program(t T, name string) string {
 	t.Helper()
 	built.once.Do(func() { built.err = build() })
 	if built.err != nil {
--- a/figbed/internal/proc/call.go
+++ b/figbed/internal/proc/call.go
@@ -109,10 +109,10 @@
 }
 
 // Faults replaces an engine's faults, sent around its link.
-func (r *Running) Faults(f engin.Faults) { r.post(f) }
+func (r *Running) Faults(f engin.Faults) { r.Post(wire.PathFaults, f, nil) }
 
 // ServiceFaults replaces a plain service's faults, sent around its link.
-func (r *Running) ServiceFaults(f servc.Faults) { r.post(f) }
+func (r *Running) ServiceFaults(f servc.Faults) { r.Post(wire.PathFaults, f, nil) }
 
 func (r *Running) get(path string, out any) {
 	r.t.Helper()
@@ -126,13 +126,20 @@
 	}
 }
 
-func (r *Running) post(body any) {
+// Post sends JSON to an endpoint around its link and decodes the answer into out, when not nil.
+func (r *Running) Post(path string, body, out any) {
 	r.t.Helper()
 	data, _ := json.Marshal(body)
-	resp, err := http.Post(r.URL()+wire.PathFaults, "application/json", bytes.NewReader(data))
+	resp, err := http.Post(r.URL()+path, "application/json", bytes.NewReader(data))
 	if err != nil {
 		r.t.Logf("%s: %v", r.Name, err)
 		return
 	}
-	_ = resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
+	if out == nil {
+		return
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		r.t.Fatalf("%s: %v", r.Name, err)
+	}
 }
--- a/figbed/internal/proc/cluster.go
+++ b/figbed/internal/proc/cluster.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/figshift/figshift/internal/config"
@@ -45,7 +44,7 @@
 	Endpoints map[string]*Running // by name, set by Start
 	Store     *Process            // the platform, set by Start
 
-	t      testing.TB
+	t      T
 	folder string
 	site   *config.Site
 	keys   map[string]string
@@ -60,7 +59,7 @@
 }
 
 // Start runs the cluster; the test's end stops it.
-func (c *Cluster) Start(t testing.TB) {
+func (c *Cluster) Start(t T) {
 	t.Helper()
 	c.prepare(t)
 	c.Store = StartStandIn(t, "platform", append([]string{"platform", "--listen", Address(t, "127.0.0.1")}, c.Platform...)...)
@@ -76,7 +75,7 @@
 	c.startHosts()
 }
 
-func (c *Cluster) prepare(t testing.TB) {
+func (c *Cluster) prepare(t T) {
 	c.t = t
 	c.folder = t.TempDir()
 	c.keys = map[string]string{}
--- a/figbed/internal/proc/doc.go
+++ b/figbed/internal/proc/doc.go
@@ -3,7 +3,10 @@
 //
 // A package of process tests calls Main from its TestMain. A test starts a Cluster:
 //
-//	func TestMain(m *testing.M) { proc.Main(m) }
+//	func TestMain(m *testing.M) {
+//		proc.NewProxy = toxic.New
+//		proc.Main(m)
+//	}
 //
 //	func TestPlainCall(t *testing.T) {
 //		c := &proc.Cluster{Daemons: 2, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
--- a/figbed/internal/proc/ports.go
+++ b/figbed/internal/proc/ports.go
@@ -5,7 +5,6 @@
 	"net"
 	"os"
 	"sync"
-	"testing"
 )
 
 // The ports lie below the ephemeral range, so that no outgoing connection takes one.
@@ -22,7 +21,7 @@
 
 // Address returns a free address on a loopback IP. Test processes start at different places of the range, so that
 // those that run at the same time rarely try the same ones; each is tried by binding it.
-func Address(t testing.TB, ip string) string {
+func Address(t T, ip string) string {
 	t.Helper()
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
--- a/figbed/internal/proc/proc_test.go
+++ b/figbed/internal/proc/proc_test.go
@@ -1,4 +1,4 @@
-package proc
+package proc_test
 
 import (
 	"net/http"
@@ -8,39 +8,44 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/figbed/internal/engin"
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/figbed/internal/toxic"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/wire"
 )
 
-func TestMain(m *testing.M) { Main(m) }
+func TestMain(m *testing.M) {
+	proc.NewProxy = toxic.New
+	proc.Main(m)
+}
 
 func TestLinkFaults(t *testing.T) {
-	store := StartStandIn(t, "platform", "platform")
+	store := proc.StartStandIn(t, "platform", "platform")
 	cases := map[string]struct {
-		fault func(l *Link)
+		fault func(l *proc.Link)
 		whole bool
 	}{
-		"None":         {func(*Link) {}, true},
-		"Cut":          {func(l *Link) { l.Cut() }, false},
-		"Hold":         {func(l *Link) { l.Hold() }, false},
-		"HoldAnswers":  {func(l *Link) { l.HoldAnswers() }, false},
-		"LimitAnswers": {func(l *Link) { l.LimitAnswers(10) }, false},
-		"Latency":      {func(l *Link) { l.Latency(20 * time.Millisecond) }, true},
+		"None":         {func(*proc.Link) {}, true},
+		"Cut":          {func(l *proc.Link) { l.Cut() }, false},
+		"Hold":         {func(l *proc.Link) { l.Hold() }, false},
+		"HoldAnswers":  {func(l *proc.Link) { l.HoldAnswers() }, false},
+		"LimitAnswers": {func(l *proc.Link) { l.LimitAnswers(10) }, false},
+		"Latency":      {func(l *proc.Link) { l.Latency(20 * time.Millisecond) }, true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			l := NewLink(t, "127.0.0.1", store.Listen)
+			l := proc.NewLink(t, "127.0.0.1", store.Listen)
 			test.fault(l)
 			if diff := cmp.Diff(test.whole, reaches(l)); diff != "" {
 				t.Errorf("under the fault (-want +got):\n%s", diff)
 			}
 			l.Restore()
-			WaitUntil(t, 5*time.Second, "the link works again", func() bool { return reaches(l) })
+			proc.WaitUntil(t, 5*time.Second, "the link works again", func() bool { return reaches(l) })
 		})
 	}
 }
 
-func reaches(l *Link) bool {
+func reaches(l *proc.Link) bool {
 	client := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + l.Listen + wire.PathCalls)
 	if err != nil {
@@ -51,9 +56,9 @@
 }
 
 func TestClusterWithoutDaemons(t *testing.T) {
-	c := &Cluster{
-		Engines:  []Endpoint{{Name: "e1", Zone: "a"}},
-		Services: []Endpoint{{Name: "s1", Zone: "b"}},
+	c := &proc.Cluster{
+		Engines:  []proc.Endpoint{{Name: "e1", Zone: "a"}},
+		Services: []proc.Endpoint{{Name: "s1", Zone: "b"}},
 	}
 	c.Start(t)
 	o, ok := c.Object(keys.ShardOf(keys.Hash(c.Key("North"))))
@@ -63,11 +68,11 @@
 	e := c.Endpoints["e1"]
 	e.Faults(engin.Faults{SwapFails: 1})
 	var reply wire.SwapReply
-	c.exchange(http.MethodPost, e.URL()+wire.PathSwap, wire.SwapOrder{OrderID: "o1", Fencing: 1, Version: 2}, &reply)
+	e.Post(wire.PathSwap, wire.SwapOrder{OrderID: "o1", Fencing: 1, Version: 2}, &reply)
 	if diff := cmp.Diff(wire.SwapReply{Accepted: true, Fencing: 1}, reply); diff != "" {
 		t.Errorf("swap reply (-want +got):\n%s", diff)
 	}
-	WaitUntil(t, 5*time.Second, "the swap has failed", func() bool { return e.State().LastOrderState == "Failed" })
+	proc.WaitUntil(t, 5*time.Second, "the swap has failed", func() bool { return e.State().LastOrderState == "Failed" })
 	if diff := cmp.Diff(uint64(1), e.State().Version); diff != "" {
 		t.Errorf("version after a failed swap (-want +got):\n%s", diff)
 	}
--- a/figbed/internal/proc/process.go
+++ b/figbed/internal/proc/process.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"syscall"
-	"testing"
 	"time"
 )
 
@@ -21,7 +20,7 @@
 	Name   string
 	Listen string // from the ready line, for the stand-ins
 
-	t    testing.TB
+	t    T
 	cmd  *exec.Cmd
 	out  *output
 	done chan struct{}
@@ -29,7 +28,7 @@
 
 // Start runs a program and ends it with the test. After a failure its output is logged; a data race that it
 // reports fails the test.
-func Start(t testing.TB, name, program string, args ...string) *Process {
+func Start(t T, name, program string, args ...string) *Process {
 	t.Helper()
 	p := &Process{Name: name, t: t, out: &output{}, done: make(chan struct{})}
 	p.cmd = exec.Command(Program(t, program), args...)
@@ -48,7 +47,7 @@
 }
 
 // StartStandIn runs a stand-in of figbed and waits for its ready line.
-func StartStandIn(t testing.TB, name string, args ...string) *Process {
+func StartStandIn(t T, name string, args ...string) *Process {
 	t.Helper()
 	p := Start(t, name, "figbed", args...)
 	WaitUntil(t, readyBound, name+" is ready", func() bool {
@@ -145,7 +144,7 @@
 }
 
 // WaitUntil waits for a condition and fails the test when the bound passes first.
-func WaitUntil(t testing.TB, bound time.Duration, what string, condition func() bool) {
+func WaitUntil(t T, bound time.Duration, what string, condition func() bool) {
 	t.Helper()
 	if !Within(bound, condition) {
 		t.Fatalf("not within %v: %s", bound, what)
--- a/figbed/internal/proc/split.go
+++ b/figbed/internal/proc/split.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"sync"
-	"testing"
 )
 
 // split accepts peers' connections to one host and leads each through the link of the host that it comes from,
@@ -14,7 +13,7 @@
 	links    map[string]*Link // by source IP
 }
 
-func newSplit(t testing.TB, ip string, links map[string]*Link) *split {
+func newSplit(t T, ip string, links map[string]*Link) *split {
 	t.Helper()
 	listener, err := net.Listen("tcp", Address(t, ip))
 	if err != nil {
