--- a/figbed/internal/engin/engine.go
+++ b/figbed/internal/engin/engine.go
@@ -56,6 +56,9 @@
 	if e.isHalted() && r.URL.Path != plat.PathAssign && r.URL.Path != seen.Path {
 		panic(http.ErrAbortHandler)
 	}
+	if e.faultsNow().Leaving {
+		w.Header().Set(wire.HeaderLeaving, "true")
+	}
 	e.mux.ServeHTTP(w, r)
 }
 
--- a/figbed/internal/engin/faults.go
+++ b/figbed/internal/engin/faults.go
@@ -25,7 +25,8 @@
 	Slow           float64 // generation slows down by this factor, 0 is none
 	SwapFails      int     // orders that are acknowledged and then fail
 	SwapRefused    int
-	SwapLost       int // orders whose answer is lost after taking effect
+	SwapLost       int  // orders whose answer is lost after taking effect
+	Leaving        bool // answers carry wire.HeaderLeaving
 	Crash          bool
 }
 
--- a/figbed/internal/servc/service.go
+++ b/figbed/internal/servc/service.go
@@ -34,6 +34,7 @@
 	FailBefore  int  // answer 500 without running and without wire.HeaderNotRun
 	DelayMS     int  // time from the run to the answer, of all calls
 	DelayBefore int  // time in ms from the call to the run, of all calls
+	Leaving     bool // answers carry wire.HeaderLeaving
 	Late        int  // calls whose answer comes after LateMS
 	LateMS      int
 }
@@ -68,6 +69,9 @@
 // ServeHTTP answers one call. It may be called concurrently.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.once.Do(s.prepare)
+	if s.faultsNow().Leaving {
+		w.Header().Set(wire.HeaderLeaving, "true")
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
--- a/figbed/internal/trnr/trainer.go
+++ b/figbed/internal/trnr/trainer.go
@@ -34,6 +34,7 @@
 	Notify       func(lot wire.Lot) // called for each lot when not nil
 
 	daemon  int
+	attempt uint64 // of the lot that is held
 	newest  uint64
 	ids     map[string]bool
 	summary Summary
@@ -95,11 +96,27 @@
 	return t.publish(ctx)
 }
 
+// received is a Lot whose samples are still the bytes that the checksum is of.
+type received struct {
+	wire.Lot
+	Samples json.RawMessage
+}
+
 // take asks until the lot after cursor comes.
 func (t *Trainer) take(ctx context.Context, cursor uint64) (wire.Lot, error) {
 	var lot wire.Lot
-	err := t.until(ctx, wire.CallLots, wire.LotAsk{Consumer: t.Consumer, Cursor: cursor}, &lot)
-	return lot, err
+	var received received
+	ask := wire.LotAsk{Consumer: t.Consumer, Cursor: cursor, Attempt: t.attempt}
+	if err := t.until(ctx, wire.CallLots, ask, &received); err != nil {
+		return lot, err
+	}
+	lot = received.Lot
+	if sum := Checksum(received.Samples); sum != lot.Checksum {
+		t.problem("lot %d: checksum %s, computed %s", lot.Lot, lot.Checksum, sum)
+	}
+	t.attempt = lot.Attempt
+	err := json.Unmarshal(received.Samples, &lot.Samples)
+	return lot, errors.Wrap(err, "decoding samples")
 }
 
 func (t *Trainer) publish(ctx context.Context) error {
@@ -164,9 +181,6 @@
 	if lot.Count != len(lot.Samples) || (t.Count != 0 && lot.Count != t.Count) {
 		t.problem("lot %d: count %d, samples %d, wanted %d", lot.Lot, lot.Count, len(lot.Samples), t.Count)
 	}
-	if sum := Checksum(lot.Samples); sum != lot.Checksum {
-		t.problem("lot %d: checksum %s, computed %s", lot.Lot, lot.Checksum, sum)
-	}
 	for _, sample := range lot.Samples {
 		t.checkSample(lot, sample)
 	}
@@ -198,8 +212,7 @@
 	t.summary.Problems = append(t.summary.Problems, fmt.Sprintf(format, args...))
 }
 
-// Checksum returns the xxhash of the samples' JSON in hex, 16 digits. It may be called concurrently.
-func Checksum(samples []wire.Sample) string {
-	data, _ := json.Marshal(samples)
-	return fmt.Sprintf("%016x", xxhash.Sum64(data))
+// Checksum returns the xxhash of the samples' JSON array in hex, 16 digits. It may be called concurrently.
+func Checksum(samples []byte) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64(samples))
 }
