--- a/figd/usage.go
+++ b/figd/usage.go
@@ -1,4 +1,34 @@
 package main
 
-// addUsage adds the parts, executors and actors of this area.
-func (d *daemon) addUsage() {}
+import (
+	"context"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/orders"
+	"github.com/figshift/figshift/internal/usage"
+)
+
+// clockEvery is the interval at which the reducer learns the wall clock.
+const clockEvery = time.Second
+
+// addUsage adds the counting of tokens, the duties Usage and Fleet, and what they send to the platform.
+func (d *daemon) addUsage() {
+	d.addPart(&usage.Counter{Host: d.process.Host, Incarnation: d.incarnation})
+	d.addPart(&usage.Holder{Host: d.process.Host, Trust: d.trust})
+	d.addExecutor(&orders.Executor{Base: d.process.Platform, Now: d.loop.Now, Post: d.loop.Post})
+	d.addActor(d.tellClock)
+}
+
+func (d *daemon) tellClock(ctx context.Context) error {
+	tick := time.NewTicker(clockEvery)
+	defer tick.Stop()
+	for {
+		d.loop.Post(event.WallClock{Unix: time.Duration(time.Now().UnixNano())})
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,9 +34,6 @@
 // StopAsked says that the process was told to stop gracefully.
 type StopAsked struct{}
 
-// Drained is raised by the request part when its last request has ended after StopAsked.
-type Drained struct{}
-
 // Log is one line for the process's log.
 type Log struct {
 	Level  string // debug, info, warn, error
@@ -65,7 +62,6 @@
 
 func (Tick) isEvent()      {}
 func (StopAsked) isEvent() {}
-func (Drained) isEvent()   {}
 func (Log) isEffect()      {}
 func (Count) isEffect()    {}
 func (Ready) isEffect()    {}
--- /dev/null
+++ b/internal/event/fleet.go
@@ -0,0 +1,32 @@
+package event
+
+import (
+	"time"
+
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// SendOrder sends an endpoint order to the platform. None of its bytes leaves after Before.
+type SendOrder struct {
+	Seq    uint64
+	Order  wire.EndpointOrder
+	Before time.Duration
+}
+
+// OrderSent ends a SendOrder. Kind is "" when the platform answered with Reply, DeadlineExceeded when nothing was
+// written, and else OutcomeUnknown: the order may have taken effect.
+type OrderSent struct {
+	Seq   uint64
+	Order wire.EndpointOrder
+	Reply wire.OrderReply
+	Kind  kinds.Kind
+}
+
+// DrainEndpoint is raised by the fleet's holder before it orders an endpoint to stop: from then on the endpoint
+// incarnation gets no new work from any daemon.
+type DrainEndpoint struct{ Mark wire.LeaveMark }
+
+func (SendOrder) isEffect()    {}
+func (OrderSent) isEvent()     {}
+func (DrainEndpoint) isEvent() {}
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -16,6 +16,9 @@
 		AskDuty{},
 		RequestArrived{},
 		AuthoriseCall{},
+		WallClock{},
+		UsageSent{},
+		OrderSent{},
 	}
 }
 
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,96 @@
+package orders_test
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/orders"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const bound = 5 * time.Second
+
+func TestOrderOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		answer http.HandlerFunc
+		expire int64 // readings of the clock after which the lease has run out, 0 for never
+		kind   kinds.Kind
+		reply  wire.OrderReply
+		calls  int64
+	}{
+		"accepted": {
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				_ = json.NewEncoder(w).Encode(wire.OrderReply{Accepted: true, Endpoint: "e1"})
+			},
+			reply: wire.OrderReply{Accepted: true, Endpoint: "e1"},
+			calls: 1,
+		},
+		"answer cut":      {answer: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, kind: kinds.OutcomeUnknown, calls: 1},
+		"no JSON":         {answer: func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) }, kind: kinds.OutcomeUnknown, calls: 1},
+		"platform down":   {answer: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, kind: kinds.OutcomeUnknown, calls: 1},
+		"expired at once": {expire: 1, kind: kinds.DeadlineExceeded},
+		"expired after connecting": {
+			answer: func(http.ResponseWriter, *http.Request) {}, expire: 4, kind: kinds.DeadlineExceeded,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var calls, reads atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				c.answer(w, r)
+			}))
+			defer server.Close()
+			done := make(chan event.Event, 1)
+			x := &orders.Executor{
+				Base: server.URL,
+				Now: func() time.Duration {
+					if n := reads.Add(1); c.expire > 0 && n >= c.expire {
+						return time.Hour
+					}
+					return 0
+				},
+				Post: func(ev event.Event) bool { done <- ev; return true },
+			}
+			order := wire.EndpointOrder{OrderID: "o1", Action: "Start"}
+			if !x.Do(event.SendOrder{Seq: 3, Order: order, Before: bound}) {
+				t.Fatal("Do() refused an order")
+			}
+			want := event.OrderSent{Seq: 3, Order: order, Reply: c.reply, Kind: c.kind}
+			if diff := cmp.Diff(want, <-done); diff != "" {
+				t.Error(diff)
+			}
+			if calls.Load() != c.calls {
+				t.Errorf("%d calls, want %d", calls.Load(), c.calls)
+			}
+		})
+	}
+}
+
+func TestUsageIsSentOnceOnARefusedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	done := make(chan event.Event, 1)
+	x := &orders.Executor{
+		Base: "http://" + listener.Addr().String(),
+		Now:  func() time.Duration { return 0 },
+		Post: func(ev event.Event) bool { done <- ev; return true },
+	}
+	x.Do(event.SendUsage{Seq: 1, Report: wire.UsageReport{ReportID: "r"}, Before: bound})
+	want := event.UsageSent{Seq: 1, ReportID: "r", Kind: kinds.DeadlineExceeded}
+	if diff := cmp.Diff(event.Event(want), <-done); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/usage/holder.go
+++ b/internal/usage/holder.go
@@ -36,8 +36,10 @@
 	offset   time.Duration
 	hasClock bool
 	wanted   bool
-	live     map[Stream]bool // of the hosts' own records
-	term     *term           // nil while the duty is not held
+	known    map[string]Stream        // by host, of the hosts' own records
+	live     map[Stream]bool          // the same streams
+	replaced map[Stream]time.Duration // when a host's record named another incarnation
+	term     *term                    // nil while the duty is not held
 }
 
 // term is one time of holding the duty.
@@ -46,7 +48,6 @@
 	ledger    *Ledger
 	dirty     bool
 	urgent    bool
-	bytes     int
 	writeSeq  uint64
 	written   uint64
 	nextWrite time.Duration
@@ -81,7 +82,7 @@
 		h.offset = e.Unix - now
 		h.hasClock = true
 	case event.HostsChanged:
-		h.know(e.Hosts)
+		h.know(now, e.Hosts)
 	case event.DutyGained:
 		h.gain(now, e, out)
 	case event.DutyLost:
@@ -99,11 +100,22 @@
 	}
 }
 
-func (h *Holder) know(hosts []event.Host) {
+// know takes the hosts' own records: the incarnations that may run, and those that another has replaced.
+func (h *Holder) know(now time.Duration, hosts []event.Host) {
+	if h.replaced == nil {
+		h.replaced = map[Stream]time.Duration{}
+	}
+	known := make(map[string]Stream, len(hosts))
 	h.live = make(map[Stream]bool, len(hosts))
 	for _, k := range hosts {
-		h.live[StreamOf(k.Name, k.Incarnation)] = true
+		s := StreamOf(k.Name, k.Incarnation)
+		if old, ok := h.known[k.Name]; ok && old != s {
+			h.replaced[old] = now
+		}
+		known[k.Name] = s
+		h.live[s] = true
 	}
+	h.known = known
 }
 
 func (h *Holder) gain(now time.Duration, e event.DutyGained, out *event.Batch) {
@@ -236,15 +248,24 @@
 	}
 	t.nextSweep = now + forgetEvery
 	for s, at := range t.heard {
-		if h.live[s] || now-at < forgetAfter {
+		if h.live[s] || !h.forgettable(now, s, now-at) {
 			continue
 		}
+		delete(h.replaced, s)
 		delete(t.heard, s)
 		delete(t.ledger.Streams, s)
 		t.dirty = true
 	}
 }
 
+func (h *Holder) forgettable(now time.Duration, s Stream, silence time.Duration) bool {
+	since, replaced := h.replaced[s]
+	if replaced && now-since >= replacedAfter && silence >= replacedAfter {
+		return true
+	}
+	return silence >= forgetAfter
+}
+
 // write records the ledger, at once when a window was frozen and else within the budget of bytes.
 func (h *Holder) write(now time.Duration, out *event.Batch) {
 	t := h.term
@@ -258,7 +279,6 @@
 	}
 	t.writeSeq++
 	t.dirty, t.urgent = false, false
-	t.bytes = len(b)
 	t.nextWrite = now + h.pause(len(b))
 	out.Raise(event.WriteLedger{Duty: event.DutyUsage, Epoch: t.epoch, Seq: t.writeSeq, Ledger: b})
 }
