--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -19,6 +19,12 @@
 		WallClock{},
 		UsageSent{},
 		OrderSent{},
+		CallerGone{},
+		AttemptConnected{},
+		AttemptHead{},
+		AttemptDone{},
+		EndpointPolled{},
+		ListenerClosed{},
 	}
 }
 
@@ -43,5 +49,10 @@
 		ObjectSeen{},
 		RequestDone{},
 		CancelRequest{},
+		DemandSeen{},
+		EndpointLeaving{},
+		Drained{},
+		DrainBegun{},
+		DrainEnded{},
 	}
 }
