--- a/figctl/main.go
+++ b/figctl/main.go
@@ -34,7 +34,9 @@
 	root := newCommander(flags, "figctl", stdout, stderr)
 	root.Register(root.HelpCommand(), "")
 	o := output{out: stdout, err: stderr}
-	root.Register(&group{output: o, name: "config", synopsis: "check, render and apply the configuration", commands: []*command{checkConfig(o), renderConfig(o)}}, "")
+	for _, g := range groups(o) {
+		root.Register(g, "")
+	}
 	root.Register(fleetCommand(o), "")
 	root.Register(statusCommand(o), "")
 	if flags.Parse(args) != nil {
@@ -43,6 +45,23 @@
 	return root.Execute(ctx)
 }
 
+func groups(o output) []*group {
+	return []*group{
+		{
+			output: o, name: "config", synopsis: "check, render, apply and show the configuration",
+			commands: []*command{checkConfig(o), renderConfig(o), applyConfig(o), showConfig(o)},
+		},
+		{
+			output: o, name: "key", synopsis: "give, withdraw and list organisation keys",
+			commands: []*command{giveKey(o), withdrawKey(o), listKeys(o)},
+		},
+		{
+			output: o, name: "rollout", synopsis: "create rollouts and tell their status",
+			commands: []*command{createRollout(o), rolloutStatus(o)},
+		},
+	}
+}
+
 func newCommander(flags *flag.FlagSet, name string, stdout, stderr io.Writer) *subcommands.Commander {
 	c := subcommands.NewCommander(flags, name)
 	c.Output = stdout
--- a/internal/apply/site.go
+++ b/internal/apply/site.go
@@ -43,6 +43,9 @@
 	if now := revision(stored); now != after {
 		return 0, kinds.New(kinds.Conflict, "revision %d is stored, and the change was made after revision %d", now, after)
 	}
+	if stored != nil && stored.Usage.Window != site.Usage.Window {
+		return 0, kinds.New(kinds.ConfigInvalid, "[Usage] Window is %s for good, since windows are numbered by it", stored.Usage.Window)
+	}
 	site.Revision = after + 1
 	value, err := json.Marshal(site)
 	if err != nil {
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -54,5 +54,6 @@
 		Drained{},
 		DrainBegun{},
 		DrainEnded{},
+		DrainEndpoint{},
 	}
 }
