--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -16,6 +16,9 @@
 		AskDuty{},
 		RequestArrived{},
 		AuthoriseCall{},
+		WallClock{},
+		UsageSent{},
+		OrderSent{},
 		CallerGone{},
 		AttemptConnected{},
 		AttemptHead{},
@@ -51,5 +54,6 @@
 		Drained{},
 		DrainBegun{},
 		DrainEnded{},
+		DrainEndpoint{},
 	}
 }
