--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -16,12 +16,21 @@
 		AskDuty{},
 		RequestArrived{},
 		AuthoriseCall{},
+		WallClock{},
+		UsageSent{},
+		OrderSent{},
 		CallerGone{},
 		AttemptConnected{},
 		AttemptHead{},
 		AttemptDone{},
 		EndpointPolled{},
 		ListenerClosed{},
+		LotPacked{},
+		GroupScored{},
+		BlockLeft{},
+		BlockRead{},
+		EngineSwapped{},
+		EngineRead{},
 	}
 }
 
@@ -51,5 +60,8 @@
 		Drained{},
 		DrainBegun{},
 		DrainEnded{},
+		DrainEndpoint{},
+		SampleSent{},
+		VersionPublished{},
 	}
 }
--- a/internal/lots/probe.go
+++ b/internal/lots/probe.go
@@ -58,7 +58,7 @@
 		for _, h := range e.Hosts {
 			if h.Name != host {
 				b.hosts = append(b.hosts, h.Name)
-				b.incarnation[h.Name] = h.Incarnation
+				b.meet(h)
 			}
 		}
 	case event.PeerUp:
@@ -74,6 +74,13 @@
 	}
 }
 
+// meet takes the incarnation in a host's object, unless a connection told one before.
+func (b *probes) meet(h event.Host) {
+	if b.incarnation[h.Name] == "" {
+		b.incarnation[h.Name] = h.Incarnation
+	}
+}
+
 func (b *probes) contactAt(now time.Duration, kind kinds.Kind) {
 	if kind != kinds.StoreUnavailable {
 		b.contacted, b.contact = true, now
