flow: requests that wait for another attempt count towards the queue limit

Cause: the queue limit counted only queued requests; those backing off were held beside it, so a failing endpoint let a daemon hold more than QueuePerDaemon. Found by the arbitrary-order test of figd: 27 open requests where 26 are allowed; ruled out: a double answer, a leak (all ended later). After: the same sequence passes.

--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -151,7 +151,7 @@
 	if own >= p.site.Limits.QueuePerOrg {
 		return kinds.QueueFull
 	}
-	if all < p.site.Limits.QueuePerDaemon {
+	if all+p.backing < p.site.Limits.QueuePerDaemon {
 		return ""
 	}
 	evicted, ok := p.Queue.Evict(r.organisation)
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -210,6 +210,7 @@
 	}
 	r.tried = append(r.tried, r.endpoint)
 	r.phase, r.charged = backingOff, false
+	p.backing++
 	p.Queue.Correct(r.item, 0)
 	p.timers.add(now+wait, r.id())
 	out.Emit(event.Count{Name: "retries", Tags: []event.Field{{Key: "reason", Value: e.Reason}}, N: 1})
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -130,6 +130,7 @@
 		}
 		p.finish(now, r, kind, out)
 	case backingOff:
+		p.backing--
 		p.finish(now, r, kind, out)
 	case connecting, running:
 		p.stop(r, kind, out)
@@ -152,6 +153,7 @@
 		case now >= r.deadline:
 			p.end(now, r, kinds.DeadlineExceeded, out)
 		case r.phase == backingOff:
+			p.backing--
 			p.enqueue(r, true)
 		}
 	}
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -36,6 +36,7 @@
 	rates    map[string]*admit.Rate
 	requests map[uint64]*request
 	waiting  map[string]int // queued requests by pool
+	backing  int            // requests that wait for another attempt; they count towards the queue limit
 	timers   timers
 	attempts uint64
 	polls    poller
