figbed: proofs of withdrawn keys; one base file for each daemon

The daemons' common base file was written anew for each daemon while the former one read it: one start in about ten failed with empty settings. Each now has its own.

--- a/figbed/internal/proc/host.go
+++ b/figbed/internal/proc/host.go
@@ -73,7 +73,7 @@
 func (h *Host) Run() {
 	c := h.cluster
 	c.t.Helper()
-	base := c.file("base.ini", ini("Host",
+	base := c.file(h.Name+"-base.ini", ini("Host",
 		"Platform", "http://127.0.0.1:1",
 		"PeerSecretFile", c.path("secret"),
 		"CredentialFile", c.path("credential"),
--- /dev/null
+++ b/figbed/proofs/authority_keys_test.go
@@ -0,0 +1,209 @@
+package proofs
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/objapi"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// statedBound is the bound for what has to hold within seconds.
+const statedBound = 5 * time.Second
+
+// operator is a client of the store that goes around the daemons' links.
+func operator(c *proc.Cluster) *objapi.Client {
+	return &objapi.Client{Base: c.Store.URL(), HTTP: http.DefaultClient}
+}
+
+// withdraw withdraws a key and returns once a majority of the hosts has acknowledged it.
+func withdraw(t *testing.T, c *proc.Cluster, key string) time.Time {
+	t.Helper()
+	change, err := keys.Withdraw(context.Background(), operator(c), keys.Hash(key))
+	if err != nil {
+		t.Fatal(err)
+	}
+	proc.WaitUntil(t, statedBound, "a majority acknowledges the withdrawal", func() bool {
+		acknowledged := 0
+		for _, h := range c.Hosts {
+			if s, ok := h.Status(); ok && s.KeysRevision >= change.Revision {
+				acknowledged++
+			}
+		}
+		return acknowledged > len(c.Hosts)/2
+	})
+	return time.Now()
+}
+
+// lastServed calls every host with key until a time and returns for each how long after start a call was last served.
+func lastServed(hosts []*proc.Host, key string, start time.Time, span time.Duration) []time.Duration {
+	last := make([]time.Duration, len(hosts))
+	var group sync.WaitGroup
+	for i, h := range hosts {
+		group.Go(func() {
+			for time.Since(start) < span {
+				if h.Post("/lookup", key, "").Status == http.StatusOK {
+					last[i] = time.Since(start)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	return last
+}
+
+func TestWithdrawnKey(t *testing.T) {
+	nothing := func(*proc.Cluster, *proc.Host) {}
+	cutStore := func(_ *proc.Cluster, h *proc.Host) { h.Store.Cut() }
+	cutPeers := func(_ *proc.Cluster, h *proc.Host) { h.CutPeers() }
+	cases := map[string]struct {
+		before func(c *proc.Cluster, last *proc.Host)
+		after  func(c *proc.Cluster, last *proc.Host)
+		kind   kinds.Kind // that the last host's refusals have
+	}{
+		"connected":             {before: nothing, after: nothing, kind: kinds.KeyWithdrawn},
+		"store down":            {before: nothing, after: func(c *proc.Cluster, _ *proc.Host) { c.SetFaults(wire.Faults{Outage: true}) }, kind: kinds.KeyWithdrawn},
+		"cut from the store":    {before: cutStore, after: nothing, kind: kinds.KeyWithdrawn},
+		"cut from the peers":    {before: cutPeers, after: nothing, kind: kinds.KeyWithdrawn},
+		"cut from both":         {before: func(c *proc.Cluster, h *proc.Host) { cutStore(c, h); cutPeers(c, h) }, after: nothing, kind: kinds.AuthorityStale},
+		"cut, then store down":  {before: cutPeers, after: func(c *proc.Cluster, _ *proc.Host) { c.SetFaults(wire.Faults{Outage: true}) }, kind: ""},
+		"peers cut, then store": {before: cutPeers, after: cutStore, kind: ""},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
+			c.Start(t)
+			key, other := c.Key("North"), c.Key("South")
+			last := c.Hosts[2]
+			proc.WaitUntil(t, statedBound, "calls are served", func() bool { return last.Post("/lookup", key, "").Status == http.StatusOK })
+			test.before(c, last)
+			accepted := withdraw(t, c, key)
+			test.after(c, last)
+			for i, served := range lastServed(c.Hosts, key, accepted, statedBound+time.Second) {
+				if served > statedBound {
+					t.Errorf("%s served a call %v after the withdrawal was accepted", c.Hosts[i].Name, served)
+				}
+			}
+			refused := last.Post("/lookup", key, "")
+			if test.kind != "" {
+				got := []string{refused.Header.Get(wire.HeaderKind), refused.Header.Get(wire.HeaderRun)}
+				if diff := cmp.Diff([]string{string(test.kind), string(kinds.NotRun)}, got); diff != "" {
+					t.Errorf("refusal of the last host (-want +got):\n%s", diff)
+				}
+			}
+			if diff := cmp.Diff(http.StatusOK, c.Hosts[0].Post("/lookup", other, "").Status); diff != "" {
+				t.Errorf("the other organisation's call (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestWithdrawnKeyStream(t *testing.T) {
+	c := &proc.Cluster{Daemons: 3, Engines: []proc.Endpoint{{Name: "e1", Zone: "a", Args: []string{"--request-rate", "40"}}}}
+	c.Start(t)
+	key := c.Key("North")
+	proc.WaitUntil(t, statedBound, "a generation is served", func() bool {
+		return c.Hosts[2].Generate(key, wire.Generate{Prompt: "short", MaxTokens: 4}).Whole()
+	})
+	ended := make(chan time.Time, 1)
+	whole := make(chan bool, 1)
+	go func() {
+		answer := c.Hosts[2].Generate(key, wire.Generate{Prompt: "long", MaxTokens: 2000})
+		ended <- time.Now()
+		whole <- answer.Whole()
+	}()
+	proc.WaitUntil(t, statedBound, "the stream runs", func() bool { return len(c.Endpoints["e1"].Seen().Runs) > 1 })
+	accepted := withdraw(t, c, key)
+	select {
+	case at := <-ended:
+		if at.Sub(accepted) > statedBound || <-whole {
+			t.Errorf("the stream ended %v after the withdrawal was accepted, as a whole one", at.Sub(accepted))
+		}
+	case <-time.After(statedBound):
+		t.Errorf("the stream still runs %v after the withdrawal was accepted", statedBound)
+	}
+}
+
+// A host is frozen while peers go on sending beats to it, and is cut off from everything before it wakes: neither the
+// beats that wait in its buffers nor calls that wait at its listener may bring an old key back into use.
+func TestFrozenHostAndWithdrawnKey(t *testing.T) {
+	c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
+	c.Start(t)
+	key := c.Key("North")
+	last := c.Hosts[2]
+	proc.WaitUntil(t, statedBound, "calls are served", func() bool { return last.Post("/lookup", key, "").Status == http.StatusOK })
+	last.Signal(syscall.SIGSTOP)
+	time.Sleep(2 * time.Second) // the beats of this time wait in the buffers
+	withdraw(t, c, key)
+	last.Store.Cut()
+	last.CutPeers()
+	time.Sleep(3 * time.Second) // the trust's bound
+	var group sync.WaitGroup
+	served := make(chan int, 40)
+	for range cap(served) {
+		group.Go(func() {
+			if last.Post("/lookup", key, "").Status == http.StatusOK {
+				served <- 1
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond) // the calls reach the listener
+	last.Signal(syscall.SIGCONT)
+	group.Wait()
+	if diff := cmp.Diff(0, len(served)); diff != "" {
+		t.Errorf("calls served with the withdrawn key (-want +got):\n%s", diff)
+	}
+}
+
+// A store outage alone stops no traffic; a minority that is cut off in it stops, and the majority goes on.
+func TestStoreOutage(t *testing.T) {
+	c := &proc.Cluster{Daemons: 5, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
+	c.Start(t)
+	key := c.Key("North")
+	for _, h := range c.Hosts {
+		proc.WaitUntil(t, statedBound, "calls are served", func() bool { return h.Post("/lookup", key, "").Status == http.StatusOK })
+	}
+	proc.WaitUntil(t, statedBound, "all hosts hear all", func() bool { return allAlive(c.Hosts) })
+	c.SetFaults(wire.Faults{Outage: true})
+	start := time.Now()
+	for _, served := range lastServed(c.Hosts, key, start, 10*time.Second) {
+		if served < 9*time.Second {
+			t.Errorf("in the outage a host last served a call after %v", served)
+		}
+	}
+	c.Hosts[3].CutPeers()
+	c.Hosts[4].CutPeers()
+	start = time.Now()
+	served := lastServed(c.Hosts, key, start, 8*time.Second)
+	for i, at := range served {
+		cut := i >= 3
+		if cut != (at < statedBound) {
+			t.Errorf("%s (cut: %v) last served a call %v after the cut", c.Hosts[i].Name, cut, at)
+		}
+	}
+}
+
+func allAlive(hosts []*proc.Host) bool {
+	for _, h := range hosts {
+		s, ok := h.Status()
+		if !ok || len(s.Hosts) != len(hosts) {
+			return false
+		}
+		for _, other := range s.Hosts {
+			if !other.Alive {
+				return false
+			}
+		}
+	}
+	return true
+}
