--- a/figbed/main.go
+++ b/figbed/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(&scorerCommand{}, "stand-ins")
 	subcommands.Register(&trainerCommand{}, "stand-ins")
 	subcommands.Register(&loadCommand{}, "measurement")
+	subcommands.Register(&demoCommand{}, "demo")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
