fleet, spend: orders by zone, recorded before they are sent

A zone's wants follow from the whole demand and the site alone, so that the zones' parts add up without a word between holders. A stop drains first: the endpoint is marked as leaving, and stopped when it reports no work made after the mark, or when no request can still run. flow: takes DrainEndpoint as a leave mark.

--- a/figd/usage.go
+++ b/figd/usage.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/fleet"
 	"github.com/figshift/figshift/internal/orders"
 	"github.com/figshift/figshift/internal/usage"
 )
@@ -16,6 +17,7 @@
 func (d *daemon) addUsage() {
 	d.addPart(&usage.Counter{Host: d.process.Host, Incarnation: d.incarnation})
 	d.addPart(&usage.Holder{Host: d.process.Host, Trust: d.trust})
+	d.addPart(&fleet.Part{Host: d.process.Host, Trust: d.trust})
 	d.addExecutor(&orders.Executor{Base: d.process.Platform, Now: d.loop.Now, Post: d.loop.Post})
 	d.addActor(d.tellClock)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -131,8 +131,18 @@
 	MaxAttempts int
 }
 
+// SpendPolicy names the rule by which endpoints are ordered.
+type SpendPolicy string
+
+// The rules for ordering endpoints.
+const (
+	FollowDemand SpendPolicy = "FollowDemand" // on-demand endpoints for interactive work, cheap ones for the rest
+	HoldPeak     SpendPolicy = "HoldPeak"     // MaxEndpoints on-demand endpoints at all times
+)
+
 // Spend sets the prices that the fleet's decisions weigh, in any one currency.
 type Spend struct {
+	Policy        SpendPolicy
 	OnDemandPrice float64 // of one on-demand endpoint for an hour
 	CheapPrice    float64 // of one cheap endpoint for an hour
 	IdlePrice     float64 // of one trainer that waits for an hour
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -22,7 +22,7 @@
 		Usage:   Usage{Window: time.Minute, Grace: 10 * time.Second, Flush: time.Second},
 		Weights: Weights{WaveShare: 0.34, RetryBackoff: 500 * time.Millisecond, OrderDeadline: 5 * time.Second},
 		Retry:   Retry{BudgetShare: 0.1, Backoff: 50 * time.Millisecond, MaxAttempts: 3},
-		Spend:   Spend{OnDemandPrice: 3, CheapPrice: 1, IdlePrice: 6},
+		Spend:   Spend{Policy: FollowDemand, OnDemandPrice: 3, CheapPrice: 1, IdlePrice: 6},
 	}
 }
 
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -92,6 +92,7 @@
 	"Retry.Backoff":     between(time.Millisecond, time.Minute),
 	"Retry.MaxAttempts": count(1, 10),
 
+	"Spend.Policy":        oneOf(FollowDemand, HoldPeak),
 	"Spend.OnDemandPrice": number(0, maxPrice),
 	"Spend.CheapPrice":    number(0, maxPrice),
 	"Spend.IdlePrice":     number(0, maxPrice),
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -66,6 +66,8 @@
 		p.polls.hosts = e.Hosts
 	case event.HostLost:
 		p.hostLost(e.Host)
+	case event.DrainEndpoint:
+		p.leave(now, e.Mark, out)
 	case event.StopAsked:
 		p.drain.begin(now, p.Process.BalancerDelay, out)
 	case event.ListenerClosed:
--- /dev/null
+++ b/internal/spend/spend_test.go
@@ -0,0 +1,99 @@
+package spend_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/spend"
+)
+
+func site(zones ...string) *config.Site {
+	s := config.Defaults()
+	for _, n := range zones {
+		z := config.DefaultZone(n)
+		z.Model, z.TokensPerEngine, z.OnDemandFloor, z.MaxEndpoints, z.MaxCheap = "m", 1000, 1, 8, 6
+		s.Zones[n] = z
+	}
+	return s
+}
+
+func TestDemandWants(t *testing.T) {
+	cases := map[string]struct {
+		zones []string
+		need  spend.Need
+		want  spend.Want // of the first zone
+	}{
+		"idle keeps the floor":         {zones: []string{"a"}, want: spend.Want{OnDemand: 1}},
+		"interactive on demand":        {zones: []string{"a"}, need: spend.Need{Interactive: 2001}, want: spend.Want{OnDemand: 3}},
+		"rollouts on cheap":            {zones: []string{"a"}, need: spend.Need{Rollout: 4000, Background: 500}, want: spend.Want{OnDemand: 1, Cheap: 5}},
+		"cheap limit":                  {zones: []string{"a"}, need: spend.Need{Rollout: 40000}, want: spend.Want{OnDemand: 1, Cheap: 6}},
+		"all limits":                   {zones: []string{"a"}, need: spend.Need{Interactive: 4000, Rollout: 40000}, want: spend.Want{OnDemand: 4, Cheap: 4}},
+		"zones share":                  {zones: []string{"a", "b"}, need: spend.Need{Interactive: 5000, Rollout: 4000}, want: spend.Want{OnDemand: 2, Cheap: 2}},
+		"no cheap, one trainer":        {zones: []string{"a"}, need: spend.Need{Rollout: 5000, CheapGone: true, Trainers: 1}, want: spend.Want{OnDemand: 3, Cheap: 5}},
+		"no cheap, two trainers":       {zones: []string{"a"}, need: spend.Need{Rollout: 5000, CheapGone: true, Trainers: 2}, want: spend.Want{OnDemand: 5, Cheap: 3}},
+		"some cheap":                   {zones: []string{"a"}, need: spend.Need{Rollout: 5000, Cheap: 4, CheapGone: true, Trainers: 2}, want: spend.Want{OnDemand: 2, Cheap: 5}},
+		"no cheap, nobody waits":       {zones: []string{"a"}, need: spend.Need{Rollout: 5000, CheapGone: true}, want: spend.Want{OnDemand: 1, Cheap: 5}},
+		"no cheap, only indexing work": {zones: []string{"a"}, need: spend.Need{Background: 5000, CheapGone: true, Trainers: 2}, want: spend.Want{OnDemand: 1, Cheap: 5}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := spend.Of(config.FollowDemand).Want(site(c.zones...), "a", c.need)
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	if got := spend.Of(config.HoldPeak).Want(site("a"), "a", spend.Need{}); got != (spend.Want{OnDemand: 8}) {
+		t.Errorf("the baseline wants %+v", got)
+	}
+}
+
+func TestZonesCarryTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := []string{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "zones")]
+		tokens := rapid.IntRange(0, 6000*len(zones)).Draw(t, "tokens")
+		s := site(zones...)
+		engines := 0
+		for _, z := range zones {
+			w := spend.Demand{}.Want(s, z, spend.Need{Rollout: tokens})
+			if w.OnDemand < 1 || w.OnDemand+w.Cheap > 8 {
+				t.Fatalf("zone %s wants %+v", z, w)
+			}
+			engines += w.Cheap
+		}
+		if engines != (tokens+999)/1000 {
+			t.Fatalf("%d cheap engines for %d tokens", engines, tokens)
+		}
+	})
+}
+
+func TestRange(t *testing.T) {
+	r := spend.Range[int]{Keep: 10 * time.Second}
+	for i, v := range []int{9, 3, 7, 5} {
+		r.Add(time.Duration(i)*time.Second, v)
+	}
+	cases := map[string]struct {
+		since           time.Duration
+		least, greatest int
+		known           bool
+	}{
+		"whole":         {since: 3 * time.Second, least: 3, greatest: 9, known: true},
+		"last two":      {since: time.Second, least: 5, greatest: 7, known: true},
+		"now":           {least: 5, greatest: 5, known: true},
+		"not so far":    {since: 4 * time.Second},
+		"between steps": {since: 1500 * time.Millisecond, least: 3, greatest: 7, known: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			least, known := r.Least(3*time.Second, c.since)
+			greatest, _ := r.Greatest(3*time.Second, c.since)
+			if known != c.known || least != c.least || greatest != c.greatest {
+				t.Errorf("Least() = %d, Greatest() = %d, %v", least, greatest, known)
+			}
+		})
+	}
+}
