--- a/figbed/main.go
+++ b/figbed/main.go
@@ -16,6 +16,8 @@
 	subcommands.Register(&serviceCommand{}, "stand-ins")
 	subcommands.Register(&scorerCommand{}, "stand-ins")
 	subcommands.Register(&trainerCommand{}, "stand-ins")
+	subcommands.Register(&loadCommand{}, "measurement")
+	subcommands.Register(&demoCommand{}, "demo")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/event/lot.go
+++ b/internal/event/lot.go
@@ -60,17 +60,29 @@
 // DeleteBlocks removes blocks that no ledger names any more.
 type DeleteBlocks struct{ Names []string }
 
-// ServeBlock answers a peer's call for a block's value with an AnswerDuty.
+// BlockLeft says that a block could not be deleted.
+type BlockLeft struct{ Name string }
+
+// ServeBlock reads a block for a daemon that called for it; BlockRead answers.
 type ServeBlock struct {
 	To   string
 	ID   uint64
 	Name string
 }
 
-// ScoreGroup asks a plain service to score the samples of one group; GroupScored answers.
+// BlockRead ends a ServeBlock.
+type BlockRead struct {
+	To    string
+	ID    uint64
+	Value []byte
+	Kind  kinds.Kind
+}
+
+// ScoreGroup asks a plain service to score the samples of one group; GroupScored answers with the same Turn.
 type ScoreGroup struct {
 	Lot     LotRef
 	Group   int
+	Turn    int
 	Service string
 	Address string // host:port
 	Samples []FinishedSample
@@ -80,6 +92,7 @@
 type GroupScored struct {
 	Lot    LotRef
 	Group  int
+	Turn   int
 	Scores []float64
 	Kind   kinds.Kind
 }
@@ -103,7 +116,9 @@
 func (PackLot) isEffect()         {}
 func (LotPacked) isEvent()        {}
 func (DeleteBlocks) isEffect()    {}
+func (BlockLeft) isEvent()        {}
 func (ServeBlock) isEffect()      {}
+func (BlockRead) isEvent()        {}
 func (ScoreGroup) isEffect()      {}
 func (GroupScored) isEvent()      {}
 func (SampleSent) isEvent()       {}
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -36,6 +36,7 @@
 	rates    map[string]*admit.Rate
 	requests map[uint64]*request
 	waiting  map[string]int // queued requests by pool
+	backing  int            // requests that wait for another attempt; they count towards the queue limit
 	timers   timers
 	attempts uint64
 	polls    poller
@@ -66,6 +67,8 @@
 		p.polls.setHosts(e.Hosts)
 	case event.HostLost:
 		p.hostLost(e.Host)
+	case event.DrainEndpoint:
+		p.leave(now, e.Mark, out)
 	case event.StopAsked:
 		p.drain.begin(now, p.Process.BalancerDelay, out)
 	case event.ListenerClosed:
--- a/internal/member/asks.go
+++ b/internal/member/asks.go
@@ -42,6 +42,9 @@
 
 func (p *Part) ask(now time.Duration, e event.AskDuty, out *event.Batch) {
 	holder, _ := p.Holder(e.Duty, now)
+	if holder == "" {
+		holder = p.lapsedHolder(e.Duty)
+	}
 	if holder == "" {
 		finish(e, p.noHolder(now), nil, out)
 		return
@@ -66,7 +69,7 @@
 }
 
 func (p *Part) receiveAsk(from string, ask wire.Ask, out *event.Batch) {
-	if _, ok := p.held[ask.Duty]; !ok {
+	if _, ok := p.held[ask.Duty]; !ok && !answersLapsed(ask.Duty) {
 		p.answer(event.AnswerDuty{To: from, ID: ask.ID, Kind: kinds.NotHolder}, out)
 		return
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -38,6 +38,7 @@
 	hosts    map[string]event.Host // by the Hosts objects
 	peers    map[string]*peer      // by what was received
 	held     map[string]uint64     // epochs of this daemon's duties
+	last     map[string]lastHeld   // by duty
 	asks     asks
 	stopping bool
 	started  bool
@@ -78,6 +79,9 @@
 		p.receive(now, e, out)
 	case event.DutyGained:
 		p.held[e.Duty] = e.Epoch
+		p.noteHolder(e.Duty, p.Self.Name, e.Epoch)
+	case event.BeatSeen:
+		p.noteBeat(e)
 	case event.DutyLost:
 		delete(p.held, e.Duty)
 	case event.StopAsked:
