--- a/figbed/proofs/requests_test.go
+++ b/figbed/proofs/requests_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -84,9 +85,10 @@
 		req.Header.Set("X-Api-Key", key)
 		return c.Do(req).Echo().Organisation
 	}
+	const spoof = "Spoofed"
 	spoofed := http.Header{
-		wire.HeaderOrganisation: {"South"}, "x-figshift-organisation": {"South"},
-		"X_Figshift_Organisation": {"South"}, "X-Organisation": {"South"}, "Connection": {wire.HeaderOrganisation},
+		wire.HeaderOrganisation: {spoof}, "x-figshift-organisation": {spoof},
+		"X_Figshift_Organisation": {spoof}, "X-Organisation": {spoof}, "Connection": {wire.HeaderOrganisation},
 	}
 	// The client keeps its connections, so that the keys take turns on the same one.
 	for range 20 {
@@ -94,6 +96,19 @@
 			t.Fatal(diff)
 		}
 	}
+	open, err := http.NewRequest(http.MethodGet, h.URL()+"/open", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	open.Header = spoofed
+	if diff := cmp.Diff("", c.Do(open).Echo().Organisation); diff != "" {
+		t.Error("an open route without a key:", diff)
+	}
+	for _, e := range c.Endpoints {
+		for _, q := range e.Seen().Contains(spoof) {
+			t.Errorf("%s saw a spoofed organisation: %+v", e.Name, q)
+		}
+	}
 	a := h.Get("/lookup", "nobody's")
 	if diff := cmp.Diff([]string{"KeyUnknown", "NotRun"}, []string{kind(a), truth(a)}); diff != "" {
 		t.Error(diff)
@@ -279,10 +294,15 @@
 			c := &proc.Cluster{Daemons: 1, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}, {Name: "s2", Zone: "a"}}}
 			c.Start(t)
 			awaitLookups(t, c)
+			warmConnections(c)
 			cause.set(c)
-			for i, header := range []string{"", "Idempotency-Key", "X-Idempotency-Key", "", "Idempotency-Key"} {
+			for i, header := range []string{"", "Idempotency-Key", "X-Idempotency-Key", "", "Idempotency-Key", ""} {
 				id := strings.ReplaceAll(fmt.Sprint(name, i), " ", "-")
-				req, err := http.NewRequest(http.MethodPost, c.Hosts[0].URL()+"/write?Id="+id, strings.NewReader(strings.Repeat("x", 4000)))
+				method, body := http.MethodPost, strings.Repeat("x", 4000)
+				if i > 2 {
+					method, body = http.MethodGet, ""
+				}
+				req, err := http.NewRequest(method, c.Hosts[0].URL()+"/write?Id="+id, strings.NewReader(body))
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -314,6 +334,16 @@
 	})
 }
 
+// warmConnections leaves idle connections behind, where the daemon keeps them for such calls.
+func warmConnections(c *proc.Cluster) {
+	const calls = 16
+	var warm sync.WaitGroup
+	for range calls {
+		warm.Go(func() { c.Hosts[0].Get("/write?DelayMS=50&Id=warm", c.Key("North")) })
+	}
+	warm.Wait()
+}
+
 func checkRun(t *testing.T, a proc.Answer, runs int, want string, mustRun bool) {
 	t.Helper()
 	if runs > 1 {
