--- /dev/null
+++ b/figd/bench_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// size is what a daemon knows of its fleet.
+type size struct {
+	endpoints     int
+	organisations int
+	hosts         int
+}
+
+func (s size) String() string {
+	return fmt.Sprintf("Endpoints=%d/Organisations=%d/Hosts=%d", s.endpoints, s.organisations, s.hosts)
+}
+
+// ready returns a daemon that has started in a fleet of the given size.
+func ready(b *testing.B, n size) (*daemon, time.Duration) {
+	b.Helper()
+	d := fixture(b)(b.Fatal)
+	b.Cleanup(d.close)
+	s := newStore(benchSite(n))
+	for i := range n.endpoints {
+		name := fmt.Sprintf("s%d", i)
+		s.endpoints = append(s.endpoints, wire.Endpoint{Name: name, Incarnation: "1", Kind: wire.Service, Service: "lookup", Zone: "a", Address: name, State: wire.Live})
+	}
+	for i := 1; i < n.hosts; i++ {
+		name := fmt.Sprintf("p%d", i)
+		s.write("Hosts/"+name, event.Host{Name: name, Zone: "a", Address: name, Incarnation: "1"})
+	}
+	now, ok := boot(s, time.Second, d.state.Step)
+	if !ok {
+		b.Fatal("the daemon did not become ready")
+	}
+	return d, now
+}
+
+func benchSite(n size) *config.Site {
+	s := chaosSite()
+	s.Limits = config.Defaults().Limits
+	for i := range n.organisations {
+		name := fmt.Sprintf("o%d", i)
+		s.Organisations[name] = config.Organisation{Name: name, Weight: 1}
+	}
+	return s
+}
+
+// BenchmarkRequest steps the reducer through whole requests, from arrival to answer.
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []size{{16, 8, 1}, {100, 8, 1}, {1000, 8, 1}, {10000, 8, 1}, {100, 100, 1}, {100, 1000, 1}} {
+		b.Run(n.String(), func(b *testing.B) {
+			d, now := ready(b, n)
+			id := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				serveOne(b, d, now, id)
+			}
+		})
+	}
+}
+
+func serveOne(b *testing.B, d *daemon, now time.Duration, id uint64) {
+	arrived := event.RequestArrived{Request: id, KeyHash: northKey, Path: "/lookup", Method: "POST", Tokens: 10, Deadline: now + time.Second}
+	var attempt uint64
+	for _, e := range d.state.Step(now, arrived) {
+		if s, ok := e.(event.StartAttempt); ok {
+			attempt = s.Attempt
+		}
+	}
+	if attempt == 0 {
+		b.Fatal("no attempt was started")
+	}
+	d.state.Step(now, event.AttemptConnected{Request: id, Attempt: attempt})
+	d.state.Step(now, event.AttemptHead{Request: id, Attempt: attempt, Status: 200, Load: 10})
+	d.state.Step(now, event.AttemptDone{Request: id, Attempt: attempt, Run: kinds.Ran, Whole: true, Status: 200})
+}
+
+// BenchmarkTick steps the reducer through its periodic work, tickEvery apart.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []size{{16, 8, 8}, {100, 8, 8}, {1000, 8, 8}, {10000, 8, 8}, {16, 100, 8}, {16, 1000, 8}, {16, 8, 100}, {16, 8, 400}, {16, 8, 1400}} {
+		b.Run(n.String(), func(b *testing.B) {
+			d, now := ready(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				now += tickEvery
+				d.state.Step(now, event.Tick{})
+			}
+		})
+	}
+}
+
+// BenchmarkBeat steps the reducer through one peer's beat.
+func BenchmarkBeat(b *testing.B) {
+	for _, n := range []size{{16, 8, 8}, {100, 8, 8}, {1000, 8, 8}, {16, 100, 8}, {16, 1000, 8}} {
+		b.Run(n.String(), func(b *testing.B) {
+			d, now := ready(b, n)
+			d.state.Step(now, event.PeerUp{Host: "p1", Incarnation: "1"})
+			beat := benchBeat(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				beat.Seq++
+				now += time.Millisecond
+				sent := beat
+				d.state.Step(now, event.PeerReceived{Host: "p1", Incarnation: "1", Message: wire.Message{Beat: &sent}})
+			}
+		})
+	}
+}
+
+func benchBeat(n size) wire.Beat {
+	beat := wire.Beat{ConfigRevision: 1, Ready: true}
+	for i := range n.organisations {
+		beat.Served = append(beat.Served, wire.Served{Organisation: fmt.Sprintf("o%d", i), Tokens: 1000})
+	}
+	for i := range n.endpoints {
+		beat.Loads = append(beat.Loads, wire.LoadReport{Endpoint: fmt.Sprintf("s%d", i), Incarnation: "1", Tokens: 100, AgeMS: 200})
+	}
+	return beat
+}
--- a/figd/chaos_test.go
+++ b/figd/chaos_test.go
@@ -1,14 +1,7 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
-	"io"
-	"os"
-	"path/filepath"
 	"slices"
-	"strings"
-	"testing"
 	"time"
 
 	"pgregory.net/rapid"
@@ -26,18 +19,10 @@
 	chaosConcurrency = 2
 	chaosEndpoints   = 3
 	replayedPast     = 16 // events that may come a second time
-	bootSteps        = 40
 	stopSteps        = 20
 	withdrawOneIn    = 20
 )
 
-// The hashes of two keys in force and of an unknown one.
-var (
-	northKey = "a1" + strings.Repeat("0", 62)
-	southKey = "a2" + strings.Repeat("0", 62)
-	otherKey = "a3" + strings.Repeat("0", 62)
-)
-
 // request is what the driver knows of one request.
 type request struct {
 	idempotent bool
@@ -52,8 +37,7 @@
 	t        *rapid.T
 	d        *daemon
 	now      time.Duration
-	objects  map[string]wire.Object
-	revision uint64
+	store    *store
 	calls    []event.Effect // object and endpoint calls without an answer
 	attempts []event.StartAttempt
 	sent     map[uint64]bool
@@ -61,8 +45,6 @@
 	requests map[uint64]*request
 	next     uint64
 	out      *trace.Writer
-	ready    bool
-	calm     bool // the store answers every call
 }
 
 func chaosSite() *config.Site {
@@ -79,23 +61,18 @@
 }
 
 func newChaos(t *rapid.T, d *daemon) *chaos {
-	c := &chaos{t: t, d: d, now: time.Second, objects: map[string]wire.Object{}, sent: map[uint64]bool{}, requests: map[uint64]*request{}}
-	c.write("Config/Site", chaosSite())
-	shard := keys.Shard{Revision: 1, Keys: map[string]keys.Entry{
-		northKey: {Organisation: "North", State: keys.Active, Revision: 1},
-		southKey: {Organisation: "South", State: keys.Active, Revision: 1},
-	}}
-	c.write("Keys/a", shard)
-	return c
+	return &chaos{t: t, d: d, now: time.Second, store: newStore(chaosSite()), sent: map[uint64]bool{}, requests: map[uint64]*request{}}
 }
 
-func (c *chaos) write(name string, value any) {
-	text, err := json.Marshal(value)
-	if err != nil {
-		c.t.Fatal(err)
+// apply steps the reducer and records the step.
+func (c *chaos) apply(now time.Duration, ev event.Event) []event.Effect {
+	effects := c.d.state.Step(now, ev)
+	if c.out != nil {
+		if err := c.out.Add(now, ev, effects); err != nil {
+			c.t.Fatal(err)
+		}
 	}
-	c.revision++
-	c.objects[name] = wire.Object{Name: name, Version: c.objects[name].Version + 1, Revision: c.revision, Value: text}
+	return effects
 }
 
 // step applies one event and follows its effects.
@@ -104,13 +81,7 @@
 	if len(c.past) > replayedPast {
 		c.past = c.past[1:]
 	}
-	effects := c.d.state.Step(c.now, ev)
-	if c.out != nil {
-		if err := c.out.Add(c.now, ev, effects); err != nil {
-			c.t.Fatal(err)
-		}
-	}
-	for _, e := range effects {
+	for _, e := range c.apply(c.now, ev) {
 		c.follow(e)
 	}
 	c.check()
@@ -124,8 +95,6 @@
 		c.send(e)
 	case event.AnswerRequest:
 		c.answer(e)
-	case event.Ready:
-		c.ready = e.Ready
 	case event.GetObject, event.PutObject, event.ListObjects, event.WatchObjects, event.ListEndpoints:
 		c.calls = append(c.calls, e)
 	}
@@ -195,69 +164,19 @@
 	i := rapid.IntRange(0, len(c.calls)-1).Draw(c.t, "call")
 	call := c.calls[i]
 	c.calls = slices.Delete(c.calls, i, i+1)
-	kind := kinds.Kind("")
-	if !c.calm {
-		kind = rapid.SampledFrom([]kinds.Kind{"", "", "", kinds.StoreUnavailable}).Draw(c.t, "kind")
-	}
-	switch e := call.(type) {
-	case event.GetObject:
-		c.step(c.done(e.Call, c.read(e.Name), kind))
-	case event.PutObject:
-		c.put(e, kind)
-	case event.ListObjects:
-		c.step(event.ObjectsDone{Call: e.Call, Prefix: e.Prefix, Kind: kind, SentAt: c.now, List: c.list(e.Prefix, 0)})
-	case event.WatchObjects:
-		c.step(event.ObjectsDone{Call: e.Call, Prefix: e.Prefix, Kind: kind, SentAt: c.now, List: c.list(e.Prefix, e.After)})
-	case event.ListEndpoints:
-		c.step(event.EndpointsDone{Call: e.Call, Kind: kind, SentAt: c.now, List: c.endpoints()})
-	}
-}
-
-func (c *chaos) read(name string) wire.Object {
-	if o, ok := c.objects[name]; ok {
-		return o
-	}
-	return wire.Object{Name: name}
-}
-
-func (c *chaos) done(call event.ObjectCall, o wire.Object, kind kinds.Kind) event.ObjectDone {
-	if kind == "" && o.Version == 0 {
-		kind = kinds.NotFound
-	}
-	return event.ObjectDone{Call: call, Object: o, Kind: kind, SentAt: c.now}
-}
-
-func (c *chaos) put(e event.PutObject, kind kinds.Kind) {
-	old := c.read(e.Name)
-	took := kind == "" || rapid.Bool().Draw(c.t, "lost after effect")
-	if took && old.Version == e.Version {
-		c.revision++
-		old = wire.Object{Name: e.Name, Version: e.Version + 1, Revision: c.revision, Writer: e.Writer, Value: e.Value}
-		c.objects[e.Name] = old
-	} else if kind == "" {
-		kind = kinds.Conflict
-	}
-	c.step(event.ObjectDone{Call: e.Call, Object: old, Kind: kind, SentAt: c.now})
+	c.store.endpoints = c.endpoints()
+	kind := rapid.SampledFrom([]kinds.Kind{"", "", "", kinds.StoreUnavailable}).Draw(c.t, "kind")
+	lost := kind != "" && rapid.Bool().Draw(c.t, "lost before effect")
+	c.step(c.store.answer(c.now, call, kind, lost))
 }
 
-func (c *chaos) list(prefix string, after uint64) wire.ObjectList {
-	l := wire.ObjectList{Revision: c.revision}
-	for name, o := range c.objects {
-		if strings.HasPrefix(name, prefix) && o.Revision > after {
-			l.Objects = append(l.Objects, o)
-		}
-	}
-	slices.SortFunc(l.Objects, func(a, b wire.Object) int { return strings.Compare(a.Name, b.Name) })
-	return l
-}
-
-func (c *chaos) endpoints() wire.EndpointList {
-	l := wire.EndpointList{Revision: c.revision}
+func (c *chaos) endpoints() []wire.Endpoint {
+	var all []wire.Endpoint
 	for _, name := range []string{"s1", "s2", "s3"} {
 		state := rapid.SampledFrom([]wire.EndpointState{wire.Live, wire.Live, wire.Leaving}).Draw(c.t, "state")
-		l.Endpoints = append(l.Endpoints, wire.Endpoint{Name: name, Incarnation: "1", Kind: wire.Service, Service: "lookup", Zone: "a", Address: name, State: state})
+		all = append(all, wire.Endpoint{Name: name, Incarnation: "1", Kind: wire.Service, Service: "lookup", Zone: "a", Address: name, State: state})
 	}
-	return l
+	return all
 }
 
 // attempt moves one attempt on: connected, answered or ended, in any order and more than once.
@@ -336,30 +255,15 @@
 	if rapid.IntRange(0, withdrawOneIn).Draw(c.t, "withdraw") > 0 {
 		return
 	}
-	c.write("Keys/a", keys.Shard{Revision: c.revision + 1, Keys: map[string]keys.Entry{
-		northKey: {Organisation: "North", State: keys.Withdrawn, Revision: 2},
-		southKey: {Organisation: "South", State: keys.Active, Revision: 1},
-	}})
+	c.store.write("Keys/a", shard(keys.Withdrawn))
 }
 
-// boot lets the daemon start until it takes requests.
-func (c *chaos) boot() {
-	c.calm = true
-	for range bootSteps {
-		c.now += tickEvery
-		c.step(event.Tick{})
-		for len(c.calls) > 0 {
-			c.reply()
-		}
-	}
-	if !c.ready {
+func (c *chaos) run() {
+	now, ready := boot(c.store, c.now, c.apply)
+	if !ready {
 		c.t.Fatalf("not ready after %d steps", bootSteps)
 	}
-	c.calm = false
-}
-
-func (c *chaos) run() {
-	c.boot()
+	c.now = now
 	actions := []func(){c.arrive, c.arrive, c.reply, c.reply, c.reply, c.attempt, c.attempt, c.tick, c.tick, c.repeat, c.beat, c.withdraw}
 	steps := rapid.IntRange(20, 400).Draw(c.t, "steps")
 	for range steps {
@@ -372,75 +276,3 @@
 		actions[rapid.IntRange(0, len(actions)-1).Draw(c.t, "last action")]()
 	}
 }
-
-// fixture makes a daemon that is composed but not run.
-func fixture(t *testing.T) func(fail func(...any)) *daemon {
-	folder := t.TempDir()
-	secret := filepath.Join(folder, "secret")
-	if err := os.WriteFile(secret, []byte("a secret of thirty-two characters"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	process := config.Process{
-		Host: "h1", Zone: "a", Listen: "127.0.0.1:0", Operators: "127.0.0.1:0", Peer: "127.0.0.1:0",
-		Platform: "http://127.0.0.1:0", PeerSecretFile: secret, CredentialFile: secret,
-	}
-	return func(fail func(...any)) *daemon {
-		d, err := newDaemon(process, identity{incarnation: "i", seed: 1}, io.Discard)
-		if err != nil {
-			fail(err)
-		}
-		return d
-	}
-}
-
-func property(t *testing.T) func(*rapid.T) {
-	daemonOf := fixture(t)
-	return func(r *rapid.T) {
-		d := daemonOf(r.Fatal)
-		defer d.close()
-		newChaos(r, d).run()
-	}
-}
-
-func TestAnyOrderOfEventsKeepsTheInvariants(t *testing.T) {
-	rapid.Check(t, property(t))
-}
-
-func FuzzReducer(f *testing.F) {
-	f.Fuzz(func(t *testing.T, input []byte) {
-		rapid.MakeFuzz(property(t))(t, input)
-	})
-}
-
-func TestReplayGivesTheSameEffects(t *testing.T) {
-	daemonOf := fixture(t)
-	rapid.Check(t, func(r *rapid.T) {
-		var file bytes.Buffer
-		d := daemonOf(r.Fatal)
-		defer d.close()
-		c := newChaos(r, d)
-		c.out = &trace.Writer{Out: &file}
-		if err := c.out.Begin(trace.Header{Process: d.process, Incarnation: d.incarnation, Seed: d.seed}); err != nil {
-			r.Fatal(err)
-		}
-		c.run()
-		_, steps, err := trace.Read(&file)
-		if err != nil {
-			r.Fatal(err)
-		}
-		fresh := daemonOf(r.Fatal)
-		defer fresh.close()
-		if err := replay(fresh.state, steps); err != nil {
-			r.Fatal(err)
-		}
-	})
-}
-
-func TestReplayNoticesAnotherEffect(t *testing.T) {
-	d := fixture(t)(t.Fatal)
-	defer d.close()
-	steps := []trace.Step{{At: time.Second, Event: event.StopAsked{}, Effects: 1}}
-	if err := replay(d.state, steps); err == nil {
-		t.Error("replay took a step with other effects as the same")
-	}
-}
