figbed: the frozen host's peers are cut before the withdrawal

With beats dated by their receipt, the former order of the test passed: the last beats in the buffer told of the newer keys.

--- a/figbed/proofs/authority_keys_test.go
+++ b/figbed/proofs/authority_keys_test.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// A host is frozen while peers go on sending beats to it, and is cut off from everything before it wakes: neither the
-// beats that wait in its buffers nor calls that wait at its listener may bring an old key back into use.
+// A host is frozen while peers go on sending beats to it, and is cut off from everything before a key is withdrawn and it
+// wakes: neither the beats that wait in its buffers nor calls that wait at its listener may bring the key back into use.
 func TestFrozenHostAndWithdrawnKey(t *testing.T) {
 	c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 	c.Start(t)
@@ -143,10 +143,10 @@
 	last := c.Hosts[2]
 	proc.WaitUntil(t, statedBound, "calls are served", func() bool { return last.Post("/lookup", key, "").Status == http.StatusOK })
 	last.Signal(syscall.SIGSTOP)
-	time.Sleep(2 * time.Second) // the beats of this time wait in the buffers
-	withdraw(t, c, key)
+	time.Sleep(2 * time.Second) // the beats of this time wait in the buffers and tell nothing of the withdrawal
 	last.Store.Cut()
 	last.CutPeers()
+	withdraw(t, c, key)
 	time.Sleep(3 * time.Second) // the trust's bound
 	var group sync.WaitGroup
 	served := make(chan int, 40)
