--- a/internal/event/lot.go
+++ b/internal/event/lot.go
@@ -63,13 +63,21 @@
 // BlockLeft says that a block could not be deleted.
 type BlockLeft struct{ Name string }
 
-// ServeBlock answers a peer's call for a block's value with an AnswerDuty.
+// ServeBlock reads a block for a daemon that called for it; BlockRead answers.
 type ServeBlock struct {
 	To   string
 	ID   uint64
 	Name string
 }
 
+// BlockRead ends a ServeBlock.
+type BlockRead struct {
+	To    string
+	ID    uint64
+	Value []byte
+	Kind  kinds.Kind
+}
+
 // ScoreGroup asks a plain service to score the samples of one group; GroupScored answers with the same Turn.
 type ScoreGroup struct {
 	Lot     LotRef
@@ -110,6 +118,7 @@
 func (DeleteBlocks) isEffect()    {}
 func (BlockLeft) isEvent()        {}
 func (ServeBlock) isEffect()      {}
+func (BlockRead) isEvent()        {}
 func (ScoreGroup) isEffect()      {}
 func (GroupScored) isEvent()      {}
 func (SampleSent) isEvent()       {}
