--- a/figbed/internal/engin/engine.go
+++ b/figbed/internal/engin/engine.go
@@ -44,6 +44,7 @@
 	cache  cache
 	loads  loads
 	swaps  swaps
+	truth  truth
 	mu     sync.Mutex
 	faults Faults
 	halted bool
@@ -82,6 +83,7 @@
 	e.mux.HandleFunc("POST "+plat.PathAssign, e.assign)
 	e.mux.HandleFunc("POST "+plat.PathHalt, e.halt)
 	e.mux.Handle("GET "+seen.Path, &e.log)
+	e.mux.Handle("GET "+PathTruth, &e.truth)
 }
 
 func (e *Engine) setDefaults() {
--- a/figbed/internal/engin/generate.go
+++ b/figbed/internal/engin/generate.go
@@ -34,6 +34,7 @@
 // stream is one answer under way.
 type stream struct {
 	engine  *Engine
+	id      string // wire.HeaderRequest
 	request wire.Generate
 	job     *job
 	writer  http.ResponseWriter
@@ -78,7 +79,7 @@
 		http.Error(w, "failed after start", http.StatusInternalServerError)
 		return
 	}
-	s := &stream{engine: e, request: g, job: j, writer: w, factor: e.slowness(j.attempt), endAt: -1}
+	s := &stream{engine: e, id: r.Header.Get(wire.HeaderRequest), request: g, job: j, writer: w, factor: e.slowness(j.attempt), endAt: -1}
 	s.cached = e.cache.cached(g.Prompt)
 	s.prompt = len(strings.Fields(g.Prompt))
 	s.planCut()
@@ -165,6 +166,7 @@
 }
 
 func (s *stream) segment(at, n int) bool {
+	s.engine.truth.add(s)
 	segment := wire.Segment{Version: s.version()}
 	for i := range n {
 		segment.Tokens = append(segment.Tokens, Token(s.request.Prompt, s.request.Seed, at+i))
--- a/figbed/internal/trnr/trainer.go
+++ b/figbed/internal/trnr/trainer.go
@@ -93,7 +93,7 @@
 	if !t.Publish {
 		return nil
 	}
-	return t.publish(ctx)
+	return t.publish(ctx, cursor+1)
 }
 
 // received is a Lot whose samples are still the bytes that the checksum is of.
@@ -119,9 +119,10 @@
 	return lot, errors.Wrap(err, "decoding samples")
 }
 
-func (t *Trainer) publish(ctx context.Context) error {
+// publish acknowledges the lots up to cursor with the new version.
+func (t *Trainer) publish(ctx context.Context, cursor uint64) error {
 	var done wire.Published
-	if err := t.until(ctx, wire.CallVersions, wire.Publish{Consumer: t.Consumer, Version: t.newest + 1}, &done); err != nil {
+	if err := t.until(ctx, wire.CallVersions, wire.Publish{Consumer: t.Consumer, Version: t.newest + 1, Cursor: cursor}, &done); err != nil {
 		return err
 	}
 	t.newest++
--- a/internal/lots/publish.go
+++ b/internal/lots/publish.go
@@ -15,10 +15,15 @@
 		answer(e.From, e.ID, kind, nil, out)
 		return
 	}
+	if kind := r.ledger.canAck(max(publish.Cursor, r.ledger.Acked), 0); kind != "" {
+		answer(e.From, e.ID, kind, nil, out)
+		return
+	}
 	if publish.Version < r.ledger.Newest || publish.Version == 0 {
 		answer(e.From, e.ID, kinds.Conflict, nil, out)
 		return
 	}
+	p.acknowledge(now, r, publish.Cursor, out)
 	if publish.Version > r.ledger.Newest {
 		r.ledger.Newest = publish.Version
 		p.resetStale(r, out)
--- a/internal/wire/rollout.go
+++ b/internal/wire/rollout.go
@@ -62,10 +62,12 @@
 	Scored   bool
 }
 
-// Publish says that a new version of the rollout's model is in the weight store.
+// Publish says that a new version of the rollout's model is in the weight store. Cursor acknowledges lots as in
+// LotAsk; a publish that does so need not wait for the hand-over of those lots to have ended.
 type Publish struct {
 	Consumer string
 	Version  uint64
+	Cursor   uint64
 }
 
 // Published answers a Publish once it is recorded.
