--- /dev/null
+++ b/figbed/proofs/rollouts_stale_test.go
@@ -0,0 +1,98 @@
+package proofs
+
+import (
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// checkFresh fails for each sample that is older than the bound at a version.
+func checkFresh(t *testing.T, lot wire.Lot, newest uint64) {
+	t.Helper()
+	for _, s := range lot.Samples {
+		for _, v := range s.Versions {
+			if v+uint64(rolloutSpec().MaxStaleness) < newest {
+				t.Errorf("lot %d was handed over with sample %s of version %d at version %d", lot.Lot, s.ID, v, newest)
+				return
+			}
+		}
+	}
+}
+
+// waitSealed waits until the ledger holds a lot.
+func waitSealed(t *testing.T, c *proc.Cluster, lot uint64) {
+	t.Helper()
+	proc.WaitUntil(t, lotBound, "a lot is sealed ahead", func() bool {
+		for _, s := range rolloutLedger(t, c).Lots {
+			if s.Lot == lot {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// TestPublishBetweenSealAndHandOver publishes far ahead of a lot that is sealed and not handed over.
+func TestPublishBetweenSealAndHandOver(t *testing.T) {
+	c := rolloutCluster(t, 2, rolloutSpec())
+	urls := daemonURLs(c)
+	first := takeLot(t, c, urls, 0)
+	waitSealed(t, c, 2)
+	publishVersion(t, c, urls, 9)
+	second := takeLot(t, c, urls, 1)
+	checkFresh(t, second, 9)
+	checkOnce(t, first, second)
+	if len(second.Replaces) != 1 || second.Attempt <= second.Replaces[0] {
+		t.Errorf("attempt %d of lot 2 replaces %v", second.Attempt, second.Replaces)
+	}
+}
+
+// TestOwnerFrozenAcrossAPublish stops the rollout's holder, publishes at its successor, and wakes the holder with
+// asks in its socket.
+func TestOwnerFrozenAcrossAPublish(t *testing.T) {
+	c := rolloutCluster(t, 3, rolloutSpec())
+	takeLot(t, c, daemonURLs(c), 0)
+	waitSealed(t, c, 2)
+	old := holder(t, c, rolloutDuty, nil)
+	old.Signal(syscall.SIGSTOP)
+	holder(t, c, rolloutDuty, old)
+	publishVersion(t, c, others(c, old), 9)
+	var asks sync.WaitGroup
+	for range 8 {
+		asks.Go(func() {
+			if r := askLot(c, old.URL(), trainerName, 1); r.status == http.StatusOK {
+				checkFresh(t, r.lot(t), 9)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond) // lets the asks reach the stopped process's socket
+	old.Signal(syscall.SIGCONT)
+	asks.Wait()
+	checkFresh(t, takeLot(t, c, daemonURLs(c), 1), 9)
+}
+
+// TestSealedLotsInAnOutage has lots sealed ahead handed over while the store is down, by the holder and by another.
+func TestSealedLotsInAnOutage(t *testing.T) {
+	spec := rolloutSpec()
+	spec.SealAhead, spec.MaxStaleness = 3, 4
+	c := rolloutCluster(t, 3, spec)
+	urls := daemonURLs(c)
+	taken := []wire.Lot{takeLot(t, c, urls, 0)}
+	waitSealed(t, c, 4)
+	c.SetFaults(wire.Faults{Outage: true})
+	time.Sleep(outageBefore) // longer than the lease, so that nobody holds the duty
+	for n := uint64(1); n < 4; n++ {
+		taken = append(taken, takeLot(t, c, urls, n))
+	}
+	c.SetFaults(wire.Faults{})
+	taken = append(taken, takeLot(t, c, urls, 4))
+	checkOnce(t, taken...)
+}
+
+// outageBefore is the length of an outage before the trainer asks.
+const outageBefore = 8 * time.Second
