--- a/figd/requests.go
+++ b/figd/requests.go
@@ -17,6 +17,8 @@
 		Keys:    d.keys,
 		Random:  rand.New(rand.NewPCG(d.seed, 0)),
 		Process: d.process,
+		Queue:   queueOf(d.process.QueuePolicy),
+		Picker:  pickerOf(d.process.PickPolicy),
 	}
 	d.members.Contributors = append(d.members.Contributors, part)
 	d.addPart(part)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,8 +27,18 @@
 	DataFolder     string // "" keeps nothing on disk
 	LogLevel       string
 	BalancerDelay  time.Duration // time between going unready and closing the callers' listener
+	QueuePolicy    string        // QueueFair or QueueFifo; "" is QueueFair
+	PickPolicy     string        // PickAffine or PickTurns; "" is PickAffine
 }
 
+// The policies that a daemon can use. QueueFifo and PickTurns are baselines to measure against.
+const (
+	QueueFair  = "Fair"
+	QueueFifo  = "Fifo"
+	PickAffine = "Affine"
+	PickTurns  = "Turns"
+)
+
 // Site is what all daemons share. Revision rises strictly with each accepted change.
 type Site struct {
 	Revision      uint64
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -39,6 +39,8 @@
 	"Host.DataFolder":     optional(path()),
 	"Host.LogLevel":       oneOf("debug", "info", "warn", "error"),
 	"Host.BalancerDelay":  between(0, 10*time.Minute),
+	"Host.QueuePolicy":    optional(oneOf(QueueFair, QueueFifo)),
+	"Host.PickPolicy":     optional(oneOf(PickAffine, PickTurns)),
 
 	"Organisation.Weight": count(1, 1000),
 
