--- a/figbed/internal/loadr/result.go
+++ b/figbed/internal/loadr/result.go
@@ -24,6 +24,7 @@
 	Organisation string
 	Sent         int
 	Whole        int
+	InTime       int            // of those, answered before the run's duration was over
 	Refused      map[string]int // by kind
 	Unknown      int            // answers that were cut or of status 502
 	Dropped      int            // not sent, since too many were under way
@@ -37,7 +38,8 @@
 	Tokens       int     // generated and prompt tokens of whole answers; 1 for a plain call
 	PromptTokens int
 	CachedTokens int
-	Share        float64 // of the tokens of all sources
+	InTimeTokens int     // of the answers InTime
+	Share        float64 // of InTimeTokens of all sources
 }
 
 // String returns the result as key=value pairs on one line.
@@ -46,10 +48,10 @@
 	for _, kind := range slices.Sorted(maps.Keys(r.Refused)) {
 		refused = append(refused, fmt.Sprintf("%s:%d", kind, r.Refused[kind]))
 	}
-	return fmt.Sprintf("Source=%s Organisation=%s Sent=%d Whole=%d Refused=%s Unknown=%d Dropped=%d "+
+	return fmt.Sprintf("Source=%s Organisation=%s Sent=%d Whole=%d InTime=%d Refused=%s Unknown=%d Dropped=%d "+
 		"P50=%.1f P99=%.1f Max=%.1f FirstP50=%.1f FirstP99=%.1f RefusedP99=%.1f NoRetryAfter=%d "+
 		"Tokens=%d PromptTokens=%d CachedTokens=%d Share=%.3f",
-		r.Name, r.Organisation, r.Sent, r.Whole, strings.Join(refused, ","), r.Unknown, r.Dropped,
+		r.Name, r.Organisation, r.Sent, r.Whole, r.InTime, strings.Join(refused, ","), r.Unknown, r.Dropped,
 		r.P50, r.P99, r.Max, r.FirstP50, r.FirstP99, r.RefusedP99, r.NoRetryAfter,
 		r.Tokens, r.PromptTokens, r.CachedTokens, r.Share)
 }
@@ -111,6 +113,10 @@
 		t.result.Tokens += o.tokens
 		t.result.PromptTokens += o.prompt
 		t.result.CachedTokens += o.cached
+		if o.inTime {
+			t.result.InTime++
+			t.result.InTimeTokens += o.tokens
+		}
 		_ = t.whole.RecordValue(o.took.Microseconds())
 		_ = t.first.RecordValue(o.first.Microseconds())
 	}
--- a/figbed/internal/loadr/run.go
+++ b/figbed/internal/loadr/run.go
@@ -63,7 +63,9 @@
 		at := r.start.Add(due)
 		group.Go(func() {
 			defer func() { <-r.slots }()
-			t.add(r.send(ctx, request, at))
+			o := r.send(ctx, request, at)
+			o.inTime = time.Since(r.start) <= r.plan.Duration
+			t.add(o)
 		})
 	}
 }
@@ -93,12 +95,12 @@
 	total := 0
 	for _, t := range tallies {
 		result := t.finish()
-		total += result.Tokens
+		total += result.InTimeTokens
 		report.Results = append(report.Results, result)
 	}
 	for i := range report.Results {
 		if total > 0 {
-			report.Results[i].Share = float64(report.Results[i].Tokens) / float64(total)
+			report.Results[i].Share = float64(report.Results[i].InTimeTokens) / float64(total)
 		}
 	}
 	return report
--- a/figbed/internal/loadr/send.go
+++ b/figbed/internal/loadr/send.go
@@ -32,6 +32,7 @@
 // outcome is what became of one request.
 type outcome struct {
 	whole        bool
+	inTime       bool
 	refused      string // kind, or the status of a refusal without one
 	noRetryAfter bool
 	took         time.Duration
