--- a/figbed/internal/engin/cache.go
+++ b/figbed/internal/engin/cache.go
@@ -10,9 +10,10 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
+// prefix is the newest prompt of those that share a head.
 type prefix struct {
-	hash   uint64
-	tokens int
+	hash  uint64
+	words []string
 }
 
 type pending struct {
@@ -40,7 +41,7 @@
 	c.byHash = map[uint64]*list.Element{}
 }
 
-// cached returns how many tokens of the prompt's head are cached.
+// cached returns how many tokens from the prompt's start are cached.
 func (c *cache) cached(prompt string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -49,20 +50,33 @@
 		return 0
 	}
 	c.order.MoveToFront(el)
-	return el.Value.(prefix).tokens
+	return common(el.Value.(prefix).words, strings.Fields(prompt))
 }
 
-// add puts the prompt's head into the cache.
+// common returns the length of the common start of two prompts.
+func common(a, b []string) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
+// add puts the prompt into the cache, in place of an earlier one with its head.
 func (c *cache) add(prompt string) {
-	p := prefix{hash: wire.PromptHead(prompt), tokens: len(strings.Fields(wire.Head(prompt)))}
+	p := prefix{hash: wire.PromptHead(prompt), words: strings.Fields(prompt)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.byHash[p.hash]; ok || p.tokens == 0 {
-		return
+	old, ok := c.byHash[p.hash]
+	if ok {
+		c.used -= len(old.Value.(prefix).words)
+		old.Value = p
+		c.order.MoveToFront(old)
+	} else {
+		c.byHash[p.hash] = c.order.PushFront(p)
+		c.tell(p.hash, true)
 	}
-	c.byHash[p.hash] = c.order.PushFront(p)
-	c.used += p.tokens
-	c.tell(p.hash, true)
+	c.used += len(p.words)
 	for c.used > c.capacity {
 		c.evict()
 	}
@@ -73,7 +87,7 @@
 	p := el.Value.(prefix)
 	c.order.Remove(el)
 	delete(c.byHash, p.hash)
-	c.used -= p.tokens
+	c.used -= len(p.words)
 	c.tell(p.hash, false)
 }
 
--- a/figbed/internal/proc/build.go
+++ b/figbed/internal/proc/build.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	args := []string{"build", "-o", built.folder + "/"}
-	if raceEnabled {
+	if RaceEnabled {
 		args = append(args, "-race")
 	}
 	cmd := exec.Command("go", append(args, "./figd", "./figctl", "./figbed")...)
--- a/figbed/internal/proc/norace.go
+++ b/figbed/internal/proc/norace.go
@@ -2,4 +2,5 @@
 
 package proc
 
-const raceEnabled = false
+// RaceEnabled reports whether the test and the programs are built with the race detector.
+const RaceEnabled = false
--- a/figbed/proofs/policy_test.go
+++ b/figbed/proofs/policy_test.go
@@ -33,6 +33,7 @@
 		Overlay: overlay,
 		Site: func(s *config.Site) {
 			s.Limits.ConcurrencyPerNode = 4
+			s.Limits.QueuePerOrg = 200
 			for i := range fairOrganisations {
 				name := organisation(i)
 				s.Organisations[name] = config.Organisation{Name: name, Weight: 1}
