--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -25,6 +25,12 @@
 		AttemptDone{},
 		EndpointPolled{},
 		ListenerClosed{},
+		LotPacked{},
+		GroupScored{},
+		BlockLeft{},
+		BlockRead{},
+		EngineSwapped{},
+		EngineRead{},
 	}
 }
 
@@ -55,5 +61,7 @@
 		DrainBegun{},
 		DrainEnded{},
 		DrainEndpoint{},
+		SampleSent{},
+		VersionPublished{},
 	}
 }
--- a/internal/lots/advance.go
+++ b/internal/lots/advance.go
@@ -116,11 +116,19 @@
 	out.Raise(event.RequestArrived{
 		Request: p.request, Class: config.Rollout, Organisation: r.spec.Organisation, Model: r.spec.Model,
 		Path: wire.PathGenerate, Method: "POST",
-		Generation: true, Tokens: len(prompt)/bytesPerToken + r.spec.MaxTokens,
-		Deadline: now + sampleTimeout, Sample: &ref, Avoid: avoid,
+		Generation: true, Tokens: len(prompt)/bytesPerToken + r.spec.MaxTokens, Prefix: wire.PromptHead(prompt),
+		Deadline: now + sampleTimeout, Sample: &ref, Avoid: avoid, MinVersion: r.minVersion(),
 	})
 }
 
+// minVersion returns the oldest version that a sample may have, 0 for any.
+func (r *rollout) minVersion() uint64 {
+	if r.ledger.Newest <= uint64(r.spec.MaxStaleness) {
+		return 0
+	}
+	return r.ledger.Newest - uint64(r.spec.MaxStaleness)
+}
+
 // sent notes where a sample runs, for a hedge to go elsewhere.
 func (p *Part) sent(e event.SampleSent) {
 	ref, ok := p.requests[e.Request]
--- a/internal/lots/part.go
+++ b/internal/lots/part.go
@@ -15,9 +15,6 @@
 // Owner names the part in its calls.
 const Owner = "Rollouts"
 
-// firstRequest keeps the numbers of samples' requests apart from those of callers' requests.
-const firstRequest = uint64(1) << 62
-
 // Part keeps the rollouts whose duties this daemon holds. Its exported fields are set before the first step.
 type Part struct {
 	Host  string
@@ -31,6 +28,7 @@
 	perNode  int
 	stopping bool
 	probes   probes
+	leftover leftover
 }
 
 // Step takes one event. It must not be called concurrently.
@@ -72,6 +70,10 @@
 		p.withDuty(e.Duty, func(r *rollout) { p.asked(now, r, e, out) })
 	case event.SampleSent:
 		p.sent(e)
+	case event.BlockRead:
+		out.Raise(event.AnswerDuty{To: e.To, ID: e.ID, Kind: e.Kind, Body: e.Value})
+	case event.BlockLeft:
+		p.left(now, e)
 	case event.RequestDone:
 		p.done(now, e, out)
 	case event.LotPacked:
@@ -87,7 +89,7 @@
 	}
 	p.rollouts = map[string]*rollout{}
 	p.requests = map[uint64]event.SampleRef{}
-	p.request = firstRequest
+	p.request = event.FirstSampleRequest
 	p.perNode = config.Defaults().Limits.ConcurrencyPerNode
 }
 
@@ -154,6 +156,7 @@
 }
 
 func (p *Part) tick(now time.Duration, out *event.Batch) {
+	p.retryDeletes(now, out)
 	for _, name := range p.names {
 		p.advance(now, p.rollouts[name], out)
 	}
