proofs: usage windows and endpoint orders with real processes; fleet: an unsettled start is no surplus

An order whose answer was lost was counted beside the endpoint that it had started, and the surplus was stopped: the list shows the endpoint before the order is settled. Seen as order ids Fleet.a-1 to Fleet.a-3 in TestOrdersAnswersLost and in TestUnsettledStartIsNoSurplus with the guard out. proc: a settings file takes its name whole; a daemon had read an empty one.

--- a/figbed/internal/proc/cluster.go
+++ b/figbed/internal/proc/cluster.go
@@ -140,9 +140,13 @@
 	return s
 }
 
+// file writes a file whole before it takes its name, since a daemon may be reading the one before.
 func (c *Cluster) file(name, text string) string {
 	path := filepath.Join(c.folder, name)
-	if err := os.WriteFile(path, []byte(text+"\n"), 0o600); err != nil {
+	if err := os.WriteFile(path+".new", []byte(text+"\n"), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
 		c.t.Fatal(err)
 	}
 	return path
--- /dev/null
+++ b/figbed/proofs/usage_orders_test.go
@@ -0,0 +1,243 @@
+package proofs
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/fleet"
+	"github.com/figshift/figshift/internal/lease"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const (
+	fleetDuty  = fleet.DutyPrefix + "a"
+	fleetBound = 20 * time.Second
+)
+
+// newFleet starts three daemons and four spare engines of zone a, of which the site wants none yet.
+func newFleet(t *testing.T, live ...proc.Endpoint) *proc.Cluster {
+	t.Helper()
+	c := &proc.Cluster{
+		Daemons:  3,
+		Engines:  live,
+		Platform: []string{"--start-time", "300ms", "--stop-time", "1s"},
+		Site: func(s *config.Site) {
+			s.Lease = shortLease()
+			z := config.DefaultZone("a")
+			z.Model, z.StartTime, z.ScaleDownAfter = proc.Model, 500*time.Millisecond, 3*time.Second
+			z.OnDemandFloor = len(live)
+			s.Zones["a"] = z
+		},
+	}
+	for i := range 4 {
+		c.Engines = append(c.Engines, proc.Endpoint{Name: fmt.Sprintf("spare%d", i), Zone: "a", Args: []string{"--spare"}})
+	}
+	c.Start(t)
+	waitHolder(t, c, fleetDuty, "")
+	return c
+}
+
+func setFloor(c *proc.Cluster, n int) {
+	c.ApplyConfig(func(s *config.Site) {
+		z := s.Zones["a"]
+		z.OnDemandFloor = n
+		s.Zones["a"] = z
+	})
+}
+
+// listed returns the endpoints that the platform's list shows and that do not leave.
+func listed(t *testing.T, c *proc.Cluster) int {
+	t.Helper()
+	resp, err := http.Get(c.Store.URL() + wire.PathEndpoints)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var list wire.EndpointList
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, e := range list.Endpoints {
+		if e.State != wire.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func fleetLedger(t *testing.T, c *proc.Cluster) *fleet.Ledger {
+	t.Helper()
+	record, _ := dutyRecord(c, fleetDuty)
+	l, err := fleet.Decode(record.Ledger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// checkOrders fails the test when an order was sent under an older epoch than one before it, and returns the OrderIDs.
+func checkOrders(t *testing.T, orders []wire.EndpointOrder) map[string]int {
+	t.Helper()
+	ids := map[string]int{}
+	var epoch uint64
+	for _, o := range orders {
+		if o.Epoch < epoch {
+			t.Errorf("order %s of epoch %d after one of epoch %d", o.OrderID, o.Epoch, epoch)
+		}
+		epoch = max(epoch, o.Epoch)
+		ids[o.OrderID]++
+	}
+	return ids
+}
+
+// waitSettled waits until the list shows n endpoints and the ledger has no order left.
+func waitSettled(t *testing.T, c *proc.Cluster, n int) {
+	t.Helper()
+	proc.WaitUntil(t, fleetBound, fmt.Sprintf("%d endpoints and no order open", n), func() bool {
+		return listed(t, c) == n && len(fleetLedger(t, c).Orders) == 0
+	})
+}
+
+func TestOrdersAnswersLost(t *testing.T) {
+	c := newFleet(t)
+	c.SetFaults(wire.Faults{LoseAnswers: 3, LosePrefix: "order", ListLagMS: 1500})
+	setFloor(c, 1)
+	proc.WaitUntil(t, fleetBound, "the order is sent four times", func() bool { return len(c.Calls().Orders) >= 4 })
+	waitSettled(t, c, 1)
+	if ids := checkOrders(t, c.Calls().Orders); len(ids) != 1 {
+		t.Errorf("order ids %v, want one", ids)
+	}
+}
+
+// TestOrdersFrozenHolder stops the holder's process at each step of an order and wakes it when another one has
+// carried the order out.
+func TestOrdersFrozenHolder(t *testing.T) {
+	steps := map[string]struct {
+		faults wire.Faults
+		at     func(t *testing.T, c *proc.Cluster) bool
+		sent   bool // an order was sent before the freeze
+	}{
+		"BeforeIntent": {at: func(*testing.T, *proc.Cluster) bool { return true }},
+		"IntentWritten": {
+			faults: wire.Faults{LoseAnswers: 1000, LosePrefix: lease.Prefix + fleetDuty},
+			at: func(t *testing.T, c *proc.Cluster) bool {
+				return len(fleetLedger(t, c).Orders) > 0 && len(c.Calls().Orders) == 0
+			},
+		},
+		"OrderSent": {
+			faults: wire.Faults{LoseAnswers: 1000, LosePrefix: "order"},
+			at:     func(_ *testing.T, c *proc.Cluster) bool { return len(c.Calls().Orders) > 0 },
+			sent:   true,
+		},
+	}
+	for name, step := range steps {
+		t.Run(name, func(t *testing.T) {
+			c := newFleet(t)
+			holder := waitHolder(t, c, fleetDuty, "")
+			record, _ := dutyRecord(c, fleetDuty)
+			c.SetFaults(step.faults)
+			if name != "BeforeIntent" {
+				setFloor(c, 1)
+			}
+			proc.WaitUntil(t, fleetBound, name, func() bool { return step.at(t, c) })
+			holder.Signal(syscall.SIGSTOP)
+			if sent := len(c.Calls().Orders) > 0; sent != step.sent {
+				t.Fatalf("an order was sent before the freeze: %v, want %v", sent, step.sent)
+			}
+			c.SetFaults(wire.Faults{})
+			if name == "BeforeIntent" {
+				setFloor(c, 1)
+			}
+			waitHolder(t, c, fleetDuty, holder.Name)
+			waitSettled(t, c, 1)
+			before := len(c.Calls().Orders)
+			holder.Signal(syscall.SIGCONT)
+			proc.WaitUntil(t, fleetBound, "the woken daemon is ready", holder.Ready)
+			setFloor(c, 2)
+			waitSettled(t, c, 2)
+			orders := c.Calls().Orders
+			if ids := checkOrders(t, orders); len(ids) != 2 {
+				t.Errorf("order ids %v, want two", ids)
+			}
+			for _, o := range orders[before:] {
+				if o.Epoch <= record.Epoch {
+					t.Errorf("the woken holder sent %s of epoch %d", o.OrderID, o.Epoch)
+				}
+			}
+		})
+	}
+}
+
+// TestOrdersTwoWokenHolders freezes two holders in turn and wakes both when the third has ordered.
+func TestOrdersTwoWokenHolders(t *testing.T) {
+	c := newFleet(t)
+	first := waitHolder(t, c, fleetDuty, "")
+	c.SetFaults(wire.Faults{LoseAnswers: 1000, LosePrefix: lease.Prefix + fleetDuty})
+	setFloor(c, 1)
+	proc.WaitUntil(t, fleetBound, "the first holder's intent", func() bool { return len(fleetLedger(t, c).Orders) > 0 })
+	first.Signal(syscall.SIGSTOP)
+	c.SetFaults(wire.Faults{LoseAnswers: 1000, LosePrefix: "order"})
+	second := waitHolder(t, c, fleetDuty, first.Name)
+	proc.WaitUntil(t, fleetBound, "the second holder's order", func() bool { return len(c.Calls().Orders) > 0 })
+	second.Signal(syscall.SIGSTOP)
+	c.SetFaults(wire.Faults{})
+	var third lease.Record
+	proc.WaitUntil(t, fleetBound, "a third holder", func() bool {
+		third, _ = dutyRecord(c, fleetDuty)
+		return third.Holder != first.Name && third.Holder != second.Name
+	})
+	waitSettled(t, c, 1)
+	first.Signal(syscall.SIGCONT)
+	second.Signal(syscall.SIGCONT)
+	for _, h := range []*proc.Host{first, second} {
+		proc.WaitUntil(t, fleetBound, h.Name+" is ready", h.Ready)
+	}
+	setFloor(c, 2)
+	waitSettled(t, c, 2)
+	if ids := checkOrders(t, c.Calls().Orders); len(ids) != 2 {
+		t.Errorf("order ids %v, want two", ids)
+	}
+}
+
+// TestOrdersStopCutsNothing lowers the floor while both engines stream long answers.
+func TestOrdersStopCutsNothing(t *testing.T) {
+	slow := []string{"--request-rate", "40"}
+	c := newFleet(t, proc.Endpoint{Name: "e1", Zone: "a", Args: slow}, proc.Endpoint{Name: "e2", Zone: "a", Args: slow})
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Go(func() {
+			for seed := int64(1000 * i); ; seed++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := c.Hosts[i%3].Generate(c.Key("North"), wire.Generate{Prompt: fmt.Sprint("lookup ", seed), MaxTokens: 120, Seed: seed})
+				if !a.Whole() {
+					t.Errorf("request %d is not whole: status %d, %v, %.200s", seed, a.Status, a.Err, a.Body)
+				}
+			}
+		})
+	}
+	setFloor(c, 1)
+	stopped := proc.Within(2*fleetBound, func() bool {
+		return len(c.Calls().Orders) > 0 && listed(t, c) == 1 && len(fleetLedger(t, c).Orders) == 0
+	})
+	close(stop)
+	group.Wait()
+	if !stopped {
+		t.Fatalf("no endpoint was stopped: orders %+v", c.Calls().Orders)
+	}
+	if o := c.Calls().Orders[0]; o.Action != fleet.Stop {
+		t.Errorf("the order is %+v, want a stop", o)
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -162,6 +162,25 @@
 	c.want("Fleet.z1-1 Start OnDemand")
 }
 
+func TestUnsettledStartIsNoSurplus(t *testing.T) {
+	b := newBench(t, testSite())
+	b.run(3*second, 0, 0)
+	b.answer(wire.OrderReply{}, kinds.OutcomeUnknown)
+	b.step(event.EndpointsListed{List: wire.EndpointList{Revision: 11, Endpoints: []wire.Endpoint{engine("e1", "i1", wire.OnDemand)}}})
+	b.run(20*second, 0, 0)
+	for _, o := range b.orders {
+		if o.Order.OrderID != "Fleet.z1-1" {
+			t.Errorf("order %+v, want only the first one again", o.Order)
+		}
+	}
+	b.answer(wire.OrderReply{Accepted: true, Endpoint: "e1"}, "")
+	n := len(b.orders)
+	b.run(20*second, 0, 0)
+	if len(b.orders) != n || len(b.drains) > 0 {
+		t.Errorf("orders %v and drains %v after the answer", b.ids()[n:], b.drains)
+	}
+}
+
 func TestLaggingListIsOlderThanTheOrder(t *testing.T) {
 	old := engine("e1", "i1", wire.OnDemand)
 	old.State = wire.Leaving
--- a/internal/fleet/zone.go
+++ b/internal/fleet/zone.go
@@ -180,9 +180,13 @@
 	out.Emit(event.Count{Name: "EndpointOrders", Tags: []event.Field{{Key: "Action", Value: o.Action}, {Key: "Price", Value: string(o.Price)}}, N: 1})
 }
 
-// stopOne chooses one endpoint to drain, the least loaded, while no other of the zone drains.
+// stopOne chooses one endpoint to drain, the least loaded, while no other of the zone drains. It waits for the starts
+// of the price to be settled: the list may show an endpoint whose order is still counted beside it.
 func (z *zone) stopOne(now time.Duration, price wire.Price, p *Part, out *event.Batch) {
-	if slices.ContainsFunc(z.ledger.Orders, func(o Order) bool { return o.Action == Stop && o.State != Accepted }) {
+	unsettled := func(o Order) bool {
+		return o.Action == Stop && o.State != Accepted || o.Action == Start && o.Price == price
+	}
+	if slices.ContainsFunc(z.ledger.Orders, unsettled) {
 		return
 	}
 	settings := p.site.Zones[z.name]
