--- a/internal/block/store.go
+++ b/internal/block/store.go
@@ -172,7 +172,7 @@
 // serve answers a peer with a block of the cache or the store.
 func (s *Store) serve(ctx context.Context, e event.ServeBlock) {
 	value, err := s.Read(ctx, e.Name)
-	s.Post(event.AnswerDuty{To: e.To, ID: e.ID, Kind: kinds.From(err), Body: value})
+	s.Post(event.BlockRead{To: e.To, ID: e.ID, Kind: kinds.From(err), Value: value})
 }
 
 // Read returns a block's value from the cache or the store. It may be called concurrently.
