--- a/figbed/proofs/rollouts_rig_test.go
+++ b/figbed/proofs/rollouts_rig_test.go
@@ -41,6 +41,13 @@
 // rolloutCluster runs daemons and two engines, and creates the rollout.
 func rolloutCluster(t *testing.T, daemons int, spec wire.RolloutSpec, engine ...string) *proc.Cluster {
 	t.Helper()
+	c := newRolloutCluster(daemons, spec, engine...)
+	c.Start(t)
+	c.CreateRollout(spec)
+	return c
+}
+
+func newRolloutCluster(daemons int, spec wire.RolloutSpec, engine ...string) *proc.Cluster {
 	c := &proc.Cluster{
 		Daemons: daemons,
 		Engines: []proc.Endpoint{{Name: "e1", Zone: "a", Args: engine}, {Name: "e2", Zone: "b", Args: engine}},
@@ -48,8 +55,6 @@
 	if spec.Scorer != "" {
 		c.Scorers = []proc.Endpoint{{Name: "s1", Zone: "a", Service: spec.Scorer}}
 	}
-	c.Start(t)
-	c.CreateRollout(spec)
 	return c
 }
 
