--- a/figbed/proofs/policy_test.go
+++ b/figbed/proofs/policy_test.go
@@ -71,8 +71,8 @@
 	return report
 }
 
-// others returns the greatest p99 and the least share of answered requests among the organisations but the first.
-func others(r loadr.Report) (p99, answered float64) {
+// worstOther returns the greatest p99 and the least share of answered requests among the organisations but the first.
+func worstOther(r loadr.Report) (p99, answered float64) {
 	answered = 1
 	for _, result := range r.Results[1:] {
 		p99 = max(p99, result.P99)
@@ -93,9 +93,9 @@
 
 func TestPolicyFairQueueUnderFlood(t *testing.T) {
 	const demand, flood = 0.7 * fairPart, 10 * fairPart
-	calm, _ := others(fairRun(t, "", demand, demand))
-	p99, answered := others(fairRun(t, "", demand, flood))
-	fifo, fifoAnswered := others(fairRun(t, "QueuePolicy = Fifo\n", demand, flood))
+	calm, _ := worstOther(fairRun(t, "", demand, demand))
+	p99, answered := worstOther(fairRun(t, "", demand, flood))
+	fifo, fifoAnswered := worstOther(fairRun(t, "QueuePolicy = Fifo\n", demand, flood))
 	t.Logf("Policy=Fair Unflooded.P99=%.1f Flooded.P99=%.1f Ratio=%.2f Answered=%.3f Fifo.P99=%.1f Fifo.Ratio=%.2f Fifo.Answered=%.3f",
 		calm, p99, p99/calm, answered, fifo, fifo/calm, fifoAnswered)
 	if p99 > mostSlowdown*calm {
