--- a/figbed/proofs/usage_test.go
+++ b/figbed/proofs/usage_test.go
@@ -261,10 +261,10 @@
 	sender := m.other(holder)
 	window := untilShortlyBefore(usageWindow*9/10) + 1
 	m.spend(sender, 4)
-	close := time.Unix(0, int64(window+1)*int64(usageWindow)).Add(usageGrace)
-	sleepUntil(close.Add(-usageFlush))
+	closes := time.Unix(0, int64(window+1)*int64(usageWindow)).Add(usageGrace)
+	sleepUntil(closes.Add(-usageFlush))
 	m.SetFaults(wire.Faults{Outage: true})
-	sleepUntil(close.Add(600 * time.Millisecond))
+	sleepUntil(closes.Add(600 * time.Millisecond))
 	holder.Kill()
 	m.SetFaults(wire.Faults{})
 	m.waitHolder(holder.Name)
