--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -21,13 +21,14 @@
 	Tokens  int    // their estimated tokens
 	Version uint64 // true weight version, 0 when it is not known
 
-	load     int // reported tokens
-	loadAt   time.Duration
-	failures int
-	openAt   time.Duration // time at which an ejected endpoint gets one trial
-	trial    bool
-	listed   bool
-	missing  time.Duration // time since which the list lacks it
+	load      int // reported tokens
+	loadAt    time.Duration
+	versionAt time.Duration
+	failures  int
+	openAt    time.Duration // time at which an ejected endpoint gets one trial
+	trial     bool
+	listed    bool
+	missing   time.Duration // time since which the list lacks it
 }
 
 // Key returns the endpoint's name.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -117,6 +117,21 @@
 	}
 }
 
+func TestVersionIsKnownBesideNewerLoad(t *testing.T) {
+	var table Table
+	table.List(0, []wire.Endpoint{live("a", "z", wire.Cheap)})
+	report := func(now time.Duration, version uint64, age int64) {
+		table.Report(now, wire.LoadReport{Endpoint: "a", Incarnation: "1", Version: version, Tokens: int(version), AgeMS: age})
+	}
+	report(10*time.Second, 0, 0)
+	report(11*time.Second, 5, 2000)
+	report(12*time.Second, 4, 5000)
+	e := table.endpoints["a"]
+	if diff := cmp.Diff([]int{5, 0}, []int{int(e.Version), e.Load()}); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // fixed is a candidate with a set amount of work.
 type fixed struct {
 	name string
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -124,16 +124,18 @@
 	return ids
 }
 
-// Report takes a load report; one that is older than the last is dropped.
+// Report takes a load report. What it tells of the load or the version is dropped when newer is known of that.
 func (t *Table) Report(now time.Duration, r wire.LoadReport) {
 	e, ok := t.endpoints[r.Endpoint]
 	at := now - time.Duration(r.AgeMS)*time.Millisecond
-	if !ok || e.Incarnation != r.Incarnation || at < e.loadAt {
+	if !ok || e.Incarnation != r.Incarnation {
 		return
 	}
-	e.load, e.loadAt = r.Tokens, at
-	if r.Version != 0 {
-		e.Version = r.Version
+	if at >= e.loadAt {
+		e.load, e.loadAt = r.Tokens, at
+	}
+	if r.Version != 0 && at >= e.versionAt {
+		e.Version, e.versionAt = r.Version, at
 	}
 }
 
--- /dev/null
+++ b/internal/serve/overhead_test.go
@@ -0,0 +1,58 @@
+package serve
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// BenchmarkLookup compares a short lookup through the daemon's request area with one straight at the endpoint.
+func BenchmarkLookup(b *testing.B) {
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, "found")
+	}
+	e := service(b, "a", answer)
+	g := newRig(b, e)
+	for name, url := range map[string]string{"direct": "http://" + e.Address, "through": g.url} {
+		b.Run(name, func(b *testing.B) { lookUp(b, url+"/lookup") })
+	}
+}
+
+// BenchmarkGeneration does the same with a stream of 32 segments.
+func BenchmarkGeneration(b *testing.B) {
+	const segments = 32
+	e := engine(b, "a", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		writeSegments(w, 0, segments, 1)
+		_, _ = fmt.Fprintln(w, `{"Done":true}`)
+	})
+	g := newRig(b, e)
+	for name, url := range map[string]string{"direct": "http://" + e.Address + wire.PathGenerate, "through": g.url + "/draft"} {
+		b.Run(name, func(b *testing.B) { lookUp(b, url) })
+	}
+}
+
+func lookUp(b *testing.B, url string) {
+	b.Helper()
+	for b.Loop() {
+		req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(`{"Prompt":"p","MaxTokens":32}`))
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Header.Set("X-Api-Key", testKey)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || resp.StatusCode != http.StatusOK {
+			b.Fatal(resp.Status, err)
+		}
+	}
+}
