flow, admit: what cannot make its deadline is refused at once, from the pace of the pool's answers

The drain rate took two seconds to be known, and a request that left the queue late was started and then cut. The pace (mean cost and time of an answer, by pool and class, times the slots) is known from the first answer on and forgotten 5 s after the last, so that a wrong one cannot refuse for ever; it is asked at arrival and before a start. An organisation that comes back starts where the one in service started, not where that will end (start-time fair queueing); TestReturnPaysNothingAndSavesNothing has the one item more that this gives it, 11 to 9 for 10 to 10.

--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -20,7 +20,7 @@
 
 	flows   []*flow[T] // those with items
 	tenants map[tenant]*account
-	clock   map[config.Class]float64 // served tokens per weight at the last pop
+	clock   map[config.Class]float64 // served tokens per weight before the last pop, of the flow that it took from
 	credit  map[config.Class]float64
 	count   map[string]int
 	all     int
@@ -142,8 +142,8 @@
 
 func (q *Fair[T]) take(f *flow[T]) Item[T] {
 	item := f.items[0]
-	q.charge(f.tenant, float64(item.Cost))
 	q.clock[f.class] = max(q.clock[f.class], q.tenants[f.tenant].served)
+	q.charge(f.tenant, float64(item.Cost))
 	q.grant(f.class, float64(item.Cost))
 	q.removeAt(f, 0)
 	return item
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -140,7 +140,7 @@
 		p.demand.miss(now, r)
 		return kinds.NoEndpoint
 	}
-	if now+p.rate(now, r.pool).Wait(p.Queue.Ahead(r.item)) > r.deadline {
+	if p.late(now, r, p.wait(now, r)) {
 		return kinds.DeadlineTooShort
 	}
 	return p.makeRoom(now, r, out)
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -30,6 +30,11 @@
 		}
 		r := p.requests[item.Value]
 		p.waiting[r.pool]--
+		if r.tries == 0 && p.late(now, r, 0) {
+			p.Queue.Correct(r.item, 0)
+			p.finish(now, r, kinds.DeadlineTooShort, out)
+			continue
+		}
 		p.start(now, r, found, out)
 	}
 }
@@ -67,7 +72,7 @@
 	p.table.Start(e, r.item.Cost)
 	r.attempt, r.phase = p.attempts, connecting
 	r.tries++
-	r.charged = true
+	r.sentAt, r.charged = now, true
 	r.endpoint, r.incarnation, r.price = e.Name, e.Incarnation, string(e.Price)
 	out.Emit(event.StartAttempt{
 		Request:      r.id(),
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -96,10 +96,10 @@
 		cost = 0
 	}
 	p.Queue.Correct(r.item, cost)
-	p.rate(now, r.pool).Done(cost)
 	p.ledger.Serve(r.organisation, r.class, uint64(cost))
 	if kind == "" {
 		p.budget.Served(r.route.Name)
+		p.pace(r).Done(now, r.item.Cost, now-r.sentAt)
 	}
 }
 
@@ -131,7 +131,7 @@
 	if !kinds.Of(kind).RetryAfter {
 		return 0
 	}
-	return max(leastRetryIn, p.rate(now, r.pool).Wait(p.Queue.Ahead(r.item)))
+	return max(leastRetryIn, p.wait(now, r))
 }
 
 // giveUp ends a request that nobody waits for.
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -33,7 +33,7 @@
 	table    route.Table
 	budget   retry.Budget
 	ledger   admit.Ledger
-	rates    map[string]*admit.Rate
+	paces    map[string]*admit.Pace // by pool and class
 	requests map[uint64]*request
 	waiting  map[string]int // queued requests by pool
 	backing  int            // requests that wait for another attempt; they count towards the queue limit
@@ -115,7 +115,7 @@
 		return
 	}
 	p.requests = map[uint64]*request{}
-	p.rates = map[string]*admit.Rate{}
+	p.paces = map[string]*admit.Pace{}
 	p.waiting = map[string]int{}
 	p.refused = map[string]map[kinds.Kind]uint64{}
 	p.polls.host, p.polls.lost = p.Host, map[string]bool{}
@@ -155,24 +155,12 @@
 func (p *Part) tick(now time.Duration, out *event.Batch) {
 	p.checkTrust(now, out)
 	p.fire(now, out)
-	for pool, r := range p.rates {
-		r.Tick(now, p.waiting[pool] > 0)
-	}
 	p.polls.tick(now, &p.table, out)
 	p.demand.tick(now, p, out)
 	p.dispatch(now, out)
 	p.drain.tick(now, len(p.requests), out)
 }
 
-func (p *Part) rate(now time.Duration, pool string) *admit.Rate {
-	r, ok := p.rates[pool]
-	if !ok {
-		r = &admit.Rate{Since: now}
-		p.rates[pool] = r
-	}
-	return r
-}
-
 func (p *Part) list(now time.Duration, list wire.EndpointList, out *event.Batch) {
 	p.table.List(now, list.Endpoints)
 	for _, e := range list.Endpoints {
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -35,6 +35,7 @@
 
 	attempt     uint64
 	tries       int
+	sentAt      time.Duration
 	charged     bool // the queue counts its cost as served
 	endpoint    string
 	incarnation string
--- a/internal/route/want.go
+++ b/internal/route/want.go
@@ -29,6 +29,17 @@
 	})
 }
 
+// Slots returns how many attempts the pool can run at time now when each endpoint runs up to limit.
+func (t *Table) Slots(now time.Duration, pool string, limit int) int {
+	slots := 0
+	for _, e := range t.pools[pool] {
+		if e.listed && t.State(e) == wire.Live && !e.Ejected(now) {
+			slots += limit
+		}
+	}
+	return slots
+}
+
 // Candidates returns the endpoints that may take the request now, narrowed to the preferred ones.
 func (t *Table) Candidates(now time.Duration, w Want) []*Endpoint {
 	var cs []*Endpoint
