figbed: the old configuration is offered under newer revisions

With older objects taken, the former test passed: a store whose revision is lower than the known one is not read at all.

--- a/figbed/proofs/authority_config_test.go
+++ b/figbed/proofs/authority_config_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -97,7 +98,8 @@
 	stop()
 }
 
-// The platform comes back with an old state: what it shows never takes effect.
+// The platform comes back with an old state under revisions that go on rising: the old configuration never takes
+// effect, a newer one does.
 func TestOldObjectAfterNew(t *testing.T) {
 	c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 	c.Start(t)
@@ -109,10 +111,14 @@
 	listen := c.Store.Listen
 	c.Store.Kill()
 	c.Store = proc.StartStandIn(t, "old platform", "platform", "--listen", listen)
+	for i := range 50 { // the store's revision passes what the daemons know
+		c.Put(fmt.Sprintf("Other/%d", i), i)
+	}
 	c.Put("Config/Site", &first)
 	time.Sleep(2 * statedBound) // the old state is offered all the time
-	stop()
 	inForce(t, c.Hosts, revision)
+	inForce(t, c.Hosts, c.ApplyConfig(changeTimeout))
+	stop()
 	for _, h := range c.Hosts {
 		if diff := cmp.Diff(true, h.Ready()); diff != "" {
 			t.Errorf("readiness of %s (-want +got):\n%s", h.Name, diff)
