--- a/figbed/proofs/authority_config_test.go
+++ b/figbed/proofs/authority_config_test.go
@@ -55,7 +55,7 @@
 		mend  func(c *proc.Cluster, last *proc.Host)
 	}{
 		"store slow": {
-			fault: func(c *proc.Cluster, _ *proc.Host) { c.SetFaults(wire.Faults{SlowMS: 1000}) },
+			fault: func(c *proc.Cluster, _ *proc.Host) { c.SetFaults(wire.Faults{SlowMS: 2500}) },
 			mend:  func(c *proc.Cluster, _ *proc.Host) { c.SetFaults(wire.Faults{}) },
 		},
 		"host cut from the store": {
--- a/internal/objapi/executor.go
+++ b/internal/objapi/executor.go
@@ -17,6 +17,7 @@
 	callBurst      = 100
 	queueSize      = 4096
 	callTimeout    = 2 * time.Second
+	readTimeout    = 10 * time.Second // of lists and watches, whose answers are dated by their sending
 )
 
 // Executor carries out the effects on the object API: urgent calls first, all within a token bucket.
@@ -26,7 +27,7 @@
 	Post    func(event.Event) bool
 	Now     func() time.Duration // monotonic, on the reducer's clock
 	Scope   tally.Scope
-	Timeout time.Duration // of one call, beside the wait of a watch; 0 for the default
+	Timeout time.Duration // of one get, put or delete; 0 for the default
 
 	urgent  chan call
 	normal  chan call
@@ -35,10 +36,10 @@
 
 // call is one effect made ready: run performs it, refuse reports that it was never sent.
 type call struct {
-	kind   string
-	wait   time.Duration // added to the timeout
-	run    func(ctx context.Context) event.Event
-	refuse event.Event
+	kind    string
+	timeout time.Duration
+	run     func(ctx context.Context) event.Event
+	refuse  event.Event
 }
 
 // Prepare makes the queues; it is called once before Do and Run.
@@ -101,7 +102,7 @@
 }
 
 func (x *Executor) carryOut(ctx context.Context, c call) {
-	ctx, cancel := context.WithTimeout(ctx, x.Timeout+c.wait)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	x.Post(c.run(ctx))
 }
@@ -142,7 +143,8 @@
 
 func (x *Executor) get(e event.GetObject) call {
 	return call{
-		kind: "get",
+		kind:    "get",
+		timeout: x.Timeout,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
 			object, err := x.Client.Get(ctx, e.Name)
@@ -155,7 +157,8 @@
 func (x *Executor) put(e event.PutObject) call {
 	put := wire.ObjectPut{Name: e.Name, Version: e.Version, Writer: e.Writer, Value: e.Value}
 	return call{
-		kind: "put",
+		kind:    "put",
+		timeout: x.Timeout,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
 			if e.Before != 0 && sent >= e.Before {
@@ -171,7 +174,8 @@
 
 func (x *Executor) remove(e event.DeleteObject) call {
 	return call{
-		kind: "delete",
+		kind:    "delete",
+		timeout: x.Timeout,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
 			err := x.Client.Delete(ctx, e.Name, e.Version)
@@ -183,7 +187,8 @@
 
 func (x *Executor) list(e event.ListObjects) call {
 	return call{
-		kind: "list",
+		kind:    "list",
+		timeout: readTimeout,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
 			list, err := x.Client.List(ctx, e.Prefix)
@@ -195,8 +200,8 @@
 
 func (x *Executor) watch(e event.WatchObjects) call {
 	return call{
-		kind: "watch",
-		wait: e.Wait,
+		kind:    "watch",
+		timeout: readTimeout + e.Wait,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
 			list, err := x.Client.Watch(ctx, e.Prefix, e.After, e.Wait)
@@ -208,7 +213,8 @@
 
 func (x *Executor) endpoints(e event.ListEndpoints) call {
 	return call{
-		kind: "endpoints",
+		kind:    "endpoints",
+		timeout: readTimeout,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
 			list, err := x.Client.Endpoints(ctx)
