--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,100 @@
+package keys_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// memory is a store that loses answers and lets others write in between.
+type memory struct {
+	objects  map[string]wire.Object
+	revision uint64
+	lose     int
+	conflict int
+}
+
+// Get implements keys.Store.
+func (m *memory) Get(_ context.Context, name string) (wire.Object, error) {
+	o, ok := m.objects[name]
+	if !ok {
+		return o, kinds.New(kinds.NotFound, "%s", name)
+	}
+	return o, nil
+}
+
+// Put implements keys.Store.
+func (m *memory) Put(_ context.Context, put wire.ObjectPut) (wire.Object, error) {
+	if m.conflict > 0 {
+		m.conflict--
+		return wire.Object{}, kinds.New(kinds.Conflict, "%s", put.Name)
+	}
+	if put.Version != m.objects[put.Name].Version {
+		return wire.Object{}, kinds.New(kinds.Conflict, "%s", put.Name)
+	}
+	m.revision++
+	o := wire.Object{Name: put.Name, Version: put.Version + 1, Revision: m.revision, Writer: put.Writer, Value: put.Value}
+	m.objects[put.Name] = o
+	if m.lose > 0 {
+		m.lose--
+		return wire.Object{}, kinds.New(kinds.StoreUnavailable, "lost")
+	}
+	return o, nil
+}
+
+func TestGiveAndWithdraw(t *testing.T) {
+	cases := map[string]struct {
+		store memory
+		kind  kinds.Kind
+	}{
+		"plain":           {},
+		"answers lost":    {store: memory{lose: 2}},
+		"two conflicts":   {store: memory{conflict: 2}},
+		"always conflict": {store: memory{conflict: 100}, kind: kinds.Conflict},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			store := &test.store
+			store.objects = map[string]wire.Object{}
+			ctx := context.Background()
+			key, given, err := keys.Give(ctx, store, "North")
+			if diff := cmp.Diff(test.kind, kinds.From(err)); diff != "" {
+				t.Fatalf("kind (-want +got):\n%s", diff)
+			}
+			if err != nil {
+				return
+			}
+			withdrawn, err := keys.Withdraw(ctx, store, keys.Hash(key))
+			again, _ := keys.Withdraw(ctx, store, keys.Hash(key))
+			got := []any{err, given.Hash, given.Revision, withdrawn.Revision, again.Revision}
+			if diff := cmp.Diff([]any{nil, keys.Hash(key), uint64(1), uint64(2), uint64(2)}, got); diff != "" {
+				t.Errorf("error, hash and revisions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestWithdrawUnknown(t *testing.T) {
+	store := &memory{objects: map[string]wire.Object{}}
+	for _, hash := range []string{"", "x", keys.Hash("never given")} {
+		_, err := keys.Withdraw(context.Background(), store, hash)
+		if diff := cmp.Diff(kinds.NotFound, kinds.From(err)); diff != "" {
+			t.Errorf("hash %q (-want +got):\n%s", hash, diff)
+		}
+	}
+}
+
+func ExampleTable_SetShard() {
+	hash := keys.Hash("secret")
+	table := &keys.Table{}
+	table.SetShard(keys.ShardOf(hash), keys.Shard{Keys: map[string]keys.Entry{hash: {Organisation: "North", State: keys.Active}}})
+	entry, ok := table.Lookup(hash)
+	fmt.Println(entry.Organisation, entry.State, ok)
+	// Output: North Active true
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,176 @@
+package member
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const testDuty = "Usage"
+
+func host(i int) event.Host {
+	name := fmt.Sprintf("h%d", i)
+	return event.Host{Name: name, Zone: "a", Address: name + ":1", Incarnation: name + "-1"}
+}
+
+// newPart returns the part of host 0 that knows n hosts and hears all of them.
+func newPart(n int) *Part {
+	p := &Part{Self: host(0)}
+	for i := 1; i < n; i++ {
+		value, _ := json.Marshal(host(i))
+		p.Step(0, event.ObjectSeen{Object: wire.Object{Name: Prefix + host(i).Name, Value: value}}, &event.Batch{})
+		up := event.PeerUp{Host: host(i).Name, Incarnation: host(i).Incarnation, Zone: "a", Address: host(i).Address}
+		p.Step(0, up, &event.Batch{})
+	}
+	return p
+}
+
+func (p *Part) hear(now time.Duration, i int, beat wire.Beat) event.Batch {
+	var out event.Batch
+	received := event.PeerReceived{Host: host(i).Name, Incarnation: host(i).Incarnation, Message: wire.Message{Beat: &beat}}
+	p.Step(now, received, &out)
+	return out
+}
+
+func TestAnchor(t *testing.T) {
+	own := host(0).Incarnation
+	cases := map[string]struct {
+		echo        uint64
+		incarnation string
+		anchor      time.Duration
+		anchored    bool
+	}{
+		"answers the last beat":         {echo: 3, incarnation: own, anchor: 2 * time.Second, anchored: true},
+		"answers an earlier beat":       {echo: 2, incarnation: own, anchor: time.Second, anchored: true},
+		"answers none":                  {},
+		"answers a former incarnation":  {echo: 3, incarnation: "h0-0"},
+		"answers a beat not yet sent":   {echo: 4, incarnation: own},
+		"answers the first beat at all": {echo: 1, incarnation: own, anchored: true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newPart(2)
+			for second := range 3 {
+				p.Step(time.Duration(second)*time.Second, event.Tick{}, &event.Batch{})
+			}
+			out := p.hear(time.Minute, 1, wire.Beat{Seq: 1, Echo: test.echo, EchoIncarnation: test.incarnation})
+			seen, _ := out.Raised[0].(event.BeatSeen)
+			if diff := cmp.Diff([]any{test.anchor, test.anchored}, []any{seen.Anchor, seen.Anchored}); diff != "" {
+				t.Errorf("anchor (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestAsk(t *testing.T) {
+	cases := map[string]struct {
+		holder int // -1 for none
+		then   func(p *Part, id uint64, out *event.Batch)
+		want   []event.AskDone
+	}{
+		"nobody holds it": {holder: -1, want: []event.AskDone{{Owner: "o", Seq: 7, Kind: kinds.NotHolder}}},
+		"answered by a peer": {
+			holder: 1,
+			then: func(p *Part, id uint64, out *event.Batch) {
+				reply := &wire.Reply{ID: id, Body: []byte("yes")}
+				p.Step(time.Second, event.PeerReceived{Host: "h1", Incarnation: "h1-1", Message: wire.Message{Reply: reply}}, out)
+				p.Step(time.Second, event.PeerReceived{Host: "h1", Incarnation: "h1-1", Message: wire.Message{Reply: reply}}, out)
+			},
+			want: []event.AskDone{{Owner: "o", Seq: 7, Body: []byte("yes")}},
+		},
+		"answered by another peer": {
+			holder: 1,
+			then: func(p *Part, id uint64, out *event.Batch) {
+				p.Step(time.Second, event.PeerReceived{Host: "h2", Incarnation: "h2-1", Message: wire.Message{Reply: &wire.Reply{ID: id}}}, out)
+			},
+		},
+		"answered here": {
+			holder: 0,
+			then: func(p *Part, id uint64, out *event.Batch) {
+				p.Step(time.Second, event.AnswerDuty{To: "h0", ID: id, Kind: kinds.BadCursor}, out)
+			},
+			want: []event.AskDone{{Owner: "o", Seq: 7, Kind: kinds.BadCursor}},
+		},
+		"deadline passes": {
+			holder: 1,
+			then:   func(p *Part, _ uint64, out *event.Batch) { p.Step(time.Minute, event.Tick{}, out) },
+			want:   []event.AskDone{{Owner: "o", Seq: 7, Kind: kinds.OutcomeUnknown}},
+		},
+		"holder is lost": {
+			holder: 1,
+			then:   func(p *Part, _ uint64, out *event.Batch) { p.Step(3*time.Second, event.Tick{}, out) },
+			want:   []event.AskDone{{Owner: "o", Seq: 7, Kind: kinds.OutcomeUnknown}},
+		},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newPart(3)
+			switch test.holder {
+			case 0:
+				p.Step(0, event.DutyGained{Duty: testDuty, Epoch: 4}, &event.Batch{})
+			case 1:
+				p.hear(0, 1, wire.Beat{Seq: 1, Duties: []wire.DutyHeld{{Duty: testDuty, Epoch: 4}}})
+			}
+			var out event.Batch
+			p.Step(0, event.AskDuty{Owner: "o", Seq: 7, Duty: testDuty, Call: "c", Deadline: 10 * time.Second}, &out)
+			if test.then != nil {
+				test.then(p, p.asks.base+p.asks.last, &out)
+			}
+			var done []event.AskDone
+			for _, effect := range out.Effects {
+				if d, ok := effect.(event.AskDone); ok {
+					done = append(done, d)
+				}
+			}
+			if diff := cmp.Diff(test.want, done); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestPicks(t *testing.T) {
+	cases := map[string]struct{ hosts, least, most int }{
+		"small fleet": {hosts: 16, least: 15, most: 15},
+		"large fleet": {hosts: 100, least: 6, most: 8},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			picked := len(newPart(test.hosts).picks())
+			if picked < test.least || picked > test.most {
+				t.Errorf("%d hosts picked, want %d to %d", picked, test.least, test.most)
+			}
+		})
+	}
+}
+
+func TestHostLost(t *testing.T) {
+	p := newPart(3)
+	p.hear(time.Second, 1, wire.Beat{Seq: 1})
+	p.hear(0, 2, wire.Beat{Seq: 1})
+	var out event.Batch
+	p.Step(2500*time.Millisecond, event.Tick{}, &out)
+	var lost []string
+	for _, ev := range out.Raised {
+		if l, ok := ev.(event.HostLost); ok {
+			lost = append(lost, l.Host)
+		}
+	}
+	if diff := cmp.Diff([]string{"h2"}, lost); diff != "" {
+		t.Errorf("lost hosts (-want +got):\n%s", diff)
+	}
+	var alive []string
+	for _, h := range p.Alive(2500 * time.Millisecond) {
+		alive = append(alive, h.Name)
+	}
+	if diff := cmp.Diff([]string{"h0", "h1"}, alive); diff != "" {
+		t.Errorf("alive hosts (-want +got):\n%s", diff)
+	}
+}
