member, trust, watch: admission of new hosts, deletion of hosts that are gone

A majority of the known hosts is no proof when the list itself can change: three hosts of which two are cut off could go on as a majority of three while four new hosts acknowledge a withdrawal as a majority of seven. New hosts now count only once a majority of those that count knows of them, beats tell the revision of the host list, and a peer that knows a newer list proves nothing until that list is known here. What stays open: the first hosts of a new store admit themselves, and two that do so at the same moment may miss each other.

--- a/internal/apply/wait.go
+++ b/internal/apply/wait.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -64,7 +66,7 @@
 	}
 }
 
-// hostNames returns nil while the store does not answer.
+// hostNames returns the admitted hosts, whose majorities count, and nil while the store does not answer.
 func hostNames(ctx context.Context, store Store) []string {
 	list, err := store.List(ctx, HostsPrefix)
 	if err != nil {
@@ -72,7 +74,8 @@
 	}
 	var names []string
 	for _, o := range list.Objects {
-		if !o.Deleted {
+		var host event.Host
+		if !o.Deleted && json.Unmarshal(o.Value, &host) == nil && host.Admitted {
 			names = append(names, strings.TrimPrefix(o.Name, HostsPrefix))
 		}
 	}
--- a/internal/event/peer.go
+++ b/internal/event/peer.go
@@ -7,12 +7,15 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// Host is one daemon's host as its Hosts object tells.
+// Host is one daemon's host as its Hosts object tells. Only admitted hosts count for majorities: a new host is
+// admitted when a majority of those that are knows of it, so that a part of the fleet that is cut off can't go on
+// as a majority of an outdated list.
 type Host struct {
 	Name        string
 	Zone        string
 	Address     string // of the peer listener, host:port
 	Incarnation string
+	Admitted    bool
 }
 
 // ConnectPeers gives the hosts to keep connections to; the others are closed.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -46,6 +46,12 @@
 	round    uint64       // number of the last beat
 	nextBeat time.Duration
 	sent     [sentRounds]time.Duration
+
+	ownRevision uint64                   // of this host's object as written by this process, 0 before
+	versions    map[string]uint64        // of the other hosts' objects
+	silent      map[string]time.Duration // time since which a known host is silent
+	nextForget  time.Duration
+	forgetSeq   uint64
 }
 
 // peer is what this daemon knows of another from its frames.
@@ -105,12 +111,16 @@
 	p.peers = map[string]*peer{}
 	p.held = map[string]uint64{}
 	p.asks = asks{base: xxhash.Sum64String(p.Self.Incarnation), pending: map[uint64]pendingAsk{}}
+	p.versions = map[string]uint64{}
+	p.silent = map[string]time.Duration{}
 	p.nextBeat = now
 	out.Raise(event.HostsChanged{Hosts: p.Known()})
 }
 
 func (p *Part) tick(now time.Duration, out *event.Batch) {
+	p.seekAdmission(now)
 	p.register.tick(now, p.Self, out)
+	p.forget(now, out)
 	p.markLost(now, out)
 	p.expireAsks(now, out)
 	if now >= p.nextBeat {
@@ -139,10 +149,14 @@
 		return
 	}
 	host, ok := decodeHost(object)
-	if !ok || name == p.Self.Name {
-		delete(p.hosts, name)
-	} else {
+	switch {
+	case name == p.Self.Name:
+		p.seeSelf(object)
+	case ok:
 		p.hosts[name] = host
+		p.versions[name] = object.Version
+	default:
+		delete(p.hosts, name)
 	}
 	p.connect(now, out)
 	out.Raise(event.HostsChanged{Hosts: p.Known()})
--- a/internal/member/register.go
+++ b/internal/member/register.go
@@ -14,12 +14,14 @@
 	registerRetry = 500 * time.Millisecond
 )
 
-// register writes this host's object once for each start: it reads the object, then replaces it.
+// register writes this host's object, once for each start and once more when it is admitted: it reads the object,
+// then replaces it.
 type register struct {
-	written bool
+	written bool // the object is as wanted
+	admit   bool // the object is to say that the host is admitted
 	busy    bool
-	seq     uint64
 	writes  bool // the call under way is the write
+	seq     uint64
 	next    time.Duration
 }
 
@@ -38,31 +40,28 @@
 		return
 	}
 	r.busy = false
+	r.next = now + registerRetry
 	if r.writes {
 		r.written = e.Kind == ""
-		r.next = now + registerRetry
 		return
 	}
 	if e.Kind != "" && e.Kind != kinds.NotFound {
-		r.next = now + registerRetry
 		return
 	}
-	if e.Kind == "" && e.Object.Writer == writer(self) {
-		r.written = true // an earlier write whose answer was lost
+	stored, _ := decodeHost(e.Object)
+	self.Admitted = r.admit || stored.Admitted
+	if stored == self {
+		r.written = true // perhaps by an earlier write whose answer was lost
 		return
 	}
-	r.write(self, e, out)
+	r.write(self, e.Object.Version, out)
 }
 
-func (r *register) write(self event.Host, read event.ObjectDone, out *event.Batch) {
+func (r *register) write(self event.Host, version uint64, out *event.Batch) {
 	value, err := json.Marshal(self)
 	if err != nil {
 		return
 	}
-	var version uint64
-	if read.Kind == "" {
-		version = read.Object.Version
-	}
 	r.busy = true
 	r.writes = true
 	r.seq++
@@ -70,13 +69,11 @@
 		Call:    event.ObjectCall{Owner: registerOwner, Seq: r.seq},
 		Name:    Prefix + self.Name,
 		Version: version,
-		Writer:  writer(self),
+		Writer:  self.Name + "/" + self.Incarnation + "/" + registerOwner,
 		Value:   value,
 	})
 }
 
-func writer(self event.Host) string { return self.Name + "/" + self.Incarnation + "/" + registerOwner }
-
 func decodeHost(object wire.Object) (event.Host, bool) {
 	var host event.Host
 	if object.Deleted || json.Unmarshal(object.Value, &host) != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -34,7 +34,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := l.connect(ctx)
-		l.mesh.count("link_ended", "host", l.host.Name)
+		l.mesh.count("link_ended", "reason", "Failed")
 		l.mesh.debug("PeerLinkEnded", l.host.Name, err)
 		if time.Since(began) > greatestRedial {
 			pause.Reset()
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -18,6 +18,8 @@
 	Site() *config.Site
 	// Revisions returns the revisions of the configuration and of the keys.
 	Revisions() (configuration, keyTable uint64)
+	// HostsRevision returns the store's revision up to which the hosts are known.
+	HostsRevision() uint64
 	// OwnContact returns the sending time of the last own call that brought configuration and keys up to date.
 	OwnContact() (time.Duration, bool)
 }
@@ -31,7 +33,7 @@
 
 	trust    config.Trust
 	started  bool
-	hosts    []string // all known
+	hosts    []string // admitted
 	peers    map[string]evidence
 	stopping bool
 	ready    event.Ready
@@ -41,7 +43,8 @@
 type evidence struct {
 	anchor     time.Duration // the peer's state was as below at this time or later
 	complete   bool
-	site, keys uint64        // revisions
+	site, keys uint64 // revisions
+	hosts      uint64
 	contact    time.Duration // the peer knew all changes up to this time
 	hasContact bool
 }
@@ -80,7 +83,9 @@
 func (p *Part) takeHosts(hosts []event.Host) {
 	p.hosts = p.hosts[:0]
 	for _, h := range hosts {
-		p.hosts = append(p.hosts, h.Name)
+		if h.Admitted {
+			p.hosts = append(p.hosts, h.Name)
+		}
 	}
 }
 
@@ -94,6 +99,7 @@
 		complete:   e.Beat.Complete,
 		site:       e.Beat.ConfigRevision,
 		keys:       e.Beat.KeysRevision,
+		hosts:      e.Beat.HostsRevision,
 		contact:    e.Anchor - age,
 		hasContact: e.Beat.EvidenceAgeMS >= 0,
 	}
@@ -142,15 +148,18 @@
 
 func (p *Part) covers(e evidence) bool {
 	site, table := p.State.Revisions()
-	return e.complete && e.site <= site && e.keys <= table
+	return e.complete && e.site <= site && e.keys <= table && e.hosts <= p.State.HostsRevision()
 }
 
-// agreed returns the latest time at which a majority of the known hosts, this one among them, knew no higher
-// revision. An accepted change was acknowledged by a majority, and any two majorities share a host.
+// agreed returns the latest time at which a majority of the admitted hosts knew no higher revision. An accepted change
+// was acknowledged by a majority, and any two majorities share a host.
 func (p *Part) agreed(now time.Duration) (time.Duration, bool) {
-	others := len(p.hosts) / 2
+	others := len(p.hosts)/2 + 1
+	if slices.Contains(p.hosts, p.Self) {
+		others--
+	}
 	if others == 0 {
-		return now, len(p.hosts) == 1
+		return now, true
 	}
 	var anchors []time.Duration
 	for _, host := range p.hosts {
--- a/internal/watch/feed.go
+++ b/internal/watch/feed.go
@@ -64,6 +64,25 @@
 	return removed
 }
 
+// hasEnough reports whether so many admitted hosts have given their whole copy that any majority has one of them. The
+// host itself is none of them: what it acknowledged before it was started anew, the others of that majority hold.
+func (f *feed) hasEnough(admitted map[string]bool, self string) bool {
+	hosts, answered := 0, 0
+	for name, ok := range admitted {
+		if !ok {
+			continue
+		}
+		hosts++
+		if _, ok := f.answered[name]; ok {
+			answered++
+		}
+	}
+	if admitted[self] {
+		return answered > 0 && answered >= (hosts+1)/2
+	}
+	return answered > hosts/2
+}
+
 // advance raises upTo to the highest revision of objects.
 func (f *feed) advance(objects []wire.Object) {
 	for _, o := range objects {
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -50,11 +50,14 @@
 func (p *Part) forwards() bool { return len(p.Roster.Known()) > p.trust.MeshUpTo }
 
 // completeByPeers ends a start without the store. Every accepted change was acknowledged by a majority of the
-// hosts, so that copies from half of them, this one not counted, hold all of those.
+// admitted hosts, so that copies from enough of them, this one not counted, hold all of those.
 func (p *Part) completeByPeers() {
-	hosts := len(p.Roster.Known())
+	admitted := map[string]bool{}
+	for _, h := range p.Roster.Known() {
+		admitted[h.Name] = h.Admitted
+	}
 	for _, f := range p.feeds {
-		if !f.complete && (hosts < 2 || len(f.answered) < (hosts+1)/2) {
+		if !f.complete && !f.hasEnough(admitted, p.Self.Name) {
 			return
 		}
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -233,13 +233,19 @@
 	return configuration, keyTable
 }
 
+// HostsRevision returns the store's revision up to which this daemon knows the hosts.
+func (p *Part) HostsRevision() uint64 {
+	if f := p.feed(member.Prefix); f != nil {
+		return f.upTo
+	}
+	return 0
+}
+
 // Contribute adds the revisions of the known objects to a beat.
 func (p *Part) Contribute(_ time.Duration, beat *wire.Beat) {
 	beat.ConfigRevision, beat.KeysRevision = p.Revisions()
 	beat.Complete = p.Complete()
-	if f := p.feed(member.Prefix); f != nil {
-		beat.HostsRevision = f.upTo
-	}
+	beat.HostsRevision = p.HostsRevision()
 	if f := p.feed(wire.PrefixRollouts); f != nil {
 		beat.RolloutsRevision = f.upTo
 	}
