member: a status report no longer takes the news that belong to the next beat

The report built a beat to read its own revisions; what the contributors had to tell once was then lost to the peers. Found by reading the request area's contributor.

--- a/figbed/internal/proc/host.go
+++ b/figbed/internal/proc/host.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -114,6 +115,17 @@
 	return status, err == nil && resp.StatusCode == http.StatusOK
 }
 
+// Metrics returns the daemon's metrics in the Prometheus text format, "" when it does not answer.
+func (h *Host) Metrics() string {
+	resp, err := h.operator("/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	return string(data)
+}
+
 func (h *Host) operator(path string) (*http.Response, error) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+h.Operators+path, nil)
 	if err != nil {
--- a/internal/lease/keep.go
+++ b/internal/lease/keep.go
@@ -42,6 +42,9 @@
 
 // keep renews a held lease, writes its ledger and raises DutyGained when the wait is over.
 func (p *Part) keep(now time.Duration, d *duty, out *event.Batch) {
+	if now >= d.until {
+		return // the next tick gives the duty up
+	}
 	if d.phase == waiting && now >= d.gainAt {
 		d.phase = holding
 		out.Raise(event.DutyGained{Duty: d.name, Epoch: d.record.Epoch, Ledger: d.record.Ledger})
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -20,18 +20,29 @@
 	p.round++
 	p.sent[p.round%sentRounds] = now
 	beat := p.build(now)
+	p.slow.Served = append(p.slow.Served, beat.Served...)
+	p.slow.Loads = append(p.slow.Loads, beat.Loads...)
+	slowRound := p.round%slowRounds == 0
 	picked := p.picks()
 	for _, h := range p.links {
-		if !slices.Contains(picked, h.Name) && p.round%slowRounds != 0 {
+		isPicked := slices.Contains(picked, h.Name)
+		if !isPicked && !slowRound {
 			continue
 		}
 		copied := beat
+		if !isPicked {
+			copied.Served = p.slow.Served
+			copied.Loads = p.slow.Loads
+		}
 		if q := p.peers[h.Name]; q != nil {
 			copied.Echo = q.seq
 			copied.EchoIncarnation = q.host.Incarnation
 		}
 		out.Emit(event.SendPeer{Host: h.Name, Message: wire.Message{Beat: &copied}})
 	}
+	if slowRound {
+		p.slow = wire.Beat{}
+	}
 }
 
 func (p *Part) build(now time.Duration) wire.Beat {
@@ -39,6 +50,7 @@
 	for _, c := range p.Contributors {
 		c.Contribute(now, &beat)
 	}
+	p.last = beat
 	return beat
 }
 
--- a/internal/member/lapsed.go
+++ b/internal/member/lapsed.go
@@ -14,11 +14,11 @@
 }
 
 func (p *Part) noteHolder(duty, host string, epoch uint64) {
-	if p.last == nil {
-		p.last = map[string]lastHeld{}
+	if p.lastHeld == nil {
+		p.lastHeld = map[string]lastHeld{}
 	}
-	if epoch >= p.last[duty].epoch {
-		p.last[duty] = lastHeld{host: host, epoch: epoch}
+	if epoch >= p.lastHeld[duty].epoch {
+		p.lastHeld[duty] = lastHeld{host: host, epoch: epoch}
 	}
 }
 
@@ -37,5 +37,5 @@
 	if !answersLapsed(duty) {
 		return ""
 	}
-	return p.last[duty].host
+	return p.lastHeld[duty].host
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -16,7 +16,8 @@
 // Prefix is the prefix of the objects that hold event.Host values as JSON.
 const Prefix = "Hosts/"
 
-// Contributor adds its fields to each beat. Contribute is called within a step, in the order of the list.
+// Contributor adds its fields to each beat. Contribute is called within a step, in the order of the list, and once
+// for each beat, so that it may add what is new since the last one.
 type Contributor interface {
 	Contribute(now time.Duration, beat *wire.Beat)
 }
@@ -38,7 +39,9 @@
 	hosts    map[string]event.Host // by the Hosts objects
 	peers    map[string]*peer      // by what was received
 	held     map[string]uint64     // epochs of this daemon's duties
-	last     map[string]lastHeld   // by duty
+	lastHeld map[string]lastHeld   // by duty
+	last     wire.Beat             // as built
+	slow     wire.Beat             // what was new since the last beat to the peers that get fewer
 	asks     asks
 	stopping bool
 	started  bool
@@ -204,7 +207,7 @@
 	status := wire.Status{Host: p.Self.Name, Zone: p.Self.Zone, Incarnation: p.Self.Incarnation}
 	for _, h := range p.Known() {
 		if h.Name == p.Self.Name {
-			status.Hosts = append(status.Hosts, p.ownStatus(now))
+			status.Hosts = append(status.Hosts, p.ownStatus())
 			continue
 		}
 		status.Hosts = append(status.Hosts, p.hostStatus(h, now))
@@ -212,14 +215,13 @@
 	return status
 }
 
-func (p *Part) ownStatus(now time.Duration) wire.HostStatus {
-	beat := p.build(now)
+func (p *Part) ownStatus() wire.HostStatus {
 	return wire.HostStatus{
 		Host:           p.Self.Name,
 		Zone:           p.Self.Zone,
 		Alive:          true,
-		ConfigRevision: beat.ConfigRevision,
-		KeysRevision:   beat.KeysRevision,
+		ConfigRevision: p.last.ConfigRevision,
+		KeysRevision:   p.last.KeysRevision,
 	}
 }
 
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -174,3 +174,21 @@
 		t.Errorf("alive hosts (-want +got):\n%s", diff)
 	}
 }
+
+// newsContributor counts how often it was asked.
+type newsContributor struct{ asked int }
+
+// Contribute implements Contributor.
+func (c *newsContributor) Contribute(time.Duration, *wire.Beat) { c.asked++ }
+
+// What contributors add is new since their last beat: a status report must not take it away.
+func TestStatusTakesNoNews(t *testing.T) {
+	p := newPart(2)
+	news := &newsContributor{}
+	p.Contributors = []Contributor{news}
+	p.Step(time.Second, event.Tick{}, &event.Batch{})
+	p.Step(time.Second, event.StatusAsked{Seq: 1}, &event.Batch{})
+	if diff := cmp.Diff(1, news.asked); diff != "" {
+		t.Errorf("calls of Contribute for one beat (-want +got):\n%s", diff)
+	}
+}
--- a/internal/objapi/client.go
+++ b/internal/objapi/client.go
@@ -22,7 +22,7 @@
 
 // Client calls the object API. Its fields are set before use; its methods may be called concurrently.
 // Every error has one of the kinds NotFound, Conflict and StoreUnavailable; after StoreUnavailable
-// a write may or may not have taken effect. No call is repeated.
+// a write may or may not have taken effect. No write is repeated once a byte of it was sent.
 type Client struct {
 	Base string // base URL of the platform, without a slash at the end
 	HTTP *http.Client
