--- a/figbed/proofs/rollouts_once_test.go
+++ b/figbed/proofs/rollouts_once_test.go
@@ -30,10 +30,10 @@
 				waitSealed(t, c, 2)
 			}
 			before := rolloutLedger(t, c).Lots
-			old := holder(t, c, rolloutDuty, nil)
+			old := dutyHolder(t, c, rolloutDuty, nil)
 			old.Kill()
 			for n := uint64(1); n < 3; n++ {
-				taken = append(taken, takeLot(t, c, others(c, old), n))
+				taken = append(taken, takeLot(t, c, otherURLs(c, old), n))
 			}
 			checkOnce(t, taken...)
 			for _, s := range before {
@@ -76,7 +76,7 @@
 		t.Run(name, func(t *testing.T) {
 			spec := rolloutSpec()
 			c := rolloutCluster(t, 2, spec)
-			train(t, c, spec, time.Minute, func(tr *trnr.Trainer) {
+			trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) {
 				tr.Lots = 6
 				tr.Notify = func(wire.Lot) { c.SetFaults(wire.Faults{LoseAnswers: 2, LosePrefix: prefix}) }
 			})
@@ -101,15 +101,15 @@
 		}
 	}
 	refused(daemonURLs(c))
-	old := holder(t, c, rolloutDuty, nil)
+	old := dutyHolder(t, c, rolloutDuty, nil)
 	old.Kill()
-	refused(others(c, old))
-	urls := others(c, old)
+	refused(otherURLs(c, old))
+	urls := otherURLs(c, old)
 	release := wire.Release{Consumer: trainerName, Cursor: 1}
 	if r := callRollout(urls[0], c.Key("North"), wire.CallRelease, release); r.status != http.StatusOK {
 		t.Fatalf("the release was answered with status %d: %s", r.status, r.body)
 	}
-	var second reply
+	var second trainerReply
 	proc.WaitUntil(t, lotBound, "the second consumer gets the next lot", func() bool {
 		second = askLot(c, urls[0], "trainer-2", 1)
 		return second.status == http.StatusOK
--- a/figbed/proofs/rollouts_rig_test.go
+++ b/figbed/proofs/rollouts_rig_test.go
@@ -66,8 +66,8 @@
 	return urls
 }
 
-// train runs the stand-in of a trainer to its end and fails on each problem that it saw.
-func train(t *testing.T, c *proc.Cluster, spec wire.RolloutSpec, bound time.Duration, change func(*trnr.Trainer)) trnr.Summary {
+// trainRollout runs the stand-in of a trainer to its end and fails on each problem that it saw.
+func trainRollout(t *testing.T, c *proc.Cluster, spec wire.RolloutSpec, bound time.Duration, change func(*trnr.Trainer)) trnr.Summary {
 	t.Helper()
 	trainer := &trnr.Trainer{
 		Daemons: daemonURLs(c), Key: c.Key(spec.Organisation), Rollout: spec.Name, Consumer: trainerName,
@@ -89,15 +89,15 @@
 	return summary
 }
 
-// reply is a daemon's answer to a trainer's call.
-type reply struct {
+// trainerReply is a daemon's answer to a trainer's call.
+type trainerReply struct {
 	status int
 	kind   kinds.Kind
 	body   []byte
 	err    error
 }
 
-func (r reply) lot(t *testing.T) wire.Lot {
+func (r trainerReply) lot(t *testing.T) wire.Lot {
 	t.Helper()
 	var lot wire.Lot
 	if err := json.Unmarshal(r.body, &lot); err != nil {
@@ -107,20 +107,20 @@
 }
 
 // callRollout makes one trainer's call.
-func callRollout(url, key, call string, ask any) reply {
+func callRollout(url, key, call string, ask any) trainerReply {
 	data, err := json.Marshal(ask)
 	if err != nil {
-		return reply{err: err}
+		return trainerReply{err: err}
 	}
 	req, err := http.NewRequest(http.MethodPost, url+wire.PathRollouts+rolloutName+"/"+call, bytes.NewReader(data))
 	if err != nil {
-		return reply{err: err}
+		return trainerReply{err: err}
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
 	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		return reply{err: err}
+		return trainerReply{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
@@ -128,17 +128,17 @@
 	if resp.StatusCode != http.StatusOK {
 		_ = json.Unmarshal(body, &refusal)
 	}
-	return reply{status: resp.StatusCode, kind: refusal.Kind, body: body, err: err}
+	return trainerReply{status: resp.StatusCode, kind: refusal.Kind, body: body, err: err}
 }
 
-func askLot(c *proc.Cluster, url, consumer string, cursor uint64) reply {
+func askLot(c *proc.Cluster, url, consumer string, cursor uint64) trainerReply {
 	return callRollout(url, c.Key("North"), wire.CallLots, wire.LotAsk{Consumer: consumer, Cursor: cursor})
 }
 
 // takeLot asks the daemons in turn until the lot after cursor comes.
 func takeLot(t *testing.T, c *proc.Cluster, urls []string, cursor uint64) wire.Lot {
 	t.Helper()
-	var r reply
+	var r trainerReply
 	i := 0
 	proc.WaitUntil(t, lotBound, fmt.Sprintf("lot %d is handed over", cursor+1), func() bool {
 		r = askLot(c, urls[i%len(urls)], trainerName, cursor)
@@ -159,19 +159,19 @@
 	})
 }
 
-// holder returns the daemon that holds a duty, other than the one given.
-func holder(t *testing.T, c *proc.Cluster, duty string, not *proc.Host) *proc.Host {
+// dutyHolder returns the daemon that holds a duty, other than the one given.
+func dutyHolder(t *testing.T, c *proc.Cluster, duty string, not *proc.Host) *proc.Host {
 	t.Helper()
 	var found *proc.Host
 	proc.WaitUntil(t, takeOverTime, "a daemon holds "+duty, func() bool {
-		found = holderNow(c, duty, not)
+		found = dutyHolderNow(c, duty, not)
 		return found != nil
 	})
 	return found
 }
 
-// holderNow asks each daemon itself whether it holds a duty.
-func holderNow(c *proc.Cluster, duty string, not *proc.Host) *proc.Host {
+// dutyHolderNow asks each daemon itself whether it holds a duty.
+func dutyHolderNow(c *proc.Cluster, duty string, not *proc.Host) *proc.Host {
 	for _, h := range c.Hosts {
 		if h == not || h.Exited() {
 			continue
@@ -189,8 +189,8 @@
 	return nil
 }
 
-// others returns the URLs of all daemons but one.
-func others(c *proc.Cluster, not *proc.Host) []string {
+// otherURLs returns the URLs of all daemons but one.
+func otherURLs(c *proc.Cluster, not *proc.Host) []string {
 	var urls []string
 	for _, h := range c.Hosts {
 		if h != not {
--- a/figbed/proofs/rollouts_stale_test.go
+++ b/figbed/proofs/rollouts_stale_test.go
@@ -62,10 +62,10 @@
 	c.CreateRollout(rolloutSpec())
 	takeLot(t, c, daemonURLs(c), 0)
 	waitSealed(t, c, 2)
-	old := holder(t, c, rolloutDuty, nil)
+	old := dutyHolder(t, c, rolloutDuty, nil)
 	old.Signal(syscall.SIGSTOP)
-	holder(t, c, rolloutDuty, old)
-	publishVersion(t, c, others(c, old), 9)
+	dutyHolder(t, c, rolloutDuty, old)
+	publishVersion(t, c, otherURLs(c, old), 9)
 	var asks sync.WaitGroup
 	for range 8 {
 		asks.Go(func() {
--- a/figbed/proofs/rollouts_test.go
+++ b/figbed/proofs/rollouts_test.go
@@ -11,5 +11,5 @@
 	spec := rolloutSpec()
 	spec.Scorer = "scorer"
 	c := rolloutCluster(t, 2, spec)
-	train(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots = 6 })
+	trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots = 6 })
 }
