--- a/internal/lots/lots_test.go
+++ b/internal/lots/lots_test.go
@@ -124,3 +124,20 @@
 		t.Errorf("the second consumer got lot %d", g.Lot)
 	}
 }
+
+// TestAskBeforeTheLossIsKnown has an ask come first when a holder wakes after the end of its lease.
+func TestAskBeforeTheLossIsKnown(t *testing.T) {
+	d := newDaemon(newSpec(), 1)
+	d.gain(1, nil)
+	d.makeLot(1)
+	d.askLot(1, "one", 0)
+	d.store()
+	d.until = d.now + time.Second
+	d.now += 10 * time.Second
+	if a, ok := d.askLot(2, "one", 0); !ok || a.Kind != kinds.NotHolder {
+		t.Errorf("a holder past its lease answered %v, kind %q, lot %d", ok, a.Kind, grantIn(a).Lot)
+	}
+	if a, ok := d.publish(3, "one", 5); !ok || a.Kind != kinds.NotHolder {
+		t.Errorf("a holder past its lease answered a publish %v, kind %q", ok, a.Kind)
+	}
+}
