lots: rollouts of one model share its published versions

A version counts, and is ordered from the engines, when the ledgers of all rollouts of its model hold it. Without this a trainer's lots were judged by its own publishes only, while another trainer moved the engines on.

--- a/internal/lots/advance.go
+++ b/internal/lots/advance.go
@@ -28,6 +28,7 @@
 	if r.held && r.dirty && now-r.dirtyAt >= lazyWrite {
 		r.write(out)
 	}
+	p.announce(now, r, out)
 	p.answerStored(now, r, out)
 	p.expireProbes(now, r, out)
 	if p.stopping {
--- a/internal/lots/hand.go
+++ b/internal/lots/hand.go
@@ -20,6 +20,10 @@
 		answer(e.From, e.ID, kinds.BadRequest, nil, out)
 		return
 	}
+	if e.Call == wire.AskNewest {
+		p.askedNewest(now, r, e, call.Publish.Version, out)
+		return
+	}
 	if call.Organisation != r.spec.Organisation {
 		answer(e.From, e.ID, kinds.Forbidden, nil, out)
 		return
@@ -218,7 +222,7 @@
 	all := r.waiting
 	r.waiting = nil
 	for _, w := range all {
-		if w.seq > r.stored || now < w.notUntil {
+		if w.seq > r.stored || now < w.notUntil || w.version > r.announced {
 			r.waiting = append(r.waiting, w)
 			continue
 		}
--- a/internal/lots/part.go
+++ b/internal/lots/part.go
@@ -24,6 +24,7 @@
 	names    []string // sorted
 	requests map[uint64]event.SampleRef
 	request  uint64
+	ask      uint64
 	list     wire.EndpointList
 	perNode  int
 	stopping bool
@@ -68,6 +69,8 @@
 		p.beat(e, out)
 	case event.DutyAsked:
 		p.withDuty(e.Duty, func(r *rollout) { p.asked(now, r, e, out) })
+	case event.AskDone:
+		p.confirmed(now, e, out)
 	case event.SampleSent:
 		p.sent(e)
 	case event.BlockRead:
--- a/internal/lots/publish.go
+++ b/internal/lots/publish.go
@@ -28,24 +28,13 @@
 		r.ledger.Newest = publish.Version
 		p.resetStale(r, out)
 	}
-	seq := r.write(out)
-	if r.announced < r.ledger.Newest {
-		r.newestSeq = seq
-	}
+	r.published = publish.Version
+	r.newestSeq = r.write(out)
 	r.waiting = append(r.waiting, waiting{
-		seq: seq, notUntil: r.grantsEnd(), to: e.From, id: e.ID, body: mustJSON(wire.Published{Version: publish.Version}),
+		seq: r.newestSeq, version: publish.Version, notUntil: r.grantsEnd(), to: e.From, id: e.ID, body: mustJSON(wire.Published{Version: publish.Version}),
 	})
 }
 
-// announce tells of the newest version once it is stored.
-func (r *rollout) announce(out *event.Batch) {
-	if r.newestSeq > r.stored || r.announced >= r.ledger.Newest {
-		return
-	}
-	r.announced = r.ledger.Newest
-	out.Raise(event.VersionPublished{Model: r.spec.Model, Version: r.ledger.Newest})
-}
-
 // grantsEnd returns the time after which no lot that is stale now is handed over any more.
 func (r *rollout) grantsEnd() time.Duration {
 	var end time.Duration
--- a/internal/lots/rollout.go
+++ b/internal/lots/rollout.go
@@ -41,7 +41,9 @@
 	waiting    []waiting
 	deleting   []deletion
 	newestSeq  uint64 // write that holds the newest version
-	announced  uint64 // newest version told to the engines' duty
+	published  uint64 // newest version that this rollout's trainer published
+	announced  uint64 // newest version of it that all rollouts of the model hold
+	spread     spread
 }
 
 // waiting is an answer that goes out when a ledger write is stored, and not before a time.
@@ -50,6 +52,7 @@
 	notUntil time.Duration
 	to       string
 	id       uint64
+	version  uint64            // waits until all rollouts of the model hold it
 	ask      *wire.RolloutCall // decided again when stored; nil to answer body
 	body     []byte
 }
@@ -82,8 +85,7 @@
 	out.Emit(event.Log{Level: "info", Event: "RolloutHeld", Fields: []event.Field{
 		{Key: "Rollout", Value: r.spec.Name}, {Key: "Epoch", Value: strconv.FormatUint(e.Epoch, 10)},
 	}})
-	r.newestSeq, r.announced = r.stored, 0
-	r.announce(out)
+	r.newestSeq, r.published, r.announced, r.spread = r.stored, ledger.Newest, 0, spread{}
 }
 
 // keepMakings drops the lots in the making that the ledger has sealed or that are no longer wanted.
@@ -163,7 +165,7 @@
 			out.Emit(event.Count{Name: "lots_sealed", N: 1})
 		}
 	}
-	r.announce(out)
+	p.announce(now, r, out)
 	p.deleteStored(r, out)
 	p.answerStored(now, r, out)
 }
--- a/internal/lots/world_test.go
+++ b/internal/lots/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -35,6 +36,7 @@
 	answers  map[uint64]event.AnswerDuty
 	sent     []event.SendPeer
 	counts   map[string]int64
+	asks     []event.AskDuty
 	raised   []event.Event
 }
 
@@ -63,11 +65,18 @@
 		d.writes = append(d.writes, e)
 	case event.AnswerDuty:
 		d.answers[e.ID] = e
-	case event.VersionPublished, event.ReleaseDuty, event.WantDuties:
+	case event.AskDuty:
+		d.asks = append(d.asks, e)
+	case event.VersionPublished, event.ReleaseDuty:
 		d.raised = append(d.raised, ev)
 	}
 }
 
+// told reports whether a version was announced.
+func (d *daemon) told(version uint64) bool {
+	return slices.Contains(d.raised, event.Event(event.VersionPublished{Model: newSpec().Model, Version: version}))
+}
+
 func (d *daemon) dropRequest(id uint64) {
 	for i, r := range d.requests {
 		if r.Request == id {
--- a/internal/train/handler.go
+++ b/internal/train/handler.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/figshift/figshift/internal/block"
-	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
@@ -19,21 +19,13 @@
 	maxBody      = 64 << 10
 	askWait      = 8 * time.Second
 	handOverTime = 30 * time.Second
-	retryAfter   = "1" // seconds
+	retryAfter   = time.Second
 )
 
 // Handler answers the calls under wire.PathRollouts. Its exported fields are set before the first call.
 type Handler struct {
 	Calls  *Calls
 	Blocks *block.Store
-	Post   func(ev event.Event) bool // for counters; nil counts nothing
-}
-
-// refusal is the JSON body of an answer that is not the asked one.
-type refusal struct {
-	Kind   kinds.Kind
-	Run    kinds.Run
-	Detail string
 }
 
 // ServeHTTP answers one trainer's call. It may be called concurrently.
@@ -46,16 +38,16 @@
 func refuse(w http.ResponseWriter, err error) {
 	kind := kinds.From(err)
 	a := kinds.Of(kind)
+	refusal := wire.Refusal{Kind: string(kind), Run: string(a.Run), Detail: err.Error()}
 	if a.RetryAfter {
-		w.Header().Set("Retry-After", retryAfter)
+		refusal.RetryAfterMS = retryAfter.Milliseconds()
+		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
 	}
-	writeJSON(w, a.Status, refusal{Kind: kind, Run: a.Run, Detail: err.Error()})
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set(wire.HeaderKind, refusal.Kind)
+	w.Header().Set(wire.HeaderRun, refusal.Run)
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	w.WriteHeader(a.Status)
+	_ = json.NewEncoder(w).Encode(refusal)
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) error {
@@ -107,7 +99,7 @@
 	}
 	for _, k := range all[1:] {
 		if k != all[0] {
-			return "", kinds.New(kinds.KeyUnknown, "more than one key")
+			return "", kinds.New(kinds.BadRequest, "the request presents two keys")
 		}
 	}
 	return all[0], nil
--- a/internal/train/lots.go
+++ b/internal/train/lots.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/figshift/figshift/internal/block"
@@ -11,7 +13,10 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// lotHead is wire.Lot with the samples as they stand in the blocks.
+// readTime is the longest time for a block to come from the store before the holder is asked for it.
+const readTime = 700 * time.Millisecond
+
+// lotHead is wire.Lot without the samples, which follow as they stand in the blocks.
 type lotHead struct {
 	Rollout  string
 	Lot      uint64
@@ -20,7 +25,17 @@
 	Newest   uint64
 	Count    int
 	Checksum string
-	Samples  json.RawMessage
+}
+
+// encode returns a wire.Lot as JSON without encoding its samples again.
+func encode(head lotHead, samples []byte) ([]byte, error) {
+	data, err := json.Marshal(head)
+	if err != nil {
+		return nil, err
+	}
+	data = append(data[:len(data)-1], `,"Samples":`...)
+	data = append(data, samples...)
+	return append(data, '}'), nil
 }
 
 // lots hands a lot over: the holder's grant first, then the blocks, and the first byte only while the grant is valid.
@@ -37,10 +52,10 @@
 	if err != nil {
 		return err
 	}
-	body, err := json.Marshal(lotHead{
+	body, err := encode(lotHead{
 		Rollout: c.name, Lot: grant.Lot, Attempt: grant.Attempt, Replaces: grant.Replaces, Newest: grant.Newest,
-		Count: grant.Count, Checksum: grant.Checksum, Samples: samples,
-	})
+		Count: grant.Count, Checksum: grant.Checksum,
+	}, samples)
 	if err != nil {
 		return err
 	}
@@ -66,12 +81,14 @@
 // samples returns the lot's JSON array, checked against the checksums of its blocks and its own.
 func (c *rolloutCall) samples(ctx context.Context, grant wire.LotGrant) ([]byte, error) {
 	values := make([][]byte, len(grant.Blocks))
+	failed := make([]error, len(grant.Blocks))
+	var reads sync.WaitGroup
 	for i, b := range grant.Blocks {
-		value, err := c.block(ctx, b)
-		if err != nil {
-			return nil, err
-		}
-		values[i] = value
+		reads.Go(func() { values[i], failed[i] = c.block(ctx, b) })
+	}
+	reads.Wait()
+	if err := errors.Join(failed...); err != nil {
+		return nil, err
 	}
 	all := block.Join(values)
 	if block.Checksum(all) != grant.Checksum {
@@ -82,10 +99,10 @@
 
 // block reads a block here, or from the holder when the store cannot be reached.
 func (c *rolloutCall) block(ctx context.Context, b wire.GrantBlock) ([]byte, error) {
-	value, err := c.h.Blocks.Read(ctx, b.Name)
+	value, err := c.stored(ctx, b.Name)
 	if err != nil {
-		c.body.Block = b.Name
-		value, err = c.ask(ctx, wire.AskBlock)
+		ask := rolloutCall{h: c.h, duty: c.duty, name: c.name, body: wire.RolloutCall{Organisation: c.body.Organisation, Block: b.Name}}
+		value, err = ask.ask(ctx, wire.AskBlock)
 	}
 	if err != nil {
 		return nil, err
@@ -95,3 +112,9 @@
 	}
 	return value, nil
 }
+
+func (c *rolloutCall) stored(ctx context.Context, name string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	return c.h.Blocks.Read(ctx, name)
+}
--- a/internal/wire/rollout.go
+++ b/internal/wire/rollout.go
@@ -113,7 +113,8 @@
 	AskLot     = "Lot"     // answered by LotGrant
 	AskPublish = "Publish" // answered by Published
 	AskRelease = "Release"
-	AskBlock   = "Block" // answered by the block's value
+	AskBlock   = "Block"  // answered by the block's value
+	AskNewest  = "Newest" // Publish.Version was published by another rollout of the model
 )
 
 // RolloutCall is a trainer's call with the organisation of its key; the call's own field is set.
