--- /dev/null
+++ b/figbed/proofs/rollouts_orders_test.go
@@ -0,0 +1,93 @@
+package proofs
+
+import (
+	"encoding/json"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/weight"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const weightsDuty = weight.DutyPrefix + proc.Model
+
+// swapOrdersOf returns the swap orders that an engine received, oldest first.
+func swapOrdersOf(t *testing.T, c *proc.Cluster, engine string) []wire.SwapOrder {
+	t.Helper()
+	var orders []wire.SwapOrder
+	for _, r := range c.Endpoints[engine].Seen().Requests {
+		if r.Path != wire.PathSwap {
+			continue
+		}
+		var o wire.SwapOrder
+		if err := json.Unmarshal([]byte(r.Body), &o); err != nil {
+			t.Fatal(err)
+		}
+		orders = append(orders, o)
+	}
+	return orders
+}
+
+// TestFrozenHolderOrdersNoEngine stops the holder of the engines' versions at several moments after a publish, past its
+// lease, and wakes it. Engines that ignore fencing numbers must never get its orders after its successor's. A slow
+// weight store keeps an order waiting between the engine's state and its sending.
+func TestFrozenHolderOrdersNoEngine(t *testing.T) {
+	cases := map[string]struct {
+		after time.Duration
+		slots string // read slots of the weight store a second
+	}{
+		"AtOnce":            {0, "100"},
+		"AtAnOrder":         {40 * time.Millisecond, "100"},
+		"WaitingForItsSlot": {300 * time.Millisecond, "1"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newRolloutCluster(3, rolloutSpec(), "--checks-fencing=false", "--swap-time", "300ms")
+			c.Platform = []string{"--weight-reads", test.slots}
+			c.Site = func(s *config.Site) { s.Weights.OrderDeadline, s.Weights.WaveShare = time.Minute, 1 }
+			for _, name := range []string{"e3", "e4"} {
+				c.Engines = append(c.Engines, proc.Endpoint{Name: name, Zone: "a", Args: c.Engines[0].Args})
+			}
+			c.Start(t)
+			c.CreateRollout(rolloutSpec())
+			takeLot(t, c, daemonURLs(c), 0)
+			old := dutyHolder(t, c, weightsDuty, nil)
+			publishVersion(t, c, daemonURLs(c), 2)
+			time.Sleep(test.after) // the moment of the freeze, not a condition
+			old.Signal(syscall.SIGSTOP)
+			dutyHolder(t, c, weightsDuty, old)
+			publishVersion(t, c, otherURLs(c, old), 3)
+			waitVersion(t, c, 3)
+			old.Signal(syscall.SIGCONT)
+			takeLot(t, c, otherURLs(c, old), 1)
+			proc.WaitUntil(t, takeOverTime, "the woken daemon is ready", old.Ready)
+			for e := range c.Endpoints {
+				checkSwapOrders(t, e, swapOrdersOf(t, c, e))
+			}
+			waitVersion(t, c, 3)
+		})
+	}
+}
+
+// waitVersion waits until both engines report a version themselves.
+func waitVersion(t *testing.T, c *proc.Cluster, version uint64) {
+	t.Helper()
+	for e := range c.Endpoints {
+		proc.WaitUntil(t, takeOverTime, e+" has the newest version", func() bool { return c.Endpoints[e].State().Version == version })
+	}
+}
+
+// checkSwapOrders fails when an order's fencing number or version is lower than that of one before it.
+func checkSwapOrders(t *testing.T, engine string, orders []wire.SwapOrder) {
+	t.Helper()
+	var last wire.SwapOrder
+	for _, o := range orders {
+		if o.Fencing < last.Fencing || o.Version < last.Version {
+			t.Errorf("%s got order %+v after %+v", engine, o, last)
+		}
+		last = o
+	}
+}
--- a/figbed/proofs/rollouts_test.go
+++ b/figbed/proofs/rollouts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,3 +30,27 @@
 	})
 	both.Wait()
 }
+
+// TestHoldersStopGracefully stops each daemon in turn while a trainer takes lots; all exit cleanly and no lot is lost.
+func TestHoldersStopGracefully(t *testing.T) {
+	spec := rolloutSpec()
+	c := rolloutCluster(t, 3, spec)
+	var trainer sync.WaitGroup
+	trainer.Go(func() {
+		trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.StepTime = 10, 500*time.Millisecond })
+	})
+	for range 2 {
+		old := dutyHolder(t, c, rolloutDuty, nil)
+		waitSealed(t, c, rolloutLedger(t, c).Acked+1)
+		stopped := time.Now()
+		old.Signal(syscall.SIGTERM)
+		if code := old.ExitCode(holderStopBound); code != 0 {
+			t.Errorf("%s ended with code %d", old.Name, code)
+		}
+		next := dutyHolder(t, c, rolloutDuty, old)
+		t.Logf("%s took the duty over from %s %v after the stop", next.Name, old.Name, time.Since(stopped).Round(time.Millisecond))
+	}
+	trainer.Wait()
+}
+
+const holderStopBound = 15 * time.Second
