--- a/figbed/internal/demo/demo.go
+++ b/figbed/internal/demo/demo.go
@@ -19,13 +19,16 @@
 
 // The plan of the demo.
 const (
-	callersTime     = 10 * time.Second
+	callersTime     = 12 * time.Second
+	reclaimAt       = 5 * time.Second
+	reclaimedZone   = "b"
+	ordersEvery     = 200 * time.Millisecond
 	trainerBound    = 20 * time.Second
 	windowLength    = 4 * time.Second
 	windowGrace     = time.Second
 	reportBound     = 12 * time.Second
 	withdrawnBound  = 5 * time.Second
-	lots            = 4
+	lots            = 8
 	groups          = 4
 	samplesPerGroup = 4
 	maxStaleness    = 2
@@ -71,15 +74,17 @@
 }
 
 func (d *Demo) startSite() {
-	d.console.Logf("starting a platform, 3 engines in 2 zones, 2 spare engines, a plain service, a scorer and 3 daemons")
+	d.console.Logf("starting a platform, 3 engines in 2 zones, 3 spare engines, a plain service, a scorer and 3 daemons")
 	d.cluster = &proc.Cluster{
-		Daemons: 3,
+		Daemons:  3,
+		Platform: []string{"--reclaim-notice", "2s"},
 		Engines: []proc.Endpoint{
 			{Name: "engine-a1", Zone: "a", Args: []string{"--tokens", "3000"}},
 			{Name: "engine-b1", Zone: "b", Args: []string{"--tokens", "3000"}},
 			{Name: "engine-b2", Zone: "b", Args: []string{"--tokens", "3000", "--price", "Cheap"}},
 			{Name: "spare-1", Args: []string{"--tokens", "3000", "--spare"}},
 			{Name: "spare-2", Args: []string{"--tokens", "3000", "--spare"}},
+			{Name: "spare-3", Args: []string{"--tokens", "3000", "--spare"}},
 		},
 		Services: []proc.Endpoint{{Name: "service-1", Zone: "a"}},
 		Scorers:  []proc.Endpoint{{Name: "scorer-1", Zone: "a"}},
@@ -96,14 +101,17 @@
 	s.Rollouts[trainers] = config.RolloutLimits{Organisation: trainers, MaxGroups: 100, MaxStaleness: maxStaleness}
 	s.Usage = config.Usage{Window: windowLength, Grace: windowGrace, Flush: 300 * time.Millisecond}
 	s.Lease = config.Lease{TTL: 2 * time.Second, Renew: 500 * time.Millisecond, Margin: 300 * time.Millisecond, OrderFlight: 300 * time.Millisecond}
-	for _, name := range []string{"a", "b"} {
+	for _, name := range []string{"a", reclaimedZone} {
 		zone := config.DefaultZone(name)
 		zone.OnDemandFloor, zone.MaxEndpoints, zone.MaxCheap = 1, 3, 2
-		zone.TokensPerEngine, zone.StartTime = 2000, time.Second
-		zone.ScaleDownAfter = 10 * time.Second
+		zone.TokensPerEngine, zone.StartTime = 600, time.Second
+		zone.ScaleDownAfter = 3 * time.Second
 		zone.Model = proc.Model
 		s.Zones[name] = zone
 	}
+	zone := s.Zones["a"]
+	zone.OnDemandFloor = 2
+	s.Zones["a"] = zone
 }
 
 // serve runs the callers and the trainer at the same time.
@@ -114,6 +122,13 @@
 		Groups: groups, SamplesPerGroup: samplesPerGroup, SpareGroups: 1, MaxTokens: 60, MaxStaleness: maxStaleness,
 		SealAhead: 1, Prompts: []string{"explain the night tariff", "draft a letter of complaint", "sum up the subsidy"},
 	})
+	stop := d.watchOrders()
+	defer stop()
+	reclaim := time.AfterFunc(reclaimAt, func() {
+		d.console.Logf("the platform reclaims every cheap engine of zone %s", reclaimedZone)
+		c.SetFaults(wire.Faults{ReclaimZone: reclaimedZone})
+	})
+	defer reclaim.Stop()
 	d.console.Logf("callers of %s and %s start; a trainer asks for %d lots of %d samples", north, south, lots, groups*samplesPerGroup)
 	trained := make(chan struct{})
 	go func() {
@@ -130,6 +145,29 @@
 	<-trained
 }
 
+// watchOrders prints each endpoint order as the platform gets it, until the returned function is called.
+func (d *Demo) watchOrders() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		printed := map[string]bool{}
+		for ctx.Err() == nil {
+			for _, o := range d.cluster.Calls().Orders {
+				if !printed[o.OrderID] {
+					d.console.Logf("%s, holder of %s at epoch %d, orders: %s %s %s in zone %s", o.Holder, o.Duty, o.Epoch, o.Action, o.Price, o.Endpoint, o.Zone)
+				}
+				printed[o.OrderID] = true
+			}
+			time.Sleep(ordersEvery)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 func (d *Demo) urls() []string {
 	var urls []string
 	for _, h := range d.cluster.Hosts {
--- a/figbed/internal/demo/summary.go
+++ b/figbed/internal/demo/summary.go
@@ -160,6 +160,9 @@
 			stops++
 		}
 	}
+	if starts == 0 {
+		d.console.Errorf("no endpoint was ordered, though zone a has one engine too few")
+	}
 	d.console.Logf("endpoints: %d start orders, %d stop orders, cost %.1f units; object calls: %d reads, %d writes, %d watches",
 		starts, stops, calls.Cost, calls.Reads, calls.Writes, calls.Watches)
 }
