flow, admit: a request that cannot make its deadline is refused at once, also by its own run time

Now the wait has a margin of a quarter and the shortest recent run on top, a request is not started when even that is too long, and the first rate comes after half a second.

--- a/figbed/internal/loadr/result.go
+++ b/figbed/internal/loadr/result.go
@@ -33,9 +33,10 @@
 	Max          float64
 	FirstP50     float64 // to the first byte
 	FirstP99     float64
-	RefusedP99   float64 // time to a refusal
-	NoRetryAfter int     // refusals by 429 or 503 without Retry-After
-	Tokens       int     // generated and prompt tokens of whole answers; 1 for a plain call
+	RefusedP95   float64 // time to a refusal
+	RefusedP99   float64
+	NoRetryAfter int // refusals by 429 or 503 without Retry-After
+	Tokens       int // generated and prompt tokens of whole answers; 1 for a plain call
 	PromptTokens int
 	CachedTokens int
 	InTimeTokens int     // of the answers InTime
@@ -49,10 +50,10 @@
 		refused = append(refused, fmt.Sprintf("%s:%d", kind, r.Refused[kind]))
 	}
 	return fmt.Sprintf("Source=%s Organisation=%s Sent=%d Whole=%d InTime=%d Refused=%s Unknown=%d Dropped=%d "+
-		"P50=%.1f P99=%.1f Max=%.1f FirstP50=%.1f FirstP99=%.1f RefusedP99=%.1f NoRetryAfter=%d "+
+		"P50=%.1f P99=%.1f Max=%.1f FirstP50=%.1f FirstP99=%.1f RefusedP95=%.1f RefusedP99=%.1f NoRetryAfter=%d "+
 		"Tokens=%d PromptTokens=%d CachedTokens=%d Share=%.3f",
 		r.Name, r.Organisation, r.Sent, r.Whole, r.InTime, strings.Join(refused, ","), r.Unknown, r.Dropped,
-		r.P50, r.P99, r.Max, r.FirstP50, r.FirstP99, r.RefusedP99, r.NoRetryAfter,
+		r.P50, r.P99, r.Max, r.FirstP50, r.FirstP99, r.RefusedP95, r.RefusedP99, r.NoRetryAfter,
 		r.Tokens, r.PromptTokens, r.CachedTokens, r.Share)
 }
 
@@ -134,7 +135,7 @@
 	r := t.result
 	r.P50, r.P99, r.Max = millis(t.whole, 50), millis(t.whole, 99), millis(t.whole, 100)
 	r.FirstP50, r.FirstP99 = millis(t.first, 50), millis(t.first, 99)
-	r.RefusedP99 = millis(t.refused, 99)
+	r.RefusedP95, r.RefusedP99 = millis(t.refused, 95), millis(t.refused, 99)
 	return r
 }
 
--- a/internal/admit/rate.go
+++ b/internal/admit/rate.go
@@ -4,6 +4,7 @@
 
 const (
 	rateBucket = 2 * time.Second
+	rateFirst  = 500 * time.Millisecond // bucket while no rate is known
 	rateKeep   = 0.7 // part of the former rate that is kept at the end of a bucket
 )
 
@@ -14,6 +15,24 @@
 	perSecond float64
 	tokens    float64
 	idle      bool
+
+	least     time.Duration // shortest run of the last whole bucket, 0 for none
+	leastNext time.Duration // of the present one
+}
+
+// Took counts the time of one whole answer, from its first byte sent.
+func (r *Rate) Took(d time.Duration) {
+	if r.leastNext == 0 || d < r.leastNext {
+		r.leastNext = d
+	}
+}
+
+// Least returns the shortest time that a whole answer took lately, 0 when none is known.
+func (r *Rate) Least() time.Duration {
+	if r.least == 0 || r.leastNext == 0 {
+		return 0
+	}
+	return min(r.least, r.leastNext)
 }
 
 // Done counts tokens that were served.
@@ -24,7 +43,7 @@
 func (r *Rate) Tick(now time.Duration, waiting bool) {
 	r.idle = r.idle || !waiting
 	span := now - r.Since
-	if span < rateBucket {
+	if span < r.bucket() {
 		return
 	}
 	measured := r.tokens / span.Seconds()
@@ -37,6 +56,14 @@
 		r.perSecond = rateKeep*r.perSecond + (1-rateKeep)*measured
 	}
 	r.tokens, r.Since, r.idle = 0, now, false
+	r.least, r.leastNext = r.leastNext, 0
+}
+
+func (r *Rate) bucket() time.Duration {
+	if r.perSecond == 0 {
+		return rateFirst
+	}
+	return rateBucket
 }
 
 func (r *Rate) raise(measured float64) {
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -140,12 +140,27 @@
 		p.demand.miss(now, r)
 		return kinds.NoEndpoint
 	}
-	if now+p.rate(now, r.pool).Wait(p.Queue.Ahead(r.item)) > r.deadline {
+	if now+p.wait(now, r) > r.deadline {
 		return kinds.DeadlineTooShort
 	}
 	return p.makeRoom(now, r, out)
 }
 
+// waitMargin covers the spread of the waiting time, so that few that are let in fail to make their deadline.
+const waitMargin = 1.25
+
+// wait returns how long the request must be expected to take from now.
+func (p *Part) wait(now time.Duration, r *request) time.Duration {
+	rate := p.rate(now, r.pool)
+	wait := rate.Wait(p.Queue.Ahead(r.item))
+	return time.Duration(waitMargin*float64(wait)) + rate.Least()
+}
+
+// hopeless reports whether the request's deadline comes before any endpoint can have answered it whole.
+func (p *Part) hopeless(now time.Duration, r *request) bool {
+	return now+p.rate(now, r.pool).Least() > r.deadline
+}
+
 func (p *Part) makeRoom(now time.Duration, r *request, out *event.Batch) kinds.Kind {
 	own, all := p.Queue.Len(r.organisation)
 	if own >= p.site.Limits.QueuePerOrg {
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -20,8 +20,9 @@
 	}
 	var found *route.Endpoint
 	fits := func(item admit.Item[uint64]) bool {
-		found = p.pick(now, p.requests[item.Value])
-		return found != nil
+		r := p.requests[item.Value]
+		found = p.pick(now, r)
+		return found != nil || p.hopeless(now, r)
 	}
 	for {
 		item, ok := p.Queue.Pop(fits)
@@ -30,6 +31,11 @@
 		}
 		r := p.requests[item.Value]
 		p.waiting[r.pool]--
+		if p.hopeless(now, r) {
+			r.charged = true
+			p.finish(now, r, kinds.DeadlineExceeded, out)
+			continue
+		}
 		p.start(now, r, found, out)
 	}
 }
@@ -118,7 +124,7 @@
 		}
 		before = min(before, until)
 	}
-	r.phase = running
+	r.phase, r.sentAt = running, now
 	if r.arrived.Sample != nil {
 		out.Raise(event.SampleSent{Request: r.id(), Endpoint: r.endpoint})
 	}
@@ -179,6 +185,7 @@
 	r.add(e)
 	switch {
 	case e.Whole:
+		p.rate(now, r.pool).Took(now - r.sentAt)
 		p.finish(now, r, "", out)
 	case r.stop != "":
 		p.finish(now, r, r.stop, out)
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -34,6 +34,7 @@
 	item         admit.Item[uint64]
 
 	attempt     uint64
+	sentAt      time.Duration // time of the attempt's first byte
 	tries       int
 	charged     bool // the queue counts its cost as served
 	endpoint    string
