--- a/internal/admit/rate.go
+++ b/internal/admit/rate.go
@@ -5,7 +5,7 @@
 const (
 	rateBucket = 2 * time.Second
 	rateFirst  = 500 * time.Millisecond // bucket while no rate is known
-	rateKeep   = 0.7 // part of the former rate that is kept at the end of a bucket
+	rateKeep   = 0.7                    // part of the former rate that is kept at the end of a bucket
 )
 
 // Rate measures how fast a pool drains while requests wait for it. It must not be used concurrently.
