--- a/figbed/proofs/usage_orders_test.go
+++ b/figbed/proofs/usage_orders_test.go
@@ -34,6 +34,9 @@
 			z.Model, z.StartTime, z.ScaleDownAfter = proc.Model, 500*time.Millisecond, 3*time.Second
 			z.OnDemandFloor = len(live)
 			s.Zones["a"] = z
+			r := s.Routes["generate"]
+			r.Idempotent = false // a cut stream is not resumed elsewhere
+			s.Routes["generate"] = r
 		},
 	}
 	for i := range 4 {
--- a/figbed/proofs/usage_test.go
+++ b/figbed/proofs/usage_test.go
@@ -44,6 +44,7 @@
 		Site: func(s *config.Site) {
 			s.Usage = config.Usage{Window: usageWindow, Grace: usageGrace, Flush: usageFlush}
 			s.Lease = shortLease()
+			s.Lease.TTL = 3 * time.Second
 		},
 	}
 	c.Start(t)
@@ -253,18 +254,23 @@
 	return false
 }
 
-// TestUsageHolderKilledAfterReport closes a window while the store is down and kills the holder. A report that went
-// out before its figure was stored would be followed by another figure, since the counts of that window are sent again.
+// TestUsageHolderKilledAfterReport counts and closes a window while the store is down and kills the holder. A report
+// that went out before its figure was stored would be followed by another figure: the counts come again, and late.
 func TestUsageHolderKilledAfterReport(t *testing.T) {
 	m := newMeter(t, 3)
 	holder := m.waitHolder("")
 	sender := m.other(holder)
-	window := untilShortlyBefore(usageWindow*9/10) + 1
-	m.spend(sender, 4)
-	closes := time.Unix(0, int64(window+1)*int64(usageWindow)).Add(usageGrace)
-	sleepUntil(closes.Add(-usageFlush))
+	window := untilShortlyBefore(usageWindow - 400*time.Millisecond)
 	m.SetFaults(wire.Faults{Outage: true})
-	sleepUntil(closes.Add(600 * time.Millisecond))
+	m.spend(sender, 4)
+	end := time.Unix(0, int64(window+1)*int64(usageWindow))
+	if time.Now().After(end) {
+		t.Fatal("the requests took longer than the rest of the window")
+	}
+	sleepUntil(end.Add(usageGrace + 600*time.Millisecond))
+	if told(m.Calls().Reports, window) {
+		t.Errorf("window %d was reported during the outage", window)
+	}
 	holder.Kill()
 	m.SetFaults(wire.Faults{})
 	m.waitHolder(holder.Name)
@@ -301,6 +307,7 @@
 	holder.Kill()
 	m.SetFaults(wire.Faults{})
 	next := m.waitHolder(holder.Name)
+	m.spend(sender, 1) // sent after the repeated delta, so reported no earlier
 	m.waitReported()
 	proc.WaitUntil(t, usageBound, "a delta has come twice", func() bool { return metric(t, next, "UsageDuplicates") > 0 })
 }
--- a/figd/operations.go
+++ b/figd/operations.go
@@ -21,8 +21,8 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// drainBound is the time beyond Process.BalancerDelay after which a graceful stop is cut.
-const drainBound = 2 * time.Minute
+// drainBound is the time beyond Process.BalancerDelay and the longest request after which a graceful stop is cut.
+const drainBound = 30 * time.Second
 
 var (
 	errStopped = errors.New("stopped")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,3 +147,13 @@
 	CheapPrice    float64 // of one cheap endpoint for an hour
 	IdlePrice     float64 // of one trainer that waits for an hour
 }
+
+// LongestRequest returns the time after which no request that came in under this site still runs.
+// It may be called concurrently while the site does not change.
+func (s *Site) LongestRequest() time.Duration {
+	longest := s.Limits.DefaultTimeout
+	for _, r := range s.Routes {
+		longest = max(longest, r.Timeout)
+	}
+	return longest
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -11,8 +11,9 @@
 
 // Part waits for the parts that raised DrainBegun and then emits Exit. Its exported field is set before use.
 type Part struct {
-	Bound time.Duration // longest wait after StopAsked
+	Bound time.Duration // longest wait after StopAsked beyond the longest request of the site
 
+	longest  time.Duration
 	asked    bool
 	exited   bool
 	deadline time.Duration
@@ -22,6 +23,8 @@
 // Step takes the events of a graceful stop. It must not be called concurrently.
 func (p *Part) Step(now time.Duration, ev event.Event, out *event.Batch) {
 	switch e := ev.(type) {
+	case event.ConfigInForce:
+		p.longest = e.Site.LongestRequest()
 	case event.StopAsked:
 		p.ask(now, out)
 	case event.DrainBegun:
@@ -38,7 +41,7 @@
 		return
 	}
 	p.asked = true
-	p.deadline = now + p.Bound
+	p.deadline = now + p.Bound + p.longest
 	out.Emit(event.Log{Level: "info", Event: "StopAsked"})
 }
 
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/drain"
 	"github.com/figshift/figshift/internal/event"
 )
@@ -38,6 +39,15 @@
 			exits: []time.Duration{11},
 		},
 	}
+	site := config.Defaults()
+	site.Limits.DefaultTimeout = 4
+	cases["bound and longest request"] = struct {
+		steps []step
+		exits []time.Duration
+	}{
+		steps: []step{{0, event.ConfigInForce{Site: site}}, {1, event.StopAsked{}}, {1, event.DrainBegun{Owner: "a"}}, {14, event.Tick{}}, {15, event.Tick{}}},
+		exits: []time.Duration{15},
+	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			p := &drain.Part{Bound: 10}
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
@@ -66,7 +65,7 @@
 		settled := z.since[o.OrderID] + drainSettle
 		l, known := p.loads[id]
 		idle := known && l.tokens == 0 && l.at >= settled
-		if idle || now >= settled+longestRequest(p.site) {
+		if idle || now >= settled+p.site.LongestRequest() {
 			o.State = Intended
 			z.recorded[o.OrderID] = z.writeSeq + 1
 			z.dirty = true
@@ -74,15 +73,6 @@
 	}
 }
 
-// longestRequest returns the time after which no request of the site still runs.
-func longestRequest(site *config.Site) time.Duration {
-	longest := site.Limits.DefaultTimeout
-	for _, r := range site.Routes {
-		longest = max(longest, r.Timeout)
-	}
-	return longest
-}
-
 // send sends each recorded order that is not under way. An order whose answer was lost is sent again under the same
 // OrderID, which the platform carries out once.
 func (z *zone) send(now, until time.Duration, p *Part, out *event.Batch) {
