watch: a stored configuration that fails the checks is not put into force

A site of zeros at a higher revision took effect on every daemon and made them refuse all callers (TestMalformedObjectsChangeNothing, AuthorityStale and HostLost at each beat). Zone.Model may be empty, which orders nothing there.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -135,7 +135,9 @@
 func (s *Site) models() map[string]bool {
 	served := map[string]bool{}
 	for _, z := range s.Zones {
-		served[z.Model] = true
+		if z.Model != "" {
+			served[z.Model] = true
+		}
 	}
 	return served
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -89,7 +89,7 @@
 	TokensPerEngine int           // queued and running tokens that one engine carries
 	StartTime       time.Duration // from order to live
 	ScaleDownAfter  time.Duration
-	Model           string
+	Model           string // "" leaves the zone's endpoints alone
 }
 
 // Limits bounds what callers send and what waits.
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -61,7 +61,7 @@
 	"Zone.TokensPerEngine": count(1, maxTokens),
 	"Zone.StartTime":       between(0, time.Hour),
 	"Zone.ScaleDownAfter":  between(time.Second, maxInterval),
-	"Zone.Model":           named(),
+	"Zone.Model":           optional(named()),
 
 	"Limits.MaxBodyBytes":       count(1<<10, 1<<30),
 	"Limits.MaxHeaderBytes":     count(1<<10, 1<<20),
@@ -75,7 +75,7 @@
 	"Lease.Margin":      between(50*time.Millisecond, 30*time.Second),
 	"Lease.OrderFlight": between(50*time.Millisecond, 30*time.Second),
 
-	"Trust.Bound":     between(500*time.Millisecond, 30*time.Second),
+	"Trust.Bound":     between(500*time.Millisecond, time.Minute),
 	"Trust.Beat":      between(20*time.Millisecond, 10*time.Second),
 	"Trust.HostLost":  between(100*time.Millisecond, time.Minute),
 	"Trust.MeshUpTo":  count(1, 256),
--- a/internal/fleet/part.go
+++ b/internal/fleet/part.go
@@ -168,8 +168,10 @@
 func (p *Part) configure(site *config.Site, out *event.Batch) {
 	p.site = site
 	names := make([]string, 0, len(site.Zones))
-	for n := range site.Zones {
-		names = append(names, DutyPrefix+n)
+	for n, z := range site.Zones {
+		if z.Model != "" {
+			names = append(names, DutyPrefix+n)
+		}
 	}
 	sort.Strings(names)
 	out.Raise(event.WantDuties{Owner: owner, Duties: names})
--- a/internal/watch/take.go
+++ b/internal/watch/take.go
@@ -42,6 +42,10 @@
 		if p.site != nil && site.Revision <= p.site.Revision {
 			continue
 		}
+		if problems := site.Problems(); len(problems) > 0 {
+			refuse(o.Name, problems, out)
+			continue
+		}
 		p.site = site
 		p.trust = site.Trust
 		out.Raise(event.ConfigInForce{Site: site})
