--- a/internal/usage/fold.go
+++ b/internal/usage/fold.go
@@ -9,7 +9,7 @@
 const (
 	maxFrozen = 1000 // closed windows that wait for the platform
 	maxOpen   = 8
-	maxRecent = 4
+	maxRecent = 2 // confirmed windows that the status tells of
 )
 
 // Outcome says what became of a delta.
--- a/internal/usage/fold_test.go
+++ b/internal/usage/fold_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -68,6 +69,30 @@
 	}
 }
 
+func TestLedgerIsReadBack(t *testing.T) {
+	l := &usage.Ledger{Length: time.Minute, Closed: 6}
+	l.Fold(wire.UsageDelta{Host: "h", Incarnation: "i", Seq: 1 << 31, Window: 7, Figures: []wire.UsageFigure{sum("a", 1, 1<<40, 3), figure("b", 2, 0)}}, 9)
+	l.Fold(wire.UsageDelta{Host: "k", Incarnation: "i", Seq: 7, Window: 9, Figures: []wire.UsageFigure{figure("a", 1, 0)}}, 9)
+	l.Close(8)
+	l.Confirm("usage-8")
+	b, err := l.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := usage.Decode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(l, got); diff != "" {
+		t.Error(diff)
+	}
+	for cut := range b {
+		if _, err := usage.Decode(b[:cut]); err == nil && cut > 0 {
+			t.Errorf("a ledger cut after %d bytes is read", cut)
+		}
+	}
+}
+
 // TestEveryTokenIsReportedOnce drives daemons that resend, a holder that loses its memory at any point and comes
 // back with the last ledger written, and a platform that loses answers.
 func TestEveryTokenIsReportedOnce(t *testing.T) {
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"bytes"
 	"encoding/binary"
 	"sort"
 	"time"
@@ -30,13 +31,17 @@
 	Streams Streams
 }
 
-// Encode returns the ledger's msgpack form.
+// Encode returns the ledger's msgpack form. Its structs are arrays without names, which are half of the bytes:
+// a field may be added only as the last one of its struct.
 func (l *Ledger) Encode() ([]byte, error) {
-	b, err := msgpack.Marshal(l)
-	if err != nil {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	if err := e.Encode(l); err != nil {
 		return nil, kinds.New(kinds.Internal, "usage ledger: %v", err)
 	}
-	return b, nil
+	return b.Bytes(), nil
 }
 
 // Decode returns the ledger that Encode gave, and an empty one for no bytes.
