--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -21,7 +21,7 @@
 	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
 	encoder := zaplogfmt.NewEncoder(encoding)
 	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), levelOf(level))
-	return zap.New(core).With(zap.String("Host", host))
+	return zap.New(core).With(zap.String("Daemon", host))
 }
 
 func levelOf(level string) zapcore.Level {
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -20,10 +20,10 @@
 		"warn": {
 			effect: event.Log{Level: "warn", Event: "LeaseLost", Fields: []event.Field{{Key: "Duty", Value: "Usage"}, {Key: "Why", Value: "a b\n=c"}}},
 			done:   true,
-			want:   "Level=warn Event=LeaseLost Host=h1 Duty=Usage Why=\"a b\\n=c\"\n",
+			want:   "Level=warn Event=LeaseLost Daemon=h1 Duty=Usage Why=\"a b\\n=c\"\n",
 		},
 		"below level": {effect: event.Log{Level: "debug", Event: "Tick"}, done: true},
-		"bad level":   {effect: event.Log{Level: "loud", Event: "Tick"}, done: true, want: "Level=info Event=Tick Host=h1\n"},
+		"bad level":   {effect: event.Log{Level: "loud", Event: "Tick"}, done: true, want: "Level=info Event=Tick Daemon=h1\n"},
 		"other":       {effect: event.Exit{}},
 	}
 	for name, c := range cases {
