--- a/internal/usage/holder.go
+++ b/internal/usage/holder.go
@@ -1,7 +1,6 @@
 package usage
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -13,18 +12,9 @@
 )
 
 const (
-	// forgetAfter is the silence of a daemon incarnation after which its sequence number is forgotten.
-	forgetAfter = 24 * time.Hour
-	// replacedAfter is that silence once the host's own record names another incarnation.
-	replacedAfter = 10 * time.Minute
-	forgetEvery   = time.Minute
 	// ledgerBytesPerSecond bounds what the ledger's writes cost beside the renewals.
 	ledgerBytesPerSecond = 8 << 10
 	writesInGrace        = 4
-	sendMargin           = 100 * time.Millisecond // least time left in the lease for a report
-	sendTimeout          = 5 * time.Second
-	firstRetry           = 200 * time.Millisecond
-	lastRetry            = 10 * time.Second
 )
 
 // Holder is the part that holds the duty Usage. Its exported fields are set before use.
@@ -65,14 +55,6 @@
 	seq uint64
 }
 
-// sending is the report under way.
-type sending struct {
-	seq     uint64
-	id      string // "" for none
-	tries   int
-	retryAt time.Duration
-}
-
 // Step takes the events of folding, closing and reporting. It must not be called concurrently.
 func (h *Holder) Step(now time.Duration, ev event.Event, out *event.Batch) {
 	switch e := ev.(type) {
@@ -100,24 +82,6 @@
 	}
 }
 
-// know takes the hosts' own records: the incarnations that may run, and those that another has replaced.
-func (h *Holder) know(now time.Duration, hosts []event.Host) {
-	if h.replaced == nil {
-		h.replaced = map[Stream]time.Duration{}
-	}
-	known := make(map[string]Stream, len(hosts))
-	h.live = make(map[Stream]bool, len(hosts))
-	for _, k := range hosts {
-		s := StreamOf(k.Name, k.Incarnation)
-		if old, ok := h.known[k.Name]; ok && old != s {
-			h.replaced[old] = now
-		}
-		known[k.Name] = s
-		h.live[s] = true
-	}
-	h.known = known
-}
-
 func (h *Holder) gain(now time.Duration, e event.DutyGained, out *event.Batch) {
 	if e.Duty != event.DutyUsage {
 		return
@@ -240,32 +204,6 @@
 	}
 }
 
-// forget drops the sequence numbers of daemon incarnations that have ended and whose deltas can't come again.
-func (h *Holder) forget(now time.Duration) {
-	t := h.term
-	if now < t.nextSweep {
-		return
-	}
-	t.nextSweep = now + forgetEvery
-	for s, at := range t.heard {
-		if h.live[s] || !h.forgettable(now, s, now-at) {
-			continue
-		}
-		delete(h.replaced, s)
-		delete(t.heard, s)
-		delete(t.ledger.Streams, s)
-		t.dirty = true
-	}
-}
-
-func (h *Holder) forgettable(now time.Duration, s Stream, silence time.Duration) bool {
-	since, replaced := h.replaced[s]
-	if replaced && now-since >= replacedAfter && silence >= replacedAfter {
-		return true
-	}
-	return silence >= forgetAfter
-}
-
 // write records the ledger, at once when a window was frozen and else within the budget of bytes.
 func (h *Holder) write(now time.Duration, out *event.Batch) {
 	t := h.term
@@ -309,54 +247,3 @@
 		}
 	}
 }
-
-// send reports the oldest frozen window, only once its figure is known to be written and inside the lease.
-func (h *Holder) send(now, until time.Duration, out *event.Batch) {
-	t := h.term
-	if t.report.id != "" || now < t.report.retryAt || len(t.ledger.Frozen) == 0 || until-now < sendMargin {
-		return
-	}
-	r := t.ledger.Frozen[0]
-	if _, unwritten := t.frozenBy[r.ReportID]; unwritten {
-		return
-	}
-	r.Holder, r.Epoch = h.Host, t.epoch
-	t.report.seq++
-	t.report.id = r.ReportID
-	t.report.tries++
-	t.report.retryAt = now + 2*sendTimeout
-	out.Emit(event.SendUsage{Seq: t.report.seq, Report: r, Before: min(until, now+sendTimeout)})
-	out.Emit(event.Log{Level: "info", Event: "UsageReport", Fields: []event.Field{
-		{Key: "ReportID", Value: r.ReportID},
-		{Key: "Try", Value: strconv.Itoa(t.report.tries)},
-	}})
-}
-
-func (h *Holder) confirmReport(now time.Duration, e event.UsageSent, out *event.Batch) {
-	t := h.term
-	if t == nil || e.Seq != t.report.seq || e.ReportID != t.report.id {
-		return
-	}
-	t.report.id = ""
-	if e.Kind != "" {
-		out.Emit(event.Count{Name: "UsageReportRetried", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
-		t.report.retryAt = now + min(firstRetry<<min(t.report.tries, 10), lastRetry)
-		return
-	}
-	t.report.tries = 0
-	t.report.retryAt = now
-	t.ledger.Confirm(e.ReportID)
-	t.dirty = true
-	out.Emit(event.Count{Name: "UsageReported", N: 1})
-}
-
-// status tells of the last windows; those that wait for the platform come last.
-func (h *Holder) status(e event.StatusAsked, out *event.Batch) {
-	if h.term == nil {
-		return
-	}
-	l := h.term.ledger
-	windows := append([]wire.UsageReport(nil), l.Recent...)
-	windows = append(windows, l.Frozen[:min(len(l.Frozen), maxRecent)]...)
-	out.Emit(event.StatusPart{Seq: e.Seq, Status: wire.Status{Windows: windows}})
-}
--- /dev/null
+++ b/internal/usage/report.go
@@ -0,0 +1,75 @@
+package usage
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const (
+	sendMargin  = 100 * time.Millisecond // least time left in the lease for a report
+	sendTimeout = 5 * time.Second
+	firstRetry  = 200 * time.Millisecond
+	lastRetry   = 10 * time.Second
+)
+
+// sending is the report under way.
+type sending struct {
+	seq     uint64
+	id      string // "" for none
+	tries   int
+	retryAt time.Duration
+}
+
+// send reports the oldest frozen window, only once its figure is known to be written and inside the lease.
+func (h *Holder) send(now, until time.Duration, out *event.Batch) {
+	t := h.term
+	if t.report.id != "" || now < t.report.retryAt || len(t.ledger.Frozen) == 0 || until-now < sendMargin {
+		return
+	}
+	r := t.ledger.Frozen[0]
+	if _, unwritten := t.frozenBy[r.ReportID]; unwritten {
+		return
+	}
+	r.Holder, r.Epoch = h.Host, t.epoch
+	t.report.seq++
+	t.report.id = r.ReportID
+	t.report.tries++
+	t.report.retryAt = now + 2*sendTimeout
+	out.Emit(event.SendUsage{Seq: t.report.seq, Report: r, Before: min(until, now+sendTimeout)})
+	out.Emit(event.Log{Level: "info", Event: "UsageReport", Fields: []event.Field{
+		{Key: "ReportID", Value: r.ReportID},
+		{Key: "Try", Value: strconv.Itoa(t.report.tries)},
+	}})
+}
+
+func (h *Holder) confirmReport(now time.Duration, e event.UsageSent, out *event.Batch) {
+	t := h.term
+	if t == nil || e.Seq != t.report.seq || e.ReportID != t.report.id {
+		return
+	}
+	t.report.id = ""
+	if e.Kind != "" {
+		out.Emit(event.Count{Name: "UsageReportRetried", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
+		t.report.retryAt = now + min(firstRetry<<min(t.report.tries, 10), lastRetry)
+		return
+	}
+	t.report.tries = 0
+	t.report.retryAt = now
+	t.ledger.Confirm(e.ReportID)
+	t.dirty = true
+	out.Emit(event.Count{Name: "UsageReported", N: 1})
+}
+
+// status tells of the last windows; those that wait for the platform come last.
+func (h *Holder) status(e event.StatusAsked, out *event.Batch) {
+	if h.term == nil {
+		return
+	}
+	l := h.term.ledger
+	windows := append([]wire.UsageReport(nil), l.Recent...)
+	windows = append(windows, l.Frozen[:min(len(l.Frozen), maxRecent)]...)
+	out.Emit(event.StatusPart{Seq: e.Seq, Status: wire.Status{Windows: windows}})
+}
