--- a/figbed/proofs/usage_test.go
+++ b/figbed/proofs/usage_test.go
@@ -80,9 +80,39 @@
 	return false
 }
 
-// TestUsageHolderKilledAfterReport counts and closes a window while the store is down and kills the holder. A report
-// that went out before its figure was stored would be followed by another figure: the counts come again, and late.
+// TestUsageHolderKilledAfterReport kills the holder when a report has taken effect and its answer is lost.
 func TestUsageHolderKilledAfterReport(t *testing.T) {
+	m := newMeter(t, 3)
+	holder := m.waitHolder("")
+	m.SetFaults(wire.Faults{LoseAnswers: 1000, LosePrefix: "usage"})
+	m.spend(m.other(holder), 4)
+	proc.WaitUntil(t, usageBound, "the figures are reported", func() bool { return m.reported() == m.counted })
+	record, _ := dutyRecord(m.Cluster, usageDuty)
+	holder.Kill()
+	m.SetFaults(wire.Faults{})
+	m.waitHolder(holder.Name)
+	proc.WaitUntil(t, usageBound, "the next holder repeats them", func() bool { return repeatedBy(m.Calls().Reports, record.Epoch+1) })
+	m.waitReported()
+}
+
+// repeatedBy reports whether a window with figures was reported before an epoch and again in it.
+func repeatedBy(reports []wire.UsageReport, epoch uint64) bool {
+	before := map[uint64]bool{}
+	for _, r := range reports {
+		if r.Epoch < epoch {
+			before[r.Window] = before[r.Window] || len(r.Figures) > 0
+			continue
+		}
+		if before[r.Window] {
+			return true
+		}
+	}
+	return false
+}
+
+// TestUsageNothingReportedBeforeItIsStored counts and closes a window while the store is down and kills the holder.
+// A report that went out before its figure was stored would be followed by another figure: the counts come again, late.
+func TestUsageNothingReportedBeforeItIsStored(t *testing.T) {
 	m := newMeter(t, 3)
 	holder := m.waitHolder("")
 	sender := m.other(holder)
--- a/figctl/main.go
+++ b/figctl/main.go
@@ -25,6 +25,17 @@
 	exitUnknown     subcommands.ExitStatus = 6
 )
 
+const exitCodes = `
+Exit codes:
+  0  done and, for a change, accepted
+  1  failure before any change
+  2  bad command line
+  3  invalid configuration or input
+  4  conflict with another operator, nothing changed
+  5  stored, but not acknowledged by a majority of the hosts in time
+  6  outcome unknown, the change may be stored
+`
+
 func main() { os.Exit(int(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))) }
 
 // run carries out one command line and returns its exit code.
@@ -32,6 +43,11 @@
 	flags := flag.NewFlagSet("figctl", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	root := newCommander(flags, "figctl", stdout, stderr)
+	explain := root.Explain
+	root.Explain = func(w io.Writer) {
+		explain(w)
+		fmt.Fprint(w, exitCodes)
+	}
 	root.Register(root.HelpCommand(), "")
 	o := output{out: stdout, err: stderr}
 	for _, g := range groups(o) {
--- a/figctl/main_test.go
+++ b/figctl/main_test.go
@@ -32,6 +32,11 @@
 		err  string
 	}{
 		"nothing":          {exit: subcommands.ExitUsageError, err: "Subcommands"},
+		"help":             {args: []string{"help"}, out: "6  outcome unknown"},
+		"help of a word":   {args: []string{"help", "key"}, out: "figctl key withdraw --hash"},
+		"help of two":      {args: []string{"config", "help", "apply"}, out: "figctl config apply --config base.ini"},
+		"no key of two":    {args: []string{"key", "withdraw", "--platform", "http://127.0.0.1:1", "--operators", listener, "--credential-file", secret}, exit: exitInvalid, err: "either --hash or --key-file"},
+		"store away":       {args: []string{"key", "list", "--platform", "http://127.0.0.1:1"}, exit: subcommands.ExitFailure, err: "StoreUnavailable"},
 		"unknown word":     {args: []string{"confg"}, exit: subcommands.ExitUsageError},
 		"unknown flag":     {args: []string{"config", "check", "--conf", good}, exit: subcommands.ExitUsageError, err: "Example:"},
 		"check":            {args: []string{"config", "check", "--config", good}, out: "valid\n"},
