usage: after a failure the next frozen window has its turn

One report that the platform does not take held back all later ones: seen in TestUsageHolderKilledAfterReport, whose window waited behind an empty one.

--- a/figbed/proofs/usage_test.go
+++ b/figbed/proofs/usage_test.go
@@ -84,8 +84,11 @@
 func TestUsageHolderKilledAfterReport(t *testing.T) {
 	m := newMeter(t, 3)
 	holder := m.waitHolder("")
-	m.SetFaults(wire.Faults{LoseAnswers: 1000, LosePrefix: "usage"})
 	m.spend(m.other(holder), 4)
+	proc.WaitUntil(t, usageBound, "the counts are in the ledger and no report is under way", func() bool {
+		return m.inLedger() == m.counted && len(m.ledger().Frozen) == 0
+	})
+	m.SetFaults(wire.Faults{LoseAnswers: 1000, LosePrefix: "usage"})
 	proc.WaitUntil(t, usageBound, "the figures are reported", func() bool { return m.reported() == m.counted })
 	record, _ := dutyRecord(m.Cluster, usageDuty)
 	holder.Kill()
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -23,13 +23,14 @@
 	retryAt time.Duration
 }
 
-// send reports the oldest frozen window, only once its figure is known to be written and inside the lease.
+// send reports the oldest frozen window, or after failures the next ones in turn, only once its figure is known to
+// be written and inside the lease.
 func (h *Holder) send(now, until time.Duration, out *event.Batch) {
 	t := h.term
 	if t.report.id != "" || now < t.report.retryAt || len(t.ledger.Frozen) == 0 || until-now < sendMargin {
 		return
 	}
-	r := t.ledger.Frozen[0]
+	r := t.ledger.Frozen[t.report.tries%len(t.ledger.Frozen)]
 	if _, unwritten := t.frozenBy[r.ReportID]; unwritten {
 		return
 	}
