--- a/internal/usage/bench_test.go
+++ b/internal/usage/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/usage"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -45,3 +47,19 @@
 		})
 	}
 }
+
+// BenchmarkDelta reports the bytes of one delta as a daemon sends it.
+func BenchmarkDelta(b *testing.B) {
+	for _, organisations := range []int{1, 8, 100} {
+		b.Run(fmt.Sprintf("Organisations=%d", organisations), func(b *testing.B) {
+			w := newWorld(b)
+			for b.Loop() {
+				for i := range organisations {
+					w.step(event.RequestDone{Organisation: fmt.Sprintf("organisation-%04d", i), HasUsage: true, PromptTokens: 40_000, CachedTokens: 9_000, GeneratedTokens: 12_000})
+				}
+				w.run(2 * time.Second)
+			}
+			b.ReportMetric(float64(w.bytes), "delta-bytes")
+		})
+	}
+}
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -4,8 +4,6 @@
 	"strconv"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
@@ -19,8 +17,11 @@
 	// maxFlight is shorter than forgetAfter, so that a holder still knows every delta that is sent again.
 	maxFlight  = 12 * time.Hour
 	maxPending = 64 // windows
-	maxSamples = 1 << 16
-	drainLimit = 5 * time.Second
+	// flushPerHost is the least time between the deltas that a holder takes in.
+	flushPerHost   = 20 * time.Millisecond
+	flushesInGrace = 2
+	maxSamples     = 1 << 16
+	drainLimit     = 5 * time.Second
 )
 
 // Counter counts what the engines report for this daemon's requests and hands it to the duty's holder.
@@ -30,6 +31,7 @@
 	Incarnation string
 
 	settings  config.Usage
+	hosts     int
 	offset    time.Duration // wall clock less monotonic time
 	pending   []Window      // counted and never sent, sorted by number
 	nextFlush time.Duration
@@ -58,6 +60,8 @@
 		c.settings = e.Site.Usage
 	case event.WallClock:
 		c.offset = e.Unix - now
+	case event.HostsChanged:
+		c.hosts = len(e.Hosts)
 	case event.RequestDone:
 		c.count(now, e, out)
 	case event.AskDone:
@@ -149,7 +153,7 @@
 // flush sends the delta under way again, or the oldest pending window as the next one.
 func (c *Counter) flush(now time.Duration, out *event.Batch) {
 	c.length()
-	c.nextFlush = now + c.settings.Flush
+	c.nextFlush = now + c.pause()
 	if c.flight == nil && len(c.pending) > 0 {
 		c.takeOff(now)
 	}
@@ -160,6 +164,12 @@
 	c.ask(now, out)
 }
 
+// pause returns the interval of the sends: Flush, and in a large fleet so much that the holder takes in no more than
+// a delta each flushPerHost, as far as the grace allows.
+func (c *Counter) pause() time.Duration {
+	return max(c.settings.Flush, min(time.Duration(c.hosts)*flushPerHost, c.settings.Grace/flushesInGrace))
+}
+
 func (c *Counter) takeOff(now time.Duration) {
 	c.seq++
 	w := c.pending[0]
@@ -172,7 +182,7 @@
 }
 
 func (c *Counter) ask(now time.Duration, out *event.Batch) {
-	body, err := msgpack.Marshal(c.flight.delta)
+	body, err := encode(c.flight.delta)
 	if err != nil {
 		return
 	}
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -31,15 +31,18 @@
 	Streams Streams
 }
 
-// Encode returns the ledger's msgpack form. Its structs are arrays without names, which are half of the bytes:
-// a field may be added only as the last one of its struct.
-func (l *Ledger) Encode() ([]byte, error) {
+// Encode returns the ledger's msgpack form.
+func (l *Ledger) Encode() ([]byte, error) { return encode(l) }
+
+// encode writes structs as arrays without names, which are half of the bytes: a field may be added only as the last
+// one of its struct.
+func encode(value any) ([]byte, error) {
 	var b bytes.Buffer
 	e := msgpack.NewEncoder(&b)
 	e.UseArrayEncodedStructs(true)
 	e.UseCompactInts(true)
-	if err := e.Encode(l); err != nil {
-		return nil, kinds.New(kinds.Internal, "usage ledger: %v", err)
+	if err := e.Encode(value); err != nil {
+		return nil, kinds.New(kinds.Internal, "encoding usage: %v", err)
 	}
 	return b.Bytes(), nil
 }
--- a/internal/usage/parts_test.go
+++ b/internal/usage/parts_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/usage"
@@ -125,6 +126,28 @@
 	}
 }
 
+func TestLargeFleetSendsLessOften(t *testing.T) {
+	cases := map[string]struct{ hosts, least, most int }{
+		"small": {hosts: 8, least: 9, most: 10},
+		"large": {hosts: 1400, least: 2, most: 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			site := config.Defaults()
+			w.step(event.ConfigInForce{Site: site})
+			w.step(event.HostsChanged{Hosts: make([]event.Host, c.hosts)})
+			for range 100 {
+				w.done(1)
+				w.run(100 * time.Millisecond)
+			}
+			if w.asks < c.least || w.asks > c.most {
+				t.Errorf("%d deltas in 10 s, want %d to %d", w.asks, c.least, c.most)
+			}
+		})
+	}
+}
+
 func TestDrainFlushesOrTellsTheLoss(t *testing.T) {
 	cases := map[string]struct {
 		nobody bool
--- a/internal/usage/world_test.go
+++ b/internal/usage/world_test.go
@@ -20,7 +20,7 @@
 
 // world is one daemon that may hold the duty, with a store and a platform played by the test.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Duration
 	state   reduce.State
 	held    bool
@@ -34,9 +34,11 @@
 	begun   int
 	ended   int
 	acks    uint64
+	asks    int
+	bytes   int // of the last delta
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{t: t, counts: map[string]int64{}, held: true}
 	w.state.Parts = []event.Part{&usage.Counter{Host: "h1", Incarnation: "i1"}, &usage.Holder{Host: "h1", Trust: w}, w}
 	site := config.Defaults()
@@ -59,6 +61,8 @@
 func (w *world) Step(_ time.Duration, ev event.Event, out *event.Batch) {
 	switch e := ev.(type) {
 	case event.AskDuty:
+		w.asks++
+		w.bytes = len(e.Body)
 		if w.nobody {
 			out.Raise(event.AskDone{Owner: e.Owner, Seq: e.Seq, Kind: kinds.NotHolder})
 			return
