--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -20,8 +20,9 @@
 	}
 	var found *route.Endpoint
 	fits := func(item admit.Item[uint64]) bool {
-		found = p.pick(now, p.requests[item.Value])
-		return found != nil
+		r := p.requests[item.Value]
+		found = p.pick(now, r)
+		return found != nil || p.hopeless(now, r)
 	}
 	for {
 		item, ok := p.Queue.Pop(fits)
@@ -30,7 +31,7 @@
 		}
 		r := p.requests[item.Value]
 		p.waiting[r.pool]--
-		if r.tries == 0 && p.late(now, r, 0) {
+		if p.hopeless(now, r) {
 			p.Queue.Correct(r.item, 0)
 			p.finish(now, r, kinds.DeadlineTooShort, out)
 			continue
--- a/internal/flow/pace.go
+++ b/internal/flow/pace.go
@@ -38,6 +38,10 @@
 	return now+stretch(wait, waitMargin)+stretch(run, runMargin) > r.deadline
 }
 
+// hopeless reports whether a request would miss its deadline even if it started now. One that was tried may hold
+// part of an answer and goes on.
+func (p *Part) hopeless(now time.Duration, r *request) bool { return r.tries == 0 && p.late(now, r, 0) }
+
 func stretch(d time.Duration, margin float64) time.Duration {
 	return time.Duration(margin * float64(d))
 }
