trust: in a large fleet beats relay whose revisions are known how long ago

A host with a few neighbours hears no majority by itself, so that a store outage would stop it within the bound. While the last contact grows old, beats now tell of each admitted host how long ago it is known to have had no higher revisions; ages add up over the hops. A connection that only answers another's is closed with it: both sides of each kept the other alive and a large fleet stayed a full mesh. Weighed: a bitmap without ages (two hosts keep a lost third alive between them; the property test fails with ages ignored), and the watchers collecting a majority for their zone (a zone without its watchers would stop). TestNeighborsOnly passes, but also without the relayed ages: with 8 hosts and 2 neighbours a majority is still heard.

--- a/figbed/proofs/authority_keys_test.go
+++ b/figbed/proofs/authority_keys_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
@@ -214,6 +216,38 @@
 	}
 }
 
+// In a fleet whose hosts are connected to a few neighbours only, keys and outages have the same bounds.
+func TestNeighborsOnly(t *testing.T) {
+	c := &proc.Cluster{Daemons: 8, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}, Site: func(s *config.Site) {
+		s.Trust.MeshUpTo = 3
+		s.Trust.Neighbors = 2
+		s.Trust.Watchers = 1
+	}}
+	c.Start(t)
+	proc.WaitUntil(t, 2*statedBound, "no host hears all", func() bool {
+		for _, h := range c.Hosts {
+			if s, ok := h.Status(); !ok || len(s.Hosts) != len(c.Hosts) || !slices.ContainsFunc(s.Hosts, isSilent) {
+				return false
+			}
+		}
+		return true
+	})
+	accepted := withdraw(t, c, c.Key("North"))
+	for i, served := range lastServed(c.Hosts, c.Key("North"), accepted, statedBound+time.Second) {
+		if served > statedBound {
+			t.Errorf("%s served a call %v after the withdrawal was accepted", c.Hosts[i].Name, served)
+		}
+	}
+	c.SetFaults(wire.Faults{Outage: true})
+	for i, served := range lastServed(c.Hosts, c.Key("South"), time.Now(), 10*time.Second) {
+		if served < 9*time.Second {
+			t.Errorf("in the outage %s last served a call after %v", c.Hosts[i].Name, served)
+		}
+	}
+}
+
+func isSilent(h wire.HostStatus) bool { return !h.Alive }
+
 func allAlive(hosts []*proc.Host) bool {
 	for _, h := range hosts {
 		s, ok := h.Status()
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -30,6 +30,7 @@
 			continue
 		}
 		copied := beat
+		copied.Picked = isPicked
 		if !isPicked {
 			copied.Served = p.slow.Served
 			copied.Loads = p.slow.Loads
@@ -58,10 +59,14 @@
 	if beat.Seq <= q.seq {
 		return
 	}
+	changed := q.beat.Picked != beat.Picked
 	q.seq = beat.Seq
 	q.heardAt = now
 	q.beat = beat
 	q.lost = false
+	if changed {
+		p.connect(now, out)
+	}
 	seen := event.BeatSeen{Host: q.host.Name, Beat: beat}
 	seen.Anchor, seen.Anchored = p.anchor(beat)
 	out.Raise(seen)
@@ -124,7 +129,7 @@
 		links[name] = p.hosts[name]
 	}
 	for name, q := range p.peers {
-		if q.up {
+		if q.up && (q.beat.Picked || q.seq == 0) {
 			links[name] = q.host
 		}
 	}
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -33,8 +33,9 @@
 
 	trust    config.Trust
 	started  bool
-	hosts    []string // admitted
-	peers    map[string]evidence
+	hosts    []string            // admitted
+	peers    map[string]evidence // of direct peers
+	relayed  map[string]evidence // of all hosts, from the peers' beats
 	stopping bool
 	ready    event.Ready
 }
@@ -76,6 +77,7 @@
 	p.started = true
 	p.trust = config.Defaults().Trust
 	p.peers = map[string]evidence{}
+	p.relayed = map[string]evidence{}
 	p.ready = event.Ready{Reason: "Starting"}
 	out.Emit(p.ready)
 }
@@ -93,6 +95,7 @@
 	if !e.Anchored || e.Anchor < p.peers[e.Host].anchor {
 		return
 	}
+	p.takeHeard(e)
 	age := time.Duration(e.Beat.EvidenceAgeMS) * time.Millisecond
 	p.peers[e.Host] = evidence{
 		anchor:     e.Anchor,
@@ -163,8 +166,8 @@
 	}
 	var anchors []time.Duration
 	for _, host := range p.hosts {
-		if e, ok := p.peers[host]; ok && p.covers(e) {
-			anchors = append(anchors, e.anchor)
+		if anchor, ok := p.heardAt(host); ok {
+			anchors = append(anchors, anchor)
 		}
 	}
 	if len(anchors) < others {
@@ -210,6 +213,7 @@
 	beat.EvidenceAgeMS = ageMS(now, p.Contact)
 	beat.OwnContactMS = ageMS(now, p.State.OwnContact)
 	beat.Ready = p.ready.Ready
+	beat.Heard = p.heard(now)
 }
 
 // ageMS returns the age of a contact in milliseconds, rounded up; -1 for none.
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,6 +85,19 @@
 			state: testState{keys: 1},
 			beats: []event.BeatSeen{beat("h1", 9*time.Second, none), beat("h2", 9*time.Second, wire.Beat{EvidenceAgeMS: -1, HostsRevision: 1})},
 		},
+		"majority of which one is relayed": {
+			state: testState{keys: 1},
+			beats: []event.BeatSeen{beat("h1", 9*time.Second, wire.Beat{EvidenceAgeMS: -1, KeysRevision: 1, Heard: []byte{0, 0, 20, 255, 255}})},
+			until: 11 * time.Second,
+		},
+		"relayed by a peer that knows more": {
+			state: testState{keys: 1},
+			beats: []event.BeatSeen{beat("h1", 9*time.Second, wire.Beat{EvidenceAgeMS: -1, KeysRevision: 2, Heard: []byte{0, 0, 20, 20, 20}})},
+		},
+		"relayed by a peer with other hosts": {
+			state: testState{keys: 1},
+			beats: []event.BeatSeen{beat("h1", 9*time.Second, wire.Beat{EvidenceAgeMS: -1, KeysRevision: 1, Heard: []byte{0, 0, 20, 20}})},
+		},
 		"minority": {state: testState{keys: 1}, beats: []event.BeatSeen{beat("h1", 9*time.Second, none)}},
 		"majority with one that knows more": {
 			state: testState{keys: 1},
@@ -146,6 +160,8 @@
 	random   *rand.Rand
 	faulty   float64
 	pulls    float64 // share of the pulls that succeed
+	ring     bool    // hosts hear only their neighbours
+	parted   int     // number of the first hosts that are cut from the store and from the other hosts
 	outage   bool
 	keys     uint64 // in the store
 	hosts    []*simHost
@@ -166,7 +182,7 @@
 func (w *simWorld) read(h *simHost) {
 	sent := w.clock(h)
 	w.after(func() {
-		if w.outage || w.now < h.cut || w.random.Float64() < w.faulty {
+		if w.outage || w.isParted(h) || w.now < h.cut || w.random.Float64() < w.faulty {
 			return
 		}
 		keys := w.keys
@@ -184,6 +200,9 @@
 	h.seq++
 	h.sent[h.seq] = w.clock(h)
 	for _, o := range w.hosts {
+		if w.ring && !w.neighbors(h, o) || w.isParted(h) != w.isParted(o) {
+			continue
+		}
 		if o == h || w.now < max(h.cut, o.cut) || w.random.Float64() < w.faulty {
 			continue
 		}
@@ -193,6 +212,14 @@
 	}
 }
 
+func (w *simWorld) isParted(h *simHost) bool { return slices.Index(w.hosts, h) < w.parted }
+
+func (w *simWorld) neighbors(a, b *simHost) bool {
+	n := len(w.hosts)
+	distance := (slices.Index(w.hosts, a) - slices.Index(w.hosts, b) + n) % n
+	return distance == 1 || distance == n-1
+}
+
 func (w *simWorld) receive(h, from *simHost, b wire.Beat) {
 	if b.Seq <= h.heard[from] {
 		return
@@ -256,10 +283,20 @@
 		}), 2, 5).Draw(t, "offsets")
 		freeze := rapid.Float64Range(0, 0.03).Draw(t, "freeze")
 		w := newSimWorld(rapid.Int64().Draw(t, "seed"), rapid.Float64Range(0, 0.6).Draw(t, "faulty"), offsets)
+		w.ring = rapid.Bool().Draw(t, "ring")
+		if w.ring {
+			site := config.Defaults()
+			site.Trust.MeshUpTo = 1
+			for _, h := range w.hosts {
+				h.part.Step(w.clock(h), event.ConfigInForce{Site: site}, &event.Batch{})
+			}
+		}
 		w.pulls = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "pulls")
 		for round := range 600 {
 			w.advance(round)
 			switch round {
+			case 90:
+				w.parted = rapid.IntRange(0, len(offsets)).Draw(t, "parted")
 			case 100:
 				w.keys = 1
 			case 105:
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -53,6 +53,13 @@
 	Incarnation string
 }
 
+const (
+	// HeardUnitMS is the unit of Beat.Heard in milliseconds.
+	HeardUnitMS = 50
+	// HeardNever is the value in Beat.Heard of a host of which nothing is known.
+	HeardNever = 255
+)
+
 // Beat is the periodic state of one daemon.
 type Beat struct {
 	Seq            uint64
@@ -62,17 +69,21 @@
 	OwnContactMS   int64 // age of the sender's own contact with the store; -1 for none
 	Ready          bool
 	Stopping       bool
+	Picked         bool // the sender keeps its connection by itself, not because the receiver does
 	// Complete says that the sender's objects are whole: read from the store, or from a majority of the hosts.
 	Complete         bool
-	HostsRevision    uint64       // store revision up to which the sender knows the Hosts objects
-	RolloutsRevision uint64       // store revision up to which the sender knows the Rollouts objects
-	Echo             uint64       // highest Seq that the sender has from the receiver, 0 for none
-	EchoIncarnation  string       // incarnation of the receiver that sent Echo
-	Duties           []DutyHeld   `msgpack:",omitempty"`
-	Served           []Served     `msgpack:",omitempty"`
-	Leaving          []LeaveMark  `msgpack:",omitempty"`
-	Loads            []LoadReport `msgpack:",omitempty"`
-	Demand           []Demand     `msgpack:",omitempty"`
+	HostsRevision    uint64 // store revision up to which the sender knows the Hosts objects
+	RolloutsRevision uint64 // store revision up to which the sender knows the Rollouts objects
+	Echo             uint64 // highest Seq that the sender has from the receiver, 0 for none
+	EchoIncarnation  string // incarnation of the receiver that sent Echo
+	// Heard tells, for each admitted host in the order of the names as of HostsRevision, how long ago it is known to
+	// have had no higher revisions than the sender, in units of HeardUnitMS; HeardNever for not at all.
+	Heard   []byte       `msgpack:",omitempty"`
+	Duties  []DutyHeld   `msgpack:",omitempty"`
+	Served  []Served     `msgpack:",omitempty"`
+	Leaving []LeaveMark  `msgpack:",omitempty"`
+	Loads   []LoadReport `msgpack:",omitempty"`
+	Demand  []Demand     `msgpack:",omitempty"`
 }
 
 // LoadReport relays one endpoint's load and true version.
