watch: a push holds all objects since its start; member: one founder

Found by the runs under -race: TestWithdrawnKey/cut_from_both: h3 served a call 5.98262589s after the withdrawal was accepted; TestStoreOutage and TestRestartInOutage failed too. A watcher that knew an object by a peer's push left it out of its own push of the next change, although that push said to be whole; a receiver that had missed the first one then counted as up to date without it, here without the other hosts' admission. TestPushIsWhole fails without the change. Several hosts could also admit themselves in a new store; now only the one that creates the object Founder does.

--- a/internal/member/admit.go
+++ b/internal/member/admit.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -8,7 +9,12 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
+// FounderObject is the name of the object that the first admitted host of a store has created.
+const FounderObject = "Founder"
+
 const (
+	founderOwner = "member-founder"
+	founderRetry = time.Second
 	// forgetAfter is the silence after which a host's object is deleted.
 	forgetAfter = 10 * time.Minute
 	// forgetEvery is the interval of these deletions.
@@ -31,9 +37,9 @@
 	}
 }
 
-// seekAdmission asks to be admitted once a majority of the admitted hosts knows of this one. The first host of
-// a new store finds none.
-func (p *Part) seekAdmission(now time.Duration) {
+// seekAdmission asks to be admitted once a majority of the admitted hosts knows of this one. In a new store there are
+// none: there the host is admitted that creates the founder's object.
+func (p *Part) seekAdmission(now time.Duration, out *event.Batch) {
 	if p.ownRevision == 0 || p.Self.Admitted || p.register.admit {
 		return
 	}
@@ -47,11 +53,57 @@
 			knowing++
 		}
 	}
-	if admitted > 0 && knowing <= admitted/2 {
+	if admitted == 0 {
+		p.founder.tick(now, p.Self.Name, out)
+	}
+	if knowing > admitted/2 || p.founder.won {
+		p.register.admit = true
+		p.register.written = false
+	}
+}
+
+// founder creates the object that names the first admitted host. Only one host ever can.
+type founder struct {
+	won    bool
+	busy   bool
+	writes bool // the call under way is the write
+	seq    uint64
+	next   time.Duration
+}
+
+func (f *founder) tick(now time.Duration, self string, out *event.Batch) {
+	if f.won || f.busy || now < f.next {
 		return
 	}
-	p.register.admit = true
-	p.register.written = false
+	f.busy = true
+	f.writes = true
+	f.seq++
+	out.Emit(event.PutObject{
+		Call:   event.ObjectCall{Owner: founderOwner, Seq: f.seq},
+		Name:   FounderObject,
+		Writer: self,
+		Value:  []byte(strconv.Quote(self)),
+	})
+}
+
+func (f *founder) done(now time.Duration, self string, e event.ObjectDone, out *event.Batch) {
+	if e.Call.Owner != founderOwner || e.Call.Seq != f.seq {
+		return
+	}
+	f.busy = false
+	f.next = now + founderRetry
+	if e.Kind == "" {
+		f.won = e.Object.Writer == self
+		return
+	}
+	if !f.writes {
+		return
+	}
+	// The object may be this host's own by a write whose answer was lost, or from an earlier start.
+	f.busy = true
+	f.writes = false
+	f.seq++
+	out.Emit(event.GetObject{Call: event.ObjectCall{Owner: founderOwner, Seq: f.seq}, Name: FounderObject})
 }
 
 // forget deletes the object of a host that has been silent for long, so that hosts that were replaced don't count for
--- a/internal/member/admit_test.go
+++ b/internal/member/admit_test.go
@@ -41,9 +41,11 @@
 		others  int
 		knowing int // others whose beats show the registration
 		old     int // others whose beats do not
+		founder string
 		admit   bool
 	}{
-		"first host of a store":   {admit: true},
+		"founder of a store":      {founder: "h0", admit: true},
+		"founded by another":      {founder: "h9"},
 		"not yet heard":           {others: 3},
 		"known to a minority":     {others: 3, knowing: 1, old: 2},
 		"known to a majority":     {others: 3, knowing: 2, admit: true},
@@ -60,6 +62,11 @@
 				p.hear(0, i, wire.Beat{Seq: 1, Complete: true, HostsRevision: 9})
 			}
 			p.Step(time.Second, event.Tick{}, &event.Batch{})
+			founded := event.ObjectDone{Call: event.ObjectCall{Owner: founderOwner, Seq: 1}, Kind: kinds.Conflict}
+			p.Step(time.Second, founded, &event.Batch{})
+			founded = event.ObjectDone{Call: event.ObjectCall{Owner: founderOwner, Seq: 2}, Object: wire.Object{Writer: test.founder}}
+			p.Step(time.Second, founded, &event.Batch{})
+			p.Step(time.Second, event.Tick{}, &event.Batch{})
 			if diff := cmp.Diff([]bool{test.admit, false}, []bool{p.register.admit, p.Self.Admitted}); diff != "" {
 				t.Errorf("seeks admission, is admitted (-want +got):\n%s", diff)
 			}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -36,6 +36,7 @@
 
 	trust    config.Trust
 	register register
+	founder  founder
 	hosts    map[string]event.Host // by the Hosts objects
 	peers    map[string]*peer      // by what was received
 	held     map[string]uint64     // epochs of this daemon's duties
@@ -80,6 +81,7 @@
 		p.see(now, e.Object, out)
 	case event.ObjectDone:
 		p.register.done(now, p.Self, e, out)
+		p.founder.done(now, p.Self.Name, e, out)
 	case event.PeerUp:
 		p.peerUp(now, e, out)
 	case event.PeerDown:
@@ -121,7 +123,7 @@
 }
 
 func (p *Part) tick(now time.Duration, out *event.Batch) {
-	p.seekAdmission(now)
+	p.seekAdmission(now, out)
 	p.register.tick(now, p.Self, out)
 	p.forget(now, out)
 	p.markLost(now, out)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -176,7 +176,8 @@
 	f.advance(e.List.Objects)
 	p.take(f, changed, out)
 	if wasComplete && len(changed) > 0 {
-		p.push(now, wire.Push{Prefix: f.prefix, After: before, Revision: f.upTo, Objects: changed}, "", out)
+		// All objects since the start: some that are known here by a peer's push may be unknown to the receivers.
+		p.push(now, wire.Push{Prefix: f.prefix, After: before, Revision: f.upTo, Objects: f.after(before)}, "", out)
 	}
 }
 
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -186,3 +186,26 @@
 		})
 	}
 }
+
+// A push says that its objects are all since its start, also those that the sender knew before by another's push.
+func TestPushIsWhole(t *testing.T) {
+	p := newPart("h1", "h2")
+	start(p, keyObject(6, keys.Active))
+	late := wire.Object{Name: keys.Prefix + "x", Revision: 11}
+	push := &wire.Push{Prefix: keys.Prefix, After: 9, Revision: 11, Objects: []wire.Object{late}}
+	p.Step(time.Second, event.PeerReceived{Host: "h2", Message: wire.Message{Push: push}}, &event.Batch{})
+	p.Step(time.Minute, event.Tick{}, &event.Batch{})
+	var out event.Batch
+	first, last := wire.Object{Name: keys.Prefix + "y", Revision: 9}, wire.Object{Name: keys.Prefix + "z", Revision: 12}
+	p.Step(time.Minute, listed(p.feed(keys.Prefix), 12, first, late, last), &out)
+	var pushed []wire.Push
+	for _, effect := range out.Effects {
+		if send, ok := effect.(event.SendPeer); ok {
+			pushed = append(pushed, *send.Message.Push)
+		}
+	}
+	want := []wire.Push{{Prefix: keys.Prefix, After: 6, Revision: 12, Objects: []wire.Object{first, late, last}}}
+	if diff := cmp.Diff(want, pushed); diff != "" {
+		t.Errorf("pushes (-want +got):\n%s", diff)
+	}
+}
