--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -16,7 +16,8 @@
 // Prefix is the prefix of the objects that hold event.Host values as JSON.
 const Prefix = "Hosts/"
 
-// Contributor adds its fields to each beat. Contribute is called within a step, in the order of the list.
+// Contributor adds its fields to each beat. Contribute is called within a step, in the order of the list, and once
+// for each beat, so that it may add what is new since the last one.
 type Contributor interface {
 	Contribute(now time.Duration, beat *wire.Beat)
 }
@@ -38,7 +39,9 @@
 	hosts    map[string]event.Host // by the Hosts objects
 	peers    map[string]*peer      // by what was received
 	held     map[string]uint64     // epochs of this daemon's duties
-	last     map[string]lastHeld   // by duty
+	lastHeld map[string]lastHeld   // by duty
+	last     wire.Beat             // as built
+	slow     wire.Beat             // what was new since the last beat to the peers that get fewer
 	asks     asks
 	stopping bool
 	started  bool
@@ -46,6 +49,12 @@
 	round    uint64       // number of the last beat
 	nextBeat time.Duration
 	sent     [sentRounds]time.Duration
+
+	ownRevision uint64                   // of this host's object as written by this process, 0 before
+	versions    map[string]uint64        // of the other hosts' objects
+	silent      map[string]time.Duration // time since which a known host is silent
+	nextForget  time.Duration
+	forgetSeq   uint64
 }
 
 // peer is what this daemon knows of another from its frames.
@@ -105,12 +114,16 @@
 	p.peers = map[string]*peer{}
 	p.held = map[string]uint64{}
 	p.asks = asks{base: xxhash.Sum64String(p.Self.Incarnation), pending: map[uint64]pendingAsk{}}
+	p.versions = map[string]uint64{}
+	p.silent = map[string]time.Duration{}
 	p.nextBeat = now
 	out.Raise(event.HostsChanged{Hosts: p.Known()})
 }
 
 func (p *Part) tick(now time.Duration, out *event.Batch) {
+	p.seekAdmission(now)
 	p.register.tick(now, p.Self, out)
+	p.forget(now, out)
 	p.markLost(now, out)
 	p.expireAsks(now, out)
 	if now >= p.nextBeat {
@@ -139,10 +152,14 @@
 		return
 	}
 	host, ok := decodeHost(object)
-	if !ok || name == p.Self.Name {
-		delete(p.hosts, name)
-	} else {
+	switch {
+	case name == p.Self.Name:
+		p.seeSelf(object)
+	case ok:
 		p.hosts[name] = host
+		p.versions[name] = object.Version
+	default:
+		delete(p.hosts, name)
 	}
 	p.connect(now, out)
 	out.Raise(event.HostsChanged{Hosts: p.Known()})
@@ -190,7 +207,7 @@
 	status := wire.Status{Host: p.Self.Name, Zone: p.Self.Zone, Incarnation: p.Self.Incarnation}
 	for _, h := range p.Known() {
 		if h.Name == p.Self.Name {
-			status.Hosts = append(status.Hosts, p.ownStatus(now))
+			status.Hosts = append(status.Hosts, p.ownStatus())
 			continue
 		}
 		status.Hosts = append(status.Hosts, p.hostStatus(h, now))
@@ -198,14 +215,13 @@
 	return status
 }
 
-func (p *Part) ownStatus(now time.Duration) wire.HostStatus {
-	beat := p.build(now)
+func (p *Part) ownStatus() wire.HostStatus {
 	return wire.HostStatus{
 		Host:           p.Self.Name,
 		Zone:           p.Self.Zone,
 		Alive:          true,
-		ConfigRevision: beat.ConfigRevision,
-		KeysRevision:   beat.KeysRevision,
+		ConfigRevision: p.last.ConfigRevision,
+		KeysRevision:   p.last.KeysRevision,
 	}
 }
 
