--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -32,8 +32,8 @@
 		r := p.requests[item.Value]
 		p.waiting[r.pool]--
 		if p.hopeless(now, r) {
-			r.charged = true
-			p.finish(now, r, kinds.DeadlineExceeded, out)
+			p.Queue.Correct(r.item, 0)
+			p.finish(now, r, kinds.DeadlineTooShort, out)
 			continue
 		}
 		p.start(now, r, found, out)
@@ -73,7 +73,7 @@
 	p.table.Start(e, r.item.Cost)
 	r.attempt, r.phase = p.attempts, connecting
 	r.tries++
-	r.charged = true
+	r.sentAt, r.charged = now, true
 	r.endpoint, r.incarnation, r.price = e.Name, e.Incarnation, string(e.Price)
 	out.Emit(event.StartAttempt{
 		Request:      r.id(),
@@ -124,7 +124,7 @@
 		}
 		before = min(before, until)
 	}
-	r.phase, r.sentAt = running, now
+	r.phase = running
 	if r.arrived.Sample != nil {
 		out.Raise(event.SampleSent{Request: r.id(), Endpoint: r.endpoint})
 	}
@@ -185,7 +185,6 @@
 	r.add(e)
 	switch {
 	case e.Whole:
-		p.rate(now, r.pool).Took(now - r.sentAt)
 		p.finish(now, r, "", out)
 	case r.stop != "":
 		p.finish(now, r, r.stop, out)
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -36,6 +36,7 @@
 	attempt     uint64
 	sentAt      time.Duration // time of the attempt's first byte
 	tries       int
+	sentAt      time.Duration
 	charged     bool // the queue counts its cost as served
 	endpoint    string
 	incarnation string
