--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 MODULES := . ./figd ./figctl ./figbed
 PACKAGES := ./... ./figd/... ./figctl/... ./figbed/...
+UNITS := ./... ./figd/... ./figctl/...
+PROCESSES := ./figbed/...
 COUNT ?= 1
 KNOWN_RED := $(shell sed -n 's/^Test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
@@ -25,7 +27,8 @@
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
 
 test: lint vet known-red
-	go test -count=$(COUNT) -timeout 20m $(SKIP) $(PACKAGES)
+	go test -count=$(COUNT) -timeout 20m $(SKIP) $(UNITS)
+	go test -count=$(COUNT) -timeout 40m -p 1 $(SKIP) $(PROCESSES)
 
 race: known-red
 	go test -race -count=3 -timeout 60m $(SKIP) ./figbed/proofs/
