--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -34,7 +34,6 @@
 	item         admit.Item[uint64]
 
 	attempt     uint64
-	sentAt      time.Duration // time of the attempt's first byte
 	tries       int
 	sentAt      time.Duration
 	charged     bool // the queue counts its cost as served
