flow: a daemon that has just started waits for its peers' leave marks; proofs: each case of the keys has its retry

It now holds requests until half of the known others, at most 3, have sent a beat, or 2 s. TestNoKeyAtEndpoints ran its retries out of the budget and then ejected all endpoints, so that most cases were refused before any endpoint saw them (s2 saw only 3 requests). Every case must now be answered with 200, which is stricter than before; one endpoint refuses, and the route's budget is raised for the test. An endpoint that refuses is left alone for 0.5 s, without the doubling that is for failures.

--- a/figbed/proofs/requests_test.go
+++ b/figbed/proofs/requests_test.go
@@ -15,6 +15,7 @@
 	"github.com/figshift/figshift/figbed/internal/engin"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/figbed/internal/servc"
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -124,7 +125,10 @@
 }
 
 func TestNoKeyAtEndpoints(t *testing.T) {
-	c := &proc.Cluster{Daemons: 1, Services: services(2), Engines: engines(2)}
+	c := &proc.Cluster{
+		Daemons: 1, Services: services(2), Engines: engines(2),
+		Site: func(s *config.Site) { s.Retry.BudgetShare = 1 },
+	}
 	c.Start(t)
 	awaitService(t, c)
 	awaitEngines(t, c)
@@ -146,14 +150,9 @@
 		},
 	} {
 		for _, path := range []string{"/lookup", "/write", wire.PathGenerate} {
-			// The first attempt fails, so that a retry has a second endpoint see the request.
-			for _, e := range c.Endpoints {
-				if e.Name[0] == 's' {
-					e.ServiceFaults(servc.Faults{Refuse: 1})
-				} else {
-					e.Faults(engin.Faults{Refuse: 1})
-				}
-			}
+			// The local endpoint refuses once, so that a retry has another one see the request.
+			c.Endpoints["s1"].ServiceFaults(servc.Faults{Refuse: 1})
+			c.Endpoints["e1"].Faults(engin.Faults{Refuse: 1})
 			body := `{"Prompt":"p","MaxTokens":2}`
 			req, err := http.NewRequest(http.MethodPost, c.Hosts[0].URL()+path, strings.NewReader(body))
 			if err != nil {
@@ -161,9 +160,13 @@
 			}
 			req.Header.Set("X-Api-Key", key)
 			change(req)
-			if a := c.Do(req); a.Err != nil || a.Status == http.StatusUnauthorized {
+			if a := c.Do(req); a.Err != nil || a.Status != http.StatusOK {
 				t.Errorf("%s %s: %d %v %s", name, path, a.Status, a.Err, a.Body)
 			}
+			// A call that is answered keeps the local endpoint from being ejected.
+			clearFaults(c)
+			c.Hosts[0].Post("/lookup", key, "")
+			c.Hosts[0].Generate(key, wire.Generate{Prompt: "p", MaxTokens: 1})
 		}
 	}
 	for _, e := range c.Endpoints {
@@ -182,6 +185,16 @@
 	}
 }
 
+func clearFaults(c *proc.Cluster) {
+	for _, e := range c.Endpoints {
+		if e.Name[0] == 's' {
+			e.ServiceFaults(servc.Faults{})
+		} else {
+			e.Faults(engin.Faults{})
+		}
+	}
+}
+
 func TestWholeOwnAnswer(t *testing.T) {
 	c := &proc.Cluster{Daemons: 1, Engines: engines(2), Services: services(2)}
 	c.Start(t)
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -15,7 +15,7 @@
 
 // dispatch starts queued requests while endpoints are free.
 func (p *Part) dispatch(now time.Duration, out *event.Batch) {
-	if p.site == nil {
+	if p.site == nil || !p.peers.told(now) {
 		return
 	}
 	var found *route.Endpoint
@@ -198,7 +198,9 @@
 	switch e.Reason {
 	case "":
 		return route.Succeeded
-	case event.ReasonDial, event.ReasonRefused, event.ReasonBroken, event.ReasonStatus, event.ReasonCut:
+	case event.ReasonRefused:
+		return route.Refusing
+	case event.ReasonDial, event.ReasonBroken, event.ReasonStatus, event.ReasonCut:
 		return route.Failed
 	default:
 		return route.Undecided
--- a/internal/flow/fair_test.go
+++ b/internal/flow/fair_test.go
@@ -61,6 +61,7 @@
 	fresh := &Part{Host: "h1", Zone: "z1", Trust: g.trust, Keys: g.keys, Random: g.part.Random, Queue: queue}
 	g.part = fresh
 	g.state.Parts = []event.Part{fresh}
+	g.step(event.HostsChanged{Hosts: []event.Host{{Name: "h1"}}})
 	g.step(event.ConfigInForce{Site: site})
 	g.list(rigEndpoint("a"), rigEndpoint("b"))
 	return &load{
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -249,6 +249,26 @@
 	}
 }
 
+func TestNoWorkBeforePeersAreHeard(t *testing.T) {
+	fresh := func() *rig {
+		g := newRig()
+		g.part = &Part{Host: "h1", Trust: g.trust, Keys: g.keys, Random: g.part.Random}
+		g.state.Parts = []event.Part{g.part}
+		g.step(event.ConfigInForce{Site: rigSite()})
+		g.list(rigEndpoint("a"), rigEndpoint("b"))
+		g.step(event.HostsChanged{Hosts: []event.Host{{Name: "h1"}, {Name: "h2"}, {Name: "h3"}}})
+		if len(pick[event.StartAttempt](g.step(arrival(1, "Ledger", "/lookup")))) != 0 {
+			t.Error("work before the peers told their leave marks")
+		}
+		return g
+	}
+	beat := event.BeatSeen{Host: "h2", Beat: wire.Beat{Leaving: []wire.LeaveMark{{Endpoint: "a", Incarnation: "1"}}}}
+	if diff := cmp.Diff("b", started(t, fresh().step(beat)).Endpoint); diff != "" {
+		t.Error(diff)
+	}
+	started(t, fresh().after(peersWait))
+}
+
 func TestEjection(t *testing.T) {
 	g := newRig()
 	g.list(rigEndpoint("a"))
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -40,6 +40,7 @@
 	timers   timers
 	attempts uint64
 	polls    poller
+	peers    peers
 	drain    drain
 	demand   demand
 	refused  map[string]map[kinds.Kind]uint64
@@ -65,6 +66,8 @@
 		p.beat(now, e, out)
 	case event.HostsChanged:
 		p.polls.setHosts(e.Hosts)
+		p.peers.known(len(p.polls.hosts))
+		p.dispatch(now, out)
 	case event.HostLost:
 		p.hostLost(e.Host)
 	case event.DrainEndpoint:
@@ -131,6 +134,7 @@
 
 func (p *Part) useSite(now time.Duration, site *config.Site, out *event.Batch) {
 	p.site = site
+	p.peers.begin(now)
 	p.routes = route.NewRoutes(site)
 	p.budget.Share = site.Retry.BudgetShare
 	p.budget.Keep(func(name string) bool {
@@ -186,6 +190,9 @@
 		p.table.Report(now, r)
 	}
 	p.ledger.Seen(e.Host, e.Beat.Served, p.charge)
+	if p.peers.hear(e.Host) {
+		p.dispatch(now, out)
+	}
 	delete(p.polls.lost, e.Host)
 }
 
--- a/internal/flow/rig_test.go
+++ b/internal/flow/rig_test.go
@@ -41,6 +41,7 @@
 	}
 	g.part = &Part{Host: "h1", Zone: "z1", Trust: g.trust, Keys: g.keys, Random: rand.New(rand.NewPCG(1, 2))}
 	g.state = &reduce.State{Parts: []event.Part{g.part}}
+	g.step(event.HostsChanged{Hosts: []event.Host{{Name: "h1"}}})
 	g.step(event.ConfigInForce{Site: rigSite()})
 	g.step(event.EndpointsListed{List: wire.EndpointList{Endpoints: []wire.Endpoint{rigEndpoint("a"), rigEndpoint("b")}}})
 	return g
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -11,7 +11,9 @@
 	ejectAfter   = 3 // consecutive failures
 	ejectFirst   = time.Second
 	ejectLongest = 5 * time.Second
-	loadHalfLife = 2 * time.Second
+	// An endpoint that refuses is well and may be full for a moment only.
+	ejectRefusing = 500 * time.Millisecond
+	loadHalfLife  = 2 * time.Second
 )
 
 // Endpoint is one endpoint incarnation with what this daemon knows of it.
@@ -64,6 +66,9 @@
 	case Failed:
 		e.failures++
 		e.openAt = now + ejectFor(e.failures-ejectAfter)
+	case Refusing:
+		e.failures = min(e.failures+1, ejectAfter)
+		e.openAt = now + ejectRefusing
 	case Undecided:
 	}
 }
@@ -83,5 +88,6 @@
 const (
 	Succeeded Result = iota
 	Failed
+	Refusing // said that it did not run the request
 	Undecided
 )
--- a/internal/serve/rig_test.go
+++ b/internal/serve/rig_test.go
@@ -79,6 +79,7 @@
 		cancel()
 		front.Close()
 	})
+	g.loop.Post(event.HostsChanged{Hosts: []event.Host{{}}})
 	g.loop.Post(event.ConfigInForce{Site: testSite()})
 	g.loop.Post(event.EndpointsListed{List: wire.EndpointList{Revision: 1, Endpoints: endpoints}})
 	g.await(tb, func() bool { return server.site.Load() != nil })
