block, lots, weight: tests of blocks; a tick's cost does not grow with the engines

One lot of 4096 samples of 2000 bytes takes 20 object calls and 11.6 MB in blocks, 8192 calls and 11.9 MB in one object a sample (go test -run TestCallsOfALot ./internal/block).

--- /dev/null
+++ b/internal/block/block_test.go
@@ -0,0 +1,219 @@
+package block
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// objects is a small object API that counts its calls and bytes.
+type objects struct {
+	mu     sync.Mutex
+	values map[string]wire.Object
+	calls  int
+	bytes  int
+	lose   int // answers to writes that are lost after they took effect
+}
+
+// ServeHTTP answers GET, PUT and DELETE of one object.
+func (o *objects) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.calls++
+	name := r.URL.Query().Get("Name")
+	old, ok := o.values[name]
+	switch r.Method {
+	case http.MethodPut:
+		o.put(w, r, ok)
+	case http.MethodDelete:
+		delete(o.values, name)
+	case http.MethodGet:
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(old)
+	}
+}
+
+func (o *objects) put(w http.ResponseWriter, r *http.Request, exists bool) {
+	body, _ := io.ReadAll(r.Body)
+	o.bytes += len(body)
+	if exists {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	var put wire.ObjectPut
+	if json.Unmarshal(body, &put) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	o.values[put.Name] = wire.Object{Name: put.Name, Version: 1, Value: put.Value}
+	if o.lose > 0 {
+		o.lose--
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func newClient(t *testing.T, o *objects) *Client {
+	t.Helper()
+	o.values = map[string]wire.Object{}
+	server := httptest.NewServer(o)
+	t.Cleanup(server.Close)
+	return &Client{Platform: server.URL, HTTP: server.Client()}
+}
+
+func samplesOf(n, bytes int) []wire.Sample {
+	all := make([]wire.Sample, n)
+	for i := range all {
+		ref := event.SampleRef{Rollout: "r", Lot: 1, Attempt: 2, Group: i / 8, Index: i % 8}
+		all[i] = wire.Sample{ID: ID(ref), Group: ref.Group, Index: ref.Index, Text: strings.Repeat("x", bytes), Versions: []uint64{3}}
+	}
+	return all
+}
+
+func TestPack(t *testing.T) {
+	cases := map[string]struct {
+		samples, bytes, size int
+		blocks               int
+		kind                 kinds.Kind
+	}{
+		"none":       {0, 0, MaxBytes, 0, ""},
+		"one block":  {16, 100, MaxBytes, 1, ""},
+		"two blocks": {100, 10000, MaxBytes, 2, ""},
+		"one each":   {5, 100, 1, 5, ""},
+		"too large":  {1, MaxBytes, MaxBytes, 0, kinds.BodyTooLarge},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			samples := samplesOf(c.samples, c.bytes)
+			blocks, checksum, err := Pack(event.LotRef{Rollout: "r", Lot: 1, Attempt: 2}, samples, c.size)
+			if diff := cmp.Diff([]any{c.blocks, c.kind}, []any{len(blocks), kinds.From(err)}); diff != "" {
+				t.Fatal(diff)
+			}
+			if err != nil {
+				return
+			}
+			values := make([][]byte, len(blocks))
+			for i, b := range blocks {
+				values[i] = b.Value
+				if b.Ref.Checksum != Checksum(b.Value) || len(b.Value) > MaxBytes {
+					t.Errorf("block %+v has %d bytes", b.Ref, len(b.Value))
+				}
+			}
+			all := Join(values)
+			got := []wire.Sample{}
+			if err := json.Unmarshal(all, &got); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(samples, got); diff != "" || Checksum(all) != checksum {
+				t.Errorf("checksum %s, %s", checksum, diff)
+			}
+		})
+	}
+}
+
+// TestPutWithALostAnswer writes a block whose first answer is lost, then another value under its name.
+func TestPutWithALostAnswer(t *testing.T) {
+	o := &objects{lose: 1}
+	c := newClient(t, o)
+	got := []kinds.Kind{
+		kinds.From(c.Put(context.Background(), "Blocks/a", []byte("1"))),
+		kinds.From(c.Put(context.Background(), "Blocks/a", []byte("1"))),
+		kinds.From(c.Put(context.Background(), "Blocks/a", []byte("2"))),
+		kinds.From(c.Delete(context.Background(), "Blocks/b")),
+	}
+	if diff := cmp.Diff([]kinds.Kind{kinds.StoreUnavailable, "", kinds.Conflict, ""}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestCallsOfALot measures the object calls and bytes of a lot in blocks and in one object a sample.
+func TestCallsOfALot(t *testing.T) {
+	const bytes = 2000
+	for _, n := range []int{64, 512, 4096} {
+		calls := map[int]int{}
+		for _, size := range []int{MaxBytes, 1} {
+			o := &objects{}
+			c := newClient(t, o)
+			blocks, _, err := Pack(event.LotRef{Rollout: "r", Lot: 1, Attempt: 2}, samplesOf(n, bytes), size)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range blocks {
+				if err := c.Put(context.Background(), b.Ref.Name, b.Value); err != nil {
+					t.Fatal(err)
+				}
+				if err := c.Delete(context.Background(), b.Ref.Name); err != nil {
+					t.Fatal(err)
+				}
+			}
+			calls[size] = o.calls
+			t.Logf("%d samples of %d bytes in blocks of up to %d: %d calls, %d bytes", n, bytes, size, o.calls, o.bytes)
+		}
+		if calls[MaxBytes] >= calls[1] {
+			t.Errorf("%d calls with blocks, %d without", calls[MaxBytes], calls[1])
+		}
+	}
+}
+
+func TestCacheEvicts(t *testing.T) {
+	c := &Cache{MaxBytes: 10}
+	c.Add("a", make([]byte, 6))
+	c.Add("b", make([]byte, 4))
+	_, _ = c.Get("a")
+	c.Add("c", make([]byte, 4))
+	var got []string
+	for _, name := range []string{"a", "b", "c"} {
+		if _, ok := c.Get(name); ok {
+			got = append(got, name)
+		}
+	}
+	if diff := cmp.Diff([]string{"a", "c"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestTexts(t *testing.T) {
+	spec := wire.RolloutSpec{Name: "r", Model: "m", Groups: 2, Prompts: []string{"p0", "p1", "p2"}, MaxTokens: 5}
+	data, err := json.Marshal(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lot := event.LotRef{Rollout: "r", Lot: 2, Attempt: 7}
+	ref := event.SampleRef{Rollout: "r", Lot: 2, Attempt: 7, Group: 1}
+	texts := &Texts{}
+	texts.keep(data)
+	if _, ok := texts.Generate(ref); ok {
+		t.Error("a request for a lot that is not open")
+	}
+	texts.open(lot)
+	g, ok := texts.Generate(ref)
+	if !ok || g.Prompt != "p0" || g.MaxTokens != 5 {
+		t.Errorf("%v %+v", ok, g)
+	}
+	texts.Answer(ref, 1, wire.Segment{Tokens: []string{"a", "b"}})
+	texts.Answer(ref, 2, wire.Segment{Tokens: []string{"x"}})
+	texts.Answer(ref, 1, wire.Segment{Tokens: []string{"c"}})
+	got, ok := texts.samples(lot, []event.FinishedSample{{Ref: ref, Request: 1, Versions: []uint64{4}}})
+	want := []wire.Sample{{ID: "r/2/7/1/0", Group: 1, Prompt: "p0", Text: "abc", Versions: []uint64{4}}}
+	if diff := cmp.Diff(want, got); diff != "" || !ok {
+		t.Error(diff)
+	}
+	texts.drop(lot)
+	texts.Answer(ref, 1, wire.Segment{Tokens: []string{"late"}})
+	if _, ok := texts.samples(lot, []event.FinishedSample{{Ref: ref, Request: 1}}); ok {
+		t.Error("texts of a dropped lot")
+	}
+}
--- a/internal/block/pack.go
+++ b/internal/block/pack.go
@@ -26,9 +26,9 @@
 	Value []byte
 }
 
-// Pack puts samples into blocks in their order and returns the checksum of the samples' JSON array.
-// It fails with kind BodyTooLarge when one sample is larger than a block. It may be called concurrently.
-func Pack(lot event.LotRef, samples []wire.Sample) ([]Packed, string, error) {
+// Pack puts samples into blocks of at most about size bytes, in their order, and returns the checksum of the samples'
+// JSON array. It fails with kind BodyTooLarge when one sample is larger than MaxBytes. It may be called concurrently.
+func Pack(lot event.LotRef, samples []wire.Sample, size int) ([]Packed, string, error) {
 	var blocks []Packed
 	var value bytes.Buffer
 	count := 0
@@ -47,7 +47,7 @@
 		if len(data) > MaxBytes {
 			return nil, "", kinds.New(kinds.BodyTooLarge, "sample %s has %d bytes", samples[i].ID, len(data))
 		}
-		if value.Len()+len(data)+1 > MaxBytes {
+		if value.Len()+len(data)+1 > size {
 			flush()
 		}
 		if count > 0 {
--- a/internal/block/store.go
+++ b/internal/block/store.go
@@ -130,7 +130,7 @@
 	if !ok {
 		return packed, kinds.New(kinds.NotFound, "texts of lot %d", e.Lot.Lot)
 	}
-	blocks, checksum, err := Pack(e.Lot, samples)
+	blocks, checksum, err := Pack(e.Lot, samples, MaxBytes)
 	if err != nil {
 		return packed, err
 	}
--- a/internal/lots/advance.go
+++ b/internal/lots/advance.go
@@ -53,14 +53,17 @@
 }
 
 // room is the number of samples that may run at once on the engines of a model.
-func (p *Part) room(model string) int {
-	engines := 0
-	for _, e := range p.list.Endpoints {
-		if e.Kind == wire.Engine && e.Model == model && e.State == wire.Live {
-			engines++
+func (p *Part) room(model string) int { return p.engines[model] * p.perNode }
+
+// listed counts the live engines of each model.
+func (p *Part) listed(list wire.EndpointList) {
+	p.list = list
+	p.engines = map[string]int{}
+	for _, e := range list.Endpoints {
+		if e.Kind == wire.Engine && e.State == wire.Live {
+			p.engines[e.Model]++
 		}
 	}
-	return engines * p.perNode
 }
 
 // openLots starts the lots that may be made now: the next one to be asked for, and those sealed ahead of it.
--- a/internal/lots/part.go
+++ b/internal/lots/part.go
@@ -26,6 +26,7 @@
 	request  uint64
 	ask      uint64
 	list     wire.EndpointList
+	engines  map[string]int // live ones by model
 	perNode  int
 	stopping bool
 	probes   probes
@@ -42,7 +43,7 @@
 	case event.ObjectSeen:
 		p.see(e.Object, out)
 	case event.EndpointsListed:
-		p.list = e.List
+		p.listed(e.List)
 	case event.ConfigInForce:
 		p.perNode = e.Site.Limits.ConcurrencyPerNode
 	case event.StopAsked:
--- a/internal/weight/model.go
+++ b/internal/weight/model.go
@@ -30,6 +30,7 @@
 	duty     string
 	held     bool
 	stopping bool
+	settled  bool // all engines are known to have the target
 	epoch    uint64
 	ledger   Ledger
 	seq      uint64
@@ -64,6 +65,7 @@
 	old := m.engines
 	m.engines = map[string]*engine{}
 	m.sorted = m.sorted[:0]
+	m.settled = false
 	for _, e := range list.Endpoints {
 		if e.Kind != wire.Engine || e.Model != m.name || e.State != wire.Live {
 			continue
@@ -84,7 +86,7 @@
 		return
 	}
 	if r.Version != e.version {
-		e.known = false
+		e.known, m.settled = false, false
 	}
 }
 
@@ -95,7 +97,7 @@
 		out.Emit(event.Log{Level: "error", Event: "LedgerUnreadable", Fields: []event.Field{{Key: "Duty", Value: m.duty}}})
 		return
 	}
-	m.held, m.epoch, m.ledger = true, e.Epoch, ledger
+	m.held, m.epoch, m.ledger, m.settled = true, e.Epoch, ledger, false
 	m.seq++
 	m.stored, m.orders = m.seq, 0
 	for _, n := range m.sorted {
--- a/internal/weight/part.go
+++ b/internal/weight/part.go
@@ -230,6 +230,6 @@
 		out.Raise(event.AnswerDuty{To: e.From, ID: e.ID, Kind: kinds.NotHolder})
 		return
 	}
-	m.ledger.Target = max(m.ledger.Target, t.Version)
+	m.ledger.Target, m.settled = max(m.ledger.Target, t.Version), false
 	m.waiting = append(m.waiting, waiting{seq: m.write(out), to: e.From, id: e.ID})
 }
--- a/internal/weight/waves.go
+++ b/internal/weight/waves.go
@@ -14,13 +14,14 @@
 // advance reads the engines that are not known and intends orders for those behind the target, as many at once
 // as the site's share of the engines allows.
 func (p *Part) advance(now time.Duration, m *model, out *event.Batch) {
-	if !m.held || m.stopping || m.ledger.Target == 0 {
+	if !m.held || m.stopping || m.ledger.Target == 0 || m.settled {
 		return
 	}
 	room := waveSize(p.site.WaveShare, len(m.sorted)) - m.swapping()
-	intended := false
+	intended, settled := false, true
 	for _, name := range m.sorted {
 		e := m.engines[name]
+		settled = settled && e.known && e.version >= m.ledger.Target
 		if !e.known {
 			m.readEngine(now, e, out)
 			continue
@@ -33,6 +34,7 @@
 		intended = true
 		room--
 	}
+	m.settled = settled
 	if intended {
 		m.keepOrders()
 		m.write(out)
