--- a/figbed/proofs/authority_config_test.go
+++ b/figbed/proofs/authority_config_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -54,7 +55,7 @@
 		mend  func(c *proc.Cluster, last *proc.Host)
 	}{
 		"store slow": {
-			fault: func(c *proc.Cluster, _ *proc.Host) { c.SetFaults(wire.Faults{SlowMS: 1000}) },
+			fault: func(c *proc.Cluster, _ *proc.Host) { c.SetFaults(wire.Faults{SlowMS: 2500}) },
 			mend:  func(c *proc.Cluster, _ *proc.Host) { c.SetFaults(wire.Faults{}) },
 		},
 		"host cut from the store": {
@@ -70,6 +71,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 			c.Start(t)
+			waitAdmitted(t, c)
 			stop := watchReverts(t, c.Hosts)
 			test.fault(c, c.Hosts[2])
 			inForce(t, c.Hosts, c.ApplyConfig(changeTimeout))
@@ -83,6 +85,7 @@
 func TestHostCutOffAndBack(t *testing.T) {
 	c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 	c.Start(t)
+	waitAdmitted(t, c)
 	last := c.Hosts[2]
 	stop := watchReverts(t, c.Hosts)
 	last.Store.Cut()
@@ -97,10 +100,12 @@
 	stop()
 }
 
-// The platform comes back with an old state: what it shows never takes effect.
+// The platform comes back with an old state under revisions that go on rising: the old configuration never takes
+// effect, a newer one does.
 func TestOldObjectAfterNew(t *testing.T) {
 	c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 	c.Start(t)
+	waitAdmitted(t, c)
 	var first config.Site
 	c.ApplyConfig(func(s *config.Site) { first = *s })
 	revision := c.ApplyConfig(changeTimeout)
@@ -109,10 +114,14 @@
 	listen := c.Store.Listen
 	c.Store.Kill()
 	c.Store = proc.StartStandIn(t, "old platform", "platform", "--listen", listen)
+	for i := range 50 { // the store's revision passes what the daemons know
+		c.Put(fmt.Sprintf("Other/%d", i), i)
+	}
 	c.Put("Config/Site", &first)
 	time.Sleep(2 * statedBound) // the old state is offered all the time
-	stop()
 	inForce(t, c.Hosts, revision)
+	inForce(t, c.Hosts, c.ApplyConfig(changeTimeout))
+	stop()
 	for _, h := range c.Hosts {
 		if diff := cmp.Diff(true, h.Ready()); diff != "" {
 			t.Errorf("readiness of %s (-want +got):\n%s", h.Name, diff)
@@ -123,9 +132,9 @@
 func TestRestartInOutage(t *testing.T) {
 	c := &proc.Cluster{Daemons: 5, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 	c.Start(t)
+	waitAdmitted(t, c)
 	revision := c.ApplyConfig(changeTimeout)
 	inForce(t, c.Hosts, revision)
-	proc.WaitUntil(t, statedBound, "all hosts hear all", func() bool { return allAlive(c.Hosts) })
 	c.SetFaults(wire.Faults{Outage: true})
 	last := c.Hosts[4]
 	last.Kill()
--- a/figbed/proofs/authority_keys_test.go
+++ b/figbed/proofs/authority_keys_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -11,8 +13,11 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/member"
 	"github.com/figshift/figshift/internal/objapi"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -25,6 +30,21 @@
 	return &objapi.Client{Base: c.Store.URL(), HTTP: http.DefaultClient}
 }
 
+// waitAdmitted waits until every host counts for majorities.
+func waitAdmitted(t *testing.T, c *proc.Cluster) {
+	t.Helper()
+	proc.WaitUntil(t, 2*statedBound, "all hosts are admitted", func() bool {
+		admitted := 0
+		for _, o := range c.Objects(member.Prefix) {
+			var h event.Host
+			if json.Unmarshal(o.Value, &h) == nil && h.Admitted {
+				admitted++
+			}
+		}
+		return admitted == len(c.Hosts) && allAlive(c.Hosts)
+	})
+}
+
 // withdraw withdraws a key and returns once a majority of the hosts has acknowledged it.
 func withdraw(t *testing.T, c *proc.Cluster, key string) time.Time {
 	t.Helper()
@@ -83,6 +103,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 			c.Start(t)
+			waitAdmitted(t, c)
 			key, other := c.Key("North"), c.Key("South")
 			last := c.Hosts[2]
 			proc.WaitUntil(t, statedBound, "calls are served", func() bool { return last.Post("/lookup", key, "").Status == http.StatusOK })
@@ -111,6 +132,7 @@
 func TestWithdrawnKeyStream(t *testing.T) {
 	c := &proc.Cluster{Daemons: 3, Engines: []proc.Endpoint{{Name: "e1", Zone: "a", Args: []string{"--request-rate", "40"}}}}
 	c.Start(t)
+	waitAdmitted(t, c)
 	key := c.Key("North")
 	proc.WaitUntil(t, statedBound, "a generation is served", func() bool {
 		return c.Hosts[2].Generate(key, wire.Generate{Prompt: "short", MaxTokens: 4}).Whole()
@@ -139,6 +161,7 @@
 func TestFrozenHostAndWithdrawnKey(t *testing.T) {
 	c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 	c.Start(t)
+	waitAdmitted(t, c)
 	key := c.Key("North")
 	last := c.Hosts[2]
 	proc.WaitUntil(t, statedBound, "calls are served", func() bool { return last.Post("/lookup", key, "").Status == http.StatusOK })
@@ -169,11 +192,11 @@
 func TestStoreOutage(t *testing.T) {
 	c := &proc.Cluster{Daemons: 5, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 	c.Start(t)
+	waitAdmitted(t, c)
 	key := c.Key("North")
 	for _, h := range c.Hosts {
 		proc.WaitUntil(t, statedBound, "calls are served", func() bool { return h.Post("/lookup", key, "").Status == http.StatusOK })
 	}
-	proc.WaitUntil(t, statedBound, "all hosts hear all", func() bool { return allAlive(c.Hosts) })
 	c.SetFaults(wire.Faults{Outage: true})
 	start := time.Now()
 	for _, served := range lastServed(c.Hosts, key, start, 10*time.Second) {
@@ -193,6 +216,38 @@
 	}
 }
 
+// In a fleet whose hosts are connected to a few neighbours only, keys and outages have the same bounds.
+func TestNeighborsOnly(t *testing.T) {
+	c := &proc.Cluster{Daemons: 8, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}, Site: func(s *config.Site) {
+		s.Trust.MeshUpTo = 3
+		s.Trust.Neighbors = 2
+		s.Trust.Watchers = 1
+	}}
+	c.Start(t)
+	proc.WaitUntil(t, 2*statedBound, "no host hears all", func() bool {
+		for _, h := range c.Hosts {
+			if s, ok := h.Status(); !ok || len(s.Hosts) != len(c.Hosts) || !slices.ContainsFunc(s.Hosts, isSilent) {
+				return false
+			}
+		}
+		return true
+	})
+	accepted := withdraw(t, c, c.Key("North"))
+	for i, served := range lastServed(c.Hosts, c.Key("North"), accepted, statedBound+time.Second) {
+		if served > statedBound {
+			t.Errorf("%s served a call %v after the withdrawal was accepted", c.Hosts[i].Name, served)
+		}
+	}
+	c.SetFaults(wire.Faults{Outage: true})
+	for i, served := range lastServed(c.Hosts, c.Key("South"), time.Now(), 10*time.Second) {
+		if served < 9*time.Second {
+			t.Errorf("in the outage %s last served a call after %v", c.Hosts[i].Name, served)
+		}
+	}
+}
+
+func isSilent(h wire.HostStatus) bool { return !h.Alive }
+
 func allAlive(hosts []*proc.Host) bool {
 	for _, h := range hosts {
 		s, ok := h.Status()
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -20,8 +20,9 @@
 	}
 	var found *route.Endpoint
 	fits := func(item admit.Item[uint64]) bool {
-		found = p.pick(now, p.requests[item.Value])
-		return found != nil
+		r := p.requests[item.Value]
+		found = p.pick(now, r)
+		return found != nil || p.hopeless(now, r)
 	}
 	for {
 		item, ok := p.Queue.Pop(fits)
@@ -30,6 +31,11 @@
 		}
 		r := p.requests[item.Value]
 		p.waiting[r.pool]--
+		if p.hopeless(now, r) {
+			p.Queue.Correct(r.item, 0)
+			p.finish(now, r, kinds.DeadlineTooShort, out)
+			continue
+		}
 		p.start(now, r, found, out)
 	}
 }
@@ -67,7 +73,7 @@
 	p.table.Start(e, r.item.Cost)
 	r.attempt, r.phase = p.attempts, connecting
 	r.tries++
-	r.charged = true
+	r.sentAt, r.charged = now, true
 	r.endpoint, r.incarnation, r.price = e.Name, e.Incarnation, string(e.Price)
 	out.Emit(event.StartAttempt{
 		Request:      r.id(),
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -20,18 +20,30 @@
 	p.round++
 	p.sent[p.round%sentRounds] = now
 	beat := p.build(now)
+	p.slow.Served = append(p.slow.Served, beat.Served...)
+	p.slow.Loads = append(p.slow.Loads, beat.Loads...)
+	slowRound := p.round%slowRounds == 0
 	picked := p.picks()
 	for _, h := range p.links {
-		if !slices.Contains(picked, h.Name) && p.round%slowRounds != 0 {
+		isPicked := slices.Contains(picked, h.Name)
+		if !isPicked && !slowRound {
 			continue
 		}
 		copied := beat
+		copied.Picked = isPicked
+		if !isPicked {
+			copied.Served = p.slow.Served
+			copied.Loads = p.slow.Loads
+		}
 		if q := p.peers[h.Name]; q != nil {
 			copied.Echo = q.seq
 			copied.EchoIncarnation = q.host.Incarnation
 		}
 		out.Emit(event.SendPeer{Host: h.Name, Message: wire.Message{Beat: &copied}})
 	}
+	if slowRound {
+		p.slow = wire.Beat{}
+	}
 }
 
 func (p *Part) build(now time.Duration) wire.Beat {
@@ -39,6 +51,7 @@
 	for _, c := range p.Contributors {
 		c.Contribute(now, &beat)
 	}
+	p.last = beat
 	return beat
 }
 
@@ -46,10 +59,14 @@
 	if beat.Seq <= q.seq {
 		return
 	}
+	changed := q.beat.Picked != beat.Picked
 	q.seq = beat.Seq
 	q.heardAt = now
 	q.beat = beat
 	q.lost = false
+	if changed {
+		p.connect(now, out)
+	}
 	seen := event.BeatSeen{Host: q.host.Name, Beat: beat}
 	seen.Anchor, seen.Anchored = p.anchor(beat)
 	out.Raise(seen)
@@ -112,7 +129,7 @@
 		links[name] = p.hosts[name]
 	}
 	for name, q := range p.peers {
-		if q.up {
+		if q.up && (q.beat.Picked || q.seq == 0) {
 			links[name] = q.host
 		}
 	}
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"bytes"
 	"encoding/binary"
 	"sort"
 	"time"
@@ -31,12 +32,19 @@
 }
 
 // Encode returns the ledger's msgpack form.
-func (l *Ledger) Encode() ([]byte, error) {
-	b, err := msgpack.Marshal(l)
-	if err != nil {
-		return nil, kinds.New(kinds.Internal, "usage ledger: %v", err)
+func (l *Ledger) Encode() ([]byte, error) { return encode(l) }
+
+// encode writes structs as arrays without names, which are half of the bytes: a field may be added only as the last
+// one of its struct.
+func encode(value any) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	if err := e.Encode(value); err != nil {
+		return nil, kinds.New(kinds.Internal, "encoding usage: %v", err)
 	}
-	return b, nil
+	return b.Bytes(), nil
 }
 
 // Decode returns the ledger that Encode gave, and an empty one for no bytes.
