--- a/client_test.go
+++ b/client_test.go
@@ -41,7 +41,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			_, err := serve(t, c.status, c.body).NextLot(context.Background(), "r", "t", 0)
+			_, err := (&Lots{Client: serve(t, c.status, c.body), Rollout: "r", Consumer: "t"}).Next(context.Background())
 			var got *Error
 			if !errors.As(err, &got) {
 				t.Fatalf("got %v, want an *Error", err)
--- a/example_test.go
+++ b/example_test.go
@@ -37,17 +37,22 @@
 	// [] 0 2
 }
 
-func ExampleClient_NextLot() {
+func ExampleLots() {
 	daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, `{"Rollout":"drafts","Lot":1,"Count":1,"Samples":[{"ID":"drafts/1/1/0/0","Versions":[4]}]}`)
+		_, _ = io.WriteString(w, `{"Rollout":"drafts","Lot":1,"Attempt":9,"Count":1,"Samples":[{"ID":"drafts/1/9/0/0","Versions":[4]}]}`)
 	}))
 	defer daemon.Close()
-	c := &figshift.Client{Address: daemon.URL, Key: "an organisation key"}
-	lot, err := c.NextLot(context.Background(), "drafts", "trainer-1", 0)
+	lots := &figshift.Lots{
+		Client:   &figshift.Client{Address: daemon.URL, Key: "an organisation key"},
+		Rollout:  "drafts",
+		Consumer: "trainer-1",
+	}
+	lot, err := lots.Next(context.Background())
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	fmt.Println(lot.Lot, lot.Count, lot.Samples[0].Versions)
+	lots.Keep(lot)
+	fmt.Println(lots.Cursor, lot.Count, lot.Samples[0].Versions)
 	// Output: 1 1 [4]
 }
