serve: bodies are counted as they are read; admit: served tokens go into beats once a second

Slow uploads without a length were held uncounted; the bound of all bodies is now 64 MB and is kept while reading. Fields that are zero are left out of Served and Demand on the wire.

--- a/internal/admit/ledger.go
+++ b/internal/admit/ledger.go
@@ -9,7 +9,10 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-const refreshEvery = 5 * time.Second // time after which the counts are told again though they have not changed
+const (
+	newsEvery    = time.Second     // least time between two beats that carry counts
+	refreshEvery = 5 * time.Second // time after which the counts are told again though they have not changed
+)
 
 // Ledger counts the tokens served to each organisation, here and by the other daemons.
 // Its zero value is empty. It must not be used concurrently.
@@ -20,7 +23,8 @@
 	sum   uint64
 
 	told   map[tenant]uint64 // own counts in the last beats
-	toldAt time.Duration
+	toldAt time.Duration // time of the last beat that carried all
+	newsAt time.Duration // time of the last beat that carried any
 }
 
 // Serve counts tokens that this daemon served.
@@ -74,8 +78,12 @@
 	return float64(l.total[organisation]) / float64(l.sum)
 }
 
-// News returns this daemon's counts for a beat, sorted: those that changed since the last beat, from time to time all.
+// News returns this daemon's counts for a beat, sorted: about once a second those that changed, from time to time all.
 func (l *Ledger) News(now time.Duration) []wire.Served {
+	if l.told != nil && now-l.newsAt < newsEvery {
+		return nil
+	}
+	l.newsAt = now
 	if l.told == nil || now-l.toldAt >= refreshEvery {
 		l.told, l.toldAt = map[tenant]uint64{}, now
 	}
--- a/internal/serve/read.go
+++ b/internal/serve/read.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -137,19 +138,39 @@
 	if r.ContentLength > most {
 		return nil, kinds.New(kinds.BodyTooLarge, "the body is larger than %d bytes", most)
 	}
-	if s.bodies.Load()+max(0, r.ContentLength) > bodiesMost {
-		return nil, kinds.New(kinds.QueueFull, "too many bodies are held")
-	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	counted := &countedReader{from: http.MaxBytesReader(w, r.Body, most), held: &s.bodies}
+	body, err := io.ReadAll(counted)
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if err == nil {
+		return body, nil
+	}
+	s.bodies.Add(-counted.read)
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.As(err, &large):
 		return nil, kinds.New(kinds.BodyTooLarge, "the body is larger than %d bytes", most)
+	case errors.Is(err, errBodiesFull):
+		return nil, kinds.New(kinds.QueueFull, "too many bodies are held")
 	}
-	if err != nil {
-		return nil, kinds.New(kinds.BadRequest, "the body could not be read")
-	}
-	s.bodies.Add(int64(len(body)))
-	return body, nil
+	return nil, kinds.New(kinds.BadRequest, "the body could not be read")
+}
+
+var errBodiesFull = errors.New("the bodies that are held exceed their bound")
+
+// countedReader counts what it reads into held and stops when that passes its bound.
+type countedReader struct {
+	from io.Reader
+	held *atomic.Int64
+	read int64
+}
+
+// Read reads the next bytes.
+func (c *countedReader) Read(p []byte) (int, error) {
+	n, err := c.from.Read(p)
+	c.read += int64(n)
+	if c.held.Add(int64(n)) > bodiesMost {
+		return n, errBodiesFull
+	}
+	return n, err
 }
--- a/internal/serve/rig_test.go
+++ b/internal/serve/rig_test.go
@@ -41,7 +41,9 @@
 type rig struct {
 	loop *loop.Loop
 	part *flow.Part
-	url  string
+
+	server *Server
+	url    string
 }
 
 func testSite() *config.Site {
@@ -69,6 +71,7 @@
 	executor.Prepare()
 	server := &Server{Executor: executor, Post: g.loop.Post, Now: g.loop.Now}
 	server.Prepare()
+	g.server = server
 	g.loop.Executors = []loop.Executor{server, executor}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = g.loop.Run(ctx) }()
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -23,7 +23,7 @@
 	idleTimeout   = 2 * time.Minute
 	answerTimeout = 5 * time.Second // to write an answer of our own
 	headMost      = 256 << 10       // bytes of a head before the site's limit is looked at
-	bodiesMost    = 256 << 20       // bytes of all bodies that are held at once
+	bodiesMost    = 64 << 20        // bytes of all bodies that are held at once
 )
 
 // Server takes callers' requests. Its exported fields are set before Run.
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -42,9 +42,9 @@
 	Organisation string
 	Class        string
 	Tokens       uint64
-	Queued       int
-	Running      int
-	Refused      uint64
+	Queued       int    `msgpack:",omitempty"`
+	Running      int    `msgpack:",omitempty"`
+	Refused      uint64 `msgpack:",omitempty"`
 }
 
 // LeaveMark says that an endpoint incarnation takes no new work; it is final.
@@ -97,10 +97,10 @@
 
 // Demand is the sender's queued and running tokens by class and model.
 type Demand struct {
-	Model   string
+	Model   string `msgpack:",omitempty"`
 	Class   string
-	Queued  int
-	Running int
+	Queued  int `msgpack:",omitempty"`
+	Running int `msgpack:",omitempty"`
 }
 
 // Push carries the objects under Prefix that changed after store revision After, up to Revision.
