--- a/internal/serve/caller_test.go
+++ b/internal/serve/caller_test.go
@@ -70,7 +70,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	g.await(t, func() bool { return g.server.bodies.Load() > 0 })
 	awaitGone(t, gone)
+	g.await(t, func() bool { return g.server.bodies.Load() == 0 })
 }
 
 func TestBodyBounds(t *testing.T) {
