lots, block: blocks of a crashed holder are deleted; a lot whose block is gone is made anew

The ledger names the lots in the making. A successor deletes their blocks; a holder that gains its duty back after another one held it drops what it was making, since those blocks may be gone.

--- a/internal/block/block_test.go
+++ b/internal/block/block_test.go
@@ -38,6 +38,9 @@
 		o.put(w, r, ok)
 	case http.MethodDelete:
 		delete(o.values, name)
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+		}
 	case http.MethodGet:
 		if !ok {
 			w.WriteHeader(http.StatusNotFound)
@@ -134,7 +137,7 @@
 		kinds.From(c.Put(context.Background(), "Blocks/a", []byte("2"))),
 		kinds.From(c.Delete(context.Background(), "Blocks/b")),
 	}
-	if diff := cmp.Diff([]kinds.Kind{kinds.StoreUnavailable, "", kinds.Conflict, ""}, got); diff != "" {
+	if diff := cmp.Diff([]kinds.Kind{kinds.StoreUnavailable, "", kinds.Conflict, kinds.NotFound}, got); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -217,3 +220,21 @@
 		t.Error("texts of a dropped lot")
 	}
 }
+
+// TestRemoveLot removes an attempt whose number of blocks is not known.
+func TestRemoveLot(t *testing.T) {
+	o := &objects{}
+	c := newClient(t, o)
+	lot := event.LotRef{Rollout: "r", Lot: 1, Attempt: 2}
+	other := event.LotRef{Rollout: "r", Lot: 1, Attempt: 3}
+	for _, name := range []string{Name(lot, 0), Name(lot, 1), Name(other, 0)} {
+		if err := c.Put(context.Background(), name, []byte("1")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s := &Store{Objects: c, Post: func(event.Event) bool { return true }}
+	s.removeLot(context.Background(), event.DeleteLot{Lot: lot})
+	if _, ok := o.values[Name(other, 0)]; !ok || len(o.values) != 1 {
+		t.Errorf("%d objects are left", len(o.values))
+	}
+}
--- a/internal/block/client.go
+++ b/internal/block/client.go
@@ -21,7 +21,7 @@
 	Put(ctx context.Context, name string, value []byte) error
 	// Get returns an object's value; it fails with kind NotFound or StoreUnavailable.
 	Get(ctx context.Context, name string) ([]byte, error)
-	// Delete removes an object; one that is not there counts as removed.
+	// Delete removes an object; it fails with kind NotFound when there is none.
 	Delete(ctx context.Context, name string) error
 }
 
@@ -93,8 +93,10 @@
 		return err
 	}
 	switch status {
-	case http.StatusOK, http.StatusNoContent, http.StatusNotFound:
+	case http.StatusOK, http.StatusNoContent:
 		return nil
+	case http.StatusNotFound:
+		return kinds.New(kinds.NotFound, "%s", name)
 	}
 	return kinds.New(kinds.StoreUnavailable, "delete %s: status %d", name, status)
 }
--- a/internal/block/pack.go
+++ b/internal/block/pack.go
@@ -63,13 +63,18 @@
 func pack(lot event.LotRef, index, count int, value []byte) Packed {
 	return Packed{
 		Ref: event.BlockRef{
-			Name:     fmt.Sprintf("%s%s/%d-%d-%d", Prefix, lot.Rollout, lot.Lot, lot.Attempt, index),
+			Name:     Name(lot, index),
 			Checksum: Checksum(value), Bytes: len(value), Samples: count,
 		},
 		Value: value,
 	}
 }
 
+// Name returns the name of the index-th block of a lot. It may be called concurrently.
+func Name(lot event.LotRef, index int) string {
+	return fmt.Sprintf("%s%s/%d-%d-%d", Prefix, lot.Rollout, lot.Lot, lot.Attempt, index)
+}
+
 func checksumOf(blocks []Packed) string {
 	values := make([][]byte, len(blocks))
 	for i, b := range blocks {
--- a/internal/block/store.go
+++ b/internal/block/store.go
@@ -31,6 +31,7 @@
 	Post    func(ev event.Event) bool // the loop's
 	packs   chan event.PackLot        // waits for a worker
 	scores  chan event.ScoreGroup     // waits for a worker
+	drops   chan event.DeleteLot      // waits for a worker
 	deletes chan event.DeleteBlocks   // waits for a worker
 	serves  chan event.ServeBlock     // waits for a worker
 }
@@ -42,6 +43,7 @@
 func (s *Store) Prepare() {
 	s.packs = make(chan event.PackLot, queueSize)
 	s.scores = make(chan event.ScoreGroup, queueSize)
+	s.drops = make(chan event.DeleteLot, queueSize)
 	s.deletes = make(chan event.DeleteBlocks, queueSize)
 	s.serves = make(chan event.ServeBlock, queueSize)
 }
@@ -63,6 +65,8 @@
 		offer(s.scores, e)
 	case event.DeleteBlocks:
 		offer(s.deletes, e)
+	case event.DeleteLot:
+		offer(s.drops, e)
 	case event.ServeBlock:
 		offer(s.serves, e)
 	default:
@@ -89,6 +93,7 @@
 		go work(ctx, s.scores, s.score)
 	}
 	go work(ctx, s.deletes, s.remove)
+	go work(ctx, s.drops, s.removeLot)
 	<-ctx.Done()
 	return nil
 }
@@ -161,18 +166,29 @@
 	}
 }
 
-func (s *Store) removeOne(ctx context.Context, name string) {
+// removeLot removes an attempt's blocks, which are numbered from 0 without gaps.
+func (s *Store) removeLot(ctx context.Context, e event.DeleteLot) {
+	i := 0
+	for s.removeOne(ctx, Name(e.Lot, i)) {
+		i++
+	}
+}
+
+// removeOne reports whether a block was there and is removed; one that could not be removed is tried again later.
+func (s *Store) removeOne(ctx context.Context, name string) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := s.Objects.Delete(ctx, name); err != nil {
+	err := s.Objects.Delete(ctx, name)
+	if err != nil && kinds.From(err) != kinds.NotFound {
 		s.Post(event.BlockLeft{Name: name})
 	}
+	return err == nil
 }
 
 // serve answers a peer with a block of the cache or the store.
 func (s *Store) serve(ctx context.Context, e event.ServeBlock) {
 	value, err := s.Read(ctx, e.Name)
-	s.Post(event.BlockRead{To: e.To, ID: e.ID, Kind: kinds.From(err), Value: value})
+	s.Post(event.BlockRead{To: e.To, ID: e.ID, Name: e.Name, Kind: kinds.From(err), Value: value})
 }
 
 // Read returns a block's value from the cache or the store. It may be called concurrently.
--- a/internal/event/lot.go
+++ b/internal/event/lot.go
@@ -60,6 +60,9 @@
 // DeleteBlocks removes blocks that no ledger names any more.
 type DeleteBlocks struct{ Names []string }
 
+// DeleteLot removes the blocks of an attempt whose number is not known, such as those of a holder that crashed.
+type DeleteLot struct{ Lot LotRef }
+
 // BlockLeft says that a block could not be deleted.
 type BlockLeft struct{ Name string }
 
@@ -74,6 +77,7 @@
 type BlockRead struct {
 	To    string
 	ID    uint64
+	Name  string
 	Value []byte
 	Kind  kinds.Kind
 }
@@ -116,6 +120,7 @@
 func (PackLot) isEffect()         {}
 func (LotPacked) isEvent()        {}
 func (DeleteBlocks) isEffect()    {}
+func (DeleteLot) isEffect()       {}
 func (BlockLeft) isEvent()        {}
 func (ServeBlock) isEffect()      {}
 func (BlockRead) isEvent()        {}
--- a/internal/lots/advance.go
+++ b/internal/lots/advance.go
@@ -36,7 +36,7 @@
 		return
 	}
 	if r.held {
-		p.openLots(r, out)
+		p.openLots(now, r, out)
 	}
 	if !r.held && !r.lapsed {
 		return
@@ -68,7 +68,7 @@
 
 // openLots starts the lots that may be made now: the next one to be asked for, and those sealed ahead of it.
 // A lot sealed further ahead than the staleness bound would be stale when each lot brings a new version.
-func (p *Part) openLots(r *rollout, out *event.Batch) {
+func (p *Part) openLots(now time.Duration, r *rollout, out *event.Batch) {
 	ahead := uint64(min(r.spec.SealAhead, r.spec.MaxStaleness))
 	for lot := r.ledger.Acked + 1; lot <= r.ledger.Acked+1+ahead; lot++ {
 		if r.spec.Lots > 0 && lot > r.spec.Lots {
@@ -78,6 +78,7 @@
 			continue
 		}
 		p.openLot(r, lot, out)
+		r.touch(now)
 	}
 }
 
@@ -306,7 +307,7 @@
 		Count: m.packed.Count, Checksum: m.packed.Checksum, Blocks: m.packed.Blocks,
 	}
 	if !r.ledger.seal(lot, r.spec.MaxStaleness) {
-		out.Emit(event.Count{Name: "lots_stale", Tags: []event.Field{{Key: "At", Value: "Seal"}}, N: 1})
+		out.Emit(event.Count{Name: "lots_voided", Tags: []event.Field{{Key: "Reason", Value: "Seal"}}, N: 1})
 		out.Emit(event.DeleteBlocks{Names: blockNames(m.packed.Blocks)})
 		p.dropMaking(r, m, out)
 		return
--- a/internal/lots/hand.go
+++ b/internal/lots/hand.go
@@ -149,7 +149,7 @@
 		return
 	}
 	if !r.ledger.fresh(s.Oldest, r.spec.MaxStaleness) {
-		p.void(now, r, lot, out)
+		p.void(now, r, lot, "HandOver", out)
 		answer(to, id, kinds.LotNotReady, nil, out)
 		return
 	}
@@ -175,14 +175,14 @@
 	return g
 }
 
-func (p *Part) void(now time.Duration, r *rollout, lot uint64, out *event.Batch) {
+func (p *Part) void(now time.Duration, r *rollout, lot uint64, reason string, out *event.Batch) {
 	if !r.held {
 		return
 	}
 	r.deleteLater(r.ledger.void(lot))
 	r.touch(now)
 	delete(r.handed, lot)
-	out.Emit(event.Count{Name: "lots_stale", Tags: []event.Field{{Key: "At", Value: "HandOver"}}, N: 1})
+	out.Emit(event.Count{Name: "lots_voided", Tags: []event.Field{{Key: "Reason", Value: reason}}, N: 1})
 }
 
 // askedRelease acknowledges what the consumer holds and lets another consumer in.
--- a/internal/lots/ledger.go
+++ b/internal/lots/ledger.go
@@ -18,6 +18,13 @@
 	Delivered uint64 // acknowledged samples
 	Lots      []Sealed
 	Voided    []Void
+	Open      []Attempt // being made at the last write; a successor deletes their blocks
+}
+
+// Attempt names one attempt at a lot.
+type Attempt struct {
+	Lot     uint64
+	Attempt uint64
 }
 
 // Sealed is a whole lot that waits for its acknowledgement. Oldest is the oldest version in any of its samples.
--- a/internal/lots/leftover.go
+++ b/internal/lots/leftover.go
@@ -1,9 +1,11 @@
 package lots
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
 )
 
 const (
@@ -33,3 +35,20 @@
 	out.Emit(event.DeleteBlocks{Names: p.leftover.names})
 	p.leftover.names = nil
 }
+
+// blockRead answers a call for a block. A lot whose block is gone from the store is made anew.
+func (p *Part) blockRead(now time.Duration, e event.BlockRead, out *event.Batch) {
+	out.Raise(event.AnswerDuty{To: e.To, ID: e.ID, Kind: e.Kind, Body: e.Value})
+	if e.Kind != kinds.NotFound {
+		return
+	}
+	for _, name := range p.names {
+		r := p.rollouts[name]
+		for _, s := range r.ledger.Lots {
+			if r.held && slices.ContainsFunc(s.Blocks, func(b event.BlockRef) bool { return b.Name == e.Name }) {
+				p.void(now, r, s.Lot, "BlockGone", out)
+				return
+			}
+		}
+	}
+}
--- a/internal/lots/lots_test.go
+++ b/internal/lots/lots_test.go
@@ -141,3 +141,49 @@
 		t.Errorf("a holder past its lease answered a publish %v, kind %q", ok, a.Kind)
 	}
 }
+
+// TestBlocksOfACrashedHolder has a successor delete what the former holder was making, and its own lots kept.
+func TestBlocksOfACrashedHolder(t *testing.T) {
+	d := newDaemon(newSpec(), 1)
+	d.gain(1, nil)
+	d.tick(time.Millisecond)
+	d.tick(lazyWrite)
+	open := d.part.rollouts[rolloutName].ledger.Open
+	ledger := d.store()
+	again := newDaemon(newSpec(), 1)
+	again.gain(2, ledger)
+	var want []event.LotRef
+	for _, a := range open {
+		want = append(want, event.LotRef{Rollout: rolloutName, Lot: a.Lot, Attempt: a.Attempt})
+	}
+	if diff := cmp.Diff(want, again.deleted); diff != "" || len(want) == 0 {
+		t.Errorf("%d lots were open: %s", len(want), diff)
+	}
+	d.step(event.DutyLost{Duty: duty()})
+	d.gain(2, ledger)
+	if len(d.deleted) > 0 || len(d.part.rollouts[rolloutName].making) != len(want) {
+		t.Errorf("the holder dropped its own lots: %v", d.deleted)
+	}
+	d.step(event.DutyLost{Duty: duty()})
+	d.gain(4, ledger)
+	if len(d.part.rollouts[rolloutName].making) > 0 {
+		t.Error("lots are kept whose blocks a holder in between may have deleted")
+	}
+}
+
+// TestBlockGone makes a lot anew whose block is not in the store any more.
+func TestBlockGone(t *testing.T) {
+	d := newDaemon(newSpec(), 1)
+	d.gain(1, nil)
+	d.makeLot(1)
+	d.askLot(1, "one", 0)
+	d.store()
+	first := grantIn(d.answers[1])
+	d.step(event.BlockRead{To: "h2", ID: 2, Name: first.Blocks[0].Name, Kind: kinds.NotFound})
+	d.makeLot(1)
+	a, _ := d.askLot(3, "one", 0)
+	got := grantIn(a)
+	if got.Lot != 1 || got.Attempt <= first.Attempt {
+		t.Errorf("lot %d attempt %d came after attempt %d", got.Lot, got.Attempt, first.Attempt)
+	}
+}
--- a/internal/lots/part.go
+++ b/internal/lots/part.go
@@ -75,7 +75,7 @@
 	case event.SampleSent:
 		p.sent(e)
 	case event.BlockRead:
-		out.Raise(event.AnswerDuty{To: e.To, ID: e.ID, Kind: e.Kind, Body: e.Value})
+		p.blockRead(now, e, out)
 	case event.BlockLeft:
 		p.left(now, e)
 	case event.RequestDone:
--- a/internal/lots/property_test.go
+++ b/internal/lots/property_test.go
@@ -145,6 +145,7 @@
 	}
 	p := s.holder.pack("")
 	name := blockOf(p.Lot)
+	s.deleteBlocks()
 	if old, ok := s.content[name]; ok && !cmp.Equal(old, p.Samples) {
 		t.Fatalf("block %s was written with other samples", name)
 	}
@@ -210,11 +211,25 @@
 	s.take(t, g)
 }
 
+// deleteBlocks carries out what the daemons wanted deleted.
+func (s *site) deleteBlocks() {
+	for _, d := range append(s.frozen, s.holder) {
+		for _, name := range d.gone {
+			delete(s.content, name)
+		}
+		d.gone = nil
+	}
+}
+
 // check is the staleness bound at the hand-over, against what is stored.
 func (s *site) check(t *rapid.T, g wire.LotGrant) {
 	if g.Lot != s.cursor+1 {
 		t.Fatalf("lot %d was handed over to cursor %d", g.Lot, s.cursor)
 	}
+	s.deleteBlocks()
+	if _, ok := s.content[g.Blocks[0].Name]; !ok {
+		t.Fatalf("lot %d was handed over without its block", g.Lot)
+	}
 	oldest := s.oldest[g.Blocks[0].Name]
 	if oldest+uint64(s.spec.MaxStaleness) < s.newest() {
 		t.Fatalf("lot %d with version %d was handed over at version %d", g.Lot, oldest, s.newest())
--- a/internal/lots/rollout.go
+++ b/internal/lots/rollout.go
@@ -72,6 +72,9 @@
 	}
 	p.refuseWaiting(r, kinds.OutcomeUnknown, out)
 	p.refuseProbes(r, out)
+	if e.Epoch != r.epoch+1 {
+		p.abandon(r, out) // a holder in between may have deleted their blocks
+	}
 	r.held, r.lapsed, r.epoch = true, false, e.Epoch
 	r.ledger, r.dirty, r.attempts = ledger, false, 0
 	r.seq++
@@ -81,6 +84,7 @@
 	if r.handed == nil {
 		r.handed = map[uint64]time.Duration{}
 	}
+	p.deleteOpen(r, out)
 	p.keepMakings(r, out)
 	out.Emit(event.Log{Level: "info", Event: "RolloutHeld", Fields: []event.Field{
 		{Key: "Rollout", Value: r.spec.Name}, {Key: "Epoch", Value: strconv.FormatUint(e.Epoch, 10)},
@@ -142,10 +146,32 @@
 func (r *rollout) write(out *event.Batch) uint64 {
 	r.seq++
 	r.dirty = false
+	r.noteOpen()
 	out.Raise(event.WriteLedger{Duty: r.duty, Epoch: r.epoch, Seq: r.seq, Ledger: r.ledger.marshal()})
 	return r.seq
 }
 
+// noteOpen has the ledger name the lots in the making.
+func (r *rollout) noteOpen() {
+	r.ledger.Open = nil
+	for _, m := range r.making {
+		if _, ok := r.ledger.sealed(m.ref.Lot); !ok {
+			r.ledger.Open = append(r.ledger.Open, Attempt{Lot: m.ref.Lot, Attempt: m.ref.Attempt})
+		}
+	}
+}
+
+// deleteOpen deletes the blocks of lots that a former holder was making.
+func (p *Part) deleteOpen(r *rollout, out *event.Batch) {
+	for _, a := range r.ledger.Open {
+		own := slices.ContainsFunc(r.making, func(m *making) bool { return m.ref.Attempt == a.Attempt })
+		if own {
+			continue
+		}
+		out.Emit(event.DeleteLot{Lot: event.LotRef{Rollout: r.spec.Name, Lot: a.Lot, Attempt: a.Attempt}})
+	}
+}
+
 // touch has the ledger written with the next decision, or after a while.
 func (r *rollout) touch(now time.Duration) {
 	if !r.dirty {
--- a/internal/lots/world_test.go
+++ b/internal/lots/world_test.go
@@ -35,6 +35,8 @@
 	scores   []event.ScoreGroup
 	answers  map[uint64]event.AnswerDuty
 	sent     []event.SendPeer
+	deleted  []event.LotRef
+	gone     []string // blocks
 	counts   map[string]int64
 	asks     []event.AskDuty
 	raised   []event.Event
@@ -113,6 +115,11 @@
 			d.scores = append(d.scores, e)
 		case event.SendPeer:
 			d.sent = append(d.sent, e)
+		case event.DeleteLot:
+			d.deleted = append(d.deleted, e.Lot)
+			d.gone = append(d.gone, blockOf(e.Lot))
+		case event.DeleteBlocks:
+			d.gone = append(d.gone, e.Names...)
 		case event.Count:
 			d.counts[e.Name] += e.N
 		}
