proofs: a daemon may not have heard of the rollout's holder yet

TestOtherOrganisation failed once under the race detector: h2 answered NotHolder before the holder's first beat reached it. That refusal is true and asks for a retry. The test now wait for Forbidden under the bound and fails at once when a lot is handed over, which it did not check before.

--- a/figbed/proofs/rollouts_once_test.go
+++ b/figbed/proofs/rollouts_once_test.go
@@ -125,9 +125,12 @@
 	c := rolloutCluster(t, 2, rolloutSpec())
 	takeLot(t, c, daemonURLs(c), 0)
 	for _, h := range c.Hosts {
-		r := callRollout(h.URL(), c.Key("South"), wire.CallLots, wire.LotAsk{Consumer: trainerName, Cursor: 0})
-		if r.kind != kinds.Forbidden {
-			t.Errorf("%s answered with status %d, kind %q", h.Name, r.status, r.kind)
-		}
+		proc.WaitUntil(t, lotBound, h.Name+" refuses another organisation's key", func() bool {
+			r := callRollout(h.URL(), c.Key("South"), wire.CallLots, wire.LotAsk{Consumer: trainerName, Cursor: 0})
+			if r.status == http.StatusOK {
+				t.Fatalf("%s handed a lot to another organisation", h.Name)
+			}
+			return r.kind == kinds.Forbidden
+		})
 	}
 }
