--- a/figbed/proofs/rollouts_measure_test.go
+++ b/figbed/proofs/rollouts_measure_test.go
@@ -1,7 +1,9 @@
 package proofs
 
 import (
+	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +93,47 @@
 		t.Logf("version %d on 8 engines after %v", version, time.Since(published).Round(time.Millisecond))
 	}
 }
+
+// usageOf returns the processor time and resident memory of a process.
+func usageOf(t *testing.T, pid int) (time.Duration, int) {
+	t.Helper()
+	const ticksPerSecond, utime, stime, rssPages = 100, 11, 12, 21 // fields after the process's name
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	number := func(i int) int {
+		n, err := strconv.Atoi(fields[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	cpu := time.Duration(number(utime)+number(stime)) * time.Second / ticksPerSecond
+	return cpu, number(rssPages) * os.Getpagesize()
+}
+
+// TestLotSizes measures object calls, bytes, processor time and memory by the samples of a lot.
+func TestLotSizes(t *testing.T) {
+	const lots = 3
+	for _, groups := range []int{8, 64, 512} {
+		spec := rolloutSpec()
+		spec.Groups, spec.SamplesPerGroup, spec.SpareGroups, spec.MaxTokens, spec.SealAhead = groups, 8, groups/8, 128, 0
+		c := rolloutCluster(t, 2, spec, "--tokens", "1000000", "--request-rate", "10000", "--max-running", "512", "--segment", "64")
+		owner := dutyHolder(t, c, rolloutDuty, nil)
+		calls := c.Calls()
+		cpu, _ := usageOf(t, owner.PID())
+		s := trainRollout(t, c, spec, 3*time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.Publish = lots, false })
+		after := c.Calls()
+		end, rss := usageOf(t, owner.PID())
+		bytes := 0
+		for _, o := range c.Objects("Blocks/") {
+			bytes += len(o.Value)
+		}
+		samples := lots * groups * 8
+		t.Logf("%d samples a lot: %.1f object writes a lot, %d bytes of the blocks that are left, holder %v of processor time a sample, %d MB, %v a lot",
+			groups*8, float64(after.Writes-calls.Writes)/lots, bytes, (end-cpu)/time.Duration(samples), rss>>20, s.Took/lots)
+	}
+}
