lots, train: a publish whose outcome is not known is never said not to have run; unknown rollouts

Answers that waited for the ledger when the lease was lost all took the kind of the first ask among them, which says not run: a publish behind it may have been stored. Only answers of the store count as contact with it. A call for a rollout that does not exist is answered NotFound in place of waiting for its deadline.

--- a/internal/block/store.go
+++ b/internal/block/store.go
@@ -53,6 +53,8 @@
 	switch e := effect.(type) {
 	case event.KeepRollout:
 		s.Texts.keep(e.Spec)
+	case event.ForgetRollout:
+		s.Texts.forget(e.Name)
 	case event.OpenLot:
 		s.Texts.open(e.Lot)
 	case event.DropLot:
--- a/internal/block/texts.go
+++ b/internal/block/texts.go
@@ -33,6 +33,19 @@
 	t.specs[spec.Name] = spec
 }
 
+func (t *Texts) forget(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.specs, name)
+}
+
+// Knows reports whether a rollout of this name exists, as far as this daemon has heard.
+func (t *Texts) Knows(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.specs[name] != nil
+}
+
 func (t *Texts) open(lot event.LotRef) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/event/lot.go
+++ b/internal/event/lot.go
@@ -30,6 +30,9 @@
 // KeepRollout gives the samples' executor a specification, as JSON of wire.RolloutSpec, to make prompts from.
 type KeepRollout struct{ Spec []byte }
 
+// ForgetRollout tells the samples' executor that a rollout was removed.
+type ForgetRollout struct{ Name string }
+
 // OpenLot tells the samples' executor to take answers for a lot.
 type OpenLot struct{ Lot LotRef }
 
@@ -114,6 +117,7 @@
 }
 
 func (KeepRollout) isEffect()     {}
+func (ForgetRollout) isEffect()   {}
 func (OpenLot) isEffect()         {}
 func (DropLot) isEffect()         {}
 func (DropAnswer) isEffect()      {}
--- a/internal/lots/hand.go
+++ b/internal/lots/hand.go
@@ -234,13 +234,15 @@
 	}
 }
 
-// refuseWaiting ends the answers that wait for a ledger write whose outcome is no longer known.
+// refuseWaiting ends the answers that wait for a ledger write whose outcome is no longer known. An ask decides
+// nothing, so that it may simply be repeated.
 func (p *Part) refuseWaiting(r *rollout, kind kinds.Kind, out *event.Batch) {
 	for _, w := range r.waiting {
 		if w.ask != nil {
-			kind = kinds.StoreUnavailable
+			answer(w.to, w.id, kinds.StoreUnavailable, nil, out)
+			continue
 		}
-		out.Raise(event.AnswerDuty{To: w.to, ID: w.id, Kind: kind})
+		answer(w.to, w.id, kind, nil, out)
 	}
 	r.waiting = nil
 }
--- a/internal/lots/lots_test.go
+++ b/internal/lots/lots_test.go
@@ -187,3 +187,16 @@
 		t.Errorf("lot %d attempt %d came after attempt %d", got.Lot, got.Attempt, first.Attempt)
 	}
 }
+
+// TestLossWithAnswersOutstanding loses the lease while a new consumer's ask and a publish wait for the ledger.
+func TestLossWithAnswersOutstanding(t *testing.T) {
+	d := newDaemon(newSpec(), 1)
+	d.gain(1, nil)
+	d.askLot(1, "one", 0)
+	d.publish(2, "one", 5)
+	d.step(event.DutyLost{Duty: duty()})
+	got := []kinds.Kind{d.answers[1].Kind, d.answers[2].Kind}
+	if diff := cmp.Diff([]kinds.Kind{kinds.StoreUnavailable, kinds.OutcomeUnknown}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/lots/part.go
+++ b/internal/lots/part.go
@@ -69,7 +69,7 @@
 	case event.BeatSeen:
 		p.beat(e, out)
 	case event.DutyAsked:
-		p.withDuty(e.Duty, func(r *rollout) { p.asked(now, r, e, out) })
+		p.dutyAsked(now, e, out)
 	case event.AskDone:
 		p.confirmed(now, e, out)
 	case event.SampleSent:
@@ -97,6 +97,18 @@
 	p.perNode = config.Defaults().Limits.ConcurrencyPerNode
 }
 
+func (p *Part) dutyAsked(now time.Duration, e event.DutyAsked, out *event.Batch) {
+	name, ok := strings.CutPrefix(e.Duty, wire.PrefixRolloutDuty)
+	if !ok {
+		return
+	}
+	if r, ok := p.rollouts[name]; ok {
+		p.asked(now, r, e, out)
+		return
+	}
+	answer(e.From, e.ID, kinds.NotFound, nil, out)
+}
+
 func (p *Part) withDuty(duty string, f func(*rollout)) {
 	if name, ok := strings.CutPrefix(duty, wire.PrefixRolloutDuty); ok {
 		p.withRollout(name, f)
@@ -145,7 +157,9 @@
 		return
 	}
 	p.abandon(r, out)
-	p.refuseWaiting(r, kinds.NotFound, out)
+	p.refuseWaiting(r, kinds.OutcomeUnknown, out)
+	p.refuseProbes(r, out)
+	out.Emit(event.ForgetRollout{Name: name})
 	delete(p.rollouts, name)
 	p.names = slices.DeleteFunc(p.names, func(n string) bool { return n == name })
 	p.want(out)
--- a/internal/lots/probe.go
+++ b/internal/lots/probe.go
@@ -82,7 +82,8 @@
 }
 
 func (b *probes) contactAt(now time.Duration, kind kinds.Kind) {
-	if kind != kinds.StoreUnavailable {
+	switch kind {
+	case "", kinds.NotFound, kinds.Conflict:
 		b.contacted, b.contact = true, now
 	}
 }
--- a/internal/train/handler.go
+++ b/internal/train/handler.go
@@ -64,6 +64,9 @@
 	if err != nil {
 		return err
 	}
+	if !h.Blocks.Texts.Knows(name) {
+		return kinds.New(kinds.NotFound, "rollout %s", name)
+	}
 	c := rolloutCall{h: h, duty: wire.PrefixRolloutDuty + name, name: name}
 	c.body.Organisation = organisation
 	switch call {
--- a/internal/train/train_test.go
+++ b/internal/train/train_test.go
@@ -83,7 +83,9 @@
 func newHandler(d *daemon) *Handler {
 	d.values = map[string][]byte{"Blocks/a": []byte(`{"ID":"x"}`), "Blocks/b": []byte(`{"ID":"y"}`)}
 	d.calls = &Calls{Post: d.post, Now: func() time.Duration { return time.Duration(d.now.Load()) }}
-	return &Handler{Calls: d.calls, Blocks: &block.Store{Objects: none{}, Cache: &block.Cache{MaxBytes: 100}}}
+	store := &block.Store{Objects: none{}, Texts: &block.Texts{}, Cache: &block.Cache{MaxBytes: 100}}
+	store.Do(event.KeepRollout{Spec: []byte(`{"Name":"tariffs"}`)})
+	return &Handler{Calls: d.calls, Blocks: store}
 }
 
 func TestHandler(t *testing.T) {
@@ -100,6 +102,7 @@
 		"an unknown key":                    {"tariffs/lots", "other", `{}`, &daemon{}, 401, kinds.KeyUnknown},
 		"no JSON":                           {"tariffs/lots", goodKey, `{`, &daemon{}, 400, kinds.BadRequest},
 		"no such call":                      {"tariffs/newest", goodKey, `{}`, &daemon{}, 404, kinds.RouteUnknown},
+		"no such rollout":                   {"letters/lots", goodKey, `{}`, &daemon{}, 404, kinds.NotFound},
 		"a publish":                         {"tariffs/versions", goodKey, `{"Version":2}`, &daemon{}, 200, ""},
 		"a release":                         {"tariffs/release", goodKey, `{}`, &daemon{kind: kinds.ConsumerHeld}, 409, kinds.ConsumerHeld},
 	}
