weight: the ledger of a model does not grow with its engines; fewer polls and writes

Each write of intents held every open order: 270 KB for 3,400 engines, at up to 20 writes a second. The number of the last order proves the same, since a successor reads the engines' own state.

--- a/internal/weight/engines.go
+++ b/internal/weight/engines.go
@@ -16,7 +16,9 @@
 const (
 	stateTimeout = time.Second
 	orderTimeout = time.Second
-	pollEvery    = 50 * time.Millisecond
+	firstPoll    = 50 * time.Millisecond
+	lastPoll     = 400 * time.Millisecond
+	pollGrowth   = 1.5
 	slotEvery    = 100 * time.Millisecond
 	accepted     = "Accepted" // wire.EngineState.LastOrderState of an order that is being carried out
 )
@@ -80,14 +82,16 @@
 
 // settled waits until no order is being carried out and returns the engine's state.
 func (x *Engines) settled(ctx context.Context, address string) (wire.EngineState, error) {
+	wait := firstPoll
 	for {
 		state, err := x.state(ctx, address)
 		if err != nil || state.LastOrderState != accepted {
 			return state, err
 		}
-		if err := pause(ctx, pollEvery); err != nil {
+		if err := pause(ctx, wait); err != nil {
 			return state, err
 		}
+		wait = min(lastPoll, time.Duration(float64(wait)*pollGrowth))
 	}
 }
 
--- a/internal/weight/model.go
+++ b/internal/weight/model.go
@@ -11,17 +11,18 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// Ledger is what lasts of a model's versions. Orders are those that were intended last and may have been sent.
+// Ledger is what lasts of a model's versions. Orders up to number Intended of Epoch may have been sent. Which engines
+// they went to is not kept: a successor reads the engines' own state. The ledger's size does not grow with the engines.
 type Ledger struct {
-	Target uint64
-	Orders []Order
+	Target   uint64
+	Epoch    uint64
+	Intended uint64
 }
 
-// Order is the intent to have one engine load a version.
-type Order struct {
-	OrderID  string
-	Endpoint string
-	Version  uint64
+// order is the intent to have one engine load a version.
+type order struct {
+	id      string
+	version uint64
 }
 
 // model is one model on this daemon.
@@ -39,6 +40,7 @@
 	engines  map[string]*engine
 	sorted   []string // live engines
 	waiting  []waiting
+	intentAt time.Duration // last write of intents
 }
 
 // waiting is an answer that goes out when a ledger write is stored.
@@ -54,7 +56,7 @@
 	version  uint64
 	known    bool
 	reading  time.Duration // end of a read that is under way, 0 for none
-	order    *Order        // intended or sent
+	order    *order        // intended or sent
 	seq      uint64        // ledger write that holds the intent
 	sent     bool
 	failures int
@@ -124,12 +126,10 @@
 }
 
 // nextOrder returns the intent to swap an engine; its id is never used again.
-func (m *model) nextOrder(e *engine) *Order {
+func (m *model) nextOrder() *order {
 	m.orders++
-	return &Order{
-		OrderID:  fmt.Sprintf("%s/%d/%d", m.duty, m.epoch, m.orders),
-		Endpoint: e.endpoint.Name, Version: m.ledger.Target,
-	}
+	m.ledger.Epoch, m.ledger.Intended = m.epoch, m.orders
+	return &order{id: fmt.Sprintf("%s/%d/%d", m.duty, m.epoch, m.orders), version: m.ledger.Target}
 }
 
 func (m *model) swapping() int {
@@ -141,13 +141,3 @@
 	}
 	return n
 }
-
-// keepOrders writes the intents that are open into the ledger's value.
-func (m *model) keepOrders() {
-	m.ledger.Orders = m.ledger.Orders[:0]
-	for _, name := range m.sorted {
-		if o := m.engines[name].order; o != nil {
-			m.ledger.Orders = append(m.ledger.Orders, *o)
-		}
-	}
-}
--- a/internal/weight/waves.go
+++ b/internal/weight/waves.go
@@ -9,6 +9,8 @@
 const (
 	readTimeout = 2 * time.Second
 	lastBackoff = 10 * time.Second
+	intentEvery = 250 * time.Millisecond
+	intentParts = 4 // a wave's share that is written at once
 )
 
 // advance reads the engines that are not known and intends orders for those behind the target, as many at once
@@ -17,7 +19,7 @@
 	if !m.held || m.stopping || m.ledger.Target == 0 || m.settled {
 		return
 	}
-	room := waveSize(p.site.WaveShare, len(m.sorted)) - m.swapping()
+	room := m.room(now, p.site.WaveShare)
 	intended, settled := false, true
 	for _, name := range m.sorted {
 		e := m.engines[name]
@@ -29,18 +31,29 @@
 		if room <= 0 || e.order != nil || e.version >= m.ledger.Target || now < e.notUntil {
 			continue
 		}
-		e.order, e.sent = m.nextOrder(e), false
+		e.order, e.sent = m.nextOrder(), false
 		e.seq = m.seq + 1
 		intended = true
 		room--
 	}
 	m.settled = settled
 	if intended {
-		m.keepOrders()
+		m.intentAt = now
 		m.write(out)
 	}
 }
 
+// room returns how many more engines may swap now. While others swap, a small part of a wave is held back for a
+// moment, so that the intents of many orders share one write.
+func (m *model) room(now time.Duration, share float64) int {
+	wave := waveSize(share, len(m.sorted))
+	room := wave - m.swapping()
+	if room < wave && room*intentParts < wave && now-m.intentAt < intentEvery {
+		return 0
+	}
+	return room
+}
+
 // waveSize returns how many of n engines may swap at once: at least one, so that a single engine swaps too.
 func waveSize(share float64, n int) int {
 	return max(1, int(share*float64(n)))
@@ -87,8 +100,8 @@
 		}
 		e.sent = true
 		out.Emit(event.SwapEngine{
-			Duty: m.duty, Epoch: m.epoch, OrderID: e.order.OrderID, Endpoint: name, Address: e.endpoint.Address,
-			Model: m.name, Version: e.order.Version, Before: until, Timeout: p.site.OrderDeadline,
+			Duty: m.duty, Epoch: m.epoch, OrderID: e.order.id, Endpoint: name, Address: e.endpoint.Address,
+			Model: m.name, Version: e.order.version, Before: until, Timeout: p.site.OrderDeadline,
 		})
 	}
 }
@@ -111,7 +124,7 @@
 		logFailure(s, out)
 	}
 	e := m.engines[s.Endpoint]
-	if e == nil || e.order == nil || e.order.OrderID != s.OrderID {
+	if e == nil || e.order == nil || e.order.id != s.OrderID {
 		return
 	}
 	e.order = nil
