--- a/figbed/internal/loadr/plan.go
+++ b/figbed/internal/loadr/plan.go
@@ -30,8 +30,9 @@
 	Targets        []string // base URLs, used in turn
 	Sources        []Source
 	Duration       time.Duration
-	MaxRequests    int // of all sources, 0 for the built-in bound
-	MaxOutstanding int // requests under way at once; one that is due beyond it is counted as Dropped
+	Grace          time.Duration // after Duration, for the answers under way; 0 waits for all
+	MaxRequests    int           // of all sources, 0 for the built-in bound
+	MaxOutstanding int           // requests under way at once; one that is due beyond it is counted as Dropped
 	Seed           uint64
 	Direct         bool // Targets are endpoints: the headers that a daemon sets are set here
 }
--- a/figbed/internal/loadr/result.go
+++ b/figbed/internal/loadr/result.go
@@ -41,6 +41,8 @@
 	CachedTokens int
 	InTimeTokens int     // of the answers InTime
 	Share        float64 // of InTimeTokens of all sources
+
+	latency *hdrhistogram.Histogram
 }
 
 // String returns the result as key=value pairs on one line.
@@ -73,6 +75,17 @@
 	return Result{}
 }
 
+// P99 returns the 99th percentile of the latency of all whole answers but those of one source, in milliseconds.
+func (r Report) P99(except string) float64 {
+	all := hdrhistogram.New(1, mostLatency.Microseconds(), latencyFigures)
+	for _, result := range r.Results {
+		if result.Name != except {
+			all.Merge(result.latency)
+		}
+	}
+	return millis(all, 99)
+}
+
 // tally collects one source's outcomes.
 type tally struct {
 	mu      sync.Mutex
@@ -133,6 +146,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.result
+	r.latency = t.whole
 	r.P50, r.P99, r.Max = millis(t.whole, 50), millis(t.whole, 99), millis(t.whole, 100)
 	r.FirstP50, r.FirstP99 = millis(t.first, 50), millis(t.first, 99)
 	r.RefusedP95, r.RefusedP99 = millis(t.refused, 95), millis(t.refused, 99)
--- a/figbed/internal/loadr/run.go
+++ b/figbed/internal/loadr/run.go
@@ -13,6 +13,11 @@
 	if err := plan.check(); err != nil {
 		return Report{}, err
 	}
+	if plan.Grace > 0 {
+		bounded, cancel := context.WithTimeout(ctx, plan.Duration+plan.Grace)
+		defer cancel()
+		ctx = bounded
+	}
 	transport := &http.Transport{MaxIdleConnsPerHost: plan.MaxOutstanding, MaxIdleConns: 0}
 	defer transport.CloseIdleConnections()
 	r := &runner{
