--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -89,7 +89,7 @@
 	TokensPerEngine int           // queued and running tokens that one engine carries
 	StartTime       time.Duration // from order to live
 	ScaleDownAfter  time.Duration
-	Model           string
+	Model           string // "" leaves the zone's endpoints alone
 }
 
 // Limits bounds what callers send and what waits.
@@ -157,3 +157,13 @@
 	CheapPrice    float64 // of one cheap endpoint for an hour
 	IdlePrice     float64 // of one trainer that waits for an hour
 }
+
+// LongestRequest returns the time after which no request that came in under this site still runs.
+// It may be called concurrently while the site does not change.
+func (s *Site) LongestRequest() time.Duration {
+	longest := s.Limits.DefaultTimeout
+	for _, r := range s.Routes {
+		longest = max(longest, r.Timeout)
+	}
+	return longest
+}
--- a/internal/lots/part.go
+++ b/internal/lots/part.go
@@ -24,7 +24,9 @@
 	names    []string // sorted
 	requests map[uint64]event.SampleRef
 	request  uint64
+	ask      uint64
 	list     wire.EndpointList
+	engines  map[string]int // live ones by model
 	perNode  int
 	stopping bool
 	probes   probes
@@ -41,7 +43,7 @@
 	case event.ObjectSeen:
 		p.see(e.Object, out)
 	case event.EndpointsListed:
-		p.list = e.List
+		p.listed(e.List)
 	case event.ConfigInForce:
 		p.perNode = e.Site.Limits.ConcurrencyPerNode
 	case event.StopAsked:
@@ -68,6 +70,8 @@
 		p.beat(e, out)
 	case event.DutyAsked:
 		p.withDuty(e.Duty, func(r *rollout) { p.asked(now, r, e, out) })
+	case event.AskDone:
+		p.confirmed(now, e, out)
 	case event.SampleSent:
 		p.sent(e)
 	case event.BlockRead:
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -18,6 +18,8 @@
 	Site() *config.Site
 	// Revisions returns the revisions of the configuration and of the keys.
 	Revisions() (configuration, keyTable uint64)
+	// HostsRevision returns the store's revision up to which the hosts are known.
+	HostsRevision() uint64
 	// OwnContact returns the sending time of the last own call that brought configuration and keys up to date.
 	OwnContact() (time.Duration, bool)
 }
@@ -31,8 +33,9 @@
 
 	trust    config.Trust
 	started  bool
-	hosts    []string // all known
-	peers    map[string]evidence
+	hosts    []string            // admitted
+	peers    map[string]evidence // of direct peers
+	relayed  map[string]evidence // of all hosts, from the peers' beats
 	stopping bool
 	ready    event.Ready
 }
@@ -41,7 +44,8 @@
 type evidence struct {
 	anchor     time.Duration // the peer's state was as below at this time or later
 	complete   bool
-	site, keys uint64        // revisions
+	site, keys uint64 // revisions
+	hosts      uint64
 	contact    time.Duration // the peer knew all changes up to this time
 	hasContact bool
 }
@@ -73,6 +77,7 @@
 	p.started = true
 	p.trust = config.Defaults().Trust
 	p.peers = map[string]evidence{}
+	p.relayed = map[string]evidence{}
 	p.ready = event.Ready{Reason: "Starting"}
 	out.Emit(p.ready)
 }
@@ -80,7 +85,9 @@
 func (p *Part) takeHosts(hosts []event.Host) {
 	p.hosts = p.hosts[:0]
 	for _, h := range hosts {
-		p.hosts = append(p.hosts, h.Name)
+		if h.Admitted {
+			p.hosts = append(p.hosts, h.Name)
+		}
 	}
 }
 
@@ -88,12 +95,14 @@
 	if !e.Anchored || e.Anchor < p.peers[e.Host].anchor {
 		return
 	}
+	p.takeHeard(e)
 	age := time.Duration(e.Beat.EvidenceAgeMS) * time.Millisecond
 	p.peers[e.Host] = evidence{
 		anchor:     e.Anchor,
 		complete:   e.Beat.Complete,
 		site:       e.Beat.ConfigRevision,
 		keys:       e.Beat.KeysRevision,
+		hosts:      e.Beat.HostsRevision,
 		contact:    e.Anchor - age,
 		hasContact: e.Beat.EvidenceAgeMS >= 0,
 	}
@@ -142,20 +151,23 @@
 
 func (p *Part) covers(e evidence) bool {
 	site, table := p.State.Revisions()
-	return e.complete && e.site <= site && e.keys <= table
+	return e.complete && e.site <= site && e.keys <= table && e.hosts <= p.State.HostsRevision()
 }
 
-// agreed returns the latest time at which a majority of the known hosts, this one among them, knew no higher
-// revision. An accepted change was acknowledged by a majority, and any two majorities share a host.
+// agreed returns the latest time at which a majority of the admitted hosts knew no higher revision. An accepted change
+// was acknowledged by a majority, and any two majorities share a host.
 func (p *Part) agreed(now time.Duration) (time.Duration, bool) {
-	others := len(p.hosts) / 2
+	others := len(p.hosts)/2 + 1
+	if slices.Contains(p.hosts, p.Self) {
+		others--
+	}
 	if others == 0 {
-		return now, len(p.hosts) == 1
+		return now, true
 	}
 	var anchors []time.Duration
 	for _, host := range p.hosts {
-		if e, ok := p.peers[host]; ok && p.covers(e) {
-			anchors = append(anchors, e.anchor)
+		if anchor, ok := p.heardAt(host); ok {
+			anchors = append(anchors, anchor)
 		}
 	}
 	if len(anchors) < others {
@@ -201,6 +213,7 @@
 	beat.EvidenceAgeMS = ageMS(now, p.Contact)
 	beat.OwnContactMS = ageMS(now, p.State.OwnContact)
 	beat.Ready = p.ready.Ready
+	beat.Heard = p.heard(now)
 }
 
 // ageMS returns the age of a contact in milliseconds, rounded up; -1 for none.
--- a/internal/weight/waves.go
+++ b/internal/weight/waves.go
@@ -14,13 +14,14 @@
 // advance reads the engines that are not known and intends orders for those behind the target, as many at once
 // as the site's share of the engines allows.
 func (p *Part) advance(now time.Duration, m *model, out *event.Batch) {
-	if !m.held || m.stopping || m.ledger.Target == 0 {
+	if !m.held || m.stopping || m.ledger.Target == 0 || m.settled {
 		return
 	}
 	room := waveSize(p.site.WaveShare, len(m.sorted)) - m.swapping()
-	intended := false
+	intended, settled := false, true
 	for _, name := range m.sorted {
 		e := m.engines[name]
+		settled = settled && e.known && e.version >= m.ledger.Target
 		if !e.known {
 			m.readEngine(now, e, out)
 			continue
@@ -33,6 +34,7 @@
 		intended = true
 		room--
 	}
+	m.settled = settled
 	if intended {
 		m.keepOrders()
 		m.write(out)
@@ -105,6 +107,9 @@
 
 // swapped takes the end of an order: what counts is the version that the engine itself reports.
 func (p *Part) swapped(now time.Duration, m *model, s event.EngineSwapped, out *event.Batch) {
+	if s.Kind != "" {
+		logFailure(s, out)
+	}
 	e := m.engines[s.Endpoint]
 	if e == nil || e.order == nil || e.order.OrderID != s.OrderID {
 		return
@@ -120,6 +125,12 @@
 	out.Emit(event.Count{Name: "swaps_retried", Tags: []event.Field{{Key: "Kind", Value: string(s.Kind)}}, N: 1})
 }
 
+func logFailure(s event.EngineSwapped, out *event.Batch) {
+	out.Emit(event.Log{Level: "warn", Event: "SwapFailed", Fields: []event.Field{
+		{Key: "Endpoint", Value: s.Endpoint}, {Key: "OrderID", Value: s.OrderID}, {Key: "Kind", Value: string(s.Kind)},
+	}})
+}
+
 func backoff(first time.Duration, failures int) time.Duration {
 	wait := first
 	for i := 0; i < failures && wait < lastBackoff; i++ {
