--- a/figbed/proofs/usage_test.go
+++ b/figbed/proofs/usage_test.go
@@ -181,11 +181,10 @@
 	stream := usage.StreamOf(sender.Name, status.Incarnation)
 	m.spend(sender, 3)
 	proc.WaitUntil(t, usageBound, "the delta is in the ledger", func() bool { return m.inLedger() >= m.counted })
-	safe := m.counted
 	m.spend(sender, 1)
 	sender.Kill()
 	m.spend(holder, 2)
-	safe += m.counted - safe - m.perRequest()
+	safe := m.counted - m.perRequest() // the killed daemon may not have sent its last request's count
 	proc.WaitUntil(t, usageBound, "what was sent is reported", func() bool { return m.reported() >= safe })
 	sender.Run()
 	proc.WaitUntil(t, usageBound, sender.Name+" is ready", sender.Ready)
--- a/figd/operations.go
+++ b/figd/operations.go
@@ -62,6 +62,7 @@
 	d.addActor(server.Run)
 	d.addActor(exit.run)
 	d.addActor(d.watchSignals)
+	d.addPart(&logs.Requests{Incarnation: d.incarnation, Debug: d.process.LogLevel == "debug"})
 	d.addPart(&drain.Part{Bound: d.process.BalancerDelay + drainBound})
 	d.log.Info("Started", zap.String("Incarnation", d.incarnation), zap.String("Zone", d.process.Zone))
 	return nil
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/logs"
 )
 
@@ -40,3 +42,35 @@
 		})
 	}
 }
+
+func TestRequestsAreLogged(t *testing.T) {
+	cases := map[string]struct {
+		kind  kinds.Kind
+		debug bool
+		want  []string
+	}{
+		"whole":          {},
+		"whole, debug":   {debug: true, want: []string{"debug"}},
+		"refused":        {kind: kinds.QueueFull},
+		"refused, debug": {kind: kinds.QueueFull, debug: true, want: []string{"debug"}},
+		"unknown":        {kind: kinds.OutcomeUnknown, want: []string{"warn"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := &logs.Requests{Incarnation: "i1", Debug: c.debug}
+			var out event.Batch
+			p.Step(0, event.RequestDone{Request: 7, Kind: c.kind, Took: time.Second}, &out)
+			var levels []string
+			for _, e := range out.Effects {
+				l := e.(event.Log)
+				levels = append(levels, l.Level)
+				if l.Fields[0].Value != "i1-7" {
+					t.Errorf("request %q", l.Fields[0].Value)
+				}
+			}
+			if diff := cmp.Diff(c.want, levels); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/logs/requests.go
@@ -0,0 +1,41 @@
+package logs
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+)
+
+// Requests is the part that tells of each request's end: at level debug of all, at level warn of those whose outcome
+// the caller does not know. Its fields are set before use.
+type Requests struct {
+	Incarnation string
+	Debug       bool // the log shows level debug
+}
+
+// Step logs RequestDone. It must not be called concurrently.
+func (p *Requests) Step(_ time.Duration, ev event.Event, out *event.Batch) {
+	e, ok := ev.(event.RequestDone)
+	if !ok {
+		return
+	}
+	unknown := e.Kind != "" && kinds.Of(e.Kind).Run == kinds.Unknown
+	if !unknown && !p.Debug {
+		return
+	}
+	level := "debug"
+	if unknown {
+		level = "warn"
+	}
+	out.Emit(event.Log{Level: level, Event: "RequestDone", Fields: []event.Field{
+		{Key: "Request", Value: p.Incarnation + "-" + strconv.FormatUint(e.Request, 10)},
+		{Key: "Organisation", Value: e.Organisation},
+		{Key: "Class", Value: string(e.Class)},
+		{Key: "Kind", Value: string(e.Kind)},
+		{Key: "Endpoint", Value: e.Endpoint},
+		{Key: "Attempt", Value: strconv.FormatUint(e.Attempt, 10)},
+		{Key: "Took", Value: e.Took.String()},
+	}})
+}
