fleet: a successor waits for the list by which its predecessor settled

A holder whose list lagged behind the former holder's saw neither the endpoint nor its settled order and ordered another: TestOrdersReachTheWant, a model of two daemons, a store and a platform, fails after 12 tests with "3 endpoints, want at most 2" when the wait is out. With it, 3,000 runs of the model pass.

--- a/internal/fleet/ledger.go
+++ b/internal/fleet/ledger.go
@@ -41,9 +41,11 @@
 }
 
 // Ledger is what a zone's duty keeps. Last is the number of the last OrderID. Orders are the unsettled ones, oldest
-// first; a stop stays until the platform's list shows its endpoint no more.
+// first; a stop stays until the platform's list shows its endpoint no more. Listed is the revision of the newest list
+// by which an order was settled: an older one does not show that order's effect.
 type Ledger struct {
 	Last   uint64
+	Listed uint64
 	Orders []Order
 }
 
--- a/internal/fleet/part.go
+++ b/internal/fleet/part.go
@@ -219,6 +219,9 @@
 	if !known || !held || epoch != z.epoch {
 		return
 	}
+	if p.list.Revision < z.ledger.Listed {
+		return // read before the list by which the former holder went
+	}
 	z.settle(now, p, settings, out)
 	z.drain(now, p, out)
 	need := p.demands.need(now, settings.Model)
--- a/internal/fleet/zone.go
+++ b/internal/fleet/zone.go
@@ -92,6 +92,7 @@
 			delete(z.since, o.OrderID)
 			delete(z.recorded, o.OrderID)
 			delete(z.told, o.OrderID)
+			z.ledger.Listed = max(z.ledger.Listed, p.list.Revision)
 			z.dirty = true
 		}
 		return done
