--- a/internal/admit/ledger.go
+++ b/internal/admit/ledger.go
@@ -23,8 +23,8 @@
 	sum   uint64
 
 	told   map[tenant]uint64 // own counts in the last beats
-	toldAt time.Duration // time of the last beat that carried all
-	newsAt time.Duration // time of the last beat that carried any
+	toldAt time.Duration     // time of the last beat that carried all
+	newsAt time.Duration     // time of the last beat that carried any
 }
 
 // Serve counts tokens that this daemon served.
