--- a/internal/flow/fair_test.go
+++ b/internal/flow/fair_test.go
@@ -176,13 +176,3 @@
 	from.rig.part.Contribute(from.rig.now, &beat)
 	to.take(to.rig.state.Step(to.rig.now, event.BeatSeen{Host: host, Beat: beat}))
 }
-
-func BenchmarkRequest(b *testing.B) {
-	g := newRig()
-	for i := range b.N {
-		s := pick[event.StartAttempt](g.step(arrival(uint64(i+1), "Ledger", "/lookup")))[0]
-		g.step(event.AttemptConnected{Request: s.Request, Attempt: s.Attempt})
-		g.step(event.AttemptHead{Request: s.Request, Attempt: s.Attempt, Load: 5})
-		g.step(done(s, kinds.Ran, ""))
-	}
-}
--- a/internal/flow/poller.go
+++ b/internal/flow/poller.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +17,7 @@
 	pollEvery  = time.Second
 	pollersOf  = 2 // daemons that poll one endpoint
 	reportKeep = 3 * time.Second
+	ringSalt   = "/ring"
 )
 
 // poller reads the load and version of the endpoints that rendezvous hashing gives to this daemon
@@ -23,11 +25,18 @@
 type poller struct {
 	host  string
 	hosts []string        // the others
+	ring  []point         // all hosts by hash
 	lost  map[string]bool // those that send no beats
 	next  time.Duration
 	known []report // sorted by endpoint
 }
 
+// point is one host's place on the ring.
+type point struct {
+	hash uint64
+	name string
+}
+
 type report struct {
 	wire.LoadReport
 	at   time.Duration // time that the report tells of
@@ -35,12 +44,14 @@
 }
 
 func (w *poller) setHosts(hosts []event.Host) {
-	w.hosts = w.hosts[:0]
+	w.hosts, w.ring = w.hosts[:0], w.ring[:0]
 	for _, h := range hosts {
+		w.ring = append(w.ring, point{hash: route.Rank(xxhash.Sum64String(h.Name), h.Name+ringSalt), name: h.Name})
 		if h.Name != w.host {
 			w.hosts = append(w.hosts, h.Name)
 		}
 	}
+	slices.SortFunc(w.ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
 }
 
 func (w *poller) tick(now time.Duration, table *route.Table, out *event.Batch) {
@@ -61,16 +72,21 @@
 	}
 }
 
-// mine reports whether this daemon is among those that poll an endpoint.
+// mine reports whether this daemon is among those that poll an endpoint: the next hosts on a ring of hashes,
+// which costs less than a rendezvous for each endpoint and moves as few when a host goes.
 func (w *poller) mine(endpoint string) bool {
-	hash := xxhash.Sum64String(endpoint)
-	own, above := route.Rank(hash, w.host), 0
-	for _, h := range w.hosts {
-		if !w.lost[h] && route.Rank(hash, h) > own {
-			above++
+	hash, n := xxhash.Sum64String(endpoint), len(w.ring)
+	from, _ := slices.BinarySearchFunc(w.ring, hash, func(p point, h uint64) int { return cmp.Compare(p.hash, h) })
+	for i, found := 0, 0; i < n && found < pollersOf; i++ {
+		p := w.ring[(from+i)%n]
+		if p.name == w.host {
+			return true
+		}
+		if !w.lost[p.name] {
+			found++
 		}
 	}
-	return above < pollersOf
+	return n == 0
 }
 
 func (w *poller) keep(now time.Duration, e event.EndpointPolled) {
--- /dev/null
+++ b/internal/flow/poller_test.go
@@ -0,0 +1,51 @@
+package flow
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+)
+
+// pollers returns how many of the hosts poll each of 1,000 endpoints, and how many endpoints each host polls.
+func pollers(hosts []event.Host, lost map[string]bool) (least, most int, byHost map[string]int) {
+	byHost = map[string]int{}
+	least = len(hosts)
+	for i := range 1000 {
+		n := 0
+		for _, h := range hosts {
+			w := poller{host: h.Name, lost: lost}
+			w.setHosts(hosts)
+			if !lost[h.Name] && w.mine(fmt.Sprint("e", i)) {
+				n++
+				byHost[h.Name]++
+			}
+		}
+		least, most = min(least, n), max(most, n)
+	}
+	return least, most, byHost
+}
+
+func TestEachEndpointHasTwoPollers(t *testing.T) {
+	var hosts []event.Host
+	for i := range 8 {
+		hosts = append(hosts, event.Host{Name: fmt.Sprint("h", i)})
+	}
+	for name, lost := range map[string]map[string]bool{"all": {}, "two lost": {"h1": true, "h5": true}} {
+		t.Run(name, func(t *testing.T) {
+			least, most, byHost := pollers(hosts, lost)
+			if diff := cmp.Diff([]int{pollersOf, pollersOf}, []int{least, most}); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(len(hosts)-len(lost), len(byHost)); diff != "" {
+				t.Error("hosts that poll:", diff)
+			}
+		})
+	}
+	least, most, _ := pollers(hosts[:1], nil)
+	if diff := cmp.Diff([]int{1, 1}, []int{least, most}); diff != "" {
+		t.Error("a single host:", diff)
+	}
+}
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -30,6 +30,7 @@
 	openAt    time.Duration // time at which an ejected endpoint gets one trial
 	trial     bool
 	listed    bool
+	left      bool          // has a leave mark
 	missing   time.Duration // time since which the list lacks it
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -18,6 +18,8 @@
 type Table struct {
 	endpoints map[string]*Endpoint
 	pools     map[string][]*Endpoint // by pool, sorted by name
+	zones     map[place][]*Endpoint  // the same by pool and zone
+	summaries map[string]*summary    // by pool
 	marks     map[wire.LeaveMark]*mark
 }
 
@@ -66,6 +68,7 @@
 		t.endpoints[e.Name] = known
 	}
 	known.Endpoint, known.listed = e, true
+	_, known.left = t.marks[id]
 }
 
 func (t *Table) forget(now time.Duration) {
@@ -82,7 +85,7 @@
 }
 
 func (t *Table) index() {
-	t.pools = map[string][]*Endpoint{}
+	t.pools, t.zones, t.summaries = map[string][]*Endpoint{}, map[place][]*Endpoint{}, map[string]*summary{}
 	for _, e := range t.endpoints {
 		pool := ServicePool(e.Service)
 		if e.Kind == wire.Engine {
@@ -90,8 +93,12 @@
 		}
 		t.pools[pool] = append(t.pools[pool], e)
 	}
-	for _, p := range t.pools {
+	for pool, p := range t.pools {
 		slices.SortFunc(p, byName)
+		for _, e := range p {
+			at := place{pool: pool, zone: e.Zone}
+			t.zones[at] = append(t.zones[at], e)
+		}
 	}
 }
 
@@ -106,6 +113,8 @@
 	t.marks[id] = &mark{madeAt: now, seenAt: now}
 	if e, ok := t.endpoints[id.Endpoint]; ok && e.Incarnation == id.Incarnation {
 		t.marks[id].listed = e.listed && e.State != wire.Leaving
+		e.left = true
+		clear(t.summaries)
 	}
 	return true
 }
@@ -164,13 +173,8 @@
 
 // State returns the state of an endpoint under the leave marks.
 func (t *Table) State(e *Endpoint) wire.EndpointState {
-	if t.leaving(e) {
+	if e.left {
 		return wire.Leaving
 	}
 	return e.State
 }
-
-func (t *Table) leaving(e *Endpoint) bool {
-	_, ok := t.marks[wire.LeaveMark{Endpoint: e.Name, Incarnation: e.Incarnation}]
-	return ok
-}
--- a/internal/route/want.go
+++ b/internal/route/want.go
@@ -24,27 +24,22 @@
 
 // Serves reports whether the pool has an endpoint that is neither leaving nor ejected at time now.
 func (t *Table) Serves(now time.Duration, pool string) bool {
-	return slices.ContainsFunc(t.pools[pool], func(e *Endpoint) bool {
-		return e.listed && t.State(e) == wire.Live && !e.Ejected(now)
-	})
+	return slices.ContainsFunc(t.pools[pool], func(e *Endpoint) bool { return e.serves(now) })
 }
 
 // Slots returns how many attempts the pool can run at time now when each endpoint runs up to limit.
 func (t *Table) Slots(now time.Duration, pool string, limit int) int {
-	slots := 0
-	for _, e := range t.pools[pool] {
-		if e.listed && t.State(e) == wire.Live && !e.Ejected(now) {
-			slots += limit
-		}
-	}
-	return slots
+	return limit * t.summary(now, pool).live
 }
 
 // Candidates returns the endpoints that may take the request now, narrowed to the preferred ones.
 func (t *Table) Candidates(now time.Duration, w Want) []*Endpoint {
+	if cs := t.local(now, w); len(cs) > 0 {
+		return cs
+	}
 	var cs []*Endpoint
 	for _, e := range t.pools[w.Pool] {
-		if t.fits(now, e, w) {
+		if fits(now, e, w) {
 			cs = append(cs, e)
 		}
 	}
@@ -57,11 +52,8 @@
 	return preferIdle(now, cs, func(e *Endpoint) bool { return e.Zone == w.Zone })
 }
 
-func (t *Table) fits(now time.Duration, e *Endpoint, w Want) bool {
-	if !e.listed || e.State != wire.Live || e.Running >= w.Limit {
-		return false
-	}
-	return e.Version >= w.MinVersion && !e.Ejected(now) && !t.leaving(e)
+func fits(now time.Duration, e *Endpoint, w Want) bool {
+	return e.Running < w.Limit && e.Version >= w.MinVersion && e.serves(now)
 }
 
 // prefer returns the candidates that match, or all when none does.
