member: a new host hears all until it is admitted; status tells who is admitted

In a large fleet a host that hears a few neighbours could never see that a majority knows of it: TestNeighborsOnly with 14 hosts, 2 neighbours and 5 zones, most of which hear no majority, waited for the admission in vain. The proofs wait until every host knows of all admissions: the store alone knew of the last one when TestWithdrawnKey/cut,_then_store_down began its outage, and the two hosts left were no majority of what they knew.

--- a/figbed/proofs/authority_keys_test.go
+++ b/figbed/proofs/authority_keys_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -14,10 +12,8 @@
 
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/internal/config"
-	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
-	"github.com/figshift/figshift/internal/member"
 	"github.com/figshift/figshift/internal/objapi"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -30,18 +26,11 @@
 	return &objapi.Client{Base: c.Store.URL(), HTTP: http.DefaultClient}
 }
 
-// waitAdmitted waits until every host counts for majorities.
+// waitAdmitted waits until every host knows of every host that it counts for majorities.
 func waitAdmitted(t *testing.T, c *proc.Cluster) {
 	t.Helper()
-	proc.WaitUntil(t, 2*statedBound, "all hosts are admitted", func() bool {
-		admitted := 0
-		for _, o := range c.Objects(member.Prefix) {
-			var h event.Host
-			if json.Unmarshal(o.Value, &h) == nil && h.Admitted {
-				admitted++
-			}
-		}
-		return admitted == len(c.Hosts) && allAlive(c.Hosts)
+	proc.WaitUntil(t, 2*statedBound, "all hosts know of all that they are admitted", func() bool {
+		return everyHost(c.Hosts, func(h wire.HostStatus) bool { return h.Alive && h.Admitted })
 	})
 }
 
@@ -218,19 +207,20 @@
 
 // In a fleet whose hosts are connected to a few neighbours only, keys and outages have the same bounds.
 func TestNeighborsOnly(t *testing.T) {
-	c := &proc.Cluster{Daemons: 8, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}, Site: func(s *config.Site) {
+	c := &proc.Cluster{Daemons: 14, Zones: []string{"a", "b", "c", "d", "e"}, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}, Site: func(s *config.Site) {
 		s.Trust.MeshUpTo = 3
 		s.Trust.Neighbors = 2
 		s.Trust.Watchers = 1
 	}}
 	c.Start(t)
-	proc.WaitUntil(t, 2*statedBound, "no host hears all", func() bool {
+	proc.WaitUntil(t, 4*statedBound, "all hosts are admitted and most hear no majority", func() bool {
+		hearing := 0
 		for _, h := range c.Hosts {
-			if s, ok := h.Status(); !ok || len(s.Hosts) != len(c.Hosts) || !slices.ContainsFunc(s.Hosts, isSilent) {
-				return false
+			if hearsMajority(h) {
+				hearing++
 			}
 		}
-		return true
+		return hearing < len(c.Hosts)/2 && everyHost(c.Hosts, func(h wire.HostStatus) bool { return h.Admitted })
 	})
 	accepted := withdraw(t, c, c.Key("North"))
 	for i, served := range lastServed(c.Hosts, c.Key("North"), accepted, statedBound+time.Second) {
@@ -246,16 +236,30 @@
 	}
 }
 
-func isSilent(h wire.HostStatus) bool { return !h.Alive }
+func hearsMajority(h *proc.Host) bool {
+	alive := 0
+	s, _ := h.Status()
+	for _, other := range s.Hosts {
+		if other.Alive {
+			alive++
+		}
+	}
+	return alive > len(s.Hosts)/2
+}
 
 func allAlive(hosts []*proc.Host) bool {
+	return everyHost(hosts, func(h wire.HostStatus) bool { return h.Alive })
+}
+
+// everyHost reports whether a condition holds for each host in the status of each.
+func everyHost(hosts []*proc.Host, condition func(wire.HostStatus) bool) bool {
 	for _, h := range hosts {
 		s, ok := h.Status()
 		if !ok || len(s.Hosts) != len(hosts) {
 			return false
 		}
 		for _, other := range s.Hosts {
-			if !other.Alive {
+			if !condition(other) {
 				return false
 			}
 		}
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -146,7 +146,7 @@
 }
 
 // picks returns the hosts that this one connects to by itself: all of a small fleet; in a larger one
-// the neighbours by rendezvous hash and the zone's watchers.
+// the neighbours by rendezvous hash and the zone's watchers. A host that is not admitted has to hear a majority first.
 func (p *Part) picks() []string {
 	var all, zone []string
 	for name, h := range p.hosts {
@@ -157,7 +157,7 @@
 	}
 	slices.Sort(all)
 	slices.Sort(zone)
-	if len(all) < p.trust.MeshUpTo {
+	if len(all) < p.trust.MeshUpTo || !p.Self.Admitted {
 		return all
 	}
 	picked := ranks.Top(p.Self.Name, all, p.trust.Neighbors)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -222,13 +222,14 @@
 		Host:           p.Self.Name,
 		Zone:           p.Self.Zone,
 		Alive:          true,
+		Admitted:       p.Self.Admitted,
 		ConfigRevision: p.last.ConfigRevision,
 		KeysRevision:   p.last.KeysRevision,
 	}
 }
 
 func (p *Part) hostStatus(h event.Host, now time.Duration) wire.HostStatus {
-	status := wire.HostStatus{Host: h.Name, Zone: h.Zone, BeatAgeMS: -1}
+	status := wire.HostStatus{Host: h.Name, Zone: h.Zone, Admitted: h.Admitted, BeatAgeMS: -1}
 	q := p.peers[h.Name]
 	if q == nil || q.seq == 0 {
 		return status
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -137,13 +137,21 @@
 }
 
 func TestPicks(t *testing.T) {
-	cases := map[string]struct{ hosts, least, most int }{
-		"small fleet": {hosts: 16, least: 15, most: 15},
-		"large fleet": {hosts: 100, least: 6, most: 8},
+	cases := map[string]struct {
+		hosts       int
+		admitted    bool
+		least, most int
+	}{
+		"small fleet":                {hosts: 16, admitted: true, least: 15, most: 15},
+		"large fleet":                {hosts: 100, admitted: true, least: 6, most: 8},
+		"large fleet, not admitted":  {hosts: 100, least: 99, most: 99},
+		"small fleet, not admitted ": {hosts: 3, least: 2, most: 2},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			picked := len(newPart(test.hosts).picks())
+			p := newPart(test.hosts)
+			p.Self.Admitted = test.admitted
+			picked := len(p.picks())
 			if picked < test.least || picked > test.most {
 				t.Errorf("%d hosts picked, want %d to %d", picked, test.least, test.most)
 			}
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -3,6 +3,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/figshift/figshift/internal/config"
@@ -191,7 +192,22 @@
 	}
 	p.ready = ready
 	out.Emit(ready)
-	out.Emit(event.Log{Level: "info", Event: "Readiness", Fields: []event.Field{{Key: "Reason", Value: ready.Reason}}})
+	out.Emit(event.Log{Level: "info", Event: "Readiness", Fields: []event.Field{
+		{Key: "Reason", Value: ready.Reason},
+		{Key: "Admitted", Value: strings.Join(p.hosts, ",")},
+		{Key: "Agreeing", Value: strings.Join(p.agreeing(now), ",")},
+	}})
+}
+
+// agreeing returns the admitted hosts that are known to have had no higher revision within the bound.
+func (p *Part) agreeing(now time.Duration) []string {
+	var names []string
+	for _, host := range p.hosts {
+		if at, ok := p.heardAt(host); ok && now-at < p.trust.Bound {
+			names = append(names, host)
+		}
+	}
+	return names
 }
 
 // reason returns why the daemon is not ready, "" when it is.
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -23,6 +23,7 @@
 	Host           string
 	Zone           string
 	Alive          bool
+	Admitted       bool // counts for majorities
 	BeatAgeMS      int64
 	ConfigRevision uint64
 	KeysRevision   uint64
