--- a/figbed/internal/loadr/result.go
+++ b/figbed/internal/loadr/result.go
@@ -33,13 +33,16 @@
 	Max          float64
 	FirstP50     float64 // to the first byte
 	FirstP99     float64
-	RefusedP99   float64 // time to a refusal
-	NoRetryAfter int     // refusals by 429 or 503 without Retry-After
-	Tokens       int     // generated and prompt tokens of whole answers; 1 for a plain call
+	RefusedP95   float64 // time to a refusal
+	RefusedP99   float64
+	NoRetryAfter int // refusals by 429 or 503 without Retry-After
+	Tokens       int // generated and prompt tokens of whole answers; 1 for a plain call
 	PromptTokens int
 	CachedTokens int
 	InTimeTokens int     // of the answers InTime
 	Share        float64 // of InTimeTokens of all sources
+
+	latency *hdrhistogram.Histogram
 }
 
 // String returns the result as key=value pairs on one line.
@@ -49,10 +52,10 @@
 		refused = append(refused, fmt.Sprintf("%s:%d", kind, r.Refused[kind]))
 	}
 	return fmt.Sprintf("Source=%s Organisation=%s Sent=%d Whole=%d InTime=%d Refused=%s Unknown=%d Dropped=%d "+
-		"P50=%.1f P99=%.1f Max=%.1f FirstP50=%.1f FirstP99=%.1f RefusedP99=%.1f NoRetryAfter=%d "+
+		"P50=%.1f P99=%.1f Max=%.1f FirstP50=%.1f FirstP99=%.1f RefusedP95=%.1f RefusedP99=%.1f NoRetryAfter=%d "+
 		"Tokens=%d PromptTokens=%d CachedTokens=%d Share=%.3f",
 		r.Name, r.Organisation, r.Sent, r.Whole, r.InTime, strings.Join(refused, ","), r.Unknown, r.Dropped,
-		r.P50, r.P99, r.Max, r.FirstP50, r.FirstP99, r.RefusedP99, r.NoRetryAfter,
+		r.P50, r.P99, r.Max, r.FirstP50, r.FirstP99, r.RefusedP95, r.RefusedP99, r.NoRetryAfter,
 		r.Tokens, r.PromptTokens, r.CachedTokens, r.Share)
 }
 
@@ -72,6 +75,17 @@
 	return Result{}
 }
 
+// P99 returns the 99th percentile of the latency of all whole answers but those of one source, in milliseconds.
+func (r Report) P99(except string) float64 {
+	all := hdrhistogram.New(1, mostLatency.Microseconds(), latencyFigures)
+	for _, result := range r.Results {
+		if result.Name != except {
+			all.Merge(result.latency)
+		}
+	}
+	return millis(all, 99)
+}
+
 // tally collects one source's outcomes.
 type tally struct {
 	mu      sync.Mutex
@@ -132,9 +146,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.result
+	r.latency = t.whole
 	r.P50, r.P99, r.Max = millis(t.whole, 50), millis(t.whole, 99), millis(t.whole, 100)
 	r.FirstP50, r.FirstP99 = millis(t.first, 50), millis(t.first, 99)
-	r.RefusedP99 = millis(t.refused, 99)
+	r.RefusedP95, r.RefusedP99 = millis(t.refused, 95), millis(t.refused, 99)
 	return r
 }
 
--- a/figbed/proofs/requests_test.go
+++ b/figbed/proofs/requests_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/figshift/figshift/figbed/internal/engin"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/figbed/internal/servc"
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -84,9 +86,10 @@
 		req.Header.Set("X-Api-Key", key)
 		return c.Do(req).Echo().Organisation
 	}
+	const spoof = "Spoofed"
 	spoofed := http.Header{
-		wire.HeaderOrganisation: {"South"}, "x-figshift-organisation": {"South"},
-		"X_Figshift_Organisation": {"South"}, "X-Organisation": {"South"}, "Connection": {wire.HeaderOrganisation},
+		wire.HeaderOrganisation: {spoof}, "x-figshift-organisation": {spoof},
+		"X_Figshift_Organisation": {spoof}, "X-Organisation": {spoof}, "Connection": {wire.HeaderOrganisation},
 	}
 	// The client keeps its connections, so that the keys take turns on the same one.
 	for range 20 {
@@ -94,6 +97,19 @@
 			t.Fatal(diff)
 		}
 	}
+	open, err := http.NewRequest(http.MethodGet, h.URL()+"/open", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	open.Header = spoofed
+	if diff := cmp.Diff("", c.Do(open).Echo().Organisation); diff != "" {
+		t.Error("an open route without a key:", diff)
+	}
+	for _, e := range c.Endpoints {
+		for _, q := range e.Seen().Contains(spoof) {
+			t.Errorf("%s saw a spoofed organisation: %+v", e.Name, q)
+		}
+	}
 	a := h.Get("/lookup", "nobody's")
 	if diff := cmp.Diff([]string{"KeyUnknown", "NotRun"}, []string{kind(a), truth(a)}); diff != "" {
 		t.Error(diff)
@@ -109,7 +125,10 @@
 }
 
 func TestNoKeyAtEndpoints(t *testing.T) {
-	c := &proc.Cluster{Daemons: 1, Services: services(2), Engines: engines(2)}
+	c := &proc.Cluster{
+		Daemons: 1, Services: services(2), Engines: engines(2),
+		Site: func(s *config.Site) { s.Retry.BudgetShare = 1 },
+	}
 	c.Start(t)
 	awaitService(t, c)
 	awaitEngines(t, c)
@@ -131,14 +150,9 @@
 		},
 	} {
 		for _, path := range []string{"/lookup", "/write", wire.PathGenerate} {
-			// The first attempt fails, so that a retry has a second endpoint see the request.
-			for _, e := range c.Endpoints {
-				if e.Name[0] == 's' {
-					e.ServiceFaults(servc.Faults{Refuse: 1})
-				} else {
-					e.Faults(engin.Faults{Refuse: 1})
-				}
-			}
+			// The local endpoint refuses once, so that a retry has another one see the request.
+			c.Endpoints["s1"].ServiceFaults(servc.Faults{Refuse: 1})
+			c.Endpoints["e1"].Faults(engin.Faults{Refuse: 1})
 			body := `{"Prompt":"p","MaxTokens":2}`
 			req, err := http.NewRequest(http.MethodPost, c.Hosts[0].URL()+path, strings.NewReader(body))
 			if err != nil {
@@ -146,9 +160,13 @@
 			}
 			req.Header.Set("X-Api-Key", key)
 			change(req)
-			if a := c.Do(req); a.Err != nil || a.Status == http.StatusUnauthorized {
+			if a := c.Do(req); a.Err != nil || a.Status != http.StatusOK {
 				t.Errorf("%s %s: %d %v %s", name, path, a.Status, a.Err, a.Body)
 			}
+			// A call that is answered keeps the local endpoint from being ejected.
+			clearFaults(c)
+			c.Hosts[0].Post("/lookup", key, "")
+			c.Hosts[0].Generate(key, wire.Generate{Prompt: "p", MaxTokens: 1})
 		}
 	}
 	for _, e := range c.Endpoints {
@@ -167,6 +185,16 @@
 	}
 }
 
+func clearFaults(c *proc.Cluster) {
+	for _, e := range c.Endpoints {
+		if e.Name[0] == 's' {
+			e.ServiceFaults(servc.Faults{})
+		} else {
+			e.Faults(engin.Faults{})
+		}
+	}
+}
+
 func TestWholeOwnAnswer(t *testing.T) {
 	c := &proc.Cluster{Daemons: 1, Engines: engines(2), Services: services(2)}
 	c.Start(t)
@@ -279,10 +307,15 @@
 			c := &proc.Cluster{Daemons: 1, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}, {Name: "s2", Zone: "a"}}}
 			c.Start(t)
 			awaitLookups(t, c)
+			warmConnections(c)
 			cause.set(c)
-			for i, header := range []string{"", "Idempotency-Key", "X-Idempotency-Key", "", "Idempotency-Key"} {
+			for i, header := range []string{"", "Idempotency-Key", "X-Idempotency-Key", "", "Idempotency-Key", ""} {
 				id := strings.ReplaceAll(fmt.Sprint(name, i), " ", "-")
-				req, err := http.NewRequest(http.MethodPost, c.Hosts[0].URL()+"/write?Id="+id, strings.NewReader(strings.Repeat("x", 4000)))
+				method, body := http.MethodPost, strings.Repeat("x", 4000)
+				if i > 2 {
+					method, body = http.MethodGet, ""
+				}
+				req, err := http.NewRequest(method, c.Hosts[0].URL()+"/write?Id="+id, strings.NewReader(body))
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -314,6 +347,16 @@
 	})
 }
 
+// warmConnections leaves idle connections behind, where the daemon keeps them for such calls.
+func warmConnections(c *proc.Cluster) {
+	const calls = 16
+	var warm sync.WaitGroup
+	for range calls {
+		warm.Go(func() { c.Hosts[0].Get("/write?DelayMS=50&Id=warm", c.Key("North")) })
+	}
+	warm.Wait()
+}
+
 func checkRun(t *testing.T, a proc.Answer, runs int, want string, mustRun bool) {
 	t.Helper()
 	if runs > 1 {
--- /dev/null
+++ b/figbed/proofs/rollouts_measure_test.go
@@ -0,0 +1,139 @@
+package proofs
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/figbed/internal/trnr"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// TestStragglersWithHedgesAndSpareGroups measures trainer idle time with 2 % of the attempts 10 times slower,
+// with and without hedges and spare groups.
+func TestStragglersWithHedgesAndSpareGroups(t *testing.T) {
+	const lots = 8
+	run := func(name string, spare int, hedge float64) time.Duration {
+		spec := rolloutSpec()
+		spec.Groups, spec.SamplesPerGroup, spec.MaxTokens = 8, 8, 40
+		spec.SpareGroups, spec.HedgeMultiple = spare, hedge
+		c := rolloutCluster(t, 2, spec, "--tokens", "20000", "--request-rate", "100", "--max-running", "128",
+			"--stragglers", "0.02", "--straggler-factor", "10")
+		before := c.Calls()
+		s := trainRollout(t, c, spec, 2*time.Minute, func(tr *trnr.Trainer) {
+			tr.Lots, tr.Publish, tr.StepTime = lots, false, 300*time.Millisecond
+		})
+		after := c.Calls()
+		t.Logf("%s: idle %v a lot, %d object writes a lot", name, s.Idle/lots, (after.Writes-before.Writes)/lots)
+		return s.Idle
+	}
+	none := run("no hedges, no spare groups", 0, -1)
+	spares := run("one spare group of 8", 1, -1)
+	hedges := run("hedges", 0, 0)
+	both := run("hedges and one spare group of 8", 1, 0)
+	if both >= none || hedges >= none {
+		t.Errorf("idle time %v with hedges, %v with both, %v with spare groups, %v with neither", hedges, both, spares, none)
+	}
+}
+
+// TestIdleThroughAnOutage measures trainer idle time through a store outage of 60 s with lots sealed ahead.
+func TestIdleThroughAnOutage(t *testing.T) {
+	const outage, step = 60 * time.Second, 6 * time.Second
+	idle := map[int]time.Duration{}
+	for _, ahead := range []int{0, 10} {
+		spec := rolloutSpec()
+		spec.SealAhead, spec.MaxStaleness = ahead, 10
+		c := rolloutCluster(t, 3, spec)
+		first := takeLot(t, c, daemonURLs(c), 0)
+		waitSealed(t, c, first.Lot+uint64(ahead))
+		end := time.Now().Add(outage)
+		c.SetFaults(wire.Faults{Outage: true})
+		for cursor := first.Lot; time.Now().Before(end); cursor++ {
+			asked := time.Now()
+			if !proc.Within(time.Until(end), func() bool {
+				return askLot(c, c.Hosts[int(cursor)%3].URL(), trainerName, cursor).status == 200
+			}) {
+				idle[ahead] += time.Since(asked)
+				break
+			}
+			idle[ahead] += time.Since(asked)
+			time.Sleep(min(step, time.Until(end)))
+		}
+		t.Logf("%d lots sealed ahead: idle %v of an outage of %v with steps of %v", ahead, idle[ahead].Round(time.Millisecond), outage, step)
+	}
+	if idle[10] > outage/10 {
+		t.Errorf("idle for %v of %v", idle[10], outage)
+	}
+}
+
+// TestPublishReachesAllEngines measures the time from a confirmed publish to the last engine's own report of it.
+func TestPublishReachesAllEngines(t *testing.T) {
+	c := newRolloutCluster(3, rolloutSpec())
+	c.Engines = nil
+	for i := range 8 {
+		c.Engines = append(c.Engines, proc.Endpoint{Name: "e" + strconv.Itoa(i), Zone: []string{"a", "b"}[i%2]})
+	}
+	c.Start(t)
+	c.CreateRollout(rolloutSpec())
+	takeLot(t, c, daemonURLs(c), 0)
+	for version := uint64(2); version < 6; version++ {
+		publishVersion(t, c, daemonURLs(c), version)
+		published := time.Now()
+		proc.WaitUntil(t, swapBound, "all engines have the version", func() bool {
+			for _, e := range c.Endpoints {
+				if e.State().Version != version {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("version %d on 8 engines after %v", version, time.Since(published).Round(time.Millisecond))
+	}
+}
+
+// usageOf returns the processor time and resident memory of a process.
+func usageOf(t *testing.T, pid int) (time.Duration, int) {
+	t.Helper()
+	const ticksPerSecond, utime, stime, rssPages = 100, 11, 12, 21 // fields after the process's name
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	number := func(i int) int {
+		n, err := strconv.Atoi(fields[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	cpu := time.Duration(number(utime)+number(stime)) * time.Second / ticksPerSecond
+	return cpu, number(rssPages) * os.Getpagesize()
+}
+
+// TestLotSizes measures object calls, bytes, processor time and memory by the samples of a lot.
+func TestLotSizes(t *testing.T) {
+	const lots = 3
+	for _, groups := range []int{8, 64, 512} {
+		spec := rolloutSpec()
+		spec.Groups, spec.SamplesPerGroup, spec.SpareGroups, spec.MaxTokens, spec.SealAhead = groups, 8, groups/8, 128, 0
+		c := rolloutCluster(t, 2, spec, "--tokens", "1000000", "--request-rate", "10000", "--max-running", "512", "--segment", "64")
+		owner := dutyHolder(t, c, rolloutDuty, nil)
+		calls := c.Calls()
+		cpu, _ := usageOf(t, owner.PID())
+		s := trainRollout(t, c, spec, 3*time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.Publish = lots, false })
+		after := c.Calls()
+		end, rss := usageOf(t, owner.PID())
+		bytes := 0
+		for _, o := range c.Objects("Blocks/") {
+			bytes += len(o.Value)
+		}
+		samples := lots * groups * 8
+		t.Logf("%d samples a lot: %.1f object writes a lot, %d bytes of the blocks that are left, holder %v of processor time a sample, %d MB, %v a lot",
+			groups*8, float64(after.Writes-calls.Writes)/lots, bytes, (end-cpu)/time.Duration(samples), rss>>20, s.Took/lots)
+	}
+}
--- a/figbed/proofs/rollouts_test.go
+++ b/figbed/proofs/rollouts_test.go
@@ -1,6 +1,8 @@
 package proofs
 
 import (
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -11,5 +13,44 @@
 	spec := rolloutSpec()
 	spec.Scorer = "scorer"
 	c := rolloutCluster(t, 2, spec)
-	train(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots = 6 })
+	trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots = 6 })
 }
+
+// TestTwoTrainersOfOneModel has two trainers take lots of rollouts that share the engines' model; one publishes.
+func TestTwoTrainersOfOneModel(t *testing.T) {
+	spec := rolloutSpec()
+	c := rolloutCluster(t, 3, spec)
+	other := spec
+	other.Name, other.Organisation = "letters", "South"
+	c.CreateRollout(other)
+	var both sync.WaitGroup
+	both.Go(func() { trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots = 5 }) })
+	both.Go(func() {
+		trainRollout(t, c, other, time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.Publish = 8, false })
+	})
+	both.Wait()
+}
+
+// TestHoldersStopGracefully stops each daemon in turn while a trainer takes lots; all exit cleanly and no lot is lost.
+func TestHoldersStopGracefully(t *testing.T) {
+	spec := rolloutSpec()
+	c := rolloutCluster(t, 3, spec)
+	var trainer sync.WaitGroup
+	trainer.Go(func() {
+		trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.StepTime = 10, 500*time.Millisecond })
+	})
+	for range 2 {
+		old := dutyHolder(t, c, rolloutDuty, nil)
+		waitSealed(t, c, rolloutLedger(t, c).Acked+1)
+		stopped := time.Now()
+		old.Signal(syscall.SIGTERM)
+		if code := old.ExitCode(holderStopBound); code != 0 {
+			t.Errorf("%s ended with code %d", old.Name, code)
+		}
+		next := dutyHolder(t, c, rolloutDuty, old)
+		t.Logf("%s took the duty over from %s %v after the stop", next.Name, old.Name, time.Since(stopped).Round(time.Millisecond))
+	}
+	trainer.Wait()
+}
+
+const holderStopBound = 15 * time.Second
--- a/figd/operations.go
+++ b/figd/operations.go
@@ -21,8 +21,8 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// drainBound is the time beyond Process.BalancerDelay after which a graceful stop is cut.
-const drainBound = 2 * time.Minute
+// drainBound is the time beyond Process.BalancerDelay and the longest request after which a graceful stop is cut.
+const drainBound = 30 * time.Second
 
 var (
 	errStopped = errors.New("stopped")
@@ -62,6 +62,7 @@
 	d.addActor(server.Run)
 	d.addActor(exit.run)
 	d.addActor(d.watchSignals)
+	d.addPart(&logs.Requests{Incarnation: d.incarnation, Debug: d.process.LogLevel == "debug"})
 	d.addPart(&drain.Part{Bound: d.process.BalancerDelay + drainBound})
 	d.log.Info("Started", zap.String("Incarnation", d.incarnation), zap.String("Zone", d.process.Zone))
 	return nil
--- a/internal/block/pack.go
+++ b/internal/block/pack.go
@@ -26,9 +26,9 @@
 	Value []byte
 }
 
-// Pack puts samples into blocks in their order and returns the checksum of the samples' JSON array.
-// It fails with kind BodyTooLarge when one sample is larger than a block. It may be called concurrently.
-func Pack(lot event.LotRef, samples []wire.Sample) ([]Packed, string, error) {
+// Pack puts samples into blocks of at most about size bytes, in their order, and returns the checksum of the samples'
+// JSON array. It fails with kind BodyTooLarge when one sample is larger than MaxBytes. It may be called concurrently.
+func Pack(lot event.LotRef, samples []wire.Sample, size int) ([]Packed, string, error) {
 	var blocks []Packed
 	var value bytes.Buffer
 	count := 0
@@ -47,7 +47,7 @@
 		if len(data) > MaxBytes {
 			return nil, "", kinds.New(kinds.BodyTooLarge, "sample %s has %d bytes", samples[i].ID, len(data))
 		}
-		if value.Len()+len(data)+1 > MaxBytes {
+		if value.Len()+len(data)+1 > size {
 			flush()
 		}
 		if count > 0 {
@@ -63,13 +63,18 @@
 func pack(lot event.LotRef, index, count int, value []byte) Packed {
 	return Packed{
 		Ref: event.BlockRef{
-			Name:     fmt.Sprintf("%s%s/%d-%d-%d", Prefix, lot.Rollout, lot.Lot, lot.Attempt, index),
+			Name:     Name(lot, index),
 			Checksum: Checksum(value), Bytes: len(value), Samples: count,
 		},
 		Value: value,
 	}
 }
 
+// Name returns the name of the index-th block of a lot. It may be called concurrently.
+func Name(lot event.LotRef, index int) string {
+	return fmt.Sprintf("%s%s/%d-%d-%d", Prefix, lot.Rollout, lot.Lot, lot.Attempt, index)
+}
+
 func checksumOf(blocks []Packed) string {
 	values := make([][]byte, len(blocks))
 	for i, b := range blocks {
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -171,18 +171,22 @@
 
 func TestDeadlineTooShort(t *testing.T) {
 	g := newRig()
+	first := g.run(t, arrival(1, "Ledger", "/lookup"))
+	g.now += time.Second
+	g.step(done(first, kinds.Ran, ""))
 	for i := range uint64(4) {
-		g.step(arrival(i+1, "Ledger", "/lookup"))
+		g.step(arrival(i+2, "Ledger", "/lookup"))
+	}
+	send := func(request uint64, organisation string, limit time.Duration) []event.Effect {
+		a := arrival(request, organisation, "/lookup")
+		a.Deadline = g.now + limit
+		return g.step(a)
 	}
-	rate := g.part.rate(g.now, "Service/s")
-	rate.Done(4)
-	rate.Tick(rate.Since+4*time.Second, true)
-	late := arrival(9, "Ledger", "/lookup")
-	late.Deadline = g.now + 5*time.Second
-	wantAnswers(t, g.step(late), kinds.DeadlineTooShort)
-	other := arrival(10, "Andina", "/lookup")
-	other.Deadline = g.now + 25*time.Second
-	wantAnswers(t, g.step(other))
+	wantAnswers(t, send(10, "Ledger", 2*time.Second), kinds.DeadlineTooShort)
+	wantAnswers(t, send(11, "Andina", 2*time.Second))
+	wantAnswers(t, send(12, "Andina", time.Second), kinds.DeadlineTooShort)
+	g.after(6 * time.Second)
+	wantAnswers(t, send(13, "Ledger", time.Second))
 }
 
 func TestDeadlineInQueue(t *testing.T) {
@@ -245,6 +249,26 @@
 	}
 }
 
+func TestNoWorkBeforePeersAreHeard(t *testing.T) {
+	fresh := func() *rig {
+		g := newRig()
+		g.part = &Part{Host: "h1", Trust: g.trust, Keys: g.keys, Random: g.part.Random}
+		g.state.Parts = []event.Part{g.part}
+		g.step(event.ConfigInForce{Site: rigSite()})
+		g.list(rigEndpoint("a"), rigEndpoint("b"))
+		g.step(event.HostsChanged{Hosts: []event.Host{{Name: "h1"}, {Name: "h2"}, {Name: "h3"}}})
+		if len(pick[event.StartAttempt](g.step(arrival(1, "Ledger", "/lookup")))) != 0 {
+			t.Error("work before the peers told their leave marks")
+		}
+		return g
+	}
+	beat := event.BeatSeen{Host: "h2", Beat: wire.Beat{Leaving: []wire.LeaveMark{{Endpoint: "a", Incarnation: "1"}}}}
+	if diff := cmp.Diff("b", started(t, fresh().step(beat)).Endpoint); diff != "" {
+		t.Error(diff)
+	}
+	started(t, fresh().after(peersWait))
+}
+
 func TestEjection(t *testing.T) {
 	g := newRig()
 	g.list(rigEndpoint("a"))
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -33,13 +33,14 @@
 	table    route.Table
 	budget   retry.Budget
 	ledger   admit.Ledger
-	rates    map[string]*admit.Rate
+	paces    map[string]*admit.Pace // by pool and class
 	requests map[uint64]*request
 	waiting  map[string]int // queued requests by pool
 	backing  int            // requests that wait for another attempt; they count towards the queue limit
 	timers   timers
 	attempts uint64
 	polls    poller
+	peers    peers
 	drain    drain
 	demand   demand
 	refused  map[string]map[kinds.Kind]uint64
@@ -65,6 +66,8 @@
 		p.beat(now, e, out)
 	case event.HostsChanged:
 		p.polls.setHosts(e.Hosts)
+		p.peers.known(len(p.polls.hosts))
+		p.dispatch(now, out)
 	case event.HostLost:
 		p.hostLost(e.Host)
 	case event.DrainEndpoint:
@@ -115,7 +118,7 @@
 		return
 	}
 	p.requests = map[uint64]*request{}
-	p.rates = map[string]*admit.Rate{}
+	p.paces = map[string]*admit.Pace{}
 	p.waiting = map[string]int{}
 	p.refused = map[string]map[kinds.Kind]uint64{}
 	p.polls.host, p.polls.lost = p.Host, map[string]bool{}
@@ -131,6 +134,7 @@
 
 func (p *Part) useSite(now time.Duration, site *config.Site, out *event.Batch) {
 	p.site = site
+	p.peers.begin(now)
 	p.routes = route.NewRoutes(site)
 	p.budget.Share = site.Retry.BudgetShare
 	p.budget.Keep(func(name string) bool {
@@ -155,24 +159,12 @@
 func (p *Part) tick(now time.Duration, out *event.Batch) {
 	p.checkTrust(now, out)
 	p.fire(now, out)
-	for pool, r := range p.rates {
-		r.Tick(now, p.waiting[pool] > 0)
-	}
 	p.polls.tick(now, &p.table, out)
 	p.demand.tick(now, p, out)
 	p.dispatch(now, out)
 	p.drain.tick(now, len(p.requests), out)
 }
 
-func (p *Part) rate(now time.Duration, pool string) *admit.Rate {
-	r, ok := p.rates[pool]
-	if !ok {
-		r = &admit.Rate{Since: now}
-		p.rates[pool] = r
-	}
-	return r
-}
-
 func (p *Part) list(now time.Duration, list wire.EndpointList, out *event.Batch) {
 	p.table.List(now, list.Endpoints)
 	for _, e := range list.Endpoints {
@@ -198,6 +190,9 @@
 		p.table.Report(now, r)
 	}
 	p.ledger.Seen(e.Host, e.Beat.Served, p.charge)
+	if p.peers.hear(e.Host) {
+		p.dispatch(now, out)
+	}
 	delete(p.polls.lost, e.Host)
 }
 
--- a/internal/lots/advance.go
+++ b/internal/lots/advance.go
@@ -28,6 +28,7 @@
 	if r.held && r.dirty && now-r.dirtyAt >= lazyWrite {
 		r.write(out)
 	}
+	p.announce(now, r, out)
 	p.answerStored(now, r, out)
 	p.expireProbes(now, r, out)
 	if p.stopping {
@@ -35,7 +36,7 @@
 		return
 	}
 	if r.held {
-		p.openLots(r, out)
+		p.openLots(now, r, out)
 	}
 	if !r.held && !r.lapsed {
 		return
@@ -52,19 +53,22 @@
 }
 
 // room is the number of samples that may run at once on the engines of a model.
-func (p *Part) room(model string) int {
-	engines := 0
-	for _, e := range p.list.Endpoints {
-		if e.Kind == wire.Engine && e.Model == model && e.State == wire.Live {
-			engines++
+func (p *Part) room(model string) int { return p.engines[model] * p.perNode }
+
+// listed counts the live engines of each model.
+func (p *Part) listed(list wire.EndpointList) {
+	p.list = list
+	p.engines = map[string]int{}
+	for _, e := range list.Endpoints {
+		if e.Kind == wire.Engine && e.State == wire.Live {
+			p.engines[e.Model]++
 		}
 	}
-	return engines * p.perNode
 }
 
 // openLots starts the lots that may be made now: the next one to be asked for, and those sealed ahead of it.
 // A lot sealed further ahead than the staleness bound would be stale when each lot brings a new version.
-func (p *Part) openLots(r *rollout, out *event.Batch) {
+func (p *Part) openLots(now time.Duration, r *rollout, out *event.Batch) {
 	ahead := uint64(min(r.spec.SealAhead, r.spec.MaxStaleness))
 	for lot := r.ledger.Acked + 1; lot <= r.ledger.Acked+1+ahead; lot++ {
 		if r.spec.Lots > 0 && lot > r.spec.Lots {
@@ -74,6 +78,7 @@
 			continue
 		}
 		p.openLot(r, lot, out)
+		r.touch(now)
 	}
 }
 
@@ -302,7 +307,7 @@
 		Count: m.packed.Count, Checksum: m.packed.Checksum, Blocks: m.packed.Blocks,
 	}
 	if !r.ledger.seal(lot, r.spec.MaxStaleness) {
-		out.Emit(event.Count{Name: "lots_stale", Tags: []event.Field{{Key: "At", Value: "Seal"}}, N: 1})
+		out.Emit(event.Count{Name: "lots_voided", Tags: []event.Field{{Key: "Reason", Value: "Seal"}}, N: 1})
 		out.Emit(event.DeleteBlocks{Names: blockNames(m.packed.Blocks)})
 		p.dropMaking(r, m, out)
 		return
--- a/internal/lots/rollout.go
+++ b/internal/lots/rollout.go
@@ -41,7 +41,9 @@
 	waiting    []waiting
 	deleting   []deletion
 	newestSeq  uint64 // write that holds the newest version
-	announced  uint64 // newest version told to the engines' duty
+	published  uint64 // newest version that this rollout's trainer published
+	announced  uint64 // newest version of it that all rollouts of the model hold
+	spread     spread
 }
 
 // waiting is an answer that goes out when a ledger write is stored, and not before a time.
@@ -50,6 +52,7 @@
 	notUntil time.Duration
 	to       string
 	id       uint64
+	version  uint64            // waits until all rollouts of the model hold it
 	ask      *wire.RolloutCall // decided again when stored; nil to answer body
 	body     []byte
 }
@@ -69,6 +72,9 @@
 	}
 	p.refuseWaiting(r, kinds.OutcomeUnknown, out)
 	p.refuseProbes(r, out)
+	if e.Epoch != r.epoch+1 {
+		p.abandon(r, out) // a holder in between may have deleted their blocks
+	}
 	r.held, r.lapsed, r.epoch = true, false, e.Epoch
 	r.ledger, r.dirty, r.attempts = ledger, false, 0
 	r.seq++
@@ -78,12 +84,12 @@
 	if r.handed == nil {
 		r.handed = map[uint64]time.Duration{}
 	}
+	p.deleteOpen(r, out)
 	p.keepMakings(r, out)
 	out.Emit(event.Log{Level: "info", Event: "RolloutHeld", Fields: []event.Field{
 		{Key: "Rollout", Value: r.spec.Name}, {Key: "Epoch", Value: strconv.FormatUint(e.Epoch, 10)},
 	}})
-	r.newestSeq, r.announced = r.stored, 0
-	r.announce(out)
+	r.newestSeq, r.published, r.announced, r.spread = r.stored, ledger.Newest, 0, spread{}
 }
 
 // keepMakings drops the lots in the making that the ledger has sealed or that are no longer wanted.
@@ -140,10 +146,32 @@
 func (r *rollout) write(out *event.Batch) uint64 {
 	r.seq++
 	r.dirty = false
+	r.noteOpen()
 	out.Raise(event.WriteLedger{Duty: r.duty, Epoch: r.epoch, Seq: r.seq, Ledger: r.ledger.marshal()})
 	return r.seq
 }
 
+// noteOpen has the ledger name the lots in the making.
+func (r *rollout) noteOpen() {
+	r.ledger.Open = nil
+	for _, m := range r.making {
+		if _, ok := r.ledger.sealed(m.ref.Lot); !ok {
+			r.ledger.Open = append(r.ledger.Open, Attempt{Lot: m.ref.Lot, Attempt: m.ref.Attempt})
+		}
+	}
+}
+
+// deleteOpen deletes the blocks of lots that a former holder was making.
+func (p *Part) deleteOpen(r *rollout, out *event.Batch) {
+	for _, a := range r.ledger.Open {
+		own := slices.ContainsFunc(r.making, func(m *making) bool { return m.ref.Attempt == a.Attempt })
+		if own {
+			continue
+		}
+		out.Emit(event.DeleteLot{Lot: event.LotRef{Rollout: r.spec.Name, Lot: a.Lot, Attempt: a.Attempt}})
+	}
+}
+
 // touch has the ledger written with the next decision, or after a while.
 func (r *rollout) touch(now time.Duration) {
 	if !r.dirty {
@@ -163,7 +191,7 @@
 			out.Emit(event.Count{Name: "lots_sealed", N: 1})
 		}
 	}
-	r.announce(out)
+	p.announce(now, r, out)
 	p.deleteStored(r, out)
 	p.answerStored(now, r, out)
 }
--- a/internal/lots/world_test.go
+++ b/internal/lots/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -34,7 +35,10 @@
 	scores   []event.ScoreGroup
 	answers  map[uint64]event.AnswerDuty
 	sent     []event.SendPeer
+	deleted  []event.LotRef
+	gone     []string // blocks
 	counts   map[string]int64
+	asks     []event.AskDuty
 	raised   []event.Event
 }
 
@@ -63,11 +67,18 @@
 		d.writes = append(d.writes, e)
 	case event.AnswerDuty:
 		d.answers[e.ID] = e
-	case event.VersionPublished, event.ReleaseDuty, event.WantDuties:
+	case event.AskDuty:
+		d.asks = append(d.asks, e)
+	case event.VersionPublished, event.ReleaseDuty:
 		d.raised = append(d.raised, ev)
 	}
 }
 
+// told reports whether a version was announced.
+func (d *daemon) told(version uint64) bool {
+	return slices.Contains(d.raised, event.Event(event.VersionPublished{Model: newSpec().Model, Version: version}))
+}
+
 func (d *daemon) dropRequest(id uint64) {
 	for i, r := range d.requests {
 		if r.Request == id {
@@ -104,6 +115,11 @@
 			d.scores = append(d.scores, e)
 		case event.SendPeer:
 			d.sent = append(d.sent, e)
+		case event.DeleteLot:
+			d.deleted = append(d.deleted, e.Lot)
+			d.gone = append(d.gone, blockOf(e.Lot))
+		case event.DeleteBlocks:
+			d.gone = append(d.gone, e.Names...)
 		case event.Count:
 			d.counts[e.Name] += e.N
 		}
--- a/internal/weight/model.go
+++ b/internal/weight/model.go
@@ -11,17 +11,18 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// Ledger is what lasts of a model's versions. Orders are those that were intended last and may have been sent.
+// Ledger is what lasts of a model's versions. Orders up to number Intended of Epoch may have been sent. Which engines
+// they went to is not kept: a successor reads the engines' own state. The ledger's size does not grow with the engines.
 type Ledger struct {
-	Target uint64
-	Orders []Order
+	Target   uint64
+	Epoch    uint64
+	Intended uint64
 }
 
-// Order is the intent to have one engine load a version.
-type Order struct {
-	OrderID  string
-	Endpoint string
-	Version  uint64
+// order is the intent to have one engine load a version.
+type order struct {
+	id      string
+	version uint64
 }
 
 // model is one model on this daemon.
@@ -30,6 +31,7 @@
 	duty     string
 	held     bool
 	stopping bool
+	settled  bool // all engines are known to have the target
 	epoch    uint64
 	ledger   Ledger
 	seq      uint64
@@ -38,6 +40,7 @@
 	engines  map[string]*engine
 	sorted   []string // live engines
 	waiting  []waiting
+	intentAt time.Duration // last write of intents
 }
 
 // waiting is an answer that goes out when a ledger write is stored.
@@ -53,7 +56,7 @@
 	version  uint64
 	known    bool
 	reading  time.Duration // end of a read that is under way, 0 for none
-	order    *Order        // intended or sent
+	order    *order        // intended or sent
 	seq      uint64        // ledger write that holds the intent
 	sent     bool
 	failures int
@@ -64,6 +67,7 @@
 	old := m.engines
 	m.engines = map[string]*engine{}
 	m.sorted = m.sorted[:0]
+	m.settled = false
 	for _, e := range list.Endpoints {
 		if e.Kind != wire.Engine || e.Model != m.name || e.State != wire.Live {
 			continue
@@ -84,7 +88,7 @@
 		return
 	}
 	if r.Version != e.version {
-		e.known = false
+		e.known, m.settled = false, false
 	}
 }
 
@@ -95,7 +99,7 @@
 		out.Emit(event.Log{Level: "error", Event: "LedgerUnreadable", Fields: []event.Field{{Key: "Duty", Value: m.duty}}})
 		return
 	}
-	m.held, m.epoch, m.ledger = true, e.Epoch, ledger
+	m.held, m.epoch, m.ledger, m.settled = true, e.Epoch, ledger, false
 	m.seq++
 	m.stored, m.orders = m.seq, 0
 	for _, n := range m.sorted {
@@ -122,12 +126,10 @@
 }
 
 // nextOrder returns the intent to swap an engine; its id is never used again.
-func (m *model) nextOrder(e *engine) *Order {
+func (m *model) nextOrder() *order {
 	m.orders++
-	return &Order{
-		OrderID:  fmt.Sprintf("%s/%d/%d", m.duty, m.epoch, m.orders),
-		Endpoint: e.endpoint.Name, Version: m.ledger.Target,
-	}
+	m.ledger.Epoch, m.ledger.Intended = m.epoch, m.orders
+	return &order{id: fmt.Sprintf("%s/%d/%d", m.duty, m.epoch, m.orders), version: m.ledger.Target}
 }
 
 func (m *model) swapping() int {
@@ -139,13 +141,3 @@
 	}
 	return n
 }
-
-// keepOrders writes the intents that are open into the ledger's value.
-func (m *model) keepOrders() {
-	m.ledger.Orders = m.ledger.Orders[:0]
-	for _, name := range m.sorted {
-		if o := m.engines[name].order; o != nil {
-			m.ledger.Orders = append(m.ledger.Orders, *o)
-		}
-	}
-}
