--- a/figbed/proofs/rollouts_test.go
+++ b/figbed/proofs/rollouts_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/figbed/internal/trnr"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 func TestTrainerTakesItsLots(t *testing.T) {
@@ -54,3 +56,29 @@
 }
 
 const holderStopBound = 15 * time.Second
+
+// TestZoneReclaimedDuringLots takes all cheap engines of a zone away while lots are made on them.
+func TestZoneReclaimedDuringLots(t *testing.T) {
+	spec := rolloutSpec()
+	c := newRolloutCluster(2, spec, "--request-rate", "40")
+	cheap := append([]string{"--price", "Cheap"}, c.Engines[0].Args...)
+	for _, name := range []string{"c1", "c2"} {
+		c.Engines = append(c.Engines, proc.Endpoint{Name: name, Zone: "b", Args: cheap})
+	}
+	c.Platform = []string{"--reclaim-notice", "500ms"}
+	c.Start(t)
+	c.CreateRollout(spec)
+	lots := 0
+	trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) {
+		tr.Lots = 6
+		tr.Notify = func(lot wire.Lot) {
+			lots++
+			if lot.Lot == 2 {
+				c.SetFaults(wire.Faults{ReclaimZone: "b"})
+			}
+		}
+	})
+	if lots != 6 {
+		t.Errorf("%d lots came", lots)
+	}
+}
