--- a/figbed/proofs/rollouts_measure_test.go
+++ b/figbed/proofs/rollouts_measure_test.go
@@ -13,15 +13,15 @@
 )
 
 // TestStragglersWithHedgesAndSpareGroups measures trainer idle time with 2 % of the attempts 10 times slower,
-// with and without hedges and spare groups.
+// with and without hedges and spare groups, and without stragglers.
 func TestStragglersWithHedgesAndSpareGroups(t *testing.T) {
 	const lots = 8
-	run := func(name string, spare int, hedge float64) time.Duration {
+	run := func(name, stragglers string, spare int, hedge float64) time.Duration {
 		spec := rolloutSpec()
 		spec.Groups, spec.SamplesPerGroup, spec.MaxTokens = 8, 8, 40
 		spec.SpareGroups, spec.HedgeMultiple = spare, hedge
 		c := rolloutCluster(t, 2, spec, "--tokens", "20000", "--request-rate", "100", "--max-running", "128",
-			"--stragglers", "0.02", "--straggler-factor", "10")
+			"--stragglers", stragglers, "--straggler-factor", "10")
 		before := c.Calls()
 		s := trainRollout(t, c, spec, 2*time.Minute, func(tr *trnr.Trainer) {
 			tr.Lots, tr.Publish, tr.StepTime = lots, false, 300*time.Millisecond
@@ -30,10 +30,11 @@
 		t.Logf("%s: idle %v a lot, %d object writes a lot", name, s.Idle/lots, (after.Writes-before.Writes)/lots)
 		return s.Idle
 	}
-	none := run("no hedges, no spare groups", 0, -1)
-	spares := run("one spare group of 8", 1, -1)
-	hedges := run("hedges", 0, 0)
-	both := run("hedges and one spare group of 8", 1, 0)
+	run("no stragglers", "0", 0, -1)
+	none := run("no hedges, no spare groups", "0.02", 0, -1)
+	spares := run("one spare group of 8", "0.02", 1, -1)
+	hedges := run("hedges", "0.02", 0, 0)
+	both := run("hedges and one spare group of 8", "0.02", 1, 0)
 	if both >= none || hedges >= none {
 		t.Errorf("idle time %v with hedges, %v with both, %v with spare groups, %v with neither", hedges, both, spares, none)
 	}
