--- a/figd/rollouts.go
+++ b/figd/rollouts.go
@@ -33,7 +33,7 @@
 	store.Prepare()
 	calls := &train.Calls{Post: d.loop.Post, Now: d.loop.Now}
 	d.samples = texts
-	d.handlers[wire.PathRollouts] = &train.Handler{Calls: calls, Blocks: store}
+	d.handlers[wire.PathRollouts] = &train.Handler{Calls: calls, Blocks: store, Scope: d.metrics()}
 	d.addPart(&lots.Part{Host: d.process.Host, Trust: d.trust})
 	d.addPart(&weight.Part{Trust: d.trust})
 	d.addExecutor(store)
--- a/internal/lots/advance.go
+++ b/internal/lots/advance.go
@@ -212,7 +212,7 @@
 	s.notUntil = now + backoff(s.failures)
 	s.failures++
 	out.Emit(event.DropAnswer{Lot: m.ref, Request: request})
-	out.Emit(event.Count{Name: "samples_retried", Tags: []event.Field{{Key: "Reason", Value: reason}}, N: 1})
+	out.Emit(event.Count{Name: "SamplesRetried", Tags: []event.Field{{Key: "Reason", Value: reason}}, N: 1})
 }
 
 func backoff(failures int) time.Duration {
@@ -296,7 +296,7 @@
 
 // repack tries again; the executor waits between its tries.
 func (p *Part) repack(m *making, kind kinds.Kind, out *event.Batch) {
-	out.Emit(event.Count{Name: "packs_retried", Tags: []event.Field{{Key: "Kind", Value: string(kind)}}, N: 1})
+	out.Emit(event.Count{Name: "PacksRetried", Tags: []event.Field{{Key: "Kind", Value: string(kind)}}, N: 1})
 	out.Emit(event.PackLot{Lot: m.ref, Samples: m.finished()})
 }
 
@@ -307,7 +307,7 @@
 		Count: m.packed.Count, Checksum: m.packed.Checksum, Blocks: m.packed.Blocks,
 	}
 	if !r.ledger.seal(lot, r.spec.MaxStaleness) {
-		out.Emit(event.Count{Name: "lots_voided", Tags: []event.Field{{Key: "Reason", Value: "Seal"}}, N: 1})
+		out.Emit(event.Count{Name: "LotsVoided", Tags: []event.Field{{Key: "Reason", Value: "Seal"}}, N: 1})
 		out.Emit(event.DeleteBlocks{Names: blockNames(m.packed.Blocks)})
 		p.dropMaking(r, m, out)
 		return
--- a/internal/lots/hand.go
+++ b/internal/lots/hand.go
@@ -160,7 +160,7 @@
 	}
 	r.handed[lot] = now
 	r.lastHanded = max(r.lastHanded, lot)
-	out.Emit(event.Count{Name: "lots_handed", N: 1})
+	out.Emit(event.Count{Name: "LotsHanded", N: 1})
 	answer(to, id, "", grantOf(r, s, valid), out)
 }
 
@@ -182,7 +182,7 @@
 	r.deleteLater(r.ledger.void(lot))
 	r.touch(now)
 	delete(r.handed, lot)
-	out.Emit(event.Count{Name: "lots_voided", Tags: []event.Field{{Key: "Reason", Value: reason}}, N: 1})
+	out.Emit(event.Count{Name: "LotsVoided", Tags: []event.Field{{Key: "Reason", Value: reason}}, N: 1})
 }
 
 // askedRelease acknowledges what the consumer holds and lets another consumer in.
--- a/internal/lots/hedge.go
+++ b/internal/lots/hedge.go
@@ -50,7 +50,7 @@
 		avoid = []string{s.tries[0].endpoint}
 	}
 	p.startTry(now, r, m, ref, avoid, out)
-	out.Emit(event.Count{Name: "samples_hedged", N: 1})
+	out.Emit(event.Count{Name: "SamplesHedged", N: 1})
 }
 
 // straggleTime returns the running time beyond which a sample is a straggler, false while that is not known.
--- a/internal/lots/publish.go
+++ b/internal/lots/publish.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		out.Emit(event.DropAnswer{Lot: m.ref, Request: s.request})
-		out.Emit(event.Count{Name: "samples_retried", Tags: []event.Field{{Key: "Reason", Value: "Stale"}}, N: 1})
+		out.Emit(event.Count{Name: "SamplesRetried", Tags: []event.Field{{Key: "Reason", Value: "Stale"}}, N: 1})
 		g.reset(s)
 		if g.complete {
 			g.complete = false
--- a/internal/lots/rollout.go
+++ b/internal/lots/rollout.go
@@ -188,7 +188,7 @@
 	for _, m := range slices.Clone(r.making) {
 		if m.stage == sealing && m.sealSeq <= r.stored {
 			p.dropMaking(r, m, out)
-			out.Emit(event.Count{Name: "lots_sealed", N: 1})
+			out.Emit(event.Count{Name: "LotsSealed", N: 1})
 		}
 	}
 	p.announce(now, r, out)
--- a/internal/lots/score.go
+++ b/internal/lots/score.go
@@ -57,7 +57,7 @@
 	if e.Kind != "" || len(e.Scores) != len(g.samples) {
 		g.notUntil = now + backoff(g.failures)
 		g.failures++
-		out.Emit(event.Count{Name: "scores_retried", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
+		out.Emit(event.Count{Name: "ScoresRetried", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
 		return
 	}
 	g.scores = e.Scores
--- a/internal/train/handler.go
+++ b/internal/train/handler.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/figshift/figshift/internal/block"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
@@ -26,11 +28,13 @@
 type Handler struct {
 	Calls  *Calls
 	Blocks *block.Store
+	Scope  tally.Scope
 }
 
 // ServeHTTP answers one trainer's call. It may be called concurrently.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if err := h.serve(w, r); err != nil {
+		h.Scope.Tagged(map[string]string{"Kind": string(kinds.From(err))}).Counter("TrainersRefused").Inc(1)
 		refuse(w, err)
 	}
 }
--- a/internal/train/train_test.go
+++ b/internal/train/train_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/figshift/figshift/internal/block"
 	"github.com/figshift/figshift/internal/event"
@@ -85,7 +86,7 @@
 	d.calls = &Calls{Post: d.post, Now: func() time.Duration { return time.Duration(d.now.Load()) }}
 	store := &block.Store{Objects: none{}, Texts: &block.Texts{}, Cache: &block.Cache{MaxBytes: 100}}
 	store.Do(event.KeepRollout{Spec: []byte(`{"Name":"tariffs"}`)})
-	return &Handler{Calls: d.calls, Blocks: store}
+	return &Handler{Calls: d.calls, Blocks: store, Scope: tally.NoopScope}
 }
 
 func TestHandler(t *testing.T) {
--- a/internal/weight/waves.go
+++ b/internal/weight/waves.go
@@ -135,7 +135,7 @@
 	}
 	e.notUntil = now + backoff(p.site.RetryBackoff, e.failures)
 	e.failures++
-	out.Emit(event.Count{Name: "swaps_retried", Tags: []event.Field{{Key: "Kind", Value: string(s.Kind)}}, N: 1})
+	out.Emit(event.Count{Name: "SwapsRetried", Tags: []event.Field{{Key: "Kind", Value: string(s.Kind)}}, N: 1})
 }
 
 func logFailure(s event.EngineSwapped, out *event.Batch) {
