lots: a grant ends before a successor decides, also after a graceful release

A grant was valid for two seconds. A holder that stops releases its lease, and its successor decides after the bound of orders in flight, one second: a daemon that was slow between grant and hand-over could hand over a lot that a publish at the successor had made stale. Grants are valid for the bound of orders in flight now.

--- a/internal/lots/hand.go
+++ b/internal/lots/hand.go
@@ -9,9 +9,10 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// grantTime is the longest time between a trainer's ask and the first byte of its lot. A publish that would make a
-// granted lot stale is not confirmed before this time has passed since the grant.
-const grantTime = 2 * time.Second
+// grantTime returns the longest time between a trainer's ask and the first byte of its lot. A publish that would make
+// a granted lot stale is not confirmed before this time has passed since the grant. A successor waits as long before
+// it decides anything, as it does for orders in flight.
+func (p *Part) grantTime() time.Duration { return p.probes.flight }
 
 // asked answers a call to the rollout's holder.
 func (p *Part) asked(now time.Duration, r *rollout, e event.DutyAsked, out *event.Batch) {
@@ -153,7 +154,7 @@
 		answer(to, id, kinds.LotNotReady, nil, out)
 		return
 	}
-	valid := min(until-now, grantTime)
+	valid := min(until-now, p.grantTime())
 	if valid <= 0 {
 		answer(to, id, kinds.NotHolder, nil, out)
 		return
--- a/internal/lots/lots_test.go
+++ b/internal/lots/lots_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
@@ -55,7 +56,7 @@
 	if _, ok := d.answers[2]; ok {
 		t.Error("the publish was confirmed while the grant of a stale lot ran")
 	}
-	d.tick(grantTime)
+	d.tick(d.part.grantTime())
 	if _, ok := d.answers[2]; !ok {
 		t.Error("the publish was not confirmed after the grant had run out")
 	}
@@ -200,3 +201,18 @@
 		t.Error(diff)
 	}
 }
+
+// TestGrantEndsBeforeASuccessorDecides compares a grant's time with the wait of a successor after a release.
+func TestGrantEndsBeforeASuccessorDecides(t *testing.T) {
+	site := config.Defaults()
+	site.Lease.OrderFlight = 400 * time.Millisecond
+	d := newDaemon(newSpec(), 1)
+	d.step(event.ConfigInForce{Site: site})
+	d.gain(1, nil)
+	d.makeLot(1)
+	d.askLot(1, "one", 0)
+	d.store()
+	if valid := grantIn(d.answers[1]).ValidMS; valid != site.Lease.OrderFlight.Milliseconds() {
+		t.Errorf("the grant is valid for %d ms", valid)
+	}
+}
--- a/internal/lots/publish.go
+++ b/internal/lots/publish.go
@@ -31,19 +31,19 @@
 	r.published = publish.Version
 	r.newestSeq = r.write(out)
 	r.waiting = append(r.waiting, waiting{
-		seq: r.newestSeq, version: publish.Version, notUntil: r.grantsEnd(), to: e.From, id: e.ID, body: mustJSON(wire.Published{Version: publish.Version}),
+		seq: r.newestSeq, version: publish.Version, notUntil: p.grantsEnd(r), to: e.From, id: e.ID, body: mustJSON(wire.Published{Version: publish.Version}),
 	})
 }
 
 // grantsEnd returns the time after which no lot that is stale now is handed over any more.
-func (r *rollout) grantsEnd() time.Duration {
+func (p *Part) grantsEnd(r *rollout) time.Duration {
 	var end time.Duration
 	for _, s := range r.ledger.Lots {
 		if r.ledger.fresh(s.Oldest, r.spec.MaxStaleness) {
 			continue
 		}
 		if at, ok := r.handed[s.Lot]; ok {
-			end = max(end, at+grantTime)
+			end = max(end, at+p.grantTime())
 		}
 	}
 	return end
--- a/internal/lots/spread.go
+++ b/internal/lots/spread.go
@@ -99,6 +99,6 @@
 		p.resetStale(r, out)
 		r.newestSeq = r.write(out)
 	}
-	r.waiting = append(r.waiting, waiting{seq: r.newestSeq, notUntil: r.grantsEnd(), to: e.From, id: e.ID})
+	r.waiting = append(r.waiting, waiting{seq: r.newestSeq, notUntil: p.grantsEnd(r), to: e.From, id: e.ID})
 	p.answerStored(now, r, out)
 }
--- a/internal/lots/spread_test.go
+++ b/internal/lots/spread_test.go
@@ -45,7 +45,7 @@
 	if _, ok := d.answers[2]; ok {
 		t.Error("the version was confirmed while the grant of a stale lot ran")
 	}
-	d.tick(grantTime)
+	d.tick(d.part.grantTime())
 	if a, ok := d.answers[2]; !ok || a.Kind != "" {
 		t.Errorf("the version was answered %v with kind %q", ok, a.Kind)
 	}
