--- a/internal/event/lot.go
+++ b/internal/event/lot.go
@@ -30,6 +30,9 @@
 // KeepRollout gives the samples' executor a specification, as JSON of wire.RolloutSpec, to make prompts from.
 type KeepRollout struct{ Spec []byte }
 
+// ForgetRollout tells the samples' executor that a rollout was removed.
+type ForgetRollout struct{ Name string }
+
 // OpenLot tells the samples' executor to take answers for a lot.
 type OpenLot struct{ Lot LotRef }
 
@@ -60,6 +63,9 @@
 // DeleteBlocks removes blocks that no ledger names any more.
 type DeleteBlocks struct{ Names []string }
 
+// DeleteLot removes the blocks of an attempt whose number is not known, such as those of a holder that crashed.
+type DeleteLot struct{ Lot LotRef }
+
 // BlockLeft says that a block could not be deleted.
 type BlockLeft struct{ Name string }
 
@@ -74,6 +80,7 @@
 type BlockRead struct {
 	To    string
 	ID    uint64
+	Name  string
 	Value []byte
 	Kind  kinds.Kind
 }
@@ -110,12 +117,14 @@
 }
 
 func (KeepRollout) isEffect()     {}
+func (ForgetRollout) isEffect()   {}
 func (OpenLot) isEffect()         {}
 func (DropLot) isEffect()         {}
 func (DropAnswer) isEffect()      {}
 func (PackLot) isEffect()         {}
 func (LotPacked) isEvent()        {}
 func (DeleteBlocks) isEffect()    {}
+func (DeleteLot) isEffect()       {}
 func (BlockLeft) isEvent()        {}
 func (ServeBlock) isEffect()      {}
 func (BlockRead) isEvent()        {}
