--- a/figbed/proofs/usage_test.go
+++ b/figbed/proofs/usage_test.go
@@ -119,13 +119,7 @@
 	m := newMeter(t, 3)
 	holder := m.waitHolder("")
 	sender := m.other(holder)
-	window := untilShortlyBefore(usageWindow - 400*time.Millisecond)
-	m.SetFaults(wire.Faults{Outage: true})
-	m.spend(sender, 4)
-	end := time.Unix(0, int64(window+1)*int64(usageWindow))
-	if time.Now().After(end) {
-		t.Fatal("the requests took longer than the rest of the window")
-	}
+	window, end := m.spendInOutage(sender)
 	sleepUntil(end.Add(usageGrace + 600*time.Millisecond))
 	if told(m.Calls().Reports, window) {
 		t.Errorf("window %d was reported during the outage", window)
@@ -136,6 +130,24 @@
 	m.waitReported()
 }
 
+// spendInOutage takes the store down shortly before a window's end and counts within the window. A machine that is
+// too busy for that gets another window.
+func (m *meter) spendInOutage(sender *proc.Host) (window uint64, end time.Time) {
+	m.t.Helper()
+	for range 5 {
+		window = untilShortlyBefore(usageWindow - 400*time.Millisecond)
+		end = time.Unix(0, int64(window+1)*int64(usageWindow))
+		m.SetFaults(wire.Faults{Outage: true})
+		m.spend(sender, 4)
+		if time.Now().Before(end) {
+			return window, end
+		}
+		m.SetFaults(wire.Faults{})
+	}
+	m.t.Fatal("four requests take longer than the end of a window")
+	return 0, end
+}
+
 // untilShortlyBefore waits until so much of the present window has passed and returns its number.
 func untilShortlyBefore(passed time.Duration) uint64 {
 	now := time.Duration(time.Now().UnixNano())
