--- a/internal/lots/hand.go
+++ b/internal/lots/hand.go
@@ -9,9 +9,10 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// grantTime is the longest time between a trainer's ask and the first byte of its lot. A publish that would make a
-// granted lot stale is not confirmed before this time has passed since the grant.
-const grantTime = 2 * time.Second
+// grantTime returns the longest time between a trainer's ask and the first byte of its lot. A publish that would make
+// a granted lot stale is not confirmed before this time has passed since the grant. A successor waits as long before
+// it decides anything, as it does for orders in flight.
+func (p *Part) grantTime() time.Duration { return p.probes.flight }
 
 // asked answers a call to the rollout's holder.
 func (p *Part) asked(now time.Duration, r *rollout, e event.DutyAsked, out *event.Batch) {
@@ -153,14 +154,14 @@
 		answer(to, id, kinds.LotNotReady, nil, out)
 		return
 	}
-	valid := min(until-now, grantTime)
+	valid := min(until-now, p.grantTime())
 	if valid <= 0 {
 		answer(to, id, kinds.NotHolder, nil, out)
 		return
 	}
 	r.handed[lot] = now
 	r.lastHanded = max(r.lastHanded, lot)
-	out.Emit(event.Count{Name: "lots_handed", N: 1})
+	out.Emit(event.Count{Name: "LotsHanded", N: 1})
 	answer(to, id, "", grantOf(r, s, valid), out)
 }
 
@@ -182,7 +183,7 @@
 	r.deleteLater(r.ledger.void(lot))
 	r.touch(now)
 	delete(r.handed, lot)
-	out.Emit(event.Count{Name: "lots_voided", Tags: []event.Field{{Key: "Reason", Value: reason}}, N: 1})
+	out.Emit(event.Count{Name: "LotsVoided", Tags: []event.Field{{Key: "Reason", Value: reason}}, N: 1})
 }
 
 // askedRelease acknowledges what the consumer holds and lets another consumer in.
