lease: candidates of a large fleet read the more rarely the later their place

Where hosts hear few others, each took itself for one of the first three candidates of the few that it heard: with 1,400 hosts about 400 candidates a duty would have read its object every 2 s. The place now counts among all known hosts, and host r reads every 2 s x (r+1): TestCandidatesRead has at most 3 reads a second a duty with 100 hosts and 4 with 400.

--- a/internal/lease/compete.go
+++ b/internal/lease/compete.go
@@ -15,27 +15,30 @@
 	readEvery = 2 * time.Second
 )
 
-// compete takes a duty that nobody holds. Only a few candidates for each duty read its object, and only while no
-// beat claims it, so that the calls grow with the duties and not with the hosts.
+// compete takes a duty that nobody holds. Only candidates read its object, and only while no beat claims it, so that
+// the calls grow with the duties and not with the hosts.
 func (p *Part) compete(now time.Duration, d *duty, out *event.Batch) {
 	if p.stopping || p.readyAt == 0 || now < p.readyAt || d.busy || now < d.next {
 		return
 	}
-	rank := p.rank(d, now)
-	if rank < 0 || rank >= candidates {
+	rank, every, ok := p.candidate(d, now)
+	if !ok {
 		return
 	}
 	if holder, _ := p.Roster.Holder(d.name, now); holder != "" && holder != p.Self.Name {
 		d.known = false
 		return
 	}
+	if !d.known && now-max(d.readAt, p.readyAt) < every-readEvery {
+		return
+	}
 	if !d.known || d.suspect {
 		p.read(d, out)
 		return
 	}
 	age := now - d.readAt
 	due := now >= p.takeAt(d, rank)
-	if age > readEvery || due && age > freshRead {
+	if age > every || due && age > freshRead {
 		p.read(d, out)
 		return
 	}
@@ -44,12 +47,26 @@
 	}
 }
 
-func (p *Part) rank(d *duty, now time.Duration) int {
-	var alive []string
-	for _, h := range p.Roster.Alive(now) {
-		alive = append(alive, h.Name)
+// candidate returns this daemon's place among the candidates for a duty and the interval of its reads; false when it
+// is none. Where all hosts hear all, the candidates are the first few that are alive. In a larger fleet nobody knows
+// who is alive and few hear the holder: there each host is a candidate that reads the more rarely the later its place,
+// so that the reads of one duty grow with the logarithm of the hosts.
+func (p *Part) candidate(d *duty, now time.Duration) (rank int, every time.Duration, ok bool) {
+	known := p.Roster.Known()
+	if len(known) <= p.meshUpTo {
+		rank = ranks.Of(d.name, names(p.Roster.Alive(now)), p.Self.Name)
+		return rank, readEvery, rank >= 0 && rank < candidates
+	}
+	rank = ranks.Of(d.name, names(known), p.Self.Name)
+	return rank, readEvery * time.Duration(rank+1), rank >= 0
+}
+
+func names(hosts []event.Host) []string {
+	all := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		all = append(all, h.Name)
 	}
-	return ranks.Of(d.name, alive, p.Self.Name)
+	return all
 }
 
 // takeAt returns the time from which this daemon may take a duty over. An expired lease of this very process
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -28,6 +28,8 @@
 
 // Roster tells which hosts are alive and who holds a duty.
 type Roster interface {
+	// Known returns all known hosts sorted by name, this one among them.
+	Known() []event.Host
 	// Alive returns the hosts that are heard at time now sorted by name, this one among them.
 	Alive(now time.Duration) []event.Host
 	// Holder returns the host whose beats claim a duty, "" for none.
@@ -40,6 +42,7 @@
 	Roster Roster
 
 	timing   config.Lease
+	meshUpTo int                 // hosts up to which all hear all
 	wants    map[string][]string // by owner
 	duties   map[string]*duty
 	calls    map[uint64]string // duty of each call under way
@@ -87,6 +90,7 @@
 	}
 	p.started = true
 	p.timing = config.Defaults().Lease
+	p.meshUpTo = config.Defaults().Trust.MeshUpTo
 	p.wants = map[string][]string{}
 	p.duties = map[string]*duty{}
 	p.calls = map[uint64]string{}
@@ -94,6 +98,7 @@
 
 func (p *Part) configure(now time.Duration, site *config.Site) {
 	p.timing = site.Lease
+	p.meshUpTo = site.Trust.MeshUpTo
 	if p.readyAt == 0 {
 		p.readyAt = now + settle
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 )
 
@@ -20,6 +21,13 @@
 		}
 		freeze := rapid.Float64Range(0, 0.02).Draw(t, "freeze")
 		w := newWorld(rapid.Int64().Draw(t, "seed"), rapid.Float64Range(0, 0.5).Draw(t, "faulty"), offsets)
+		if rapid.Bool().Draw(t, "large fleet") {
+			site := config.Defaults()
+			site.Trust.MeshUpTo = 1
+			for _, h := range w.hosts {
+				h.step(event.ConfigInForce{Site: site})
+			}
+		}
 		for round := range 1200 {
 			w.advance(round)
 			if holders := w.holders(); len(holders) > 1 {
@@ -55,6 +63,32 @@
 	}
 }
 
+// In a fleet where hosts hear few others the reads for one duty grow far slower than the hosts.
+func TestCandidatesRead(t *testing.T) {
+	cases := map[string]struct {
+		hosts int
+		most  float64 // reads a second of all hosts
+	}{
+		"small fleet":  {hosts: 8, most: 3 / readEvery.Seconds()},
+		"large fleet":  {hosts: 100, most: 6 / readEvery.Seconds()},
+		"larger fleet": {hosts: 400, most: 8 / readEvery.Seconds()},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, 0, make([]time.Duration, test.hosts))
+			var reads float64
+			for _, h := range w.hosts {
+				if _, every, ok := h.part.candidate(&duty{name: testDuty}, 0); ok {
+					reads += 1 / every.Seconds()
+				}
+			}
+			if reads > test.most {
+				t.Errorf("%.1f reads a second, want at most %.1f", reads, test.most)
+			}
+		})
+	}
+}
+
 func TestHandOver(t *testing.T) {
 	tests := map[string]struct {
 		stop  func(h *testHost)
--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -58,6 +58,15 @@
 
 func (h *testHost) clock() time.Duration { return h.world.now + h.offset }
 
+// Known implements Roster.
+func (h *testHost) Known() []event.Host {
+	var known []event.Host
+	for _, o := range h.world.hosts {
+		known = append(known, o.part.Self)
+	}
+	return known
+}
+
 // Alive implements Roster.
 func (h *testHost) Alive(time.Duration) []event.Host {
 	var alive []event.Host
