--- a/internal/block/block_test.go
+++ b/internal/block/block_test.go
@@ -1,6 +1,7 @@
 package block
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -77,20 +78,20 @@
 	return &Client{Platform: server.URL, HTTP: server.Client()}
 }
 
-func samplesOf(n, bytes int) []wire.Sample {
+func samplesOf(n, length int) []wire.Sample {
 	all := make([]wire.Sample, n)
 	for i := range all {
 		ref := event.SampleRef{Rollout: "r", Lot: 1, Attempt: 2, Group: i / 8, Index: i % 8}
-		all[i] = wire.Sample{ID: ID(ref), Group: ref.Group, Index: ref.Index, Text: strings.Repeat("x", bytes), Versions: []uint64{3}}
+		all[i] = wire.Sample{ID: ID(ref), Group: ref.Group, Index: ref.Index, Text: strings.Repeat("x", length), Versions: []uint64{3}}
 	}
 	return all
 }
 
 func TestPack(t *testing.T) {
 	cases := map[string]struct {
-		samples, bytes, size int
-		blocks               int
-		kind                 kinds.Kind
+		samples, length, size int
+		blocks                int
+		kind                  kinds.Kind
 	}{
 		"none":       {0, 0, MaxBytes, 0, ""},
 		"one block":  {16, 100, MaxBytes, 1, ""},
@@ -100,7 +101,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			samples := samplesOf(c.samples, c.bytes)
+			samples := samplesOf(c.samples, c.length)
 			blocks, checksum, err := Pack(event.LotRef{Rollout: "r", Lot: 1, Attempt: 2}, samples, c.size)
 			if diff := cmp.Diff([]any{c.blocks, c.kind}, []any{len(blocks), kinds.From(err)}); diff != "" {
 				t.Fatal(diff)
@@ -115,7 +116,7 @@
 					t.Errorf("block %+v has %d bytes", b.Ref, len(b.Value))
 				}
 			}
-			all := Join(values)
+			all := bytes.Join(Parts(values), nil)
 			got := []wire.Sample{}
 			if err := json.Unmarshal(all, &got); err != nil {
 				t.Fatal(err)
@@ -144,13 +145,13 @@
 
 // TestCallsOfALot measures the object calls and bytes of a lot in blocks and in one object a sample.
 func TestCallsOfALot(t *testing.T) {
-	const bytes = 2000
+	const length = 2000
 	for _, n := range []int{64, 512, 4096} {
 		calls := map[int]int{}
 		for _, size := range []int{MaxBytes, 1} {
 			o := &objects{}
 			c := newClient(t, o)
-			blocks, _, err := Pack(event.LotRef{Rollout: "r", Lot: 1, Attempt: 2}, samplesOf(n, bytes), size)
+			blocks, _, err := Pack(event.LotRef{Rollout: "r", Lot: 1, Attempt: 2}, samplesOf(n, length), size)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -163,7 +164,7 @@
 				}
 			}
 			calls[size] = o.calls
-			t.Logf("%d samples of %d bytes in blocks of up to %d: %d calls, %d bytes", n, bytes, size, o.calls, o.bytes)
+			t.Logf("%d samples of %d bytes in blocks of up to %d: %d calls, %d bytes", n, length, size, o.calls, o.bytes)
 		}
 		if calls[MaxBytes] >= calls[1] {
 			t.Errorf("%d calls with blocks, %d without", calls[MaxBytes], calls[1])
--- a/internal/block/pack.go
+++ b/internal/block/pack.go
@@ -80,30 +80,28 @@
 	for i, b := range blocks {
 		values[i] = b.Value
 	}
-	return Checksum(Join(values))
+	return Checksum(Parts(values)...)
 }
 
-// Join returns the JSON array of the samples in the values of all blocks of a lot. It may be called concurrently.
-func Join(values [][]byte) []byte {
-	size := len(values) + 1
-	for _, v := range values {
-		size += len(v)
-	}
-	all := make([]byte, 0, size)
-	all = append(all, '[')
+// Parts returns the pieces of the JSON array of the samples in the values of all blocks of a lot, which share the
+// values' memory. It may be called concurrently.
+func Parts(values [][]byte) [][]byte {
+	parts := [][]byte{[]byte("[")}
 	for i, v := range values {
 		if i > 0 {
-			all = append(all, ',')
+			parts = append(parts, []byte(","))
 		}
-		all = append(all, v...)
+		parts = append(parts, v)
 	}
-	return append(all, ']')
+	return append(parts, []byte("]"))
 }
 
-// Checksum returns the xxhash of data in hex. It may be called concurrently.
-func Checksum(data []byte) string {
+// Checksum returns the xxhash of all parts, one after the other, in hex. It may be called concurrently.
+func Checksum(parts ...[]byte) string {
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.Write(data)
+	for _, p := range parts {
+		_, _ = d.Write(p)
+	}
 	return hex.EncodeToString(d.Sum(nil))
 }
--- a/internal/train/lots.go
+++ b/internal/train/lots.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -27,15 +28,27 @@
 	Checksum string
 }
 
-// encode returns a wire.Lot as JSON without encoding its samples again.
-func encode(head lotHead, samples []byte) ([]byte, error) {
-	data, err := json.Marshal(head)
+// write answers with a wire.Lot, whose samples are neither encoded again nor copied. The length is told first, so
+// that an answer that is cut is seen not to be whole.
+func (h lotHead) write(w http.ResponseWriter, samples [][]byte) error {
+	data, err := json.Marshal(h)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	parts := append([][]byte{append(data[:len(data)-1], `,"Samples":`...)}, samples...)
+	parts = append(parts, []byte("}"))
+	length := 0
+	for _, p := range parts {
+		length += len(p)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(length))
+	for _, p := range parts {
+		if _, err := w.Write(p); err != nil {
+			panic(http.ErrAbortHandler)
+		}
 	}
-	data = append(data[:len(data)-1], `,"Samples":`...)
-	data = append(data, samples...)
-	return append(data, '}'), nil
+	return nil
 }
 
 // lots hands a lot over: the holder's grant first, then the blocks, and the first byte only while the grant is valid.
@@ -52,20 +65,17 @@
 	if err != nil {
 		return err
 	}
-	body, err := encode(lotHead{
-		Rollout: c.name, Lot: grant.Lot, Attempt: grant.Attempt, Replaces: grant.Replaces, Newest: grant.Newest,
-		Count: grant.Count, Checksum: grant.Checksum,
-	}, samples)
-	if err != nil {
-		return err
-	}
 	if c.h.Calls.Now()-asked >= time.Duration(grant.ValidMS)*time.Millisecond {
 		return kinds.New(kinds.LotNotReady, "the grant of lot %d ran out before its hand-over", grant.Lot)
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(handOverTime))
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(body)
-	return nil
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(handOverTime))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // else it would stay with the connection
+	head := lotHead{
+		Rollout: c.name, Lot: grant.Lot, Attempt: grant.Attempt, Replaces: grant.Replaces, Newest: grant.Newest,
+		Count: grant.Count, Checksum: grant.Checksum,
+	}
+	return head.write(w, samples)
 }
 
 func (c *rolloutCall) grant(ctx context.Context) (wire.LotGrant, error) {
@@ -78,8 +88,8 @@
 	return grant, err
 }
 
-// samples returns the lot's JSON array, checked against the checksums of its blocks and its own.
-func (c *rolloutCall) samples(ctx context.Context, grant wire.LotGrant) ([]byte, error) {
+// samples returns the pieces of the lot's JSON array, checked against the checksums of its blocks and its own.
+func (c *rolloutCall) samples(ctx context.Context, grant wire.LotGrant) ([][]byte, error) {
 	values := make([][]byte, len(grant.Blocks))
 	failed := make([]error, len(grant.Blocks))
 	var reads sync.WaitGroup
@@ -90,11 +100,11 @@
 	if err := errors.Join(failed...); err != nil {
 		return nil, err
 	}
-	all := block.Join(values)
-	if block.Checksum(all) != grant.Checksum {
+	parts := block.Parts(values)
+	if block.Checksum(parts...) != grant.Checksum {
 		return nil, kinds.New(kinds.Internal, "lot %d differs from its checksum", grant.Lot)
 	}
-	return all, nil
+	return parts, nil
 }
 
 // block reads a block here, or from the holder when the store cannot be reached.
