--- a/internal/member/asks.go
+++ b/internal/member/asks.go
@@ -43,7 +43,7 @@
 func (p *Part) ask(now time.Duration, e event.AskDuty, out *event.Batch) {
 	holder, _ := p.Holder(e.Duty, now)
 	if holder == "" {
-		holder = p.lapsedHolder(e.Duty)
+		holder = p.lapsedHolder(e.Duty, now)
 	}
 	if holder == "" {
 		finish(e, p.noHolder(now), nil, out)
--- a/internal/member/lapsed.go
+++ b/internal/member/lapsed.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/wire"
@@ -32,10 +33,11 @@
 // holder does: in a store outage it hands over what was sealed before.
 func answersLapsed(duty string) bool { return strings.HasPrefix(duty, wire.PrefixRolloutDuty) }
 
-// lapsedHolder returns the host that last held a duty and still answers for it, "" for none.
-func (p *Part) lapsedHolder(duty string) string {
-	if !answersLapsed(duty) {
+// lapsedHolder returns the host that last held a duty and still answers for it, "" for none that is heard.
+func (p *Part) lapsedHolder(duty string, now time.Duration) string {
+	host := p.lastHeld[duty].host
+	if !answersLapsed(duty) || (host != p.Self.Name && !p.hears(host, now)) {
 		return ""
 	}
-	return p.lastHeld[duty].host
+	return host
 }
