--- a/figd/operations.go
+++ b/figd/operations.go
@@ -60,6 +60,7 @@
 	d.addExecutor(gather)
 	d.addExecutor(exit)
 	d.addActor(server.Run)
+	d.addActor((&stats.Gauges{Scope: scope, Status: gather.Status, Ready: d.ready.Ready}).Run)
 	d.addActor(exit.run)
 	d.addActor(d.watchSignals)
 	d.addPart(&logs.Requests{Incarnation: d.incarnation, Debug: d.process.LogLevel == "debug"})
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -1,12 +1,14 @@
 package stats_test
 
 import (
+	"context"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/stats"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 func TestCountsAreServed(t *testing.T) {
@@ -30,3 +32,25 @@
 		}
 	}
 }
+
+func TestGaugesAreServed(t *testing.T) {
+	scope, handler, closer := stats.New(func(err error) { t.Error(err) })
+	g := &stats.Gauges{
+		Scope: scope,
+		Status: func(context.Context) (wire.Status, error) {
+			return wire.Status{ConfigRevision: 7, EvidenceAgeMS: 40}, nil
+		},
+		Ready: func() (bool, string) { return true, "" },
+	}
+	g.Set(context.Background())
+	if err := closer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{"figshift_Ready 1", "figshift_ConfigRevision 7", "figshift_KeysRevision 0", "figshift_EvidenceAgeMS 40"} {
+		if !strings.Contains(answer.Body.String(), want) {
+			t.Errorf("no %s in:\n%s", want, answer.Body.String())
+		}
+	}
+}
