--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -45,21 +45,23 @@
 
 func TestRequestsAreLogged(t *testing.T) {
 	cases := map[string]struct {
-		kind  kinds.Kind
-		debug bool
-		want  []string
+		kind   kinds.Kind
+		sample *event.SampleRef
+		debug  bool
+		want   []string
 	}{
 		"whole":          {},
 		"whole, debug":   {debug: true, want: []string{"debug"}},
 		"refused":        {kind: kinds.QueueFull},
 		"refused, debug": {kind: kinds.QueueFull, debug: true, want: []string{"debug"}},
 		"unknown":        {kind: kinds.OutcomeUnknown, want: []string{"warn"}},
+		"spare sample":   {kind: kinds.StreamCut, sample: &event.SampleRef{}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			p := &logs.Requests{Incarnation: "i1", Debug: c.debug}
 			var out event.Batch
-			p.Step(0, event.RequestDone{Request: 7, Kind: c.kind, Took: time.Second}, &out)
+			p.Step(0, event.RequestDone{Request: 7, Kind: c.kind, Sample: c.sample, Took: time.Second}, &out)
 			var levels []string
 			for _, e := range out.Effects {
 				l := e.(event.Log)
--- a/internal/logs/requests.go
+++ b/internal/logs/requests.go
@@ -8,8 +8,8 @@
 	"github.com/figshift/figshift/internal/kinds"
 )
 
-// Requests is the part that tells of each request's end: at level debug of all, at level warn of those whose outcome
-// the caller does not know. Its fields are set before use.
+// Requests is the part that tells of each request's end: at level debug of all, at level warn of callers' requests whose
+// outcome the caller does not know. Its fields are set before use.
 type Requests struct {
 	Incarnation string
 	Debug       bool // the log shows level debug
@@ -21,7 +21,7 @@
 	if !ok {
 		return
 	}
-	unknown := e.Kind != "" && kinds.Of(e.Kind).Run == kinds.Unknown
+	unknown := e.Sample == nil && e.Kind != "" && kinds.Of(e.Kind).Run == kinds.Unknown
 	if !unknown && !p.Debug {
 		return
 	}
