--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,13 @@
 	N    int64
 }
 
+// Observe adds a duration to a histogram.
+type Observe struct {
+	Name string
+	Tags []Field
+	Took time.Duration
+}
+
 // Ready tells the listeners whether the daemon takes callers' requests.
 type Ready struct {
 	Ready  bool
@@ -64,5 +71,6 @@
 func (StopAsked) isEvent() {}
 func (Log) isEffect()      {}
 func (Count) isEffect()    {}
+func (Observe) isEffect()  {}
 func (Ready) isEffect()    {}
 func (Exit) isEffect()     {}
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -72,6 +72,9 @@
 	p.attempts++
 	p.table.Start(e, r.item.Cost)
 	r.attempt, r.phase = p.attempts, connecting
+	if r.tries == 0 {
+		out.Emit(event.Observe{Name: "QueueTime", Tags: r.classTag(), Took: now - r.started})
+	}
 	r.tries++
 	r.sentAt, r.charged = now, true
 	r.endpoint, r.incarnation, r.price = e.Name, e.Incarnation, string(e.Price)
@@ -183,6 +186,7 @@
 		p.leave(now, id, out)
 	}
 	r.add(e)
+	out.Emit(event.Observe{Name: "AttemptTime", Tags: r.classTag(), Took: now - r.sentAt})
 	switch {
 	case e.Whole:
 		p.finish(now, r, "", out)
@@ -221,7 +225,7 @@
 	p.backing++
 	p.Queue.Correct(r.item, 0)
 	p.timers.add(now+wait, r.id())
-	out.Emit(event.Count{Name: "retries", Tags: []event.Field{{Key: "reason", Value: e.Reason}}, N: 1})
+	out.Emit(event.Count{Name: "Retries", Tags: []event.Field{{Key: "Reason", Value: e.Reason}}, N: 1})
 	return true
 }
 
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -105,10 +105,10 @@
 
 func (p *Part) count(r *request, kind kinds.Kind, out *event.Batch) {
 	if kind == "" {
-		out.Emit(event.Count{Name: "answers", Tags: []event.Field{{Key: "class", Value: string(r.class)}}, N: 1})
+		out.Emit(event.Count{Name: "Answers", Tags: r.classTag(), N: 1})
 		return
 	}
-	out.Emit(event.Count{Name: "refusals", Tags: []event.Field{{Key: "kind", Value: string(kind)}}, N: 1})
+	out.Emit(event.Count{Name: "Refusals", Tags: []event.Field{{Key: "Kind", Value: string(kind)}}, N: 1})
 	if _, ok := p.organisation(r.organisation); !ok {
 		return
 	}
@@ -235,7 +235,7 @@
 		organisation, kind = p.holder(now, e.KeyHash)
 	}
 	if kind != "" {
-		out.Emit(event.Count{Name: "refusals", Tags: []event.Field{{Key: "kind", Value: string(kind)}}, N: 1})
+		out.Emit(event.Count{Name: "Refusals", Tags: []event.Field{{Key: "Kind", Value: string(kind)}}, N: 1})
 	}
 	out.Emit(event.CallAuthorised{Owner: e.Owner, Seq: e.Seq, Organisation: organisation, Kind: kind})
 }
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -56,6 +56,10 @@
 
 func (r *request) keyed() bool { return r.arrived.KeyHash != "" && !r.route.Open }
 
+func (r *request) classTag() []event.Field {
+	return []event.Field{{Key: "Class", Value: string(r.class)}}
+}
+
 // add takes what an attempt reported.
 func (r *request) add(e event.AttemptDone) {
 	r.mayRun = r.mayRun || e.Run != kinds.NotRun
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -36,16 +36,23 @@
 // Executor counts event.Count effects. Its field is set before use.
 type Executor struct{ Scope tally.Scope }
 
-// Do adds to the counter of a Count effect and reports whether the effect was one.
+// Do adds to the counter of a Count effect or to the histogram of an Observe effect, and reports whether the
+// effect was one of them.
 func (x *Executor) Do(effect event.Effect) bool {
-	c, ok := effect.(event.Count)
-	if !ok {
+	switch e := effect.(type) {
+	case event.Count:
+		x.scope(e.Tags).Counter(e.Name).Inc(e.N)
+	case event.Observe:
+		x.scope(e.Tags).Histogram(e.Name, buckets).RecordDuration(e.Took)
+	default:
 		return false
 	}
-	x.scope(c.Tags).Counter(c.Name).Inc(c.N)
 	return true
 }
 
+// buckets bound the histograms' values from a millisecond to about two minutes.
+var buckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
+
 func (x *Executor) scope(tags []event.Field) tally.Scope {
 	if len(tags) == 0 {
 		return x.Scope
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/stats"
@@ -18,6 +19,7 @@
 		x.Do(event.Count{Name: "Refused", Tags: []event.Field{{Key: "Kind", Value: "QueueFull"}}, N: 2})
 	}
 	x.Do(event.Count{Name: "Refused", Tags: []event.Field{{Key: "Kind", Value: "NoEndpoint"}}, N: 1})
+	x.Do(event.Observe{Name: "QueueTime", Tags: []event.Field{{Key: "Class", Value: "Rollout"}}, Took: 3 * time.Millisecond})
 	if x.Do(event.Exit{}) {
 		t.Error("Do() took an Exit")
 	}
@@ -26,7 +28,12 @@
 	}
 	answer := httptest.NewRecorder()
 	handler.ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
-	for _, want := range []string{`figshift_Refused{Kind="QueueFull"} 6`, `figshift_Refused{Kind="NoEndpoint"} 1`} {
+	for _, want := range []string{
+		`figshift_Refused{Kind="QueueFull"} 6`,
+		`figshift_Refused{Kind="NoEndpoint"} 1`,
+		`figshift_QueueTime_bucket{Class="Rollout",le="0.004"} 1`,
+		`figshift_QueueTime_bucket{Class="Rollout",le="0.002"} 0`,
+	} {
 		if !strings.Contains(answer.Body.String(), want) {
 			t.Errorf("no %s in:\n%s", want, answer.Body.String())
 		}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -7,8 +7,6 @@
 	Beat      *Beat        `msgpack:",omitempty"`
 	Push      *Push        `msgpack:",omitempty"`
 	Pull      *Pull        `msgpack:",omitempty"`
-	Usage     *UsageDelta  `msgpack:",omitempty"`
-	UsageAck  *UsageAck    `msgpack:",omitempty"`
 	Ask       *Ask         `msgpack:",omitempty"`
 	Reply     *Reply       `msgpack:",omitempty"`
 	Endpoints *EndpointSet `msgpack:",omitempty"`
@@ -133,14 +131,6 @@
 	Figures     []UsageFigure
 }
 
-// UsageAck confirms that all deltas up to Seq are in the ledger.
-type UsageAck struct {
-	Host        string
-	Incarnation string
-	Seq         uint64
-	Epoch       uint64
-}
-
 // Ask is a call to the holder of a duty; ID is unique per sender incarnation. Body is the call's own JSON.
 type Ask struct {
 	ID   uint64
