--- a/figbed/proofs/authority_measure_test.go
+++ b/figbed/proofs/authority_measure_test.go
@@ -55,7 +55,7 @@
 	calls := c.Calls()
 	u := consumption{reads: float64(calls.Reads), writes: float64(calls.Writes), watches: float64(calls.Watches)}
 	for _, h := range c.Hosts {
-		u.sent += counterSum(h, "figshift_peer_bytes", `direction="sent"`)
+		u.sent += counterSum(h, "figshift_PeerBytes", `Direction="sent"`)
 		u.cpu += processorTime(b, h.PID()).Seconds()
 	}
 	return u
--- a/internal/lease/keep.go
+++ b/internal/lease/keep.go
@@ -29,7 +29,7 @@
 	if held {
 		out.Raise(event.DutyLost{Duty: d.name})
 	}
-	out.Emit(event.Count{Name: "duties_lost", Tags: []event.Field{{Key: "reason", Value: reason}}, N: 1})
+	out.Emit(event.Count{Name: "DutiesLost", Tags: []event.Field{{Key: "Reason", Value: reason}}, N: 1})
 	p.log("DutyLost", d, reason, out)
 }
 
@@ -112,7 +112,7 @@
 			d.next = now + retryAfter
 		}
 		d.suspect = true
-		out.Emit(event.Count{Name: "lease_retries", Tags: []event.Field{{Key: "reason", Value: string(e.Kind)}}, N: 1})
+		out.Emit(event.Count{Name: "LeaseRetries", Tags: []event.Field{{Key: "Reason", Value: string(e.Kind)}}, N: 1})
 		if d.phase != idle && e.Kind == kinds.Conflict {
 			p.read(d, out)
 		}
--- a/internal/objapi/executor.go
+++ b/internal/objapi/executor.go
@@ -108,7 +108,7 @@
 }
 
 func (x *Executor) count(kind, result string) {
-	x.Scope.Tagged(map[string]string{"call": kind, "result": result}).Counter("object_calls").Inc(1)
+	x.Scope.Tagged(map[string]string{"Call": kind, "Result": result}).Counter("ObjectCalls").Inc(1)
 }
 
 // result counts a finished call and returns its kind.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -34,7 +34,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := l.connect(ctx)
-		l.mesh.count("link_ended", "reason", "Failed")
+		l.mesh.count("LinksEnded", "Reason", "Failed")
 		l.mesh.debug("PeerLinkEnded", l.host.Name, err)
 		if time.Since(began) > greatestRedial {
 			pause.Reset()
@@ -91,7 +91,7 @@
 	for _, message := range l.queue.take() {
 		frame, err := Encode(message)
 		if err != nil {
-			l.mesh.count("frame_refused", "reason", "TooLarge")
+			l.mesh.count("FramesRefused", "Reason", "TooLarge")
 			continue
 		}
 		if _, err := w.Write(frame); err != nil {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -86,11 +86,11 @@
 	l := m.links[e.Host]
 	m.mutex.Unlock()
 	if l == nil {
-		m.count("frame_dropped", "reason", "NoLink")
+		m.count("FramesDropped", "Reason", "NoLink")
 		return
 	}
 	if l.queue.put(e.Message) > 0 {
-		m.count("frame_dropped", "reason", "QueueFull")
+		m.count("FramesDropped", "Reason", "QueueFull")
 	}
 }
 
@@ -122,7 +122,7 @@
 	defer stop()
 	hello, err := m.handshake().accept(conn)
 	if err != nil {
-		m.count("peer_refused", "reason", "Handshake")
+		m.count("PeersRefused", "Reason", "Handshake")
 		m.debug("PeerRefused", conn.RemoteAddr().String(), err)
 		return
 	}
@@ -187,7 +187,7 @@
 }
 
 func (m *Mesh) bytes(direction string, n int) {
-	m.Scope.Tagged(map[string]string{"direction": direction}).Counter("peer_bytes").Inc(int64(n))
+	m.Scope.Tagged(map[string]string{"Direction": direction}).Counter("PeerBytes").Inc(int64(n))
 }
 
 func (m *Mesh) debug(name, host string, err error) {
--- a/internal/watch/take.go
+++ b/internal/watch/take.go
@@ -69,7 +69,7 @@
 }
 
 func refuse(name string, err error, out *event.Batch) {
-	out.Emit(event.Count{Name: "objects_refused", Tags: []event.Field{{Key: "reason", Value: "Undecodable"}}, N: 1})
+	out.Emit(event.Count{Name: "ObjectsRefused", Tags: []event.Field{{Key: "Reason", Value: "Undecodable"}}, N: 1})
 	out.Emit(event.Log{Level: "error", Event: "ObjectRefused", Fields: []event.Field{
 		{Key: "Name", Value: name},
 		{Key: "Error", Value: err.Error()},
@@ -101,7 +101,7 @@
 	}
 	p.endpoints.busy = false
 	if e.Kind != "" {
-		out.Emit(event.Count{Name: "watch_retries", Tags: []event.Field{{Key: "reason", Value: string(kinds.StoreUnavailable)}}, N: 1})
+		out.Emit(event.Count{Name: "WatchRetries", Tags: []event.Field{{Key: "Reason", Value: string(kinds.StoreUnavailable)}}, N: 1})
 		return
 	}
 	if !p.takeEndpoints(e.List, out) {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -161,7 +161,7 @@
 func (p *Part) retry(now time.Duration, f *feed, reason string, out *event.Batch) {
 	f.next = now + min(firstRetry<<min(f.failures, 8), mostRetry)
 	f.failures++
-	out.Emit(event.Count{Name: "watch_retries", Tags: []event.Field{{Key: "reason", Value: reason}}, N: 1})
+	out.Emit(event.Count{Name: "WatchRetries", Tags: []event.Field{{Key: "Reason", Value: reason}}, N: 1})
 }
 
 func (p *Part) takeList(now time.Duration, f *feed, e event.ObjectsDone, out *event.Batch) {
