member, lease, watch: a tick's cost by known hosts

Cause: each tick sorted all known hosts several times and ranked them for each idle duty, although they change rarely.

--- a/internal/lease/compete.go
+++ b/internal/lease/compete.go
@@ -57,8 +57,11 @@
 		rank = ranks.Of(d.name, names(p.Roster.Alive(now)), p.Self.Name)
 		return rank, readEvery, rank >= 0 && rank < candidates
 	}
-	rank = ranks.Of(d.name, names(known), p.Self.Name)
-	return rank, readEvery * time.Duration(rank+1), rank >= 0
+	if !d.ranked {
+		d.rank = ranks.Of(d.name, names(known), p.Self.Name)
+		d.ranked = true
+	}
+	return d.rank, readEvery * time.Duration(d.rank+1), d.rank >= 0
 }
 
 func names(hosts []event.Host) []string {
--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -43,6 +43,8 @@
 	next    time.Duration // earliest time of the next call
 	suspect bool          // a write's outcome is not known
 	heard   heard
+	rank    int  // this daemon's place among all known hosts
+	ranked  bool // rank is of the present hosts
 
 	ledger     []byte
 	ledgerSeq  uint64 // of ledger
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -61,6 +61,8 @@
 	switch e := ev.(type) {
 	case event.Tick:
 		p.tick(now, out)
+	case event.HostsChanged:
+		p.rankAnew()
 	case event.ConfigInForce:
 		p.configure(now, e.Site)
 	case event.WantDuties:
@@ -104,6 +106,13 @@
 	}
 }
 
+// rankAnew forgets the places that were worked out for the former hosts.
+func (p *Part) rankAnew() {
+	for _, d := range p.duties {
+		d.ranked = false
+	}
+}
+
 func (p *Part) tick(now time.Duration, out *event.Batch) {
 	wanted := p.wanted()
 	for _, name := range wanted {
--- a/internal/member/admit.go
+++ b/internal/member/admit.go
@@ -20,6 +20,8 @@
 	// forgetEvery is the interval of these deletions.
 	forgetEvery = time.Minute
 	forgetOwner = "member-forget"
+	// silentEvery is the interval at which silent hosts are noted.
+	silentEvery = time.Second
 )
 
 // seeSelf takes this host's own object. A deleted one is written again.
@@ -109,6 +111,10 @@
 // forget deletes the object of a host that has been silent for long, so that hosts that were replaced don't count for
 // majorities for ever. Only a host that hears a majority does so, and only one host at a time is deleted.
 func (p *Part) forget(now time.Duration, out *event.Batch) {
+	if now < p.nextSilent {
+		return
+	}
+	p.nextSilent = now + silentEvery
 	silent := p.markSilent(now)
 	if now < p.nextForget || silent == "" || !p.hearsMajority(now) || p.Store == nil || !p.Store.Reachable(now) {
 		return
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -38,6 +38,7 @@
 	register register
 	founder  founder
 	hosts    map[string]event.Host // by the Hosts objects
+	known    []event.Host          // all of them sorted, nil after a change
 	peers    map[string]*peer      // by what was received
 	held     map[string]uint64     // epochs of this daemon's duties
 	lastHeld map[string]lastHeld   // by duty
@@ -55,6 +56,7 @@
 	versions    map[string]uint64        // of the other hosts' objects
 	silent      map[string]time.Duration // time since which a known host is silent
 	nextForget  time.Duration
+	nextSilent  time.Duration
 	forgetSeq   uint64
 }
 
@@ -154,6 +156,7 @@
 		return
 	}
 	host, ok := decodeHost(object)
+	p.known = nil
 	switch {
 	case name == p.Self.Name:
 		p.seeSelf(object)
@@ -168,13 +171,18 @@
 }
 
 // Known returns all known hosts sorted by name, this one among them.
+// The caller must not change them.
 func (p *Part) Known() []event.Host {
-	known := []event.Host{p.Self}
+	if p.known != nil {
+		return p.known
+	}
+	p.known = make([]event.Host, 0, len(p.hosts)+1)
+	p.known = append(p.known, p.Self)
 	for _, h := range p.hosts {
-		known = append(known, h)
+		p.known = append(p.known, h)
 	}
-	slices.SortFunc(known, byName)
-	return known
+	slices.SortFunc(p.known, byName)
+	return p.known
 }
 
 func byName(a, b event.Host) int { return strings.Compare(a.Name, b.Name) }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -92,7 +92,9 @@
 }
 
 func (p *Part) tick(now time.Duration, out *event.Batch) {
-	p.completeByPeers()
+	if !p.Complete() {
+		p.completeByPeers()
+	}
 	watching := p.watching(now)
 	for _, f := range p.feeds {
 		if watching || !f.complete {
