member: beats at half the rate beyond four connections

Cause: control bytes and processor time grow with beats times connections. Ruled out: a longer set interval, which would slow the small fleets' detection.

--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -14,15 +14,36 @@
 	sentRounds = 64
 	// slowRounds is the number of beats after which peers that were not picked from here get one.
 	slowRounds = 4
+	// fullRateLinks is the number of connections up to which beats go out at the set interval. Beyond it they go out
+	// at half the rate, since the cost of beats grows with the connections.
+	fullRateLinks = 4
+	halfRate      = 2
 )
 
+// every returns the interval of the beats.
+func (p *Part) every() time.Duration {
+	if len(p.links) > fullRateLinks {
+		return p.trust.Beat * halfRate
+	}
+	return p.trust.Beat
+}
+
+// slowRound reports whether this beat goes to every peer. The peers that get fewer beats get them at the same
+// interval at either rate.
+func (p *Part) slowRound() bool {
+	if len(p.links) > fullRateLinks {
+		return p.round%(slowRounds/halfRate) == 0
+	}
+	return p.round%slowRounds == 0
+}
+
 func (p *Part) sendBeats(now time.Duration, out *event.Batch) {
 	p.round++
 	p.sent[p.round%sentRounds] = now
 	beat := p.build(now)
 	p.slow.Served = append(p.slow.Served, beat.Served...)
 	p.slow.Loads = append(p.slow.Loads, beat.Loads...)
-	slowRound := p.round%slowRounds == 0
+	slowRound := p.slowRound()
 	picked := p.picks()
 	for _, h := range p.links {
 		isPicked := slices.Contains(picked, h.Name)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -133,7 +133,7 @@
 	p.markLost(now, out)
 	p.expireAsks(now, out)
 	if now >= p.nextBeat {
-		p.nextBeat = now + p.trust.Beat
+		p.nextBeat = now + p.every()
 		p.sendBeats(now, out)
 	}
 }
