--- a/figbed/proofs/path_lots_test.go
+++ b/figbed/proofs/path_lots_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/figbed/internal/trnr"
 	"github.com/figshift/figshift/internal/config"
@@ -24,7 +25,7 @@
 		Daemons: 2,
 		Engines: []proc.Endpoint{{Name: "e1", Zone: "a"}, {Name: "e2", Zone: "b"}},
 		Scorers: []proc.Endpoint{{Name: "sc", Zone: "a"}},
-		Site:    func(s *config.Site) { s.Lease = shortLease() },
+		Site:    func(s *config.Site) { s.Lease = drill.ShortLease() },
 	}
 	c.Start(t)
 	c.CreateRollout(wire.RolloutSpec{
@@ -58,7 +59,7 @@
 		Engines:  []proc.Endpoint{{Name: "spare", Args: []string{"--spare"}}},
 		Platform: []string{"--start-time", "300ms"},
 		Site: func(s *config.Site) {
-			s.Lease = shortLease()
+			s.Lease = drill.ShortLease()
 			zone := config.DefaultZone("a")
 			zone.OnDemandFloor, zone.Model = 1, proc.Model
 			s.Zones["a"] = zone
@@ -82,7 +83,7 @@
 		Daemons: 2,
 		Engines: []proc.Endpoint{{Name: "e1", Zone: "a"}},
 		Site: func(s *config.Site) {
-			s.Lease = shortLease()
+			s.Lease = drill.ShortLease()
 			s.Usage = config.Usage{Window: time.Second, Grace: 500 * time.Millisecond, Flush: 200 * time.Millisecond}
 		},
 	}
--- a/figbed/proofs/policy_spend_test.go
+++ b/figbed/proofs/policy_spend_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/loadr"
 	"github.com/figshift/figshift/figbed/internal/plat"
 	"github.com/figshift/figshift/figbed/internal/proc"
@@ -45,7 +46,7 @@
 		Daemons:  2,
 		Platform: []string{"--start-time", "500ms", "--stop-time", "1s", "--reclaim-notice", "1s"},
 		Site: func(s *config.Site) {
-			s.Lease = shortLease()
+			s.Lease = drill.ShortLease()
 			s.Spend.Policy = policy
 			for _, name := range []string{"a", "b"} {
 				zone := config.DefaultZone(name)
--- a/figbed/proofs/rollouts_measure_test.go
+++ b/figbed/proofs/rollouts_measure_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/figbed/internal/trnr"
 	"github.com/figshift/figshift/internal/wire"
@@ -18,13 +19,13 @@
 func TestStragglersWithHedgesAndSpareGroups(t *testing.T) {
 	const lots = 8
 	run := func(name, stragglers string, spare int, hedge float64) time.Duration {
-		spec := rolloutSpec()
+		spec := drill.Spec()
 		spec.Groups, spec.SamplesPerGroup, spec.MaxTokens = 8, 8, 40
 		spec.SpareGroups, spec.HedgeMultiple = spare, hedge
-		c := rolloutCluster(t, 2, spec, "--tokens", "20000", "--request-rate", "100", "--max-running", "128",
+		c := drill.RunRollout(t, 2, spec, "--tokens", "20000", "--request-rate", "100", "--max-running", "128",
 			"--stragglers", stragglers, "--straggler-factor", "10")
 		before := c.Calls()
-		s := trainRollout(t, c, spec, 2*time.Minute, func(tr *trnr.Trainer) {
+		s := drill.Train(t, c, spec, 2*time.Minute, func(tr *trnr.Trainer) {
 			tr.Lots, tr.Publish, tr.StepTime = lots, false, 300*time.Millisecond
 		})
 		after := c.Calls()
@@ -51,17 +52,17 @@
 	step := outage / ahead
 	idle := map[int]time.Duration{}
 	for _, ahead := range []int{0, ahead} {
-		spec := rolloutSpec()
+		spec := drill.Spec()
 		spec.SealAhead, spec.MaxStaleness = ahead, 10
-		c := rolloutCluster(t, 3, spec)
-		first := takeLot(t, c, daemonURLs(c), 0)
+		c := drill.RunRollout(t, 3, spec)
+		first := drill.TakeLot(t, c, drill.URLs(c), 0)
 		waitSealed(t, c, first.Lot+uint64(ahead))
 		end := time.Now().Add(outage)
 		c.SetFaults(wire.Faults{Outage: true})
 		for cursor := first.Lot; time.Now().Before(end); cursor++ {
 			asked := time.Now()
 			if !proc.Within(time.Until(end), func() bool {
-				return askLot(c, c.Hosts[int(cursor)%3].URL(), trainerName, cursor).status == 200
+				return drill.AskLot(c, c.Hosts[int(cursor)%3].URL(), drill.Trainer, cursor).Status == 200
 			}) {
 				idle[ahead] += time.Since(asked)
 				break
@@ -78,16 +79,16 @@
 
 // TestPublishReachesAllEngines measures the time from a confirmed publish to the last engine's own report of it.
 func TestPublishReachesAllEngines(t *testing.T) {
-	c := newRolloutCluster(3, rolloutSpec())
+	c := drill.NewCluster(3, drill.Spec())
 	c.Engines = nil
 	for i := range 8 {
 		c.Engines = append(c.Engines, proc.Endpoint{Name: "e" + strconv.Itoa(i), Zone: []string{"a", "b"}[i%2]})
 	}
 	c.Start(t)
-	c.CreateRollout(rolloutSpec())
-	takeLot(t, c, daemonURLs(c), 0)
+	c.CreateRollout(drill.Spec())
+	drill.TakeLot(t, c, drill.URLs(c), 0)
 	for version := uint64(2); version < 6; version++ {
-		publishVersion(t, c, daemonURLs(c), version)
+		drill.PublishVersion(t, c, drill.URLs(c), version)
 		published := time.Now()
 		proc.WaitUntil(t, swapBound, "all engines have the version", func() bool {
 			for _, e := range c.Endpoints {
@@ -126,13 +127,13 @@
 func TestLotSizes(t *testing.T) {
 	const lots = 3
 	for _, groups := range []int{8, 64, 512} {
-		spec := rolloutSpec()
+		spec := drill.Spec()
 		spec.Groups, spec.SamplesPerGroup, spec.SpareGroups, spec.MaxTokens, spec.SealAhead = groups, 8, groups/8, 128, 0
-		c := rolloutCluster(t, 2, spec, "--tokens", "1000000", "--request-rate", "10000", "--max-running", "512", "--segment", "64")
-		owner := dutyHolder(t, c, rolloutDuty, nil)
+		c := drill.RunRollout(t, 2, spec, "--tokens", "1000000", "--request-rate", "10000", "--max-running", "512", "--segment", "64")
+		owner := drill.HolderBut(t, c, drill.RolloutDuty, nil)
 		calls := c.Calls()
 		cpu, _ := usageOf(t, owner.PID())
-		s := trainRollout(t, c, spec, 3*time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.Publish = lots, false })
+		s := drill.Train(t, c, spec, 3*time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.Publish = lots, false })
 		after := c.Calls()
 		end, rss := usageOf(t, owner.PID())
 		bytes := 0
--- a/figbed/proofs/rollouts_once_test.go
+++ b/figbed/proofs/rollouts_once_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/figbed/internal/trnr"
 	"github.com/figshift/figshift/internal/kinds"
@@ -25,18 +26,18 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := rolloutCluster(t, 3, rolloutSpec(), "--request-rate", test.rate)
-			taken := []wire.Lot{takeLot(t, c, daemonURLs(c), 0)}
+			c := drill.RunRollout(t, 3, drill.Spec(), "--request-rate", test.rate)
+			taken := []wire.Lot{drill.TakeLot(t, c, drill.URLs(c), 0)}
 			if test.sealed {
 				waitSealed(t, c, 2)
 			}
-			before := rolloutLedger(t, c).Lots
-			old := dutyHolder(t, c, rolloutDuty, nil)
+			before := drill.RolloutLedger(t, c).Lots
+			old := drill.HolderBut(t, c, drill.RolloutDuty, nil)
 			old.Kill()
 			for n := uint64(1); n < 3; n++ {
-				taken = append(taken, takeLot(t, c, otherURLs(c, old), n))
+				taken = append(taken, drill.TakeLot(t, c, drill.OtherURLs(c, old), n))
 			}
-			checkOnce(t, taken...)
+			drill.CheckOnce(t, taken...)
 			for _, s := range before {
 				if s.Lot == 2 && s.Attempt != taken[1].Attempt {
 					t.Errorf("lot 2 was sealed as attempt %d and handed over as %d", s.Attempt, taken[1].Attempt)
@@ -49,37 +50,37 @@
 // TestAnswerToTheTrainerCut cuts the answer with a lot; the same cursor gets the same bytes again, from any daemon.
 func TestAnswerToTheTrainerCut(t *testing.T) {
 	t.Parallel()
-	c := rolloutCluster(t, 2, rolloutSpec())
-	urls := daemonURLs(c)
-	takeLot(t, c, urls, 0)
+	c := drill.RunRollout(t, 2, drill.Spec())
+	urls := drill.URLs(c)
+	drill.TakeLot(t, c, urls, 0)
 	waitSealed(t, c, 2)
 	for _, h := range c.Hosts {
 		h.Callers.LimitAnswers(600)
-		if r := askLot(c, "http://"+h.Callers.Listen, trainerName, 1); r.err == nil && r.status == http.StatusOK {
+		if r := drill.AskLot(c, "http://"+h.Callers.Listen, drill.Trainer, 1); r.Err == nil && r.Status == http.StatusOK {
 			t.Errorf("the answer of %s was not cut", h.Name)
 		}
 	}
-	first := takeLot(t, c, urls[:1], 1)
-	second := takeLot(t, c, urls[1:], 1)
+	first := drill.TakeLot(t, c, urls[:1], 1)
+	second := drill.TakeLot(t, c, urls[1:], 1)
 	if diff := cmp.Diff(first, second); diff != "" {
 		t.Errorf("the same cursor got other bytes: %s", diff)
 	}
-	third := takeLot(t, c, urls, 2)
-	checkOnce(t, first, third)
-	if r := askLot(c, urls[0], trainerName, 1); r.kind != kinds.BadCursor {
-		t.Errorf("an acknowledged cursor was answered with status %d, kind %q", r.status, r.kind)
+	third := drill.TakeLot(t, c, urls, 2)
+	drill.CheckOnce(t, first, third)
+	if r := drill.AskLot(c, urls[0], drill.Trainer, 1); r.Kind != kinds.BadCursor {
+		t.Errorf("an acknowledged cursor was answered with status %d, kind %q", r.Status, r.Kind)
 	}
 }
 
 // TestStoreAnswersLost loses answers of the store to writes of the ledger and of blocks after they took effect.
 func TestStoreAnswersLost(t *testing.T) {
 	t.Parallel()
-	cases := map[string]string{"Ledger": "Duty/" + rolloutDuty, "Blocks": "Blocks/"}
+	cases := map[string]string{"Ledger": "Duty/" + drill.RolloutDuty, "Blocks": "Blocks/"}
 	for name, prefix := range cases {
 		t.Run(name, func(t *testing.T) {
-			spec := rolloutSpec()
-			c := rolloutCluster(t, 2, spec)
-			trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) {
+			spec := drill.Spec()
+			c := drill.RunRollout(t, 2, spec)
+			drill.Train(t, c, spec, time.Minute, func(tr *trnr.Trainer) {
 				tr.Lots = 6
 				tr.Notify = func(wire.Lot) { c.SetFaults(wire.Faults{LoseAnswers: 2, LosePrefix: prefix}) }
 			})
@@ -90,52 +91,52 @@
 // TestTwoConsumers has a second trainer ask at every daemon, before and after the holder is killed, and after a release.
 func TestTwoConsumers(t *testing.T) {
 	t.Parallel()
-	c := rolloutCluster(t, 3, rolloutSpec())
-	first := takeLot(t, c, daemonURLs(c), 0)
+	c := drill.RunRollout(t, 3, drill.Spec())
+	first := drill.TakeLot(t, c, drill.URLs(c), 0)
 	refused := func(urls []string) {
 		t.Helper()
 		for _, url := range urls {
-			proc.WaitUntil(t, lotBound, "the second consumer is refused", func() bool {
-				r := askLot(c, url, "trainer-2", 1)
-				if r.status == http.StatusOK {
+			proc.WaitUntil(t, drill.LotBound, "the second consumer is refused", func() bool {
+				r := drill.AskLot(c, url, "trainer-2", 1)
+				if r.Status == http.StatusOK {
 					t.Fatal("a second consumer was handed a lot")
 				}
-				return r.kind == kinds.ConsumerHeld
+				return r.Kind == kinds.ConsumerHeld
 			})
 		}
 	}
-	refused(daemonURLs(c))
-	old := dutyHolder(t, c, rolloutDuty, nil)
+	refused(drill.URLs(c))
+	old := drill.HolderBut(t, c, drill.RolloutDuty, nil)
 	old.Kill()
-	refused(otherURLs(c, old))
-	urls := otherURLs(c, old)
-	release := wire.Release{Consumer: trainerName, Cursor: 1}
-	if r := callRollout(urls[0], c.Key("North"), wire.CallRelease, release); r.status != http.StatusOK {
-		t.Fatalf("the release was answered with status %d: %s", r.status, r.body)
+	refused(drill.OtherURLs(c, old))
+	urls := drill.OtherURLs(c, old)
+	release := wire.Release{Consumer: drill.Trainer, Cursor: 1}
+	if r := drill.Call(urls[0], c.Key("North"), wire.CallRelease, release); r.Status != http.StatusOK {
+		t.Fatalf("the release was answered with status %d: %s", r.Status, r.Body)
 	}
-	var second trainerReply
-	proc.WaitUntil(t, lotBound, "the second consumer gets the next lot", func() bool {
-		second = askLot(c, urls[0], "trainer-2", 1)
-		return second.status == http.StatusOK
+	var second drill.Reply
+	proc.WaitUntil(t, drill.LotBound, "the second consumer gets the next lot", func() bool {
+		second = drill.AskLot(c, urls[0], "trainer-2", 1)
+		return second.Status == http.StatusOK
 	})
-	checkOnce(t, first, second.lot(t))
-	if r := askLot(c, urls[0], trainerName, 1); r.kind != kinds.ConsumerHeld {
-		t.Errorf("the former consumer was answered with status %d, kind %q", r.status, r.kind)
+	drill.CheckOnce(t, first, second.Lot(t))
+	if r := drill.AskLot(c, urls[0], drill.Trainer, 1); r.Kind != kinds.ConsumerHeld {
+		t.Errorf("the former consumer was answered with status %d, kind %q", r.Status, r.Kind)
 	}
 }
 
 // TestOtherOrganisation asks with the key of an organisation that does not own the rollout.
 func TestOtherOrganisation(t *testing.T) {
 	t.Parallel()
-	c := rolloutCluster(t, 2, rolloutSpec())
-	takeLot(t, c, daemonURLs(c), 0)
+	c := drill.RunRollout(t, 2, drill.Spec())
+	drill.TakeLot(t, c, drill.URLs(c), 0)
 	for _, h := range c.Hosts {
-		proc.WaitUntil(t, lotBound, h.Name+" refuses another organisation's key", func() bool {
-			r := callRollout(h.URL(), c.Key("South"), wire.CallLots, wire.LotAsk{Consumer: trainerName, Cursor: 0})
-			if r.status == http.StatusOK {
+		proc.WaitUntil(t, drill.LotBound, h.Name+" refuses another organisation's key", func() bool {
+			r := drill.Call(h.URL(), c.Key("South"), wire.CallLots, wire.LotAsk{Consumer: drill.Trainer, Cursor: 0})
+			if r.Status == http.StatusOK {
 				t.Fatalf("%s handed a lot to another organisation", h.Name)
 			}
-			return r.kind == kinds.Forbidden
+			return r.Kind == kinds.Forbidden
 		})
 	}
 }
--- a/figbed/proofs/rollouts_orders_test.go
+++ b/figbed/proofs/rollouts_orders_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/weight"
@@ -46,25 +47,25 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := newRolloutCluster(3, rolloutSpec(), "--checks-fencing=false", "--swap-time", "300ms")
+			c := drill.NewCluster(3, drill.Spec(), "--checks-fencing=false", "--swap-time", "300ms")
 			c.Platform = []string{"--weight-reads", test.slots}
 			c.Site = func(s *config.Site) { s.Weights.OrderDeadline, s.Weights.WaveShare = time.Minute, 1 }
 			for _, name := range []string{"e3", "e4"} {
 				c.Engines = append(c.Engines, proc.Endpoint{Name: name, Zone: "a", Args: c.Engines[0].Args})
 			}
 			c.Start(t)
-			c.CreateRollout(rolloutSpec())
-			takeLot(t, c, daemonURLs(c), 0)
-			old := dutyHolder(t, c, weightsDuty, nil)
-			publishVersion(t, c, daemonURLs(c), 2)
-			proc.WaitUntil(t, takeOverTime, "an engine got its order", func() bool { return swapOrdersBy(t, c, 1) >= test.orders })
+			c.CreateRollout(drill.Spec())
+			drill.TakeLot(t, c, drill.URLs(c), 0)
+			old := drill.HolderBut(t, c, weightsDuty, nil)
+			drill.PublishVersion(t, c, drill.URLs(c), 2)
+			proc.WaitUntil(t, drill.TakeOverTime, "an engine got its order", func() bool { return swapOrdersBy(t, c, 1) >= test.orders })
 			old.Signal(syscall.SIGSTOP)
-			dutyHolder(t, c, weightsDuty, old)
-			publishVersion(t, c, otherURLs(c, old), 3)
+			drill.HolderBut(t, c, weightsDuty, old)
+			drill.PublishVersion(t, c, drill.OtherURLs(c, old), 3)
 			waitVersion(t, c, 3)
 			before := swapOrdersBy(t, c, 1)
 			old.Signal(syscall.SIGCONT)
-			proc.WaitUntil(t, takeOverTime, "the woken daemon has ended its orders", func() bool {
+			proc.WaitUntil(t, drill.TakeOverTime, "the woken daemon has ended its orders", func() bool {
 				return strings.Count(old.Output(), "SwapFailed")+swapOrdersBy(t, c, 1)-before >= len(c.Engines)-before
 			})
 			for e := range c.Endpoints {
@@ -93,7 +94,7 @@
 func waitVersion(t *testing.T, c *proc.Cluster, version uint64) {
 	t.Helper()
 	for e := range c.Endpoints {
-		proc.WaitUntil(t, takeOverTime, e+" has the newest version", func() bool { return c.Endpoints[e].State().Version == version })
+		proc.WaitUntil(t, drill.TakeOverTime, e+" has the newest version", func() bool { return c.Endpoints[e].State().Version == version })
 	}
 }
 
--- a/figbed/proofs/rollouts_stale_test.go
+++ b/figbed/proofs/rollouts_stale_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/wire"
@@ -17,7 +18,7 @@
 	t.Helper()
 	for _, s := range lot.Samples {
 		for _, v := range s.Versions {
-			if v+uint64(rolloutSpec().MaxStaleness) < newest {
+			if v+uint64(drill.Spec().MaxStaleness) < newest {
 				t.Errorf("lot %d was handed over with sample %s of version %d at version %d", lot.Lot, s.ID, v, newest)
 				return
 			}
@@ -28,8 +29,8 @@
 // waitSealed waits until the ledger holds a lot.
 func waitSealed(t *testing.T, c *proc.Cluster, lot uint64) {
 	t.Helper()
-	proc.WaitUntil(t, lotBound, "a lot is sealed ahead", func() bool {
-		for _, s := range rolloutLedger(t, c).Lots {
+	proc.WaitUntil(t, drill.LotBound, "a lot is sealed ahead", func() bool {
+		for _, s := range drill.RolloutLedger(t, c).Lots {
 			if s.Lot == lot {
 				return true
 			}
@@ -41,14 +42,14 @@
 // TestPublishBetweenSealAndHandOver publishes far ahead of a lot that is sealed and not handed over.
 func TestPublishBetweenSealAndHandOver(t *testing.T) {
 	t.Parallel()
-	c := rolloutCluster(t, 2, rolloutSpec())
-	urls := daemonURLs(c)
-	first := takeLot(t, c, urls, 0)
+	c := drill.RunRollout(t, 2, drill.Spec())
+	urls := drill.URLs(c)
+	first := drill.TakeLot(t, c, urls, 0)
 	waitSealed(t, c, 2)
-	publishVersion(t, c, urls, 9)
-	second := takeLot(t, c, urls, 1)
+	drill.PublishVersion(t, c, urls, 9)
+	second := drill.TakeLot(t, c, urls, 1)
 	checkFresh(t, second, 9)
-	checkOnce(t, first, second)
+	drill.CheckOnce(t, first, second)
 	if len(second.Replaces) != 1 || second.Attempt <= second.Replaces[0] {
 		t.Errorf("attempt %d of lot 2 replaces %v", second.Attempt, second.Replaces)
 	}
@@ -61,21 +62,21 @@
 	cases := map[string]bool{"WakesAmongPeers": false, "WakesCutFromPeers": true}
 	for name, cut := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := newRolloutCluster(3, rolloutSpec())
+			c := drill.NewCluster(3, drill.Spec())
 			c.Site = func(s *config.Site) { s.Trust.Bound = time.Minute }
 			c.Start(t)
-			c.CreateRollout(rolloutSpec())
-			takeLot(t, c, daemonURLs(c), 0)
+			c.CreateRollout(drill.Spec())
+			drill.TakeLot(t, c, drill.URLs(c), 0)
 			waitSealed(t, c, 2)
-			old := dutyHolder(t, c, rolloutDuty, nil)
+			old := drill.HolderBut(t, c, drill.RolloutDuty, nil)
 			old.Signal(syscall.SIGSTOP)
-			dutyHolder(t, c, rolloutDuty, old)
-			publishVersion(t, c, otherURLs(c, old), 9)
+			drill.HolderBut(t, c, drill.RolloutDuty, old)
+			drill.PublishVersion(t, c, drill.OtherURLs(c, old), 9)
 			if cut {
 				old.CutPeers()
 			}
 			wakeWithAsks(t, c, old)
-			checkFresh(t, takeLot(t, c, otherURLs(c, old), 1), 9)
+			checkFresh(t, drill.TakeLot(t, c, drill.OtherURLs(c, old), 1), 9)
 		})
 	}
 }
@@ -86,8 +87,8 @@
 	var asks sync.WaitGroup
 	for range 8 {
 		asks.Go(func() {
-			if r := askLot(c, old.URL(), trainerName, 1); r.status == http.StatusOK {
-				checkFresh(t, r.lot(t), 9)
+			if r := drill.AskLot(c, old.URL(), drill.Trainer, 1); r.Status == http.StatusOK {
+				checkFresh(t, r.Lot(t), 9)
 			}
 		})
 	}
@@ -99,20 +100,20 @@
 // TestSealedLotsInAnOutage has lots sealed ahead handed over while the store is down, by the holder and by another.
 func TestSealedLotsInAnOutage(t *testing.T) {
 	t.Parallel()
-	spec := rolloutSpec()
+	spec := drill.Spec()
 	spec.SealAhead, spec.MaxStaleness = 3, 4
-	c := rolloutCluster(t, 3, spec)
-	urls := daemonURLs(c)
-	taken := []wire.Lot{takeLot(t, c, urls, 0)}
+	c := drill.RunRollout(t, 3, spec)
+	urls := drill.URLs(c)
+	taken := []wire.Lot{drill.TakeLot(t, c, urls, 0)}
 	waitSealed(t, c, 4)
 	c.SetFaults(wire.Faults{Outage: true})
 	time.Sleep(outageBefore) // longer than the lease, so that nobody holds the duty
 	for n := uint64(1); n < 4; n++ {
-		taken = append(taken, takeLot(t, c, urls, n))
+		taken = append(taken, drill.TakeLot(t, c, urls, n))
 	}
 	c.SetFaults(wire.Faults{})
-	taken = append(taken, takeLot(t, c, urls, 4))
-	checkOnce(t, taken...)
+	taken = append(taken, drill.TakeLot(t, c, urls, 4))
+	drill.CheckOnce(t, taken...)
 }
 
 // outageBefore is the length of an outage before the trainer asks.
--- a/figbed/proofs/rollouts_test.go
+++ b/figbed/proofs/rollouts_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/figbed/internal/trnr"
 	"github.com/figshift/figshift/internal/wire"
@@ -13,24 +14,24 @@
 
 func TestTrainerTakesItsLots(t *testing.T) {
 	t.Parallel()
-	spec := rolloutSpec()
+	spec := drill.Spec()
 	spec.Scorer = "scorer"
-	c := rolloutCluster(t, 2, spec)
-	trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots = 6 })
+	c := drill.RunRollout(t, 2, spec)
+	drill.Train(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots = 6 })
 }
 
 // TestTwoTrainersOfOneModel has two trainers take lots of rollouts that share the engines' model; one publishes.
 func TestTwoTrainersOfOneModel(t *testing.T) {
 	t.Parallel()
-	spec := rolloutSpec()
-	c := rolloutCluster(t, 3, spec)
+	spec := drill.Spec()
+	c := drill.RunRollout(t, 3, spec)
 	other := spec
 	other.Name, other.Organisation = "letters", "South"
 	c.CreateRollout(other)
 	var both sync.WaitGroup
-	both.Go(func() { trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots = 5 }) })
+	both.Go(func() { drill.Train(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots = 5 }) })
 	both.Go(func() {
-		trainRollout(t, c, other, time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.Publish = 8, false })
+		drill.Train(t, c, other, time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.Publish = 8, false })
 	})
 	both.Wait()
 }
@@ -38,21 +39,21 @@
 // TestHoldersStopGracefully stops each daemon in turn while a trainer takes lots; all exit cleanly and no lot is lost.
 func TestHoldersStopGracefully(t *testing.T) {
 	t.Parallel()
-	spec := rolloutSpec()
-	c := rolloutCluster(t, 3, spec)
+	spec := drill.Spec()
+	c := drill.RunRollout(t, 3, spec)
 	var trainer sync.WaitGroup
 	trainer.Go(func() {
-		trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.StepTime = 10, 500*time.Millisecond })
+		drill.Train(t, c, spec, time.Minute, func(tr *trnr.Trainer) { tr.Lots, tr.StepTime = 10, 500*time.Millisecond })
 	})
 	for range 2 {
-		old := dutyHolder(t, c, rolloutDuty, nil)
-		waitSealed(t, c, rolloutLedger(t, c).Acked+1)
+		old := drill.HolderBut(t, c, drill.RolloutDuty, nil)
+		waitSealed(t, c, drill.RolloutLedger(t, c).Acked+1)
 		stopped := time.Now()
 		old.Signal(syscall.SIGTERM)
 		if code := old.ExitCode(holderStopBound); code != 0 {
 			t.Errorf("%s ended with code %d", old.Name, code)
 		}
-		next := dutyHolder(t, c, rolloutDuty, old)
+		next := drill.HolderBut(t, c, drill.RolloutDuty, old)
 		t.Logf("%s took the duty over from %s %v after the stop", next.Name, old.Name, time.Since(stopped).Round(time.Millisecond))
 	}
 	trainer.Wait()
@@ -63,8 +64,8 @@
 // TestZoneReclaimedDuringLots takes all cheap engines of a zone away while lots are made on them.
 func TestZoneReclaimedDuringLots(t *testing.T) {
 	t.Parallel()
-	spec := rolloutSpec()
-	c := newRolloutCluster(2, spec, "--request-rate", "40")
+	spec := drill.Spec()
+	c := drill.NewCluster(2, spec, "--request-rate", "40")
 	cheap := append([]string{"--price", "Cheap"}, c.Engines[0].Args...)
 	for _, name := range []string{"c1", "c2"} {
 		c.Engines = append(c.Engines, proc.Endpoint{Name: name, Zone: "b", Args: cheap})
@@ -73,7 +74,7 @@
 	c.Start(t)
 	c.CreateRollout(spec)
 	lots := 0
-	trainRollout(t, c, spec, time.Minute, func(tr *trnr.Trainer) {
+	drill.Train(t, c, spec, time.Minute, func(tr *trnr.Trainer) {
 		tr.Lots = 6
 		tr.Notify = func(lot wire.Lot) {
 			lots++
--- a/figbed/proofs/rollouts_versions_test.go
+++ b/figbed/proofs/rollouts_versions_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/engin"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/internal/wire"
@@ -86,12 +87,12 @@
 // TestVersionsOfASwapInMidStream publishes while samples run on both engines.
 func TestVersionsOfASwapInMidStream(t *testing.T) {
 	t.Parallel()
-	c := rolloutCluster(t, 2, rolloutSpec(), "--request-rate", "20")
-	urls := daemonURLs(c)
+	c := drill.RunRollout(t, 2, drill.Spec(), "--request-rate", "20")
+	urls := drill.URLs(c)
 	var taken []wire.Lot
 	for n := range uint64(4) {
-		taken = append(taken, takeLot(t, c, urls, n))
-		publishVersion(t, c, urls, n+2)
+		taken = append(taken, drill.TakeLot(t, c, urls, n))
+		drill.PublishVersion(t, c, urls, n+2)
 	}
 	if mixed := checkVersions(t, c, taken); mixed == 0 {
 		t.Error("no sample was running during a swap")
@@ -101,19 +102,19 @@
 // TestVersionsOfAFailedSwap has one engine acknowledge orders and not carry them out.
 func TestVersionsOfAFailedSwap(t *testing.T) {
 	t.Parallel()
-	c := rolloutCluster(t, 2, rolloutSpec(), "--request-rate", "100")
-	urls := daemonURLs(c)
+	c := drill.RunRollout(t, 2, drill.Spec(), "--request-rate", "100")
+	urls := drill.URLs(c)
 	const failures = 2
 	c.Endpoints["e1"].Faults(engin.Faults{SwapFails: failures})
 	var taken []wire.Lot
 	for n := range uint64(3) {
-		taken = append(taken, takeLot(t, c, urls, n))
-		publishVersion(t, c, urls, n+2)
+		taken = append(taken, drill.TakeLot(t, c, urls, n))
+		drill.PublishVersion(t, c, urls, n+2)
 	}
 	for _, name := range []string{"e1", "e2"} {
 		proc.WaitUntil(t, swapBound, name+" has the newest version", func() bool { return c.Endpoints[name].State().Version == 4 })
 	}
-	taken = append(taken, takeLot(t, c, urls, 3))
+	taken = append(taken, drill.TakeLot(t, c, urls, 3))
 	checkVersions(t, c, taken)
 }
 
@@ -123,13 +124,13 @@
 // TestVersionsOfAResume cuts streams on an engine whose swaps fail, so that they go on at another version.
 func TestVersionsOfAResume(t *testing.T) {
 	t.Parallel()
-	c := rolloutCluster(t, 2, rolloutSpec(), "--request-rate", "100")
-	urls := daemonURLs(c)
-	taken := []wire.Lot{takeLot(t, c, urls, 0)}
+	c := drill.RunRollout(t, 2, drill.Spec(), "--request-rate", "100")
+	urls := drill.URLs(c)
+	taken := []wire.Lot{drill.TakeLot(t, c, urls, 0)}
 	c.Endpoints["e1"].Faults(engin.Faults{SwapFails: 1000, Cut: 1000, CutSegments: 2})
-	publishVersion(t, c, urls, 2)
+	drill.PublishVersion(t, c, urls, 2)
 	for n := uint64(1); n < 4; n++ {
-		taken = append(taken, takeLot(t, c, urls, n))
+		taken = append(taken, drill.TakeLot(t, c, urls, n))
 	}
 	if mixed := checkVersions(t, c, taken); mixed == 0 {
 		t.Error("no sample was resumed at another version")
--- a/figbed/proofs/usage_orders_test.go
+++ b/figbed/proofs/usage_orders_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/fleet"
@@ -29,7 +30,7 @@
 		Engines:  live,
 		Platform: []string{"--start-time", "300ms", "--stop-time", "1s"},
 		Site: func(s *config.Site) {
-			s.Lease = shortLease()
+			s.Lease = drill.ShortLease()
 			z := config.DefaultZone("a")
 			z.Model, z.StartTime, z.ScaleDownAfter = proc.Model, 500*time.Millisecond, 3*time.Second
 			z.OnDemandFloor = len(live)
@@ -43,7 +44,7 @@
 		c.Engines = append(c.Engines, proc.Endpoint{Name: fmt.Sprintf("spare%d", i), Zone: "a", Args: []string{"--spare"}})
 	}
 	c.Start(t)
-	waitHolder(t, c, fleetDuty, "")
+	drill.WaitHolder(t, c, fleetDuty, "")
 	return c
 }
 
@@ -78,7 +79,7 @@
 
 func fleetLedger(t *testing.T, c *proc.Cluster) *fleet.Ledger {
 	t.Helper()
-	record, _ := dutyRecord(c, fleetDuty)
+	record, _ := drill.DutyRecord(c, fleetDuty)
 	l, err := fleet.Decode(record.Ledger)
 	if err != nil {
 		t.Fatal(err)
@@ -146,8 +147,8 @@
 	for name, step := range steps {
 		t.Run(name, func(t *testing.T) {
 			c := newFleet(t)
-			holder := waitHolder(t, c, fleetDuty, "")
-			record, _ := dutyRecord(c, fleetDuty)
+			holder := drill.WaitHolder(t, c, fleetDuty, "")
+			record, _ := drill.DutyRecord(c, fleetDuty)
 			c.SetFaults(step.faults)
 			if name != "BeforeIntent" {
 				setFloor(c, 1)
@@ -161,7 +162,7 @@
 			if name == "BeforeIntent" {
 				setFloor(c, 1)
 			}
-			waitHolder(t, c, fleetDuty, holder.Name)
+			drill.WaitHolder(t, c, fleetDuty, holder.Name)
 			waitSettled(t, c, 1)
 			before := len(c.Calls().Orders)
 			holder.Signal(syscall.SIGCONT)
@@ -185,19 +186,19 @@
 func TestOrdersTwoWokenHolders(t *testing.T) {
 	t.Parallel()
 	c := newFleet(t)
-	first := waitHolder(t, c, fleetDuty, "")
+	first := drill.WaitHolder(t, c, fleetDuty, "")
 	c.SetFaults(wire.Faults{LoseAnswers: 1000, LosePrefix: lease.Prefix + fleetDuty})
 	setFloor(c, 1)
 	proc.WaitUntil(t, fleetBound, "the first holder's intent", func() bool { return len(fleetLedger(t, c).Orders) > 0 })
 	first.Signal(syscall.SIGSTOP)
 	c.SetFaults(wire.Faults{LoseAnswers: 1000, LosePrefix: "order"})
-	second := waitHolder(t, c, fleetDuty, first.Name)
+	second := drill.WaitHolder(t, c, fleetDuty, first.Name)
 	proc.WaitUntil(t, fleetBound, "the second holder's order", func() bool { return len(c.Calls().Orders) > 0 })
 	second.Signal(syscall.SIGSTOP)
 	c.SetFaults(wire.Faults{})
 	var third lease.Record
 	proc.WaitUntil(t, fleetBound, "a third holder", func() bool {
-		third, _ = dutyRecord(c, fleetDuty)
+		third, _ = drill.DutyRecord(c, fleetDuty)
 		return third.Holder != first.Name && third.Holder != second.Name
 	})
 	waitSettled(t, c, 1)
