call: a request that the end of the process cuts is not said not to have run when it may have

Cause: an exchange that was still open when the executor ended answered Stopping, whose run truth is NotRun, also after an attempt had been written. Found by reading along a request. Ruled out: the graceful path, which ends every exchange first.

--- a/internal/call/exchange.go
+++ b/internal/call/exchange.go
@@ -40,6 +40,7 @@
 
 	commands chan event.Effect
 	begun    bool     // part of an answer was handed on
+	mayRun   bool     // an attempt wrote something that may have run
 	held     []string // tokens handed on
 	prompt   int
 	cached   int
@@ -59,12 +60,14 @@
 		case command := <-e.commands:
 			switch c := command.(type) {
 			case event.StartAttempt:
-				x.Post(x.try(ctx, e, c))
+				report := x.try(ctx, e, c)
+				e.mayRun = e.mayRun || report.Run != kinds.NotRun
+				x.Post(report)
 			case event.AnswerRequest:
 				return c
 			}
 		case <-x.ended:
-			return event.AnswerRequest{Request: e.Request, Kind: kinds.Stopping}
+			return event.AnswerRequest{Request: e.Request, Kind: e.cutKind()}
 		case <-done:
 			done = nil
 			gone()
@@ -72,6 +75,14 @@
 	}
 }
 
+// cutKind returns the kind for a request that the end of the process cuts.
+func (e *Exchange) cutKind() kinds.Kind {
+	if e.mayRun {
+		return kinds.OutcomeUnknown
+	}
+	return kinds.Stopping
+}
+
 // Begun reports whether part of an answer was handed on. The goroutine of Run calls it.
 func (e *Exchange) Begun() bool { return e.begun }
 
