proc: a proxy's listener is tried again while its port is in use

Seen: TestUsageHolderKilledBeforeReport failed once at its start, bind: address already in use on a port that had been bound and closed just before. Ruled out: an outgoing connection on that port (the ephemeral range begins above: lowest of 3,000 tried 32,769), a second test process, a port given out twice. What is left is a close that takes effect late; the listener is tried again for 2 s.

--- a/figbed/internal/proc/link.go
+++ b/figbed/internal/proc/link.go
@@ -43,13 +43,23 @@
 	}
 	listen := Address(t, ip)
 	l := &Link{Listen: listen, Upstream: upstream, t: t, proxy: NewProxy(listen, upstream)}
-	if err := l.proxy.Start(); err != nil {
+	if err := l.start(); err != nil {
 		t.Fatalf("proxy %s: %v", listen, err)
 	}
 	t.Cleanup(l.proxy.Stop)
 	return l
 }
 
+// start opens the proxy's listener. A port that was closed a moment ago may still be in use for an instant.
+func (l *Link) start() error {
+	var err error
+	Within(listenBound, func() bool {
+		err = l.proxy.Start()
+		return err == nil
+	})
+	return err
+}
+
 // Cut closes all connections and refuses new ones.
 func (l *Link) Cut() { l.proxy.Stop() }
 
@@ -80,7 +90,7 @@
 	defer l.mu.Unlock()
 	l.proxy.Stop()
 	l.proxy.Reset()
-	if err := l.proxy.Start(); err != nil {
+	if err := l.start(); err != nil {
 		l.t.Errorf("proxy %s: %v", l.Listen, err)
 	}
 }
--- a/figbed/internal/proc/process.go
+++ b/figbed/internal/proc/process.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	readyBound = 20 * time.Second
-	shownBytes = 16 << 10 // of a process's output after a failure
+	readyBound  = 20 * time.Second
+	listenBound = 2 * time.Second
+	shownBytes  = 16 << 10 // of a process's output after a failure
 )
 
 // Process is one program that the test started. Its methods may be called concurrently.
