keys: a change whose lost answer is covered by another operator's write is read again

Cause: after a lost answer the object's writer decides; when another operator had written in between, the change was reported as StoreUnavailable although it was stored. Ruled out: a lost change (the shard held it). Now another's writer counts as a conflict and the entry is read again. Before: the new test got StoreUnavailable: lost; after: it passes.

--- a/internal/keys/change.go
+++ b/internal/keys/change.go
@@ -123,7 +123,9 @@
 	return object, shard, nil
 }
 
-// write stores a shard; when the answer is lost, the object's writer tells whether it was stored.
+// write stores a shard; when the answer is lost, the object's writer tells whether it was stored. Another's writer
+// tells nothing, since that write may have covered this one: it counts as a conflict, after which the entry is read
+// again.
 func write(ctx context.Context, store Store, read wire.Object, shard Shard, writer string) (wire.Object, error) {
 	value, err := json.Marshal(shard)
 	if err != nil {
@@ -134,8 +136,11 @@
 		return stored, err
 	}
 	again, readErr := store.Get(ctx, read.Name)
-	if readErr == nil && again.Writer == writer {
-		return again, nil
+	if readErr != nil {
+		return wire.Object{}, err
 	}
-	return wire.Object{}, err
+	if again.Writer != writer {
+		return wire.Object{}, kinds.New(kinds.Conflict, "%s was written by another", read.Name)
+	}
+	return again, nil
 }
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -18,6 +18,7 @@
 	revision uint64
 	lose     int
 	conflict int
+	cover    bool // another writer covers a write whose answer is lost, before it is read back
 }
 
 // Get implements keys.Store.
@@ -43,6 +44,11 @@
 	m.objects[put.Name] = o
 	if m.lose > 0 {
 		m.lose--
+		if m.cover {
+			m.revision++
+			o.Version, o.Revision, o.Writer = o.Version+1, m.revision, "another"
+			m.objects[put.Name] = o
+		}
 		return wire.Object{}, kinds.New(kinds.StoreUnavailable, "lost")
 	}
 	return o, nil
@@ -80,6 +86,20 @@
 	}
 }
 
+func TestWithdrawWhoseLostAnswerIsCovered(t *testing.T) {
+	store := &memory{objects: map[string]wire.Object{}}
+	ctx := context.Background()
+	key, _, err := keys.Give(ctx, store, "North")
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.lose, store.cover = 1, true
+	withdrawn, err := keys.Withdraw(ctx, store, keys.Hash(key))
+	if diff := cmp.Diff([]any{nil, uint64(3)}, []any{err, withdrawn.Revision}); diff != "" {
+		t.Errorf("error and revision (-want +got):\n%s", diff)
+	}
+}
+
 func TestWithdrawUnknown(t *testing.T) {
 	store := &memory{objects: map[string]wire.Object{}}
 	for _, hash := range []string{"", "x", keys.Hash("never given")} {
