--- a/figbed/proofs/usage_operators_test.go
+++ b/figbed/proofs/usage_operators_test.go
@@ -38,6 +38,7 @@
 	t.Helper()
 	c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 	c.Start(t)
+	waitAdmitted(t, c)
 	return &desk{Cluster: c, t: t, folder: t.TempDir()}
 }
 
