--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/figshift/figshift/internal/config"
@@ -29,7 +28,6 @@
 	})
 	p.settle(now, r, kind)
 	p.count(r, kind, out)
-	out.Emit(logLine(r, kind))
 	out.Raise(event.RequestDone{
 		Request:         r.id(),
 		Organisation:    r.organisation,
@@ -48,25 +46,6 @@
 	})
 }
 
-// logLine tells how a request ended; one that may have run without an answer is worth more than debugging.
-func logLine(r *request, kind kinds.Kind) event.Log {
-	line := event.Log{Level: "debug", Event: "Answered"}
-	if kind != "" {
-		line.Event = "Refused"
-	}
-	if kind != "" && r.mayRun {
-		line.Level, line.Event = "info", "Failed"
-	}
-	line.Fields = []event.Field{
-		{Key: "Request", Value: strconv.FormatUint(r.id(), 10)},
-		{Key: "Kind", Value: string(kind)},
-		{Key: "Organisation", Value: r.organisation},
-		{Key: "Endpoint", Value: r.endpoint},
-		{Key: "Tries", Value: strconv.Itoa(r.tries)},
-	}
-	return line
-}
-
 // truthOf keeps "" for a whole answer.
 func (r *request) truthOf(kind kinds.Kind) kinds.Kind {
 	if kind == "" {
