flow: what nobody waits for is not counted as a refusal; proofs: a recorded run of processes replays

Cause: figctl status showed refusals of kind StreamCut for an organisation whose spare samples had been cancelled; both a cancelled sample and a caller that left were counted as refusals. They are counted as GivenUp now.

--- a/figbed/internal/proc/cluster.go
+++ b/figbed/internal/proc/cluster.go
@@ -39,6 +39,7 @@
 	Platform []string             // further flags of the platform's stand-in
 	Overlay  string               // further lines of section [Host] of each daemon
 	Unready  bool                 // Start does not wait until the daemons are ready
+	Record   bool                 // each daemon records its steps to Host.Trace
 
 	Hosts     []*Host             // the daemons, set by Start
 	Endpoints map[string]*Running // by name, set by Start
--- a/figbed/internal/proc/host.go
+++ b/figbed/internal/proc/host.go
@@ -87,9 +87,16 @@
 		"Peer", h.Peer,
 		"PeerAdvertise", h.split.address(),
 		"Platform", "http://"+h.Store.Listen))
-	h.Process = Start(c.t, h.Name, "figd", "--config", base, "--overlay", overlay)
+	args := []string{"--config", base, "--overlay", overlay}
+	if c.Record {
+		args = append(args, "--record", h.Trace())
+	}
+	h.Process = Start(c.t, h.Name, "figd", args...)
 }
 
+// Trace returns the file that a recording daemon writes.
+func (h *Host) Trace() string { return h.cluster.path(h.Name + ".trace") }
+
 // URL returns the base URL of the callers' listener.
 func (h *Host) URL() string { return "http://" + h.Listen }
 
--- a/figbed/proofs/path_test.go
+++ b/figbed/proofs/path_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"net/http"
+	"os/exec"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/figshift/figshift/figbed/internal/drill"
 	"github.com/figshift/figshift/figbed/internal/engin"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/internal/kinds"
@@ -75,3 +80,31 @@
 		}
 	}
 }
+
+// TestRecordedRunReplays records daemons that serve callers and a trainer, stops them, and steps fresh reducers
+// through what was recorded.
+func TestRecordedRunReplays(t *testing.T) {
+	t.Parallel()
+	spec := drill.Spec()
+	c := drill.NewCluster(2, spec)
+	c.Services = []proc.Endpoint{{Name: "s1", Zone: "a"}}
+	c.Record = true
+	c.Start(t)
+	c.CreateRollout(spec)
+	drill.Train(t, c, spec, time.Minute, nil)
+	for _, h := range c.Hosts {
+		h.Post("/lookup?Id=1", c.Key("North"), "hello")
+		h.Post("/write?Id=2", "no-such-key", "hello")
+		h.Generate(c.Key("South"), wire.Generate{Model: proc.Model, Prompt: "the history of an author", MaxTokens: 20})
+	}
+	for _, h := range c.Hosts {
+		h.Signal(syscall.SIGTERM)
+		if code := h.ExitCode(time.Minute); code != 0 {
+			t.Errorf("%s: exit code %d", h.Name, code)
+		}
+		out, err := exec.Command(proc.Program(t, "figd"), "--replay", h.Trace()).CombinedOutput()
+		if err != nil || !strings.Contains(string(out), "Same=true") {
+			t.Errorf("%s: replay: %v: %s", h.Name, err, out)
+		}
+	}
+}
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -83,6 +83,10 @@
 }
 
 func (p *Part) count(r *request, kind kinds.Kind, out *event.Batch) {
+	if kind != "" && r.givenUp {
+		out.Emit(event.Count{Name: "GivenUp", Tags: r.classTag(), N: 1})
+		return
+	}
 	if kind == "" {
 		out.Emit(event.Count{Name: "Answers", Tags: r.classTag(), N: 1})
 		return
@@ -116,6 +120,7 @@
 // giveUp ends a request that nobody waits for.
 func (p *Part) giveUp(now time.Duration, id uint64, out *event.Batch) {
 	if r, ok := p.requests[id]; ok {
+		r.givenUp = true
 		p.end(now, r, kinds.StreamCut, out)
 		p.dispatch(now, out)
 	}
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -237,3 +237,26 @@
 		t.Error("not drained")
 	}
 }
+
+func TestGivenUpIsNoRefusal(t *testing.T) {
+	cases := map[string]event.Event{
+		"the caller has gone":      event.CallerGone{Request: 1},
+		"the sample is not needed": event.CancelRequest{Request: 1},
+	}
+	for name, ev := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newRig()
+			s := g.run(t, arrival(1, "Ledger", "/lookup"))
+			effects := append(g.step(ev), g.step(done(s, kinds.Unknown, event.ReasonCaller))...)
+			counts := map[string]int64{}
+			for _, e := range effects {
+				if c, ok := e.(event.Count); ok {
+					counts[c.Name] += c.N
+				}
+			}
+			if diff := cmp.Diff(map[string]int64{"GivenUp": 1}, counts); diff != "" {
+				t.Errorf("counts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -43,6 +43,7 @@
 	tried       []string
 
 	stop     kinds.Kind // why it was told to end
+	givenUp  bool       // nobody waits for it any more: its caller has gone, or its sample is not needed
 	mayRun   bool       // an attempt wrote something that may have run
 	begun    bool       // part of the answer has reached the caller
 	versions []event.VersionRun
