--- /dev/null
+++ b/figbed/internal/gauge/control.go
@@ -0,0 +1,60 @@
+package gauge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// How long control is measured.
+const (
+	controlWarmUp = 2 * time.Second
+	controlTime   = 10 * time.Second
+)
+
+// Consumption is what one daemon and the platform spent a second while no caller called.
+type Consumption struct {
+	Daemons   int
+	Calls     float64 // of the object API, by all daemons
+	CPU       float64 // of a core, the busiest daemon
+	Bytes     float64 // read and written, the busiest daemon
+	PeakBytes uint64
+}
+
+// String returns the figures as key=value pairs.
+func (c Consumption) String() string {
+	return fmt.Sprintf("Daemons=%d ObjectCalls=%.1f/s CPU=%.4f Bytes=%.0f/s PeakMB=%.1f",
+		c.Daemons, c.Calls, c.CPU, c.Bytes, float64(c.PeakBytes)/(1<<20))
+}
+
+// Control measures idle daemons in two zones.
+func Control(t testing.TB, daemons int) Consumption {
+	t.Helper()
+	c := &proc.Cluster{
+		Daemons:  daemons,
+		Engines:  []proc.Endpoint{{Name: "e1", Zone: "a"}, {Name: "e2", Zone: "b"}},
+		Services: []proc.Endpoint{{Name: "s1", Zone: "a"}},
+	}
+	c.Start(t)
+	time.Sleep(controlWarmUp)
+	before := c.Calls()
+	costs := make([]proc.Cost, daemons)
+	for i, h := range c.Hosts {
+		costs[i] = h.Cost()
+	}
+	time.Sleep(controlTime)
+	seconds := controlTime.Seconds()
+	result := Consumption{Daemons: daemons, Calls: float64(objectCalls(c.Calls())-objectCalls(before)) / seconds}
+	for i, h := range c.Hosts {
+		cost := h.Cost()
+		result.CPU = max(result.CPU, (cost.CPU-costs[i].CPU).Seconds()/seconds)
+		result.Bytes = max(result.Bytes, float64(cost.Bytes-costs[i].Bytes)/seconds)
+		result.PeakBytes = max(result.PeakBytes, cost.PeakBytes)
+	}
+	return result
+}
+
+func objectCalls(c wire.Calls) uint64 { return c.Reads + c.Writes + c.Watches }
--- /dev/null
+++ b/figbed/internal/gauge/retry.go
@@ -0,0 +1,52 @@
+package gauge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/figbed/internal/loadr"
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/figbed/internal/servc"
+	"github.com/figshift/figshift/internal/config"
+)
+
+const (
+	retryTime = 3 * time.Second
+	retryRate = 200.0
+)
+
+// Retry measures the attempts a request while the named services have faults, and the part of whole answers.
+func Retry(t testing.TB, site func(s *config.Site), faults servc.Faults, failing ...string) (attempts, whole float64) {
+	t.Helper()
+	c := &proc.Cluster{
+		Daemons: 2,
+		Services: []proc.Endpoint{
+			{Name: "s1", Zone: "a"},
+			{Name: "s2", Zone: "b"},
+			{Name: "s3", Zone: "a"},
+		},
+		Site: site,
+	}
+	c.Start(t)
+	for _, name := range failing {
+		c.Endpoints[name].ServiceFaults(faults)
+	}
+	plan := loadr.Plan{Duration: retryTime, Seed: 1, Targets: []string{c.Hosts[0].URL(), c.Hosts[1].URL()}}
+	plan.Sources = []loadr.Source{{Organisation: "North", Key: c.Key("North"), Path: "/lookup", Rate: retryRate}}
+	report, err := loadr.Run(context.Background(), plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := 0
+	for _, name := range []string{"s1", "s2", "s3"} {
+		for _, request := range c.Endpoints[name].Seen().Requests {
+			if request.Path == "/lookup" {
+				seen++
+			}
+		}
+	}
+	r := report.Results[0]
+	t.Log(r)
+	return float64(seen) / float64(r.Sent), float64(r.Whole) / float64(r.Sent)
+}
