proofs: the operators' credential file is written once

Cause: each call of the desk wrote the credential file in place, so that one of four figctl at once could read it empty: exit code 3, ConfigInvalid: want a first line of 16 bytes or more. The test now prints what figctl said.

--- a/figbed/proofs/usage_operators_test.go
+++ b/figbed/proofs/usage_operators_test.go
@@ -30,8 +30,9 @@
 // desk runs figctl against a cluster.
 type desk struct {
 	*proc.Cluster
-	t      *testing.T
-	folder string
+	t          *testing.T
+	folder     string
+	credential string // file
 }
 
 func newDesk(t *testing.T) *desk {
@@ -39,7 +40,9 @@
 	c := &proc.Cluster{Daemons: 3, Services: []proc.Endpoint{{Name: "s1", Zone: "a"}}}
 	c.Start(t)
 	waitAdmitted(t, c)
-	return &desk{Cluster: c, t: t, folder: t.TempDir()}
+	d := &desk{Cluster: c, t: t, folder: t.TempDir()}
+	d.credential = d.file("credential", "operators-credential-of-the-tests\n")
+	return d
 }
 
 func (d *desk) file(name, text string) string {
@@ -65,9 +68,8 @@
 // change runs a command that changes the store and waits for the hosts.
 func (d *desk) change(args ...string) (string, int) {
 	d.t.Helper()
-	credential := d.file("credential", "operators-credential-of-the-tests\n")
 	return d.figctl(append(args, "--platform", d.Store.URL(), "--operators", d.Hosts[0].Operators,
-		"--credential-file", credential, "--wait", operatorBound.String())...)
+		"--credential-file", d.credential, "--wait", operatorBound.String())...)
 }
 
 func (d *desk) must(out string, code int) string {
@@ -113,10 +115,11 @@
 	base := d.show("base.ini")
 	var group sync.WaitGroup
 	codes := make([]int, 4)
+	outs := make([]string, len(codes))
 	for i := range codes {
 		group.Go(func() {
 			overlay := d.file(fmt.Sprintf("site%d.ini", i), fmt.Sprintf("[Organisation New%d]\nWeight = 3\n", i))
-			_, codes[i] = d.change("config", "apply", "--config", base, "--overlay", overlay, "--after", "1")
+			outs[i], codes[i] = d.change("config", "apply", "--config", base, "--overlay", overlay, "--after", "1")
 		})
 	}
 	group.Wait()
@@ -128,7 +131,7 @@
 				t.Errorf("operator %d was told accepted, and its change is not stored", i)
 			}
 		} else if code != exitConflict {
-			t.Errorf("operator %d: exit code %d", i, code)
+			t.Errorf("operator %d: exit code %d: %s", i, code, outs[i])
 		}
 	}
 	if won != 1 {
