--- a/figd/main.go
+++ b/figd/main.go
@@ -36,10 +36,16 @@
 
 type httpHandler = http.Handler
 
-func main() { os.Exit(start(os.Args[1:], os.Stderr)) }
+func main() { os.Exit(start(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// platformCommand runs the daemon on the users' platform, by the settings that the platform writes.
+const platformCommand = "platform"
 
 // start runs the daemon and returns its exit code.
-func start(args []string, stderr io.Writer) int {
+func start(args []string, stdout, stderr io.Writer) int {
+	if len(args) == 1 && args[0] == platformCommand {
+		return runPlatform(stdout, stderr)
+	}
 	flags := flag.NewFlagSet("figd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	base := flags.String("config", "", "base configuration `file`")
@@ -54,7 +60,7 @@
 		return runReplay(*recorded, stderr)
 	}
 	if *base == "" || flags.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: figd --config base.ini [--overlay site.ini] [--record run.trace] [--check]\n       figd --replay run.trace")
+		fmt.Fprintln(stderr, "usage: figd --config base.ini [--overlay site.ini] [--record run.trace] [--check]\n       figd --replay run.trace\n       figd platform")
 		return exitUsage
 	}
 	loaded, problems := config.Load(*base, *overlay)
--- a/figd/main_test.go
+++ b/figd/main_test.go
@@ -27,7 +27,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			var stderr bytes.Buffer
-			if code := start(c.args, &stderr); code != c.code {
+			if code := start(c.args, &bytes.Buffer{}, &stderr); code != c.code {
 				t.Errorf("start() = %d, want %d", code, c.code)
 			}
 			if !strings.Contains(stderr.String(), c.want) {
--- /dev/null
+++ b/figd/platform.go
@@ -0,0 +1,246 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/figshift/figshift/internal/batch"
+	"github.com/figshift/figshift/internal/call"
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/conns"
+	"github.com/figshift/figshift/internal/drain"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/flow"
+	"github.com/figshift/figshift/internal/items"
+	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/lease"
+	"github.com/figshift/figshift/internal/logs"
+	"github.com/figshift/figshift/internal/loop"
+	"github.com/figshift/figshift/internal/member"
+	"github.com/figshift/figshift/internal/objapi"
+	"github.com/figshift/figshift/internal/orders"
+	"github.com/figshift/figshift/internal/peer"
+	"github.com/figshift/figshift/internal/reduce"
+	"github.com/figshift/figshift/internal/serve"
+	"github.com/figshift/figshift/internal/stats"
+	"github.com/figshift/figshift/internal/update"
+	"github.com/figshift/figshift/internal/usage"
+	"github.com/figshift/figshift/internal/view"
+	"github.com/figshift/figshift/platform"
+)
+
+const (
+	// settingsVariable names the environment variable that holds the path of the settings.
+	settingsVariable = "FIGSHIFT_BOOT"
+	// balancerDelay is the time after which the balancer has seen that a host is not ready: two questions.
+	balancerDelay = 2500 * time.Millisecond
+	// stopMargin is left of the platform's grace when a graceful stop is cut.
+	stopMargin = 500 * time.Millisecond
+	// gcPercent trades processor time for memory, which is what the hosts lack.
+	gcPercent = 60
+	// memoryShare is the part of a host's memory at which the collector works harder.
+	memoryShare    = 0.7
+	storeTimeout   = time.Second
+	endpointDial   = 500 * time.Millisecond
+	idleConns      = 16
+	idleConnsFor   = 10 * time.Second
+	metricsTimeout = 2 * time.Second
+)
+
+// The ports of the project's own listeners, as indices of Settings.Ports.
+const (
+	peerPort = iota
+	pagePort
+	metricsPort
+)
+
+// site is the composition of one process on the platform.
+type onPlatform struct {
+	*daemon
+	settings platform.Settings
+	self     event.Host
+	secret   []byte
+	store    *platform.Store
+	view     *view.Part
+	leases   *lease.Part
+	calls    *call.Executor
+	jobs     *items.Executor
+	flow     *flow.Part
+}
+
+// runPlatform runs the process that the platform's settings describe and returns its exit code.
+func runPlatform(stdout, stderr io.Writer) int {
+	settings, err := platform.LoadSettings(os.Getenv(settingsVariable))
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitConfig
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryShare * (1 << 20)))
+	d := newOnPlatform(settings, newIdentity(), stdout)
+	defer d.close()
+	return exitCode(d.group.Run())
+}
+
+// newOnPlatform composes the process of a host's class. The order fixes the order in which parts see an event.
+func newOnPlatform(settings platform.Settings, id identity, stdout io.Writer) *onPlatform {
+	d := &onPlatform{settings: settings, daemon: &daemon{identity: id, state: &reduce.State{}}}
+	d.process = config.Process{Host: settings.Host, Zone: settings.Zone, BalancerDelay: balancerDelay, LogLevel: settings.LogLevel}
+	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, QueueSize: eventQueueSize}
+	d.loop.Prepare()
+	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.own(peerPort), Incarnation: id.incarnation}
+	d.secret = deploymentID(settings)
+	transport := conns.Transport(endpointDial, idleConns, idleConnsFor)
+	d.store = &platform.Store{Address: settings.Store, HTTP: &http.Client{Transport: transport}}
+	d.addLogs(stdout)
+	if settings.Class == platform.ClassStore {
+		d.addActor((&retirement{store: d.store, host: settings.Host, log: d.log}).run)
+		d.addActor(d.loop.Run)
+		return d
+	}
+	d.addHosts()
+	d.addCalls()
+	d.addJobs()
+	d.addDuties()
+	d.addActor(d.loop.Run)
+	return d
+}
+
+// own returns the address of one of this host's own listeners.
+func (d *onPlatform) own(port int) string {
+	return net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.Ports[port]))
+}
+
+// deploymentID keeps hosts of different deployments apart. The platform gives its processes no secret.
+func deploymentID(s platform.Settings) []byte {
+	sum := sha256.Sum256([]byte(s.Store + "\x00" + s.Cloud))
+	return sum[:]
+}
+
+func (d *onPlatform) addLogs(stdout io.Writer) {
+	d.log = logs.New(d.settings.LogLevel, d.settings.Host, stdout)
+	scope, metrics, closer := stats.New(func(error) {})
+	d.scope = scope
+	d.closers = append(d.closers, closer)
+	d.ready = &readiness{}
+	exit := &exiter{asked: make(chan struct{})}
+	d.addExecutor(&logs.Executor{Log: d.log})
+	d.addExecutor(&stats.Executor{Scope: scope})
+	d.addExecutor(d.ready)
+	d.addExecutor(exit)
+	d.addActor(exit.run)
+	d.addActor(d.watchSignals)
+	d.addActor(d.listen(d.own(metricsPort), metrics))
+	d.addPart(&drain.Part{Bound: d.settings.Grace, Within: d.settings.Grace - stopMargin})
+	d.log.Info("Started")
+}
+
+// listen returns an actor that serves h.
+func (d *onPlatform) listen(address string, h http.Handler) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		server := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: metricsTimeout}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.ListenAndServe(); ctx.Err() == nil {
+			return errors.Wrap(err, "listening at "+address)
+		}
+		return nil
+	}
+}
+
+// addHosts adds what follows the store and the other hosts.
+func (d *onPlatform) addHosts() {
+	d.keys = &keys.Table{}
+	d.members = &member.Part{Self: d.self, Open: true}
+	d.view = &view.Part{Host: d.self.Name, Decode: platform.Decoder{Settings: d.settings}, Keys: d.keys}
+	d.leases = &lease.Part{Self: d.self, Roster: d.members}
+	d.members.Contributors = []member.Contributor{d.view, d.leases}
+	d.addPart(d.members)
+	d.addPart(d.view)
+	d.addPart(d.leases)
+	objects := &objapi.Executor{Client: d.store, Post: d.loop.Post, Now: d.loop.Now, Scope: d.metrics(), Timeout: storeTimeout}
+	objects.Prepare()
+	d.addExecutor(objects)
+	d.addActor(objects.Run)
+	mesh := &peer.Mesh{Self: d.self, Secret: d.secret, Listen: d.self.Address, Post: d.loop.Post, Scope: d.metrics(), Log: d.logger()}
+	mesh.Prepare()
+	d.addExecutor(mesh)
+	d.addActor(mesh.Run)
+}
+
+// holds answers event.Trust from the two parts that know.
+type holds struct {
+	*view.Part
+	leases *lease.Part
+}
+
+// Holds reports whether this daemon holds a duty at time now, until when its lease is trusted, and its epoch.
+func (h holds) Holds(duty string, now time.Duration) (until time.Duration, epoch uint64, ok bool) {
+	return h.leases.Holds(duty, now)
+}
+
+// addCalls adds callers' requests.
+func (d *onPlatform) addCalls() {
+	d.trust = holds{Part: d.view, leases: d.leases}
+	d.flow = &flow.Part{
+		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Keys: d.keys,
+		Random: rand.New(rand.NewPCG(d.seed, 0)), Process: d.process, NoPolls: true,
+	}
+	d.members.Contributors = append(d.members.Contributors, d.flow)
+	d.addPart(d.flow)
+	d.calls = &call.Executor{Incarnation: d.incarnation, Post: d.loop.Post, Now: d.loop.Now, Names: platform.CallNames()}
+	d.calls.Prepare()
+	d.addExecutor(d.calls)
+	d.addActor(d.calls.Run)
+}
+
+// addJobs adds batch jobs and the callers' listener.
+func (d *onPlatform) addJobs() {
+	part := &batch.Part{Self: d.self, Holders: d.flow, Roster: d.members, Fresh: d.settings.FirstStart}
+	d.members.Contributors = append(d.members.Contributors, part)
+	d.addPart(part)
+	pages := &items.Pages{
+		Listen: d.own(pagePort), Port: d.settings.Ports[pagePort], Secret: d.secret,
+		HTTP: conns.Transport(endpointDial, idleConns, idleConnsFor),
+	}
+	d.jobs = &items.Executor{
+		Host: d.self.Name, Incarnation: d.incarnation, Store: d.store, Calls: d.calls, Names: platform.ItemNames(),
+		HTTP: conns.Transport(endpointDial, idleConns, idleConnsFor), Peers: pages, Post: d.loop.Post, Now: d.loop.Now,
+	}
+	d.jobs.Prepare()
+	pages.Jobs = d.jobs
+	d.addExecutor(d.jobs)
+	d.addExecutor(pages)
+	d.addActor(d.jobs.Run)
+	d.addActor(pages.Run)
+	lots := &platform.Lots{Jobs: d.jobs}
+	server := &serve.Server{
+		Address: d.settings.Listen, Executor: d.calls, Post: d.loop.Post, Now: d.loop.Now,
+		Handlers: map[string]http.Handler{platform.PathLots: lots, platform.PathItems: lots},
+		Protocol: platform.Front{Lots: lots},
+	}
+	server.Prepare()
+	d.addExecutor(server)
+	d.addActor(server.Run)
+	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz)))
+}
+
+// addDuties adds what one host does for all: weight versions and usage reports.
+func (d *onPlatform) addDuties() {
+	d.addPart(&update.Part{Host: d.self.Name, Trust: d.trust})
+	d.addPart(&usage.Counter{Host: d.self.Name, Incarnation: d.incarnation, Requests: true})
+	d.addPart(&usage.Holder{Host: d.self.Name, Trust: d.trust})
+	d.addExecutor(&orders.Executor{Base: "http://" + d.settings.Cloud, Protocol: platform.Orders{}, Now: d.loop.Now, Post: d.loop.Post})
+	d.addActor(d.tellClock)
+}
--- /dev/null
+++ b/internal/batch/engines.go
@@ -0,0 +1,152 @@
+package batch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const (
+	defaultSlots = 8 // of an engine that does not tell
+	// brokenFor is the time for which an engine that broke a run gets no new one.
+	brokenFor = 500 * time.Millisecond
+	// brokenMost bounds that time after failures in a row.
+	brokenMost = 4 * time.Second
+	// fullFor is the time after an engine said that it is full.
+	fullFor = 100 * time.Millisecond
+	// lagFor is the time after an engine had another version than listed.
+	lagFor = 300 * time.Millisecond
+)
+
+// engine is an endpoint as the items' dispatch sees it.
+type engine struct {
+	wire.Endpoint
+	running  int // items of this host
+	left     bool
+	failures int
+	until    time.Duration // no run before
+}
+
+// engines holds the endpoints by name and what the other hosts run on them.
+type engines struct {
+	byName map[string]*engine
+	marks  map[wire.LeaveMark]bool
+	remote map[string][]wire.EngineRuns // by host
+}
+
+func (s *engines) list(_ time.Duration, endpoints []wire.Endpoint) {
+	old := s.byName
+	s.byName = make(map[string]*engine, len(endpoints))
+	for _, e := range endpoints {
+		known := old[e.Name]
+		if known == nil || known.Incarnation != e.Incarnation {
+			known = &engine{}
+		}
+		known.Endpoint = e
+		known.left = known.left || e.State == wire.Leaving || s.marks[mark(&known.Endpoint)]
+		s.byName[e.Name] = known
+	}
+}
+
+func mark(e *wire.Endpoint) wire.LeaveMark {
+	return wire.LeaveMark{Endpoint: e.Name, Incarnation: e.Incarnation}
+}
+
+func (s *engines) leave(m wire.LeaveMark) {
+	if s.marks == nil {
+		s.marks = map[wire.LeaveMark]bool{}
+	}
+	s.marks[m] = true
+	if e := s.byName[m.Endpoint]; e != nil && e.Incarnation == m.Incarnation {
+		e.left = true
+	}
+}
+
+func (s *engines) others(host string, runs []wire.EngineRuns) {
+	if s.remote == nil {
+		s.remote = map[string][]wire.EngineRuns{}
+	}
+	if runs == nil {
+		delete(s.remote, host)
+		return
+	}
+	s.remote[host] = runs
+}
+
+// own returns the items of this host by engine, sorted.
+func (s *engines) own() []wire.EngineRuns {
+	var all []wire.EngineRuns
+	for _, name := range slices.Sorted(maps.Keys(s.byName)) {
+		if e := s.byName[name]; e.running > 0 {
+			all = append(all, wire.EngineRuns{Endpoint: name, Items: e.running})
+		}
+	}
+	return all
+}
+
+// want says what an item needs of its engine.
+type want struct {
+	service string
+	model   string
+	least   uint64 // oldest version
+	exact   uint64 // the only version, 0 for any
+	notAt   string // only when there is no other
+	zone    string
+}
+
+// pick returns the engine with the most free places, nil when all are taken.
+func (s *engines) pick(now time.Duration, w want) *engine {
+	busy := map[string]int{}
+	for _, runs := range s.remote {
+		for _, r := range runs {
+			busy[r.Endpoint] += r.Items
+		}
+	}
+	var fits []*engine
+	for _, name := range slices.Sorted(maps.Keys(s.byName)) {
+		e := s.byName[name]
+		if e.serves(now, w) && e.running+busy[name] < e.slots() {
+			fits = append(fits, e)
+		}
+	}
+	if len(fits) == 0 {
+		return nil
+	}
+	return slices.MinFunc(fits, func(a, b *engine) int {
+		return cmp.Or(
+			first(a.Name != w.notAt, b.Name != w.notAt),
+			cmp.Compare(a.failures, b.failures),
+			cmp.Compare(a.load(busy), b.load(busy)),
+			first(a.Zone == w.zone, b.Zone == w.zone),
+		)
+	})
+}
+
+func (e *engine) serves(now time.Duration, w want) bool {
+	if e.Service != w.service || e.left || e.State != wire.Live || now < e.until {
+		return false
+	}
+	version := e.VersionOf(w.model)
+	return version >= w.least && (w.exact == 0 || version == w.exact) && (version > 0 || w.least == 0)
+}
+
+func (e *engine) slots() int {
+	if e.Slots > 0 {
+		return e.Slots
+	}
+	return defaultSlots
+}
+
+// load returns the taken part of the engine's places.
+func (e *engine) load(busy map[string]int) float64 {
+	return float64(e.running+busy[e.Name]) / float64(e.slots())
+}
+
+// failed keeps the engine from new runs for a while.
+func (e *engine) failed(now time.Duration) {
+	e.until = now + min(brokenFor<<min(e.failures, 8), brokenMost)
+	e.failures++
+}
--- /dev/null
+++ b/internal/batch/list.go
@@ -0,0 +1,102 @@
+package batch
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+)
+
+const (
+	// listWithin is the longest time that a result waits for others to be listed with.
+	listWithin = 150 * time.Millisecond
+	// listAgain is the pause after a chunk could not be stored.
+	listAgain = 200 * time.Millisecond
+	// chunkItems bounds the results of one chunk, which stays below the store's greatest value.
+	chunkItems = 12
+)
+
+// list stores the results that wait: a whole group at once, others after a short time.
+func (p *Part) list(now time.Duration, j *job, out *event.Batch) {
+	if j.busy || now < j.retry || !p.due(now, j) {
+		return
+	}
+	chunk := event.StoreChunk{Job: j.head.ID, Number: j.chunks}
+	for _, it := range j.items {
+		if it.state != finished || len(chunk.Items) >= chunkItems {
+			continue
+		}
+		it.state = listing
+		chunk.Items = append(chunk.Items, it.index)
+		chunk.Down = append(chunk.Down, it.down)
+	}
+	j.busy = true
+	out.Emit(chunk)
+}
+
+// due reports whether results wait that should be listed now.
+func (p *Part) due(now time.Duration, j *job) bool {
+	ready := make([]int, len(j.groups))
+	any, old := false, false
+	for _, it := range j.items {
+		if it.state == finished {
+			any = true
+			ready[it.Group]++
+			old = old || now-it.since >= listWithin
+		}
+	}
+	if !any {
+		return false
+	}
+	for i, g := range j.groups {
+		if ready[i] > 0 && ready[i] == g.left {
+			return true
+		}
+	}
+	return old || p.stopping || j.ended
+}
+
+// chunkStored takes the end of a chunk. One that another owner wrote tells what is listed already.
+func (p *Part) chunkStored(now time.Duration, e event.ChunkStored, out *event.Batch) {
+	j := p.jobs[e.Job]
+	if j == nil || e.Number != j.chunks {
+		return
+	}
+	j.busy = false
+	stored := e.Kind == "" || e.Kind == kinds.Conflict
+	out.Emit(event.Count{Name: "Chunks", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
+	if stored {
+		j.chunks++
+		for _, i := range e.Items {
+			p.endRun(j, i, out)
+			j.setListed(i)
+		}
+		out.Emit(event.Log{Level: "info", Event: "Listed", Fields: []event.Field{
+			{Key: "Job", Value: j.head.ID},
+			{Key: "Chunk", Value: strconv.Itoa(e.Number)},
+			{Key: "Items", Value: strconv.Itoa(len(e.Items))},
+			{Key: "Left", Value: strconv.Itoa(j.left)},
+			{Key: "Kind", Value: string(e.Kind)},
+		}})
+	} else {
+		j.retry = now + listAgain
+	}
+	for _, it := range j.items {
+		if it.state == listing {
+			it.state = finished
+		}
+	}
+	if k := p.see(e.Job); j.left == 0 && !k.Ended {
+		k.Ended = true // nothing is left to run
+		p.tell(k.JobSeen, out)
+	}
+	p.list(now, j, out)
+}
+
+// endRun stops the run of an item that another owner has listed.
+func (p *Part) endRun(j *job, i int, out *event.Batch) {
+	if i >= 0 && i < len(j.items) && j.items[i].state == running {
+		p.stopItem(j, j.items[i], out)
+	}
+}
--- /dev/null
+++ b/internal/batch/owner.go
@@ -0,0 +1,272 @@
+package batch
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/ranks"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const (
+	// settle is the time after the start in which the other hosts are first heard.
+	settle = 2 * time.Second
+	// lookAgain is the pause after a failed look for jobs.
+	lookAgain = 500 * time.Millisecond
+	// takeAgain is the pause between two attempts to take a job over.
+	takeAgain = 500 * time.Millisecond
+	// rankDelay is what each host waits longer than the one before it in the order of preference.
+	rankDelay = 300 * time.Millisecond
+	// rememberFor is the time for which a job is remembered after it was last heard of.
+	rememberFor = 3 * time.Minute
+	// keepTexts is the time for which the texts of an ended job stay in memory; later reads go to the store.
+	keepTexts = 20 * time.Second
+)
+
+// seen is a job and who runs it as far as this host knows.
+type seen struct {
+	event.JobSeen
+	heardAt time.Duration
+	orphan  time.Duration // time since which nobody runs it, 0 while somebody does
+	taking  bool
+	next    time.Duration
+}
+
+func (p *Part) see(id string) *seen {
+	k := p.known[id]
+	if k == nil {
+		k = &seen{JobSeen: event.JobSeen{Job: id}}
+		p.known[id] = k
+	}
+	return k
+}
+
+// own begins to run a job and tells the other hosts.
+func (p *Part) own(now time.Duration, head event.JobHead, epoch uint64, out *event.Batch) {
+	p.jobs[head.ID] = newJob(now, head, epoch)
+	k := p.see(head.ID)
+	k.Host, k.Incarnation, k.Epoch, k.heardAt, k.orphan = p.Self.Name, p.Self.Incarnation, epoch, now, 0
+	p.tell(k.JobSeen, out)
+	p.dispatch(now, out)
+}
+
+// tell sends who runs a job to all hosts and to the executor.
+func (p *Part) tell(s event.JobSeen, out *event.Batch) {
+	out.Emit(event.KnowJob{Seen: s})
+	for _, h := range p.Roster.Alive(p.now) {
+		if h.Name != p.Self.Name {
+			p.tellHost(h.Name, s, out)
+		}
+	}
+}
+
+func (p *Part) tellHost(host string, s event.JobSeen, out *event.Batch) {
+	news := wire.JobNews(s)
+	out.Emit(event.SendPeer{Host: host, Message: wire.Message{News: &news}})
+}
+
+// tellAll sends the jobs of this host to one that has just connected.
+func (p *Part) tellAll(host string, out *event.Batch) {
+	for _, id := range slices.Sorted(maps.Keys(p.known)) {
+		if k := p.known[id]; k.Host == p.Self.Name || k.Ended {
+			p.tellHost(host, k.JobSeen, out)
+		}
+	}
+}
+
+// news takes what another host tells of a job. A higher epoch ends the own run of it.
+func (p *Part) news(now time.Duration, n wire.JobNews, out *event.Batch) {
+	k := p.see(n.Job)
+	k.heardAt = now
+	ended := k.Ended || n.Ended
+	if n.Epoch >= k.Epoch && n.Host != "" {
+		k.Host, k.Incarnation, k.Epoch, k.orphan = n.Host, n.Incarnation, n.Epoch, 0
+	}
+	if n.Host == "" && n.Epoch >= k.Epoch && !ended && k.orphan == 0 {
+		k.Epoch, k.orphan = n.Epoch, now
+	}
+	k.Ended = ended
+	out.Emit(event.KnowJob{Seen: k.JobSeen})
+	j := p.jobs[n.Job]
+	if j == nil {
+		return
+	}
+	if ended {
+		p.stopJob(j, out)
+	}
+	if n.Host != "" && n.Host != p.Self.Name && n.Epoch > j.epoch {
+		p.stopJob(j, out)
+		delete(p.jobs, n.Job)
+		out.Emit(event.Log{Level: "info", Event: "JobLost", Fields: []event.Field{
+			{Key: "Job", Value: n.Job}, {Key: "To", Value: n.Host}, {Key: "Epoch", Value: strconv.FormatUint(n.Epoch, 10)},
+		}})
+	}
+}
+
+// noteOther remembers a job that another host has accepted, whichever that is.
+func (p *Part) noteOther(now time.Duration, id string) { p.see(id).heardAt = now }
+
+// lookForJobs reads once which jobs there are: those of an earlier process of this host and of others may be nobody's.
+func (p *Part) lookForJobs(now time.Duration, out *event.Batch) {
+	if p.listed || p.listing || now < p.nextList {
+		return
+	}
+	p.listing = true
+	out.Emit(event.ListJobs{})
+}
+
+func (p *Part) jobsListed(now time.Duration, e event.JobsListed, out *event.Batch) {
+	p.listing = false
+	if e.Kind != "" {
+		p.nextList = now + lookAgain
+		return
+	}
+	p.listed = true
+	for _, s := range e.Jobs {
+		k := p.see(s.Job)
+		if k.Host != "" && k.Epoch >= s.Epoch {
+			continue
+		}
+		k.JobSeen, k.heardAt = s, now
+		out.Emit(event.KnowJob{Seen: s})
+	}
+	out.Emit(event.Log{Level: "info", Event: "JobsListed", Fields: []event.Field{{Key: "Jobs", Value: strconv.Itoa(len(e.Jobs))}}})
+}
+
+// takeOrphans takes over the jobs that nobody runs and that fall to this host.
+func (p *Part) takeOrphans(now time.Duration, out *event.Batch) {
+	if p.stopping || now-p.started < settle {
+		return
+	}
+	alive := p.Roster.Alive(now)
+	incarnations := map[string]string{}
+	names := make([]string, 0, len(alive))
+	for _, h := range alive {
+		incarnations[h.Name] = h.Incarnation
+		names = append(names, h.Name)
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.known)) {
+		k := p.known[id]
+		if k.Ended && now-k.heardAt > rememberFor {
+			delete(p.known, id)
+			continue
+		}
+		p.takeOrphan(now, k, incarnations, names, out)
+	}
+	p.dropEnded(now, out)
+}
+
+func (p *Part) takeOrphan(now time.Duration, k *seen, incarnations map[string]string, names []string, out *event.Batch) {
+	if k.Ended || k.taking || p.jobs[k.Job] != nil || now < k.next {
+		return
+	}
+	if k.Host != "" && incarnations[k.Host] == k.Incarnation && k.orphan == 0 {
+		return
+	}
+	if k.orphan == 0 {
+		k.orphan = now
+	}
+	rank := ranks.Of(k.Job, names, p.Self.Name)
+	if rank < 0 || now-k.orphan < time.Duration(rank)*rankDelay {
+		return
+	}
+	k.taking = true
+	out.Emit(event.TakeJob{Job: k.Job, Epoch: k.Epoch})
+	out.Emit(event.Log{Level: "info", Event: "JobTaking", Fields: []event.Field{
+		{Key: "Job", Value: k.Job}, {Key: "From", Value: k.Host}, {Key: "Epoch", Value: strconv.FormatUint(k.Epoch, 10)},
+	}})
+}
+
+func (p *Part) taken(now time.Duration, e event.JobTaken, out *event.Batch) {
+	k := p.see(e.Job)
+	k.taking, k.next = false, now+takeAgain
+	out.Emit(event.Log{Level: "info", Event: "JobTaken", Fields: []event.Field{
+		{Key: "Job", Value: e.Job},
+		{Key: "Kind", Value: string(e.Kind)},
+		{Key: "Epoch", Value: strconv.FormatUint(e.Epoch, 10)},
+		{Key: "Listed", Value: strconv.Itoa(len(e.Listed))},
+		{Key: "Ended", Value: strconv.FormatBool(e.Ended)},
+	}})
+	switch {
+	case e.Kind == kinds.NotFound:
+		k.Ended = true
+	case e.Kind != "":
+		k.Epoch = max(k.Epoch, e.Epoch)
+	case e.Ended:
+		k.Ended = true
+		out.Emit(event.KnowJob{Seen: k.JobSeen})
+	case p.stopping:
+	default:
+		p.own(now, e.Head, e.Epoch, out)
+		j := p.jobs[e.Job]
+		j.chunks = e.Chunks
+		for _, i := range e.Listed {
+			p.endRun(j, i, out)
+			j.setListed(i)
+		}
+	}
+}
+
+// dropEnded forgets the texts of jobs that ended a while ago.
+func (p *Part) dropEnded(now time.Duration, out *event.Batch) {
+	for _, j := range p.sorted() {
+		if now-j.since < keepTexts || !(j.ended || j.left == 0) || j.busy {
+			continue
+		}
+		if j.left > 0 && now-j.since < 2*keepTexts {
+			continue
+		}
+		delete(p.jobs, j.head.ID)
+		out.Emit(event.DropJob{Job: j.head.ID})
+	}
+}
+
+// stop hands the jobs of this host to the others.
+func (p *Part) stop(now time.Duration, out *event.Batch) {
+	if p.stopping {
+		return
+	}
+	p.stopping = true
+	out.Raise(event.DrainBegun{Owner: drainOwner})
+	for _, j := range p.sorted() {
+		for _, it := range j.items {
+			if it.state == running {
+				p.stopItem(j, it, out)
+			}
+		}
+		p.list(now, j, out)
+	}
+}
+
+// endDrain gives the jobs up once their finished results are stored.
+func (p *Part) endDrain(out *event.Batch) {
+	if !p.stopping || p.drained {
+		return
+	}
+	for _, j := range p.jobs {
+		if j.busy || j.pending() {
+			return
+		}
+	}
+	p.drained = true
+	for _, j := range p.sorted() {
+		if !j.ended && j.left > 0 {
+			p.tell(event.JobSeen{Job: j.head.ID, Epoch: j.epoch}, out)
+		}
+	}
+	out.Raise(event.DrainEnded{Owner: drainOwner})
+}
+
+// pending reports whether results or ends of runs are still on their way.
+func (j *job) pending() bool {
+	for _, it := range j.items {
+		if it.state == stopping || it.state == scoring || it.state == finished || it.state == listing {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/batch/part.go
@@ -0,0 +1,164 @@
+// Package batch decides about submitted batch jobs: who runs a job, which item runs where and when, and what is listed.
+package batch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/route"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// drainOwner names this part in the graceful stop.
+const drainOwner = "Batch"
+
+// Holders tells whose key a hash is.
+type Holders interface {
+	// Holder returns the organisation that a key admits now, or why it admits none.
+	Holder(now time.Duration, hash string) (string, kinds.Kind)
+}
+
+// Roster tells which hosts are alive.
+type Roster interface {
+	// Alive returns the hosts that are heard at time now sorted by name, this one among them.
+	Alive(now time.Duration) []event.Host
+}
+
+// Part is the share of the reducer that runs batch jobs. Its exported fields are set before the first Step.
+type Part struct {
+	Self    event.Host
+	Holders Holders
+	Roster  Roster
+	Order   Order // which item first; nil takes NeededFirst
+	Fresh   bool  // the store is new: there are no jobs to look for
+
+	site     *config.Site
+	routes   route.Routes
+	jobs     map[string]*job // run by this host
+	known    map[string]*seen
+	engines  engines
+	attempts uint64
+	calls    map[uint64]submission // under way, by Seq
+	ends     map[string][]uint64   // calls that wait for the end of a job to be stored
+	now      time.Duration
+	stopping bool
+	drained  bool
+	started  time.Duration
+	listed   bool // the jobs that were there at the start are known
+	listing  bool
+	nextList time.Duration
+}
+
+// submission is a job that is being stored.
+type submission struct {
+	head  event.JobHead
+	since time.Duration
+}
+
+// Step applies one event. It must not be called concurrently.
+func (p *Part) Step(now time.Duration, ev event.Event, out *event.Batch) {
+	p.start(now)
+	p.now = now
+	if p.stepItem(now, ev, out) || p.stepOwner(now, ev, out) {
+		return
+	}
+	switch e := ev.(type) {
+	case event.ConfigInForce:
+		p.site = e.Site
+		p.routes = route.NewRoutes(e.Site)
+	case event.EndpointsListed:
+		p.engines.list(now, e.List.Endpoints)
+		p.dispatch(now, out)
+	case event.EndpointLeaving:
+		p.engines.leave(e.Mark)
+	case event.JobCalled:
+		p.called(now, e, out)
+	case event.JobKept:
+		p.kept(now, e, out)
+	case event.JobEnded:
+		p.endStored(now, e, out)
+	case event.StopAsked:
+		p.stop(now, out)
+	case event.Tick:
+		p.tick(now, out)
+	}
+}
+
+// stepItem takes the events of items and reports whether ev is one.
+func (p *Part) stepItem(now time.Duration, ev event.Event, out *event.Batch) bool {
+	switch e := ev.(type) {
+	case event.ItemEnded:
+		p.itemEnded(now, e, out)
+	case event.ItemScored:
+		p.scored(now, e, out)
+	case event.ChunkStored:
+		p.chunkStored(now, e, out)
+	default:
+		return false
+	}
+	return true
+}
+
+// stepOwner takes the events that tell of owners and reports whether ev is one.
+func (p *Part) stepOwner(now time.Duration, ev event.Event, out *event.Batch) bool {
+	switch e := ev.(type) {
+	case event.JobsListed:
+		p.jobsListed(now, e, out)
+	case event.JobTaken:
+		p.taken(now, e, out)
+	case event.PeerReceived:
+		if e.Message.News != nil {
+			p.news(now, *e.Message.News, out)
+		}
+	case event.PeerUp:
+		p.tellAll(e.Host, out)
+	case event.BeatSeen:
+		p.engines.others(e.Host, e.Beat.Runs)
+	case event.HostLost:
+		p.engines.others(e.Host, nil)
+	default:
+		return false
+	}
+	return true
+}
+
+func (p *Part) start(now time.Duration) {
+	if p.jobs != nil {
+		return
+	}
+	p.jobs = map[string]*job{}
+	p.known = map[string]*seen{}
+	p.calls = map[uint64]submission{}
+	p.ends = map[string][]uint64{}
+	p.started = now
+	p.listed = p.Fresh
+	if p.Order == nil {
+		p.Order = NeededFirst{}
+	}
+}
+
+func (p *Part) tick(now time.Duration, out *event.Batch) {
+	p.lookForJobs(now, out)
+	p.takeOrphans(now, out)
+	for _, j := range p.sorted() {
+		p.giveUp(now, j, out)
+		p.list(now, j, out)
+	}
+	p.dispatch(now, out)
+	p.endDrain(out)
+}
+
+// sorted returns the jobs by id.
+func (p *Part) sorted() []*job {
+	all := slices.Collect(maps.Values(p.jobs))
+	slices.SortFunc(all, func(a, b *job) int { return cmp.Compare(a.head.ID, b.head.ID) })
+	return all
+}
+
+// Contribute tells the other hosts how many items run on each engine.
+func (p *Part) Contribute(_ time.Duration, beat *wire.Beat) { beat.Runs = p.engines.own() }
--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
@@ -22,17 +21,22 @@
 
 // answer takes an endpoint's answer from its head on.
 func (a *attempt) answer(resp *http.Response) {
-	leaving := resp.Header.Get(wire.HeaderLeaving) == isTrue
+	names := &a.x.Names
+	if !names.answers(resp, a.exchange.ID) {
+		a.end(event.ReasonBroken)
+		return
+	}
+	leaving := names.Leaving != "" && resp.Header.Get(names.Leaving) == isTrue
 	a.report.Status, a.report.Leaving = resp.StatusCode, leaving
 	a.x.Post(event.AttemptHead{
 		Request: a.start.Request,
 		Attempt: a.start.Attempt,
 		Status:  resp.StatusCode,
-		Load:    loadOf(resp.Header),
+		Load:    names.load(resp.Header),
 		Leaving: leaving,
 	})
 	switch {
-	case refused(resp):
+	case names.refused(resp):
 		a.end(event.ReasonRefused)
 	case resp.StatusCode >= http.StatusInternalServerError && !a.passes():
 		a.end(event.ReasonStatus)
@@ -50,20 +54,6 @@
 	return a.start.PassErrors && !a.exchange.begun && a.start.Sample == nil
 }
 
-// refused reports whether the endpoint says that it did not run the request and another might.
-func refused(resp *http.Response) bool {
-	retriable := resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests
-	return retriable && resp.Header.Get(wire.HeaderNotRun) == isTrue
-}
-
-func loadOf(h http.Header) int {
-	load, err := strconv.Atoi(h.Get(wire.HeaderLoad))
-	if err != nil || load < 0 {
-		return -1
-	}
-	return load
-}
-
 // hand hands a plain answer on.
 func (a *attempt) hand(resp *http.Response) {
 	early, whole, err := a.holdBack(resp)
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -13,7 +13,6 @@
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
-	"github.com/figshift/figshift/internal/wire"
 )
 
 // attempt is one try at a request at one endpoint.
@@ -150,11 +149,13 @@
 	req.Header = a.exchange.Header.Clone()
 	req.Header.Del("Content-Length")
 	req.Header.Del("Expect")
-	req.Header.Set(wire.HeaderRequest, a.exchange.ID)
-	req.Header.Set(wire.HeaderAttempt, a.x.Incarnation+"."+strconv.FormatUint(a.start.Attempt, 10))
-	if a.start.Organisation != "" {
-		req.Header.Set(wire.HeaderOrganisation, a.start.Organisation)
-	}
+	names := &a.x.Names
+	req.Host = a.exchange.Host
+	set(req.Header, names.Request, a.exchange.ID)
+	set(req.Header, names.Attempt, a.x.Incarnation+"."+strconv.FormatUint(a.start.Attempt, 10))
+	set(req.Header, names.Organisation, a.start.Organisation)
+	set(req.Header, names.Expect, a.start.Endpoint)
+	set(req.Header, names.Deadline, strconv.FormatInt(max(1, (a.start.Deadline-a.x.Now()).Milliseconds()), 10))
 	if a.start.Generation {
 		req.Header.Set("Content-Type", "application/json")
 	}
@@ -163,6 +164,13 @@
 	}
 }
 
+// set sets a field that is used and has a value.
+func set(h http.Header, name, value string) {
+	if name != "" && value != "" {
+		h.Set(name, value)
+	}
+}
+
 // connected asks for leave to write on the connection and waits for it. The transport calls it before it writes.
 func (a *attempt) connected(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*gatedConn); ok {
--- a/internal/call/conn.go
+++ b/internal/call/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/figshift/figshift/internal/conns"
 )
 
 const (
@@ -75,7 +77,7 @@
 // newTransport returns a transport to endpoints. Without keepAlive each attempt gets a fresh connection,
 // so that no request is written to one that the endpoint is about to close.
 func newTransport(keepAlive bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := conns.Dialer(dialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/internal/call/exchange.go
+++ b/internal/call/exchange.go
@@ -30,7 +30,8 @@
 // Exchange is a request with its body and the place for its answer. Its exported fields are set before Open.
 type Exchange struct {
 	Request  uint64
-	ID       string // for people and endpoints
+	ID       string // for people and endpoints; Open sets one where there is none
+	Host     string // name that the caller asked for, "" takes the endpoint's address
 	Method   string
 	Target   string      // path and query, escaped
 	Header   http.Header // without key, connection fields and figshift's own
@@ -41,6 +42,7 @@
 	commands chan event.Effect
 	begun    bool     // part of an answer was handed on
 	mayRun   bool     // an attempt wrote something that may have run
+	failed   int      // attempts that endpoints answered with a 5xx status
 	held     []string // tokens handed on
 	prompt   int
 	cached   int
@@ -62,6 +64,9 @@
 			case event.StartAttempt:
 				report := x.try(ctx, e, c)
 				e.mayRun = e.mayRun || report.Run != kinds.NotRun
+				if report.Status/100 == 5 && report.Reason != event.ReasonRefused {
+					e.failed++
+				}
 				x.Post(report)
 			case event.AnswerRequest:
 				return c
@@ -83,6 +88,9 @@
 	return kinds.Stopping
 }
 
+// Failed returns the number of attempts that endpoints answered with a 5xx status. The goroutine of Run calls it.
+func (e *Exchange) Failed() int { return e.failed }
+
 // Begun reports whether part of an answer was handed on. The goroutine of Run calls it.
 func (e *Exchange) Begun() bool { return e.begun }
 
--- a/internal/call/executor.go
+++ b/internal/call/executor.go
@@ -17,6 +17,7 @@
 	Post        func(event.Event) bool
 	Now         func() time.Duration
 	Samples     Samples
+	Names       Names // the zero value takes OwnNames
 
 	reused    *http.Transport
 	fresh     *http.Transport
@@ -28,6 +29,9 @@
 
 // Prepare makes the connections' pools; it is called once, before the other methods.
 func (x *Executor) Prepare() {
+	if x.Names.Request == "" {
+		x.Names = OwnNames()
+	}
 	x.reused = newTransport(true)
 	x.fresh = newTransport(false)
 	x.polls = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}
@@ -51,7 +55,9 @@
 
 // Open makes an exchange known; Close forgets it. They may be called concurrently.
 func (x *Executor) Open(e *Exchange) {
-	e.ID = x.RequestID(e.Request)
+	if e.ID == "" {
+		e.ID = x.RequestID(e.Request)
+	}
 	e.commands = make(chan event.Effect, commandsAhead)
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -53,6 +53,18 @@
 	Weights       Weights
 	Retry         Retry
 	Spend         Spend
+	// Models names the models that a service's endpoints hold, for services of model engines.
+	Models map[string][]string `json:",omitempty"`
+	// Fleet bounds the endpoints that may be ordered of a service in each zone, for services that can be ordered.
+	Fleet map[string]FleetRule `json:",omitempty"`
+}
+
+// FleetRule bounds the endpoints of one service in each zone.
+type FleetRule struct {
+	Min, Max   int
+	Boot       time.Duration      // from an order to the first answer
+	CheapPrice float64            // of a cheap endpoint, as a part of the price on demand
+	ZonePrices map[string]float64 // by zone, of one endpoint for a second
 }
 
 // Organisation is a tenant and its part of the capacity.
@@ -71,6 +83,27 @@
 	Open       bool // no key needed
 	Idempotent bool // calls may be repeated
 	Timeout    time.Duration
+
+	// The following come from a platform's configuration, not from files.
+
+	Host        string    `json:",omitempty"` // name that callers ask for, "" for any
+	Shares      []Share   `json:",omitempty"` // services among which calls are split; none takes Service
+	MaxAttempts int       `json:",omitempty"` // endpoints that one call may be sent to, 0 takes Retry.MaxAttempts
+	Priority    int       `json:",omitempty"` // 0 is the most urgent
+	Jobs        *JobRules `json:",omitempty"` // the route takes batch jobs, nil when it does not
+}
+
+// Share is one service's part of a split route's calls, by Weight out of the sum of the weights.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// JobRules bounds the batch jobs of a route. Times count from a job's first submission.
+type JobRules struct {
+	Due           time.Duration // all results are wanted by then
+	GiveUpAfter   time.Duration // an item may be given up then
+	SingleVersion bool          // one weight version makes a whole result
 }
 
 // RolloutLimits bounds every rollout of one organisation.
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -9,9 +9,10 @@
 	"github.com/figshift/figshift/internal/event"
 )
 
-// Part waits for the parts that raised DrainBegun and then emits Exit. Its exported field is set before use.
+// Part waits for the parts that raised DrainBegun and then emits Exit. Its exported fields are set before use.
 type Part struct {
-	Bound time.Duration // longest wait after StopAsked beyond the longest request of the site
+	Bound  time.Duration // longest wait after StopAsked beyond the longest request of the site
+	Within time.Duration // longest wait in all, 0 for any
 
 	longest  time.Duration
 	asked    bool
@@ -42,6 +43,9 @@
 	}
 	p.asked = true
 	p.deadline = now + p.Bound + p.longest
+	if p.Within > 0 {
+		p.deadline = min(p.deadline, now+p.Within)
+	}
 	out.Emit(event.Log{Level: "info", Event: "StopAsked"})
 }
 
--- /dev/null
+++ b/internal/event/job.go
@@ -0,0 +1,223 @@
+package event
+
+import (
+	"time"
+
+	"github.com/figshift/figshift/internal/kinds"
+)
+
+// JobHead is what the reducer knows of a batch job; bodies stay with the executor.
+type JobHead struct {
+	ID           string
+	Organisation string
+	Route        string
+	Model        string
+	MinVersion   uint64
+	Target       int
+	Single       bool
+	Due          time.Duration // on this daemon's clock
+	GiveUp       time.Duration
+	Items        []ItemHead
+}
+
+// ItemHead is what the reducer knows of an item. Group counts from 0 in the order of the job's items.
+type ItemHead struct {
+	Group  int
+	Tokens int
+	Hint   int
+	// ScoreHost and ScorePath name the route of the call that scores the text, "" for none.
+	ScoreHost string
+	ScorePath string
+}
+
+// The calls to batch jobs.
+const (
+	JobSubmit = "Submit"
+	JobRead   = "Read"
+	JobEnd    = "End"
+)
+
+// JobCalled is a caller's call to batch jobs. JobAnswer ends it. Head is set for a submission.
+type JobCalled struct {
+	Seq     uint64
+	Call    string
+	KeyHash string
+	Host    string
+	Path    string
+	Job     string
+	Head    JobHead
+}
+
+// JobAnswer ends a JobCalled. Kind is "" for success; for a read it says only that the key may be used.
+type JobAnswer struct {
+	Seq          uint64
+	Kind         kinds.Kind
+	Organisation string
+	RetryAfter   time.Duration
+}
+
+// KeepJob stores a submitted job; JobKept answers.
+type KeepJob struct {
+	Seq          uint64
+	Job          string
+	Organisation string
+	Route        string
+	Due          time.Duration // after its submission
+	GiveUp       time.Duration
+	Single       bool
+}
+
+// JobKept ends a KeepJob. Kind is "", Conflict when the job was accepted before, StoreRefused when it certainly is not
+// stored, and else OutcomeUnknown.
+type JobKept struct {
+	Seq  uint64
+	Job  string
+	Kind kinds.Kind
+}
+
+// TakeJob takes a job over from a host that has gone and reads what it has listed; JobTaken answers.
+type TakeJob struct {
+	Job   string
+	Epoch uint64 // of the owner to replace
+}
+
+// JobTaken ends a TakeJob. Listed holds the items that are listed, in order. Kind is Conflict when another host has it.
+type JobTaken struct {
+	Job    string
+	Kind   kinds.Kind
+	Head   JobHead
+	Epoch  uint64
+	Ended  bool
+	Chunks int
+	Listed []int
+}
+
+// ListJobs reads which jobs there are; JobsListed answers.
+type ListJobs struct{}
+
+// JobsListed ends a ListJobs.
+type JobsListed struct {
+	Kind kinds.Kind
+	Jobs []JobSeen
+}
+
+// JobSeen says who runs a job.
+type JobSeen struct {
+	Job         string
+	Host        string
+	Incarnation string
+	Epoch       uint64
+	Ended       bool
+}
+
+// KnowJob tells the executor who runs a job, for reads.
+type KnowJob struct {
+	Seen    JobSeen
+	Address string // of the host's listener for peers' reads, "" when not known
+}
+
+// EndJob records that a job was ended; JobEnded answers.
+type EndJob struct{ Job string }
+
+// JobEnded ends an EndJob.
+type JobEnded struct {
+	Job  string
+	Kind kinds.Kind
+}
+
+// DropJob tells the executor to forget a job's texts and bodies.
+type DropJob struct{ Job string }
+
+// RunItem runs an item at an endpoint, from the events that are held on; ItemEnded answers.
+type RunItem struct {
+	Job         string
+	Item        int
+	Attempt     uint64
+	Endpoint    string
+	Incarnation string
+	Address     string
+	Priority    int
+	Version     uint64 // that the endpoint must have, 0 for any
+	Restart     bool   // forget the held events first
+	Silence     time.Duration
+	Deadline    time.Duration
+}
+
+// StopItem ends a run as soon as possible; ItemEnded follows.
+type StopItem struct {
+	Job     string
+	Item    int
+	Attempt uint64
+}
+
+// ItemEnded ends a RunItem. Reason is "" when the text is whole. Events is the number of events held.
+type ItemEnded struct {
+	Job      string
+	Item     int
+	Attempt  uint64
+	Reason   string
+	Status   int
+	Events   int
+	New      int // events of this run
+	Took     time.Duration
+	Versions []uint64
+}
+
+// ReasonNever says that the endpoint answered that the item can never be done, ReasonSilent that it sent nothing for
+// too long.
+const (
+	ReasonNever  = "Never"
+	ReasonSilent = "Silent"
+)
+
+// ScoreItem sends the call that scores an item's text; ItemScored answers.
+type ScoreItem struct {
+	Job      string
+	Item     int
+	Deadline time.Duration
+}
+
+// ItemScored ends a ScoreItem. Status is that of the answer, 0 without one; Failures counts the answers of 500.
+type ItemScored struct {
+	Job      string
+	Item     int
+	Kind     kinds.Kind
+	Status   int
+	Failures int
+}
+
+// StoreChunk stores the next results of a job; ChunkStored answers.
+type StoreChunk struct {
+	Job    string
+	Number int
+	Items  []int
+	Down   []bool // of the same index
+}
+
+// ChunkStored ends a StoreChunk. Items are those that the stored chunk lists, which another host may have written.
+type ChunkStored struct {
+	Job    string
+	Number int
+	Items  []int
+	Kind   kinds.Kind
+}
+
+func (JobCalled) isEvent()   {}
+func (JobAnswer) isEffect()  {}
+func (KeepJob) isEffect()    {}
+func (JobKept) isEvent()     {}
+func (TakeJob) isEffect()    {}
+func (JobTaken) isEvent()    {}
+func (ListJobs) isEffect()   {}
+func (JobsListed) isEvent()  {}
+func (KnowJob) isEffect()    {}
+func (EndJob) isEffect()     {}
+func (JobEnded) isEvent()    {}
+func (DropJob) isEffect()    {}
+func (RunItem) isEffect()    {}
+func (StopItem) isEffect()   {}
+func (ItemEnded) isEvent()   {}
+func (ScoreItem) isEffect()  {}
+func (ItemScored) isEvent()  {}
+func (StoreChunk) isEffect() {}
+func (ChunkStored) isEvent() {}
--- a/internal/event/lot.go
+++ b/internal/event/lot.go
@@ -110,7 +110,7 @@
 	Endpoint string
 }
 
-// VersionPublished is raised when a rollout's ledger holds a newer version of its model.
+// VersionPublished is raised when a newer version of a model is known to be named.
 type VersionPublished struct {
 	Model   string
 	Version uint64
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -22,6 +22,7 @@
 type RequestArrived struct {
 	Request    uint64
 	KeyHash    string
+	Host       string // name that the caller asked for
 	Path       string
 	Method     string
 	Class      config.Class // "" takes the route's class
@@ -36,6 +37,7 @@
 	Service      string   // plain service to call, "" takes the route's
 	Avoid        []string // endpoints to use only when there is no other
 	MinVersion   uint64   // only engines whose true version is known and at least this; 0 for any
+	Own          bool     // a call of figshift itself, which needs no key
 }
 
 // FirstSampleRequest is the lowest Request of a sample; callers' requests stay below it.
@@ -57,6 +59,8 @@
 	GeneratedTokens int
 	HasUsage        bool
 	Took            time.Duration
+	Own             bool          // a call of figshift itself
+	Began           time.Duration // when an endpoint began to work on it, 0 when none is known to have
 }
 
 // VersionRun is a run of tokens made by one weight version.
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -31,6 +31,14 @@
 		BlockRead{},
 		EngineSwapped{},
 		EngineRead{},
+		JobCalled{},
+		JobKept{},
+		JobTaken{},
+		JobsListed{},
+		JobEnded{},
+		ItemEnded{},
+		ItemScored{},
+		ChunkStored{},
 	}
 }
 
--- a/internal/event/weight.go
+++ b/internal/event/weight.go
@@ -18,6 +18,11 @@
 	Version  uint64
 	Before   time.Duration
 	Timeout  time.Duration // time allowed for the swap after the order
+
+	// The following are for engines that hold several models.
+
+	Holder   string // host that gives the order
+	Accepted uint64 // orders that the engine has accepted; it refuses the order when that has changed
 }
 
 // EngineSwapped ends a SwapEngine. Version is what the engine itself reports, 0 when it could not be read.
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -42,13 +42,15 @@
 	if r.arrived.Sample != nil {
 		return p.identifySample(now, r)
 	}
-	matched, ok := p.routes.Match(r.arrived.Path)
+	matched, ok := p.routes.Match(r.arrived.Host, r.arrived.Path)
 	if !ok {
 		return kinds.RouteUnknown
 	}
 	r.route = matched
-	if kind := p.identifyCaller(now, r); kind != "" {
-		return kind
+	if !r.arrived.Own {
+		if kind := p.identifyCaller(now, r); kind != "" {
+			return kind
+		}
 	}
 	if r.arrived.Generation != (matched.Model != "") {
 		return kinds.NotReady
@@ -57,12 +59,20 @@
 	if r.class == "" {
 		r.class = config.Interactive
 	}
-	r.pool = route.PoolOf(matched)
+	r.pool = route.PoolOf(matched, p.draw(matched))
 	r.idempotent = matched.Idempotent
 	r.deadline = p.deadline(now, r.arrived.Deadline, matched.Timeout)
 	return ""
 }
 
+// draw returns a random number for the choice among a split route's shares, 0 for any other route.
+func (p *Part) draw(r config.Route) float64 {
+	if len(r.Shares) == 0 {
+		return 0
+	}
+	return p.Random.Float64()
+}
+
 func (p *Part) identifySample(now time.Duration, r *request) kinds.Kind {
 	if _, ok := p.Trust.Trusted(now); !ok {
 		return kinds.AuthorityStale
@@ -82,7 +92,7 @@
 
 // identifyCaller finds the organisation of the key. An open route runs without one.
 func (p *Part) identifyCaller(now time.Duration, r *request) kinds.Kind {
-	organisation, kind := p.holder(now, r.arrived.KeyHash)
+	organisation, kind := p.Holder(now, r.arrived.KeyHash)
 	if kind == "" {
 		r.organisation = organisation
 		return ""
@@ -93,8 +103,8 @@
 	return kind
 }
 
-// holder returns the organisation that a key admits now.
-func (p *Part) holder(now time.Duration, hash string) (string, kinds.Kind) {
+// Holder returns the organisation that a key admits now.
+func (p *Part) Holder(now time.Duration, hash string) (string, kinds.Kind) {
 	if hash == "" {
 		return "", kinds.KeyMissing
 	}
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -109,7 +109,15 @@
 
 // mayRetry reports whether a failed attempt could be followed by another one.
 func (p *Part) mayRetry(now time.Duration, r *request) bool {
-	return r.idempotent && r.tries < p.site.Retry.MaxAttempts && now < r.deadline
+	return r.idempotent && r.tries < p.mostTries(r) && now < r.deadline
+}
+
+// mostTries returns the number of endpoints that a request may be sent to.
+func (p *Part) mostTries(r *request) int {
+	if r.route.MaxAttempts > 0 {
+		return r.route.MaxAttempts
+	}
+	return p.site.Retry.MaxAttempts
 }
 
 // connected checks the evidence again before the first byte goes out.
@@ -148,7 +156,7 @@
 
 // keyKind returns why the request's key admits it no longer, "" while it does.
 func (p *Part) keyKind(now time.Duration, r *request) kinds.Kind {
-	organisation, kind := p.holder(now, r.arrived.KeyHash)
+	organisation, kind := p.Holder(now, r.arrived.KeyHash)
 	if kind == "" && organisation != r.organisation {
 		return kinds.KeyWithdrawn
 	}
@@ -186,6 +194,9 @@
 		p.leave(now, id, out)
 	}
 	r.add(e)
+	if e.Run == kinds.Ran || e.Run == kinds.Unknown && e.Status != 0 {
+		r.began = r.sentAt
+	}
 	out.Emit(event.Observe{Name: "AttemptTime", Tags: r.classTag(), Took: now - r.sentAt})
 	switch {
 	case e.Whole:
@@ -213,7 +224,7 @@
 
 // retry starts the wait before another attempt and reports whether one is allowed.
 func (p *Part) retry(now time.Duration, r *request, e event.AttemptDone, out *event.Batch) bool {
-	if !repeatable(r, e) || r.tries >= p.site.Retry.MaxAttempts {
+	if !repeatable(r, e) || r.tries >= p.mostTries(r) {
 		return false
 	}
 	wait := retry.Backoff(p.Random, p.site.Retry.Backoff, r.tries)
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -43,6 +43,8 @@
 		GeneratedTokens: r.made,
 		HasUsage:        r.hasUsage,
 		Took:            now - r.started,
+		Own:             r.arrived.Own,
+		Began:           r.began,
 	})
 }
 
@@ -216,7 +218,7 @@
 func (p *Part) authorise(now time.Duration, e event.AuthoriseCall, out *event.Batch) {
 	organisation, kind := "", kinds.NotReady
 	if p.site != nil {
-		organisation, kind = p.holder(now, e.KeyHash)
+		organisation, kind = p.Holder(now, e.KeyHash)
 	}
 	if kind != "" {
 		out.Emit(event.Count{Name: "Refusals", Tags: []event.Field{{Key: "Kind", Value: string(kind)}}, N: 1})
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -25,6 +25,7 @@
 	Keys    *keys.Table
 	Random  *rand.Rand
 	Process config.Process
+	NoPolls bool                // endpoints tell their load with their answers only
 	Queue   admit.Queue[uint64] // nil takes admit.Fair
 	Picker  route.Picker[*route.Endpoint]
 
@@ -159,7 +160,9 @@
 func (p *Part) tick(now time.Duration, out *event.Batch) {
 	p.checkTrust(now, out)
 	p.fire(now, out)
-	p.polls.tick(now, &p.table, out)
+	if !p.NoPolls {
+		p.polls.tick(now, &p.table, out)
+	}
 	p.demand.tick(now, p, out)
 	p.dispatch(now, out)
 	p.drain.tick(now, len(p.requests), out)
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -36,7 +36,8 @@
 	attempt     uint64
 	tries       int
 	sentAt      time.Duration
-	charged     bool // the queue counts its cost as served
+	began       time.Duration // when the endpoint of the last answer began to work on it, 0 before one
+	charged     bool          // the queue counts its cost as served
 	endpoint    string
 	incarnation string
 	price       string
--- /dev/null
+++ b/internal/items/api.go
@@ -0,0 +1,144 @@
+package items
+
+import (
+	"context"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// pageBytes bounds the texts of one page.
+const pageBytes = 900 << 10
+
+// Call is a caller's call to batch jobs.
+type Call struct {
+	KeyHash string
+	Host    string // name that the caller asked for
+	Path    string
+	Job     string
+}
+
+// Submit stores a job and has it run. The answer's kind is "" once the job will be kept.
+func (x *Executor) Submit(ctx context.Context, c Call, job wire.Job) event.JobAnswer {
+	return x.ask(ctx, event.JobCalled{Call: event.JobSubmit, KeyHash: c.KeyHash, Host: c.Host, Path: c.Path, Job: job.ID, Head: HeadOf(job)}, &job)
+}
+
+// End ends a job.
+func (x *Executor) End(ctx context.Context, c Call) event.JobAnswer {
+	return x.ask(ctx, event.JobCalled{Call: event.JobEnd, KeyHash: c.KeyHash, Host: c.Host, Path: c.Path, Job: c.Job}, nil)
+}
+
+// Authorise tells whose key a read bears.
+func (x *Executor) Authorise(ctx context.Context, c Call) event.JobAnswer {
+	return x.ask(ctx, event.JobCalled{Call: event.JobRead, KeyHash: c.KeyHash, Host: c.Host, Path: c.Path, Job: c.Job}, nil)
+}
+
+// ask hands a call to the reducer and waits for its answer.
+func (x *Executor) ask(ctx context.Context, e event.JobCalled, job *wire.Job) event.JobAnswer {
+	answer := make(chan event.JobAnswer, 1)
+	x.mu.Lock()
+	x.seq++
+	e.Seq = x.seq
+	x.answers[e.Seq] = answer
+	if job != nil {
+		x.arriving[e.Seq] = *job
+	}
+	x.mu.Unlock()
+	defer x.forget(e.Seq)
+	if !x.Post(e) {
+		return event.JobAnswer{Kind: kinds.Stopping}
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+	case <-x.ctx.Done():
+	}
+	return event.JobAnswer{Kind: kinds.OutcomeUnknown}
+}
+
+func (x *Executor) forget(seq uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.answers, seq)
+	delete(x.arriving, seq)
+}
+
+func (x *Executor) answer(a event.JobAnswer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if c := x.answers[a.Seq]; c != nil {
+		c <- a
+		delete(x.answers, a.Seq)
+	}
+}
+
+// Page returns a job's results from a position on, from this host's memory, the host that runs it, or the store.
+func (x *Executor) Page(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, error) {
+	if page, ok := x.Local(ctx, id, after, wait); ok {
+		return page, nil
+	}
+	if owner := x.keeper.owner(id); owner.Host != "" && owner.Host != x.Host {
+		if page, ok := x.Peers.Page(ctx, owner.Host, id, after, wait); ok {
+			return page, nil
+		}
+	}
+	return x.storedPage(ctx, id, after, wait)
+}
+
+// Local returns a page of a job that this host runs; false for any other job.
+func (x *Executor) Local(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, bool) {
+	return x.keeper.page(ctx, id, after, wait, pageBytes)
+}
+
+// pollEvery is the interval at which the store is asked for a chunk that a reader waits for.
+const pollEvery = 400 * time.Millisecond
+
+// storedPage reads a page from the store's chunks.
+func (x *Executor) storedPage(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, error) {
+	job, err := x.load(ctx, id)
+	if err != nil {
+		return wire.JobPage{}, err
+	}
+	j := &kept{job: job}
+	until := time.Now().Add(wait)
+	for {
+		chunk, err := x.chunk(ctx, id, j.chunks)
+		switch {
+		case err == nil:
+			j.chunks++
+			j.listed = append(j.listed, chunk.Results...)
+			continue
+		case kinds.From(err) != kinds.NotFound:
+			return wire.JobPage{}, err
+		}
+		page := j.page(after, pageBytes)
+		if len(page.Results) > 0 || page.Next >= page.Total || time.Now().Add(pollEvery).After(until) || ctx.Err() != nil {
+			return page, nil
+		}
+		pause(ctx, pollEvery)
+	}
+}
+
+// Body returns the body of an item that is not listed yet. Its error has kind NotFound when there is none.
+func (x *Executor) Body(ctx context.Context, id, item string) ([]byte, string, error) {
+	job, err := x.load(ctx, id)
+	if err != nil {
+		return nil, "", err
+	}
+	if j := x.keeper.get(id); j != nil && j.owned {
+		body, ok := x.keeper.body(id, item)
+		if !ok {
+			return nil, job.Organisation, kinds.New(kinds.NotFound, "item %s is listed or not of job %s", item, id)
+		}
+		return body, job.Organisation, nil
+	}
+	for _, it := range job.Items {
+		if it.ID == item {
+			return it.Body, job.Organisation, nil
+		}
+	}
+	return nil, job.Organisation, kinds.New(kinds.NotFound, "job %s has no item %s", id, item)
+}
--- /dev/null
+++ b/internal/items/score.go
@@ -0,0 +1,75 @@
+package items
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/figshift/figshift/internal/call"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// scoreTokens is the estimated cost of a call that scores a text.
+const scoreTokens = 50
+
+// score sends the call that scores an item's text as a request of figshift itself.
+func (x *Executor) score(e event.ScoreItem) {
+	j := x.keeper.get(e.Job)
+	if j == nil || j.job.Items[e.Item].Reward == nil {
+		x.Post(event.ItemScored{Job: e.Job, Item: e.Item, Kind: kinds.NotFound})
+		return
+	}
+	reward := j.job.Items[e.Item].Reward
+	x.mu.Lock()
+	x.scores++
+	request := x.scores
+	x.mu.Unlock()
+	sink := &scoreSink{stamp: x.Names.Stamp}
+	exchange := &call.Exchange{
+		Request: request, ID: reward.ID, Host: reward.Host, Method: http.MethodPost, Target: reward.Path,
+		Header: http.Header{}, Body: reward.Body, Sink: sink,
+	}
+	x.Calls.Open(exchange)
+	defer x.Calls.Close(exchange)
+	x.Post(event.RequestArrived{
+		Request: request, Host: reward.Host, Path: reward.Path, Method: http.MethodPost,
+		Tokens: scoreTokens, Deadline: e.Deadline, Own: true,
+	})
+	answer := exchange.Run(context.Background(), x.Calls, func() {})
+	done := event.ItemScored{Job: e.Job, Item: e.Item, Kind: answer.Kind, Status: sink.status, Failures: exchange.Failed()}
+	if done.Kind == "" && sink.status/100 == 2 {
+		t := j.texts[e.Item]
+		t.mu.Lock()
+		t.score = sink.score
+		t.mu.Unlock()
+	}
+	x.Post(done)
+}
+
+// scoreSink takes the answer of a call that scores a text.
+type scoreSink struct {
+	stamp  string
+	status int
+	score  string
+}
+
+// Head takes the score.
+func (s *scoreSink) Head(status int, header http.Header) error {
+	s.status, s.score = status, header.Get(s.stamp)
+	return nil
+}
+
+// Body drops the answer's body.
+func (s *scoreSink) Body([]byte) error { return nil }
+
+// Trailer does nothing.
+func (s *scoreSink) Trailer(http.Header) {}
+
+// Segment refuses a generation.
+func (s *scoreSink) Segment(wire.Segment) error {
+	return kinds.New(kinds.EndpointRefused, "a score was answered with a generation")
+}
+
+// Interrupt does nothing, since nothing blocks.
+func (s *scoreSink) Interrupt() {}
--- /dev/null
+++ b/internal/items/store.go
@@ -0,0 +1,372 @@
+package items
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const (
+	callTimeout = time.Second     // one call to the store
+	keepBudget  = 3 * time.Second // until the outcome of a submission must be told
+	endBudget   = 3 * time.Second
+	storeRetry  = 150 * time.Millisecond
+)
+
+// keep stores a job. A conflict with this process's own write, whose answer was lost, is success.
+func (x *Executor) keep(ctx context.Context, e event.KeepJob) {
+	x.Post(event.JobKept{Seq: e.Seq, Job: e.Job, Kind: x.create(ctx, e)})
+}
+
+func (x *Executor) create(ctx context.Context, e event.KeepJob) kinds.Kind {
+	job, ok := x.submitted(e)
+	if !ok {
+		return kinds.Internal
+	}
+	value, err := encode(job)
+	if err != nil {
+		return kinds.Internal
+	}
+	put := wire.ObjectPut{Name: wire.PrefixJobs + job.ID, Writer: x.writer(e.Seq), Value: value}
+	until := time.Now().Add(keepBudget)
+	unknown := false
+	for {
+		kind := x.put(ctx, put)
+		if kind == kinds.Conflict {
+			kind = x.written(ctx, put)
+		}
+		switch kind {
+		case "":
+			x.keeper.add(job)
+			x.keeper.setOwned(job.ID, true)
+			return ""
+		case kinds.Conflict:
+			return kinds.Conflict
+		case kinds.StoreRefused:
+		default:
+			unknown = true
+		}
+		if time.Now().After(until) || ctx.Err() != nil {
+			if unknown {
+				return kinds.OutcomeUnknown
+			}
+			return kinds.StoreRefused
+		}
+		pause(ctx, storeRetry)
+	}
+}
+
+// put makes one conditional write.
+func (x *Executor) put(ctx context.Context, put wire.ObjectPut) kinds.Kind {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := x.Store.Put(ctx, put)
+	return kinds.From(err)
+}
+
+// written tells after a conflict whether the stored object is this very write.
+func (x *Executor) written(ctx context.Context, put wire.ObjectPut) kinds.Kind {
+	object, err := x.get(ctx, put.Name)
+	switch {
+	case err != nil:
+		return kinds.StoreUnavailable
+	case object.Writer == put.Writer:
+		return ""
+	default:
+		return kinds.Conflict
+	}
+}
+
+func (x *Executor) get(ctx context.Context, name string) (wire.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return x.Store.Get(ctx, name)
+}
+
+func (x *Executor) writer(seq uint64) string {
+	return x.Host + "/" + x.Incarnation + "/" + strconv.FormatUint(seq, 10)
+}
+
+// submitted returns the job of a submission under way, completed by what was decided.
+func (x *Executor) submitted(e event.KeepJob) (wire.Job, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	job, ok := x.arriving[e.Seq]
+	delete(x.arriving, e.Seq)
+	job.Organisation, job.Route, job.Single = e.Organisation, e.Route, e.Single
+	job.DueMS, job.GiveUpMS = e.Due.Milliseconds(), e.GiveUp.Milliseconds()
+	job.Host, job.Incarnation = x.Host, x.Incarnation
+	return job, ok
+}
+
+// storeChunk writes the next results. When another owner wrote the same number, its results are taken.
+func (x *Executor) storeChunk(ctx context.Context, e event.StoreChunk) {
+	done := event.ChunkStored{Job: e.Job, Number: e.Number, Items: e.Items}
+	j := x.keeper.get(e.Job)
+	if j == nil {
+		done.Kind = kinds.NotFound
+		x.Post(done)
+		return
+	}
+	chunk := wire.JobChunk{}
+	for n, i := range e.Items {
+		chunk.Results = append(chunk.Results, j.result(i, e.Down[n]))
+	}
+	value, err := encode(chunk)
+	if err != nil {
+		done.Kind = kinds.Internal
+		x.Post(done)
+		return
+	}
+	put := wire.ObjectPut{Name: chunkName(e.Job, e.Number), Writer: x.writer(uint64(e.Number)), Value: value}
+	done.Kind = x.put(ctx, put)
+	if done.Kind == kinds.Conflict {
+		chunk, err = x.chunk(ctx, e.Job, e.Number)
+		if err != nil {
+			done.Kind = kinds.StoreUnavailable
+		}
+		done.Items = indices(chunk)
+	}
+	if done.Kind == "" || done.Kind == kinds.Conflict {
+		x.keeper.extend(e.Job, e.Number, chunk.Results)
+		x.free(j, done.Items)
+	}
+	x.Post(done)
+}
+
+// free drops the texts of listed items, whose results are kept apart.
+func (x *Executor) free(j *kept, listed []int) {
+	for _, i := range listed {
+		if i < len(j.texts) {
+			j.texts[i].reset()
+		}
+	}
+}
+
+func chunkName(job string, number int) string {
+	return wire.PrefixChunks + job + "." + strconv.Itoa(number)
+}
+
+func (x *Executor) chunk(ctx context.Context, job string, number int) (wire.JobChunk, error) {
+	var chunk wire.JobChunk
+	object, err := x.get(ctx, chunkName(job, number))
+	if err != nil {
+		return chunk, err
+	}
+	return chunk, decode(object.Value, &chunk)
+}
+
+func indices(chunk wire.JobChunk) []int {
+	var all []int
+	for _, r := range chunk.Results {
+		all = append(all, r.Item)
+	}
+	return all
+}
+
+// end records that a job was ended, whoever runs it.
+func (x *Executor) end(ctx context.Context, id string) {
+	until := time.Now().Add(endBudget)
+	kind := kinds.StoreUnavailable
+	for {
+		kind = x.tryEnd(ctx, id)
+		if kind == "" || kind == kinds.NotFound || time.Now().After(until) || ctx.Err() != nil {
+			break
+		}
+		pause(ctx, storeRetry)
+	}
+	x.Post(event.JobEnded{Job: id, Kind: kind})
+}
+
+func (x *Executor) tryEnd(ctx context.Context, id string) kinds.Kind {
+	if x.keeper.get(id) == nil && x.keeper.owner(id).Job == "" {
+		if _, err := x.get(ctx, wire.PrefixJobs+id); err != nil {
+			return kinds.From(err)
+		}
+	}
+	owner, version, err := x.ownerOf(ctx, id)
+	if err != nil {
+		return kinds.From(err)
+	}
+	if owner.Ended {
+		return ""
+	}
+	if owner.Host == "" {
+		seen := x.keeper.owner(id)
+		owner = wire.JobOwner{Host: seen.Host, Incarnation: seen.Incarnation, Epoch: seen.Epoch}
+	}
+	owner.Ended = true
+	return x.putOwner(ctx, id, owner, version)
+}
+
+func (x *Executor) ownerOf(ctx context.Context, id string) (wire.JobOwner, uint64, error) {
+	var owner wire.JobOwner
+	object, err := x.get(ctx, wire.PrefixOwners+id)
+	if kinds.From(err) == kinds.NotFound {
+		return owner, 0, nil
+	}
+	if err != nil {
+		return owner, 0, err
+	}
+	return owner, object.Version, json.Unmarshal(object.Value, &owner)
+}
+
+func (x *Executor) putOwner(ctx context.Context, id string, owner wire.JobOwner, version uint64) kinds.Kind {
+	value, err := json.Marshal(owner)
+	if err != nil {
+		return kinds.Internal
+	}
+	return x.put(ctx, wire.ObjectPut{Name: wire.PrefixOwners + id, Version: version, Writer: x.writer(owner.Epoch), Value: value})
+}
+
+// take makes this host the owner of a job and reads what is listed.
+func (x *Executor) take(ctx context.Context, e event.TakeJob) {
+	done := event.JobTaken{Job: e.Job}
+	done.Kind = x.tryTake(ctx, e, &done)
+	x.Post(done)
+}
+
+func (x *Executor) tryTake(ctx context.Context, e event.TakeJob, done *event.JobTaken) kinds.Kind {
+	job, err := x.load(ctx, e.Job)
+	if err != nil {
+		return kinds.From(err)
+	}
+	owner, version, err := x.ownerOf(ctx, e.Job)
+	if err != nil {
+		return kinds.From(err)
+	}
+	done.Epoch = owner.Epoch
+	done.Ended = owner.Ended
+	if owner.Ended {
+		return ""
+	}
+	if owner.Epoch > e.Epoch && owner.Incarnation != x.Incarnation {
+		return kinds.Conflict
+	}
+	if owner.Incarnation != x.Incarnation || owner.Epoch == 0 {
+		next := wire.JobOwner{Host: x.Host, Incarnation: x.Incarnation, Epoch: owner.Epoch + 1}
+		if kind := x.putOwner(ctx, e.Job, next, version); kind != "" {
+			return kind
+		}
+		done.Epoch = next.Epoch
+	}
+	j := x.keeper.add(job)
+	for {
+		chunk, err := x.chunk(ctx, e.Job, j.chunks)
+		if kinds.From(err) == kinds.NotFound {
+			break
+		}
+		if err != nil {
+			return kinds.From(err)
+		}
+		x.keeper.extend(e.Job, j.chunks, chunk.Results)
+	}
+	for _, r := range j.listed {
+		done.Listed = append(done.Listed, r.Item)
+	}
+	done.Chunks = j.chunks
+	done.Head = x.head(job)
+	x.keeper.setOwned(e.Job, true)
+	return ""
+}
+
+// load returns a job from memory or the store.
+func (x *Executor) load(ctx context.Context, id string) (wire.Job, error) {
+	if j := x.keeper.get(id); j != nil {
+		return j.job, nil
+	}
+	var job wire.Job
+	object, err := x.get(ctx, wire.PrefixJobs+id)
+	if err != nil {
+		return job, err
+	}
+	return job, decode(object.Value, &job)
+}
+
+// head returns what the reducer knows of a job, its times on this daemon's clock.
+func (x *Executor) head(job wire.Job) event.JobHead {
+	head := HeadOf(job)
+	begun := x.Now() - time.Since(time.UnixMilli(job.Submitted))
+	head.Due = begun + time.Duration(job.DueMS)*time.Millisecond
+	head.GiveUp = begun + time.Duration(job.GiveUpMS)*time.Millisecond
+	return head
+}
+
+// HeadOf returns what the reducer knows of a job but for its times.
+func HeadOf(job wire.Job) event.JobHead {
+	head := event.JobHead{
+		ID: job.ID, Organisation: job.Organisation, Route: job.Route, Model: job.Model,
+		MinVersion: job.MinVersion, Target: job.Target, Single: job.Single,
+	}
+	groups := map[string]int{}
+	for _, it := range job.Items {
+		g, ok := groups[it.Group]
+		if !ok {
+			g = len(groups)
+			groups[it.Group] = g
+		}
+		h := event.ItemHead{Group: g, Tokens: it.Tokens, Hint: it.Hint}
+		if it.Reward != nil {
+			h.ScoreHost, h.ScorePath = it.Reward.Host, it.Reward.Path
+		}
+		head.Items = append(head.Items, h)
+	}
+	return head
+}
+
+// listJobs reads which jobs there are and who runs them.
+func (x *Executor) listJobs(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 5*callTimeout)
+	defer cancel()
+	jobs, err := x.Store.List(ctx, wire.PrefixJobs)
+	if err != nil {
+		x.Post(event.JobsListed{Kind: kinds.From(err)})
+		return
+	}
+	owners, err := x.Store.List(ctx, wire.PrefixOwners)
+	if err != nil {
+		x.Post(event.JobsListed{Kind: kinds.From(err)})
+		return
+	}
+	taken := map[string]wire.JobOwner{}
+	for _, o := range owners.Objects {
+		var owner wire.JobOwner
+		if json.Unmarshal(o.Value, &owner) == nil {
+			taken[strings.TrimPrefix(o.Name, wire.PrefixOwners)] = owner
+		}
+	}
+	var done event.JobsListed
+	for _, o := range jobs.Objects {
+		var job wire.Job
+		if decode(o.Value, &job) != nil {
+			continue // another writer's object
+		}
+		seen := event.JobSeen{Job: job.ID, Host: job.Host, Incarnation: job.Incarnation}
+		if owner, ok := taken[job.ID]; ok {
+			seen = event.JobSeen{Job: job.ID, Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch, Ended: owner.Ended}
+		}
+		done.Jobs = append(done.Jobs, seen)
+	}
+	x.Post(done)
+}
+
+func encode(v any) ([]byte, error) { return msgpack.Marshal(v) }
+
+func decode(value []byte, v any) error { return msgpack.Unmarshal(value, v) }
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/kinds/kinds.go
+++ b/internal/kinds/kinds.go
@@ -26,6 +26,8 @@
 	StreamCut         Kind = "StreamCut"
 	Stopping          Kind = "Stopping"
 	StoreUnavailable  Kind = "StoreUnavailable"
+	StoreRefused      Kind = "StoreRefused"
+	HistoryGone       Kind = "HistoryGone"
 	Conflict          Kind = "Conflict"
 	NotFound          Kind = "NotFound"
 	NotHolder         Kind = "NotHolder"
@@ -74,6 +76,8 @@
 	StreamCut:         {http.StatusBadGateway, Unknown, false},
 	Stopping:          {http.StatusServiceUnavailable, NotRun, true},
 	StoreUnavailable:  {http.StatusServiceUnavailable, NotRun, true},
+	StoreRefused:      {http.StatusServiceUnavailable, NotRun, true},
+	HistoryGone:       {http.StatusGone, NotRun, false},
 	Conflict:          {http.StatusConflict, NotRun, false},
 	NotFound:          {http.StatusNotFound, NotRun, false},
 	NotHolder:         {http.StatusServiceUnavailable, NotRun, true},
--- a/internal/member/admit.go
+++ b/internal/member/admit.go
@@ -35,7 +35,7 @@
 	}
 	p.register.written = false
 	if !ok {
-		p.register.admit = false
+		p.register.admit = p.Open
 	}
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -33,6 +33,7 @@
 	Self         event.Host
 	Contributors []Contributor
 	Store        Store
+	Open         bool // hosts count from their registration on; nothing depends on a majority
 
 	trust    config.Trust
 	register register
@@ -122,6 +123,7 @@
 	p.asks = asks{base: xxhash.Sum64String(p.Self.Incarnation), pending: map[uint64]pendingAsk{}}
 	p.versions = map[string]uint64{}
 	p.silent = map[string]time.Duration{}
+	p.register.admit = p.Open
 	p.nextBeat = now
 	out.Raise(event.HostsChanged{Hosts: p.Known()})
 }
--- a/internal/objapi/executor.go
+++ b/internal/objapi/executor.go
@@ -12,6 +12,18 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
+// Store is the object API: the site's own or the platform's. Its methods may be called concurrently; every error has
+// one of the kinds NotFound, Conflict, StoreRefused (nothing was done), HistoryGone (of Watch) and StoreUnavailable,
+// after which a write may or may not have taken effect.
+type Store interface {
+	Get(ctx context.Context, name string) (wire.Object, error)
+	Put(ctx context.Context, put wire.ObjectPut) (wire.Object, error)
+	Delete(ctx context.Context, name string, version uint64) error
+	List(ctx context.Context, prefix string) (wire.ObjectList, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (wire.ObjectList, error)
+	Endpoints(ctx context.Context) (wire.EndpointList, error)
+}
+
 const (
 	callsPerSecond = 50
 	callBurst      = 100
@@ -23,7 +35,7 @@
 // Executor carries out the effects on the object API: urgent calls first, all within a token bucket.
 // Its exported fields are set before Prepare.
 type Executor struct {
-	Client  *Client
+	Client  Store
 	Post    func(event.Event) bool
 	Now     func() time.Duration // monotonic, on the reducer's clock
 	Scope   tally.Scope
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 )
 
@@ -48,7 +49,8 @@
 
 // connect dials, proves the secret and sends until the connection fails or ctx ends.
 func (l *link) connect(ctx context.Context) error {
-	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: l.mesh.localAddress()}
+	dialer := conns.Dialer(dialTimeout)
+	dialer.LocalAddr = l.mesh.localAddress()
 	conn, err := dialer.DialContext(ctx, "tcp", l.host.Address)
 	if err != nil {
 		return errors.Wrap(err, "dialling a peer")
--- a/internal/route/match.go
+++ b/internal/route/match.go
@@ -21,16 +21,16 @@
 		rs = append(rs, r)
 	}
 	slices.SortFunc(rs, func(a, b config.Route) int {
-		return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
+		return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix), cmp.Compare(b.Host, a.Host))
 	})
 	return rs
 }
 
-// Match returns the route with the longest prefix of path, false when there is none.
-// A prefix ends at a path segment's boundary. It may be called concurrently.
-func (rs Routes) Match(path string) (config.Route, bool) {
+// Match returns the route of a host name with the longest prefix of path, false when there is none. Routes without
+// a host name match any. A prefix ends at a path segment's boundary. It may be called concurrently.
+func (rs Routes) Match(host, path string) (config.Route, bool) {
 	for _, r := range rs {
-		if covers(r.Prefix, path) {
+		if (r.Host == "" || r.Host == host) && covers(r.Prefix, path) {
 			return r, true
 		}
 	}
@@ -53,10 +53,26 @@
 // It may be called concurrently.
 func ServicePool(service string) string { return string(wire.Service) + "/" + service }
 
-// PoolOf returns the pool that serves a route. It may be called concurrently.
-func PoolOf(r config.Route) string {
+// PoolOf returns the pool that serves a route; draw, from 0 to below 1, chooses among the shares of a split route.
+// It may be called concurrently.
+func PoolOf(r config.Route, draw float64) string {
 	if r.Model != "" {
 		return EnginePool(r.Model)
 	}
-	return ServicePool(r.Service)
+	return ServicePool(serviceOf(r, draw))
+}
+
+func serviceOf(r config.Route, draw float64) string {
+	sum := 0
+	for _, s := range r.Shares {
+		sum += s.Weight
+	}
+	left := draw * float64(sum)
+	for _, s := range r.Shares {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return r.Service
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -20,7 +20,7 @@
 	routes := NewRoutes(site)
 	for path, want := range map[string]string{"/a": "/a", "/a/x": "/a", "/a/b": "/a/b", "/a/b/c": "/a/b", "/a/bc": "/a", "/ab": "", "/c/d": "/c/", "/c": ""} {
 		t.Run(path, func(t *testing.T) {
-			got, _ := routes.Match(path)
+			got, _ := routes.Match("", path)
 			if diff := cmp.Diff(want, got.Name); diff != "" {
 				t.Error(diff)
 			}
--- a/internal/serve/read.go
+++ b/internal/serve/read.go
@@ -42,6 +42,9 @@
 	if use == nil {
 		return nil, kinds.New(kinds.NotReady, "no configuration yet")
 	}
+	if s.Protocol != nil {
+		return s.readBy(w, r, now, use)
+	}
 	if err := checkHead(r, use.site.Limits); err != nil {
 		return nil, err
 	}
@@ -69,6 +72,28 @@
 	return in, nil
 }
 
+// readBy reads a request by the protocol of the server.
+func (s *Server) readBy(w http.ResponseWriter, r *http.Request, now time.Duration, use *use) (*incoming, error) {
+	head, err := s.Protocol.Read(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := s.readBody(w, r, use.site.Limits.MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	in := &incoming{exchange: &call.Exchange{
+		ID: head.ID, Host: r.Host, Method: r.Method, Target: head.Target, Header: head.Header, Body: body,
+	}}
+	in.arrived = event.RequestArrived{
+		KeyHash: head.KeyHash, Host: r.Host, Path: r.URL.Path, Method: r.Method, Tokens: serviceTokens + len(body)/bytesPerToken,
+	}
+	if head.Within > 0 {
+		in.arrived.Deadline = now + head.Within
+	}
+	return in, nil
+}
+
 // complete sets what the body and the route tell.
 func (in *incoming) complete(now time.Duration, r *http.Request, key string, use *use) error {
 	if key != "" && bytes.Contains(in.exchange.Body, []byte(key)) {
@@ -78,7 +103,7 @@
 		return err
 	}
 	in.exchange.Header.Del(headerTimeout)
-	matched, ok := use.routes.Match(r.URL.Path)
+	matched, ok := use.routes.Match(r.Host, r.URL.Path)
 	if !ok || matched.Model == "" {
 		return nil
 	}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -33,6 +33,7 @@
 	Post     func(event.Event) bool
 	Now      func() time.Duration
 	Handlers map[string]http.Handler // by path prefix, for calls that figshift answers itself
+	Protocol Protocol                // nil takes the project's own
 
 	last     atomic.Uint64
 	site     atomic.Pointer[use]
@@ -42,6 +43,25 @@
 	closing  chan struct{}
 }
 
+// Protocol tells how callers speak. Its methods may be called concurrently.
+type Protocol interface {
+	// Read sets what the head of a call tells. The key is in neither what it returns nor what goes on.
+	Read(r *http.Request) (Head, error)
+	// Refuse writes an answer of figshift's own.
+	Refuse(w http.ResponseWriter, answer event.AnswerRequest, id string)
+	// Jobs answers the submissions of batch jobs.
+	Jobs() http.Handler
+}
+
+// Head is what the head of a call tells.
+type Head struct {
+	ID      string
+	KeyHash string // of the key that the call bears, "" without one
+	Target  string // path and query as they came
+	Header  http.Header
+	Within  time.Duration // time that the caller waits, 0 when it does not tell
+}
+
 // use is the configuration in force with its routes.
 type use struct {
 	site   *config.Site
@@ -102,22 +122,25 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	switch r.URL.Path {
-	case "/healthz":
-		w.WriteHeader(http.StatusOK)
-		return
-	case "/readyz":
-		s.readyz(w)
-		return
+	if s.Protocol == nil {
+		switch r.URL.Path {
+		case "/healthz":
+			w.WriteHeader(http.StatusOK)
+			return
+		case "/readyz":
+			s.Readyz(w, r)
+			return
+		}
 	}
-	if h := s.handler(r.URL.Path); h != nil {
+	if h := s.handler(r); h != nil {
 		h.ServeHTTP(w, r)
 		return
 	}
 	s.caller(w, r)
 }
 
-func (s *Server) readyz(w http.ResponseWriter) {
+// Readyz answers with 200 while the daemon takes callers. It may be called concurrently.
+func (s *Server) Readyz(w http.ResponseWriter, _ *http.Request) {
 	ready := s.ready.Load()
 	switch {
 	case s.draining.Load():
@@ -131,8 +154,19 @@
 	}
 }
 
-// handler returns the handler with the longest prefix of path, nil for none.
-func (s *Server) handler(path string) http.Handler {
+// handler returns the handler of a call that figshift answers itself, nil for any other.
+func (s *Server) handler(r *http.Request) http.Handler {
+	if s.Protocol != nil {
+		use := s.site.Load()
+		if use == nil {
+			return nil
+		}
+		matched, _ := use.routes.Match(r.Host, r.URL.Path)
+		if matched.Jobs != nil && r.Method == http.MethodPost {
+			return s.Protocol.Jobs()
+		}
+	}
+	path := r.URL.Path
 	var found http.Handler
 	longest := -1
 	for prefix, h := range s.Handlers {
@@ -149,24 +183,35 @@
 	id := s.Executor.RequestID(request)
 	in, err := s.read(w, r)
 	if err != nil {
-		WriteError(w, event.AnswerRequest{Kind: kinds.From(err), Detail: detailOf(err)}, id)
+		s.refuse(w, event.AnswerRequest{Kind: kinds.From(err), Detail: detailOf(err)}, id)
 		return
 	}
 	defer s.bodies.Add(-int64(len(in.exchange.Body)))
 	sink := &httpSink{writer: w, control: http.NewResponseController(w)}
 	in.exchange.Request, in.exchange.Sink = request, sink
 	in.arrived.Request = request
-	w.Header().Set(headerRequest, id)
+	if s.Protocol == nil {
+		w.Header().Set(headerRequest, id)
+	}
 	s.Executor.Open(in.exchange)
 	defer s.Executor.Close(in.exchange)
 	if !s.Post(in.arrived) {
-		WriteError(w, event.AnswerRequest{Kind: kinds.Stopping}, id)
+		s.refuse(w, event.AnswerRequest{Kind: kinds.Stopping}, id)
 		return
 	}
 	answer := in.exchange.Run(r.Context(), s.Executor, func() { s.Post(event.CallerGone{Request: request}) })
 	s.end(w, sink, in.exchange, answer)
 }
 
+// refuse writes an answer of our own.
+func (s *Server) refuse(w http.ResponseWriter, answer event.AnswerRequest, id string) {
+	if s.Protocol != nil {
+		s.Protocol.Refuse(w, answer, id)
+		return
+	}
+	WriteError(w, answer, id)
+}
+
 // end writes our own answer, or ends one that has begun so that the caller sees that it is not whole.
 func (s *Server) end(w http.ResponseWriter, sink *httpSink, e *call.Exchange, answer event.AnswerRequest) {
 	if answer.Kind == "" {
@@ -174,7 +219,7 @@
 	}
 	_ = sink.control.SetWriteDeadline(time.Now().Add(answerTimeout))
 	if !e.Begun() {
-		WriteError(w, answer, e.ID)
+		s.refuse(w, answer, e.ID)
 		return
 	}
 	sink.cut(answer, e.Generate != nil)
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -29,6 +29,7 @@
 type Counter struct {
 	Host        string
 	Incarnation string
+	Requests    bool // callers' requests are counted, by the time at which they began, in place of tokens
 
 	settings  config.Usage
 	hosts     int
@@ -86,6 +87,10 @@
 
 // count adds a request's tokens to its organisation's figure of the present window.
 func (c *Counter) count(now time.Duration, e event.RequestDone, out *event.Batch) {
+	if c.Requests {
+		c.countRequest(e)
+		return
+	}
 	if !e.HasUsage {
 		return
 	}
@@ -103,6 +108,14 @@
 	})
 }
 
+// countRequest adds a caller's request that an endpoint began to work on.
+func (c *Counter) countRequest(e event.RequestDone) {
+	if e.Own || e.Began == 0 || e.Organisation == "" {
+		return
+	}
+	c.add(WindowAt(e.Began+c.offset, c.length()), wire.UsageFigure{Organisation: e.Organisation, Requests: 1})
+}
+
 // repeated reports whether a sample was counted before: the second answer is that of a hedge's loser.
 func (c *Counter) repeated(ref *event.SampleRef) bool {
 	if ref == nil {
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -52,6 +53,11 @@
 		return
 	}
 	t.report.id = ""
+	if e.Kind == kinds.Conflict {
+		// The platform has seen a higher epoch: this one must not be used again.
+		out.Raise(event.ReleaseDuty{Duty: event.DutyUsage})
+		return
+	}
 	if e.Kind != "" {
 		out.Emit(event.Count{Name: "UsageReportRetried", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
 		t.report.retryAt = now + min(firstRetry<<min(t.report.tries, 10), lastRetry)
--- /dev/null
+++ b/internal/view/apply.go
@@ -0,0 +1,138 @@
+package view
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// apply puts changed objects into force.
+func (p *Part) apply(now time.Duration, f *feed, changed []wire.Object, out *event.Batch) {
+	if len(changed) == 0 {
+		return
+	}
+	switch f.prefix {
+	case PrefixConfig:
+		for _, o := range changed {
+			p.takeSite(now, o, out)
+		}
+	case PrefixEndpoints:
+		p.takeEndpoints(now, f, changed, out)
+	case PrefixVersions:
+		for _, o := range changed {
+			p.takeVersion(o, out)
+		}
+	default:
+		for _, o := range changed {
+			out.Raise(event.ObjectSeen{Object: o})
+		}
+	}
+}
+
+// takeSite puts a configuration into force that is newer than the one in force.
+func (p *Part) takeSite(now time.Duration, o wire.Object, out *event.Batch) {
+	if o.Deleted {
+		return
+	}
+	site, entries, err := p.Decode.Site(o.Value)
+	if err != nil {
+		refuse(o.Name, err, out)
+		return
+	}
+	if p.site != nil && site.Revision <= p.site.Revision {
+		return
+	}
+	p.site = site
+	p.Keys.Entries = entries
+	out.Emit(event.Log{Level: "info", Event: "ConfigInForce", Fields: []event.Field{
+		{Key: "Version", Value: strconv.FormatUint(site.Revision, 10)},
+		{Key: "Revision", Value: strconv.FormatUint(o.Revision, 10)},
+		{Key: "Routes", Value: strconv.Itoa(len(site.Routes))},
+		{Key: "Keys", Value: strconv.Itoa(len(entries))},
+	}})
+	out.Raise(event.ConfigInForce{Site: site})
+	out.Raise(event.KeysInForce{Revision: site.Revision})
+}
+
+func (p *Part) takeVersion(o wire.Object, out *event.Batch) {
+	if o.Deleted {
+		return
+	}
+	named, err := p.Decode.Version(o.Value)
+	if err != nil {
+		refuse(o.Name, err, out)
+		return
+	}
+	out.Emit(event.Log{Level: "info", Event: "VersionNamed", Fields: []event.Field{
+		{Key: "Model", Value: named.Model}, {Key: "Version", Value: strconv.FormatUint(named.Version, 10)},
+	}})
+	out.Raise(event.VersionPublished(named))
+}
+
+// takeEndpoints raises the list of endpoints. An entry that went while the store was away is kept for a while, since
+// its endpoint may only have been unable to renew it.
+func (p *Part) takeEndpoints(now time.Duration, f *feed, changed []wire.Object, out *event.Batch) {
+	for _, o := range changed {
+		name := strings.TrimPrefix(o.Name, PrefixEndpoints)
+		if !o.Deleted {
+			delete(p.lapsed, name)
+			continue
+		}
+		gone, err := p.Decode.Endpoint(name, o.Value)
+		late := p.away() || now-p.returned < lapseGrace
+		if late && err == nil && gone.State == wire.Live {
+			p.lapsed[name] = lapse{endpoint: gone, since: now}
+		}
+		out.Emit(event.Log{Level: "info", Event: "EndpointGone", Fields: []event.Field{
+			{Key: "Endpoint", Value: name},
+			{Key: "Kept", Value: strconv.FormatBool(late)},
+			{Key: "Revision", Value: strconv.FormatUint(o.Revision, 10)},
+		}})
+	}
+	p.raiseEndpoints(f, out)
+}
+
+func (p *Part) raiseEndpoints(f *feed, out *event.Batch) {
+	list := wire.EndpointList{Revision: f.newest}
+	for _, o := range f.sorted() {
+		e, err := p.Decode.Endpoint(strings.TrimPrefix(o.Name, PrefixEndpoints), o.Value)
+		if err != nil {
+			refuse(o.Name, err, out)
+			continue
+		}
+		list.Endpoints = append(list.Endpoints, e)
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.lapsed)) {
+		list.Endpoints = append(list.Endpoints, p.lapsed[name].endpoint)
+	}
+	out.Raise(event.EndpointsListed{List: list})
+}
+
+// dropLapsed gives up the kept entries that have not come back in time.
+func (p *Part) dropLapsed(now time.Duration, out *event.Batch) {
+	if len(p.lapsed) == 0 || p.away() {
+		return
+	}
+	dropped := false
+	for name, l := range p.lapsed {
+		if now-max(p.returned, l.since-lapseGrace) >= lapseGrace {
+			delete(p.lapsed, name)
+			dropped = true
+		}
+	}
+	if dropped {
+		p.raiseEndpoints(p.feed(PrefixEndpoints), out)
+	}
+}
+
+func refuse(name string, err error, out *event.Batch) {
+	out.Emit(event.Count{Name: "ObjectsRefused", Tags: []event.Field{{Key: "Reason", Value: "Undecodable"}}, N: 1})
+	out.Emit(event.Log{Level: "warn", Event: "ObjectRefused", Fields: []event.Field{
+		{Key: "Name", Value: name}, {Key: "Error", Value: err.Error()},
+	}})
+}
--- /dev/null
+++ b/internal/view/peers.go
@@ -0,0 +1,84 @@
+package view
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// compare looks for changes that a peer knows and this daemon does not: its own watch may be silent.
+func (p *Part) compare(now time.Duration, e event.BeatSeen, out *event.Batch) {
+	if len(e.Beat.Positions) != len(p.feeds) {
+		return
+	}
+	var pull wire.Pull
+	for i, f := range p.feeds {
+		if e.Beat.Positions[i] <= f.newest {
+			continue
+		}
+		pull.Prefixes = append(pull.Prefixes, f.prefix)
+		pull.After = append(pull.After, f.newest)
+	}
+	if len(pull.Prefixes) == 0 || now-p.pulled[e.Host] < pullEvery && p.pulled[e.Host] != 0 {
+		return
+	}
+	p.pulled[e.Host] = now
+	out.Emit(event.SendPeer{Host: e.Host, Message: wire.Message{Pull: &pull}})
+}
+
+func (p *Part) receive(now time.Duration, e event.PeerReceived, out *event.Batch) {
+	switch {
+	case e.Message.Pull != nil:
+		p.answerPull(e.Host, *e.Message.Pull, out)
+	case e.Message.Push != nil:
+		p.takePush(now, *e.Message.Push, out)
+	}
+}
+
+// answerPull sends the objects that changed after a revision, removals among them.
+func (p *Part) answerPull(to string, pull wire.Pull, out *event.Batch) {
+	if len(pull.After) != len(pull.Prefixes) {
+		return
+	}
+	for i, prefix := range pull.Prefixes {
+		f := p.feed(prefix)
+		if f == nil {
+			continue
+		}
+		push := wire.Push{Prefix: prefix, After: pull.After[i], Revision: f.newest}
+		for _, o := range f.sorted() {
+			if o.Revision > push.After {
+				push.Objects = append(push.Objects, o)
+			}
+		}
+		for _, name := range slices.Sorted(maps.Keys(f.removed)) {
+			if revision := f.removed[name]; revision > push.After {
+				push.Objects = append(push.Objects, wire.Object{Name: name, Revision: revision, Deleted: true})
+			}
+		}
+		out.Emit(event.SendPeer{Host: to, Message: wire.Message{Push: &push}})
+	}
+}
+
+// takePush takes what a peer knows. The own watch goes on from its own position.
+func (p *Part) takePush(now time.Duration, push wire.Push, out *event.Batch) {
+	f := p.feed(push.Prefix)
+	if f == nil {
+		return
+	}
+	var changed []wire.Object
+	for _, o := range push.Objects {
+		old := f.objects[o.Name]
+		if !f.take(o) {
+			continue
+		}
+		if o.Deleted {
+			o.Value = old.Value
+		}
+		changed = append(changed, o)
+	}
+	p.apply(now, f, changed, out)
+}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,183 @@
+// Package view follows the platform's objects by this daemon's own lists and watches, and fills gaps from the peers
+// when the store does not answer here.
+package view
+
+import (
+	"time"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// The prefixes of the objects that every daemon follows.
+const (
+	PrefixConfig    = "Config/"
+	PrefixEndpoints = "Endpoints/"
+	PrefixVersions  = "Versions/"
+	PrefixHosts     = "Hosts/"
+)
+
+const (
+	owner      = "view"
+	shortWait  = 4 * time.Second // of a watch whose objects bind within seconds
+	longWait   = 10 * time.Second
+	firstRetry = 100 * time.Millisecond
+	mostRetry  = time.Second
+	pullEvery  = 300 * time.Millisecond
+	// lapseGrace is the time after the store's return in which an endpoint's lapsed entry comes back.
+	lapseGrace = 2 * time.Second
+	// awayAfter is the time without an answer after which the store counts as away.
+	awayAfter = 1500 * time.Millisecond
+)
+
+// Decoder reads the platform's own objects. Its methods are pure.
+type Decoder interface {
+	// Site returns the configuration and its organisations' keys.
+	Site(value []byte) (*config.Site, map[string]keys.Entry, error)
+	// Endpoint returns an endpoint's entry; an error names no endpoint to use.
+	Endpoint(name string, value []byte) (wire.Endpoint, error)
+	// Version returns the model and the newest version named for it.
+	Version(value []byte) (wire.ModelVersion, error)
+}
+
+// Part is the share of the reducer that follows the objects. Its exported fields are set before the first Step.
+type Part struct {
+	Host   string
+	Decode Decoder
+	Keys   *keys.Table // filled by this part
+
+	started  bool
+	feeds    []*feed
+	seq      uint64
+	site     *config.Site
+	answered time.Duration // time of the last answer of the store
+	returned time.Duration // time at which the store answered again after it had been away
+	lapsed   map[string]lapse
+	pulled   map[string]time.Duration
+	heard    map[string]time.Duration // time of the last beat by host
+	ready    event.Ready
+	stopping bool
+}
+
+// lapse is an endpoint whose entry went while the store was away.
+type lapse struct {
+	endpoint wire.Endpoint
+	since    time.Duration
+}
+
+// Step applies one event. It must not be called concurrently.
+func (p *Part) Step(now time.Duration, ev event.Event, out *event.Batch) {
+	p.start()
+	switch e := ev.(type) {
+	case event.Tick:
+		p.tick(now, out)
+	case event.ObjectsDone:
+		p.done(now, e, out)
+	case event.BeatSeen:
+		p.heard[e.Host] = now
+		p.compare(now, e, out)
+	case event.HostLost:
+		delete(p.heard, e.Host)
+	case event.PeerReceived:
+		p.receive(now, e, out)
+	case event.StopAsked:
+		p.stopping = true
+		p.report(out)
+	}
+}
+
+func (p *Part) start() {
+	if p.started {
+		return
+	}
+	p.started = true
+	p.lapsed = map[string]lapse{}
+	p.pulled = map[string]time.Duration{}
+	p.heard = map[string]time.Duration{}
+	p.feeds = []*feed{
+		newFeed(PrefixConfig, shortWait),
+		newFeed(PrefixEndpoints, shortWait),
+		newFeed(PrefixVersions, shortWait),
+		newFeed(PrefixHosts, longWait),
+	}
+}
+
+func (p *Part) tick(now time.Duration, out *event.Batch) {
+	for _, f := range p.feeds {
+		p.call(now, f, out)
+	}
+	p.dropLapsed(now, out)
+	p.report(out)
+}
+
+// call lists a prefix that is not known and watches one that is.
+func (p *Part) call(now time.Duration, f *feed, out *event.Batch) {
+	if f.busy || now < f.next {
+		return
+	}
+	f.busy = true
+	p.seq++
+	f.seq = p.seq
+	f.sentAt = now
+	id := event.ObjectCall{Owner: owner, Seq: p.seq}
+	if !f.listed {
+		out.Emit(event.ListObjects{Call: id, Prefix: f.prefix})
+		return
+	}
+	out.Emit(event.WatchObjects{Call: id, Prefix: f.prefix, After: f.position, Wait: f.wait})
+}
+
+func (p *Part) feed(prefix string) *feed {
+	for _, f := range p.feeds {
+		if f.prefix == prefix {
+			return f
+		}
+	}
+	return nil
+}
+
+// report tells the listeners whether this daemon takes callers: it has a configuration and endpoints.
+func (p *Part) report(out *event.Batch) {
+	ready := event.Ready{Reason: p.reason()}
+	ready.Ready = ready.Reason == ""
+	if ready == p.ready {
+		return
+	}
+	p.ready = ready
+	out.Emit(ready)
+	out.Emit(event.Log{Level: "info", Event: "Readiness", Fields: []event.Field{{Key: "Reason", Value: ready.Reason}}})
+}
+
+func (p *Part) reason() string {
+	switch {
+	case p.stopping:
+		return "Stopping"
+	case p.site == nil:
+		return "NoConfiguration"
+	case len(p.feed(PrefixEndpoints).objects) == 0:
+		return "NoEndpoints"
+	default:
+		return ""
+	}
+}
+
+// Trusted reports whether a configuration is known. A host that is cut off goes on with what it knows: the platform
+// bounds the time in which a change takes effect only for hosts that reach it.
+func (p *Part) Trusted(now time.Duration) (until time.Duration, ok bool) {
+	const always = 24 * time.Hour
+	return now + always, p.site != nil
+}
+
+// Contribute adds what is known to a beat.
+func (p *Part) Contribute(_ time.Duration, beat *wire.Beat) {
+	beat.Ready = p.ready.Ready
+	beat.Positions = make([]uint64, len(p.feeds))
+	for i, f := range p.feeds {
+		beat.Positions[i] = f.newest
+	}
+	if p.site != nil {
+		beat.ConfigRevision = p.site.Revision
+	}
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -11,6 +11,8 @@
 	Reply     *Reply       `msgpack:",omitempty"`
 	Endpoints *EndpointSet `msgpack:",omitempty"`
 
+	News *JobNews `json:",omitempty" msgpack:",omitempty"`
+
 	Probe      *Probe      `msgpack:",omitempty"`
 	ProbeReply *ProbeReply `msgpack:",omitempty"`
 }
@@ -82,6 +84,25 @@
 	Leaving []LeaveMark  `msgpack:",omitempty"`
 	Loads   []LoadReport `msgpack:",omitempty"`
 	Demand  []Demand     `msgpack:",omitempty"`
+	// Positions holds, for each kind of object that every host follows, the highest revision known of it.
+	Positions []uint64 `json:",omitempty" msgpack:",omitempty"`
+	// Runs tells the items that run on engines by the sender's order.
+	Runs []EngineRuns `json:",omitempty" msgpack:",omitempty"`
+}
+
+// EngineRuns is the number of items that one host runs on an engine.
+type EngineRuns struct {
+	Endpoint string
+	Items    int
+}
+
+// JobNews tells the other hosts who runs a batch job.
+type JobNews struct {
+	Job         string
+	Host        string
+	Incarnation string
+	Epoch       uint64
+	Ended       bool
 }
 
 // LoadReport relays one endpoint's load and true version.
--- a/internal/wire/platform.go
+++ b/internal/wire/platform.go
@@ -50,6 +50,25 @@
 	Model         string
 	Service       string // name of the service, for Kind Service
 	ChecksFencing bool
+	Slots         int            `json:",omitempty" msgpack:",omitempty"` // requests that run at once, 0 when not told
+	Weights       []ModelVersion `json:",omitempty" msgpack:",omitempty"` // models held, for engines of several
+	Orders        uint64         `json:",omitempty" msgpack:",omitempty"` // orders that the engine has accepted since its start
+}
+
+// ModelVersion is a model that an engine holds and the version of its weights.
+type ModelVersion struct {
+	Model   string
+	Version uint64
+}
+
+// VersionOf returns the version of a model's weights that the endpoint is known to hold, 0 for none.
+func (e *Endpoint) VersionOf(model string) uint64 {
+	for _, w := range e.Weights {
+		if w.Model == model {
+			return w.Version
+		}
+	}
+	return 0
 }
 
 // EndpointList is the platform's list as of Revision; it lags behind the truth.
@@ -70,6 +89,7 @@
 	Kind     EndpointKind
 	Model    string
 	Endpoint string // for Stop
+	Count    int    `json:",omitempty"` // endpoints wanted in all, for platforms that take a number
 }
 
 // OrderReply answers an EndpointOrder. Kind is NoneToBeHad, Stale or "".
