orders: an engine's order carries the number that the engine itself reports

Cause: an endpoint's entry and an engine's report both speak of a sequence; the entry's counts its writes, so that each of 785 orders named a number that the engine had not reached, and was refused (409). Change: the executor reads the engine's report and orders by it; the platform's two meanings have one decoder each.

--- a/internal/event/weight.go
+++ b/internal/event/weight.go
@@ -21,8 +21,8 @@
 
 	// The following are for engines that hold several models.
 
-	Holder   string // host that gives the order
-	Accepted uint64 // orders that the engine has accepted; it refuses the order when that has changed
+	Holder      string // host that gives the order
+	Incarnation string
 }
 
 // EngineSwapped ends a SwapEngine. Version is what the engine itself reports, 0 when it could not be read.
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -49,12 +49,22 @@
 	Order(order wire.EndpointOrder) Call
 	// Usage returns the call for a usage report.
 	Usage(report wire.UsageReport) Call
-	// Swap returns the call that orders an engine to load a version; false when this executor does not send it.
-	Swap(order event.SwapEngine) (Call, bool)
+	// State returns the call that reads an engine's state; false when this executor sends no orders to engines.
+	State(order event.SwapEngine) (Call, bool)
+	// ReadState returns an engine's state from its answer.
+	ReadState(answer []byte) (State, error)
+	// Swap returns the call that orders an engine in that state to load a version.
+	Swap(order event.SwapEngine, state State) Call
 	// Kind returns the kind of an answer with a status other than 2xx.
 	Kind(status int) kinds.Kind
 }
 
+// State is what an engine tells of its orders.
+type State struct {
+	Busy     bool   // an order is being carried out
+	Accepted uint64 // orders accepted since the engine's start
+}
+
 // own is the project's own protocol.
 type own struct{}
 
@@ -64,8 +74,14 @@
 // Usage returns the report as it is.
 func (own) Usage(report wire.UsageReport) Call { return Call{Target: wire.PathUsage, Body: report} }
 
-// Swap leaves the order to the engines' own executor.
-func (own) Swap(event.SwapEngine) (Call, bool) { return Call{}, false }
+// State leaves the orders to the engines' own executor.
+func (own) State(event.SwapEngine) (Call, bool) { return Call{}, false }
+
+// ReadState is not called.
+func (own) ReadState([]byte) (State, error) { return State{}, nil }
+
+// Swap is not called.
+func (own) Swap(event.SwapEngine, State) Call { return Call{} }
 
 // Kind tells nothing: the order may have taken effect.
 func (own) Kind(int) kinds.Kind { return kinds.OutcomeUnknown }
@@ -87,7 +103,7 @@
 		go x.usage(e)
 		return true
 	case event.SwapEngine:
-		call, ok := x.protocol().Swap(e)
+		call, ok := x.protocol().State(e)
 		if ok {
 			go x.swap(e, call)
 		}
@@ -96,11 +112,44 @@
 	return false
 }
 
-func (x *Executor) swap(e event.SwapEngine, call Call) {
-	err := x.send(call, nil, e.Before)
+// swap reads an engine's state and sends the order that fits it: the engine refuses it when another came in between.
+func (x *Executor) swap(e event.SwapEngine, read Call) {
+	state, err := x.state(read, e.Before)
+	if err == nil && state.Busy {
+		err = kinds.New(kinds.EndpointRefused, "%s carries out another order", e.Endpoint)
+	}
+	if err == nil {
+		err = x.send(x.protocol().Swap(e, state), nil, e.Before)
+	}
 	x.Post(event.EngineSwapped{Duty: e.Duty, Epoch: e.Epoch, OrderID: e.OrderID, Endpoint: e.Endpoint, Version: e.Version, Kind: kinds.From(err)})
 }
 
+// state reads an engine's state. Its error has kind EndpointRefused, since nothing was ordered.
+func (x *Executor) state(read Call, before time.Duration) (State, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), max(before-x.Now(), 0))
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, read.Target, nil)
+	if err != nil {
+		return State{}, kinds.New(kinds.Internal, "%v", err)
+	}
+	maps.Copy(request.Header, read.Header)
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return State{}, kinds.New(kinds.EndpointRefused, "%s: %v", read.Target, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil || response.StatusCode != http.StatusOK {
+		return State{}, kinds.New(kinds.EndpointRefused, "%s: status %d, %v", read.Target, response.StatusCode, err)
+	}
+	state, err := x.protocol().ReadState(text)
+	if err != nil {
+		return state, kinds.New(kinds.EndpointRefused, "%s: %v", read.Target, err)
+	}
+	return state, nil
+}
+
 func (x *Executor) order(e event.SendOrder) {
 	var reply wire.OrderReply
 	err := x.send(x.protocol().Order(e.Order), &reply, e.Before)
--- a/internal/update/part.go
+++ b/internal/update/part.go
@@ -248,7 +248,7 @@
 	p.orders[mark(e)] = o
 	out.Emit(event.SwapEngine{
 		Duty: Duty, Epoch: p.epoch, OrderID: o.id, Endpoint: e.Name, Address: e.Address, Model: model, Version: o.version,
-		Before: min(until, now+orderTime), Timeout: orderTime, Holder: p.Host, Accepted: e.Orders,
+		Before: min(until, now+orderTime), Timeout: orderTime, Holder: p.Host, Incarnation: e.Incarnation,
 	})
 	out.Emit(event.Log{Level: "info", Event: "VersionOrdered", Fields: []event.Field{
 		{Key: "Order", Value: o.id},
--- a/internal/wire/platform.go
+++ b/internal/wire/platform.go
@@ -52,7 +52,6 @@
 	ChecksFencing bool
 	Slots         int            `json:",omitempty" msgpack:",omitempty"` // requests that run at once, 0 when not told
 	Weights       []ModelVersion `json:",omitempty" msgpack:",omitempty"` // models held, for engines of several
-	Orders        uint64         `json:",omitempty" msgpack:",omitempty"` // orders that the engine has accepted since its start
 }
 
 // ModelVersion is a model that an engine holds and the version of its weights.
