batch, view, update, lease: places of lost runs, pushes between hosts, loads by need, a replaced holder

(1) A run whose job another host had taken never gave its engine's place back, so that every host saw full engines. (2) Each of 8 hosts watched every kind: 3,769 calls to the store, and a watch that was silent while the store dropped its history hid a configuration for 4 s. (3) Engines loaded each version at once, two at a time, while steps waited. (4) A killed holder's lease ran out before another host ordered versions. (5) SIGHUP ended a process. Change: runs are counted by attempt; two hosts watch a kind and push, each host reads it again in turn; an engine loads when it can't serve the next step, or idle; a holder whose host runs another process is replaced at once; SIGHUP is ignored.

--- a/figd/operations.go
+++ b/figd/operations.go
@@ -79,6 +79,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	signal.Ignore(syscall.SIGHUP)
 	select {
 	case <-signals:
 	case <-ctx.Done():
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -77,6 +77,7 @@
 	calls    *call.Executor
 	jobs     *items.Executor
 	flow     *flow.Part
+	batch    *batch.Part
 }
 
 // runPlatform runs the process that the platform's settings describe and returns its exit code.
@@ -207,9 +208,9 @@
 
 // addJobs adds batch jobs and the callers' listener.
 func (d *onPlatform) addJobs() {
-	part := &batch.Part{Self: d.self, Holders: d.flow, Roster: d.members, Fresh: d.settings.FirstStart}
-	d.members.Contributors = append(d.members.Contributors, part)
-	d.addPart(part)
+	d.batch = &batch.Part{Self: d.self, Holders: d.flow, Roster: d.members, Fresh: d.settings.FirstStart}
+	d.members.Contributors = append(d.members.Contributors, d.batch)
+	d.addPart(d.batch)
 	pages := &items.Pages{
 		Listen: d.own(pagePort), Port: d.settings.Ports[pagePort], Secret: d.secret,
 		HTTP: conns.Transport(endpointDial, idleConns, idleConnsFor),
@@ -238,7 +239,7 @@
 
 // addDuties adds what one host does for all: weight versions and usage reports.
 func (d *onPlatform) addDuties() {
-	d.addPart(&update.Part{Host: d.self.Name, Trust: d.trust})
+	d.addPart(&update.Part{Host: d.self.Name, Trust: d.trust, Runs: d.batch})
 	d.addPart(&usage.Counter{Host: d.self.Name, Incarnation: d.incarnation, Requests: true})
 	d.addPart(&usage.Holder{Host: d.self.Name, Trust: d.trust})
 	d.addExecutor(&orders.Executor{Base: "http://" + d.settings.Cloud, Protocol: platform.Orders{}, Now: d.loop.Now, Post: d.loop.Post})
--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -88,7 +88,7 @@
 	}})
 	if e.Kind == kinds.Conflict {
 		p.answer(e.Seq, "", s.head.Organisation, out) // another host accepted it
-		p.noteOther(now, e.Job)
+		p.noteOther(now, e.Owner, out)
 		return
 	}
 	p.answer(e.Seq, e.Kind, s.head.Organisation, out)
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -24,7 +24,7 @@
 	// rememberFor is the time for which a job is remembered after it was last heard of.
 	rememberFor = 3 * time.Minute
 	// keepTexts is the time for which the texts of an ended job stay in memory; later reads go to the store.
-	keepTexts = 20 * time.Second
+	keepTexts = 45 * time.Second
 )
 
 // seen is a job and who runs it as far as this host knows.
@@ -107,8 +107,16 @@
 	}
 }
 
-// noteOther remembers a job that another host has accepted, whichever that is.
-func (p *Part) noteOther(now time.Duration, id string) { p.see(id).heardAt = now }
+// noteOther remembers a job that another host has accepted.
+func (p *Part) noteOther(now time.Duration, s event.JobSeen, out *event.Batch) {
+	k := p.see(s.Job)
+	k.heardAt = now
+	if k.Host != "" && k.Epoch >= s.Epoch {
+		return
+	}
+	k.JobSeen = s
+	out.Emit(event.KnowJob{Seen: s})
+}
 
 // lookForJobs reads once which jobs there are: those of an earlier process of this host and of others may be nobody's.
 func (p *Part) lookForJobs(now time.Duration, out *event.Batch) {
@@ -127,12 +135,7 @@
 	}
 	p.listed = true
 	for _, s := range e.Jobs {
-		k := p.see(s.Job)
-		if k.Host != "" && k.Epoch >= s.Epoch {
-			continue
-		}
-		k.JobSeen, k.heardAt = s, now
-		out.Emit(event.KnowJob{Seen: s})
+		p.noteOther(now, s, out)
 	}
 	out.Emit(event.Log{Level: "info", Event: "JobsListed", Fields: []event.Field{{Key: "Jobs", Value: strconv.Itoa(len(e.Jobs))}}})
 }
@@ -208,6 +211,10 @@
 			p.endRun(j, i, out)
 			j.setListed(i)
 		}
+		if j.left == 0 {
+			k.Ended = true // nothing is left to run
+			p.tell(k.JobSeen, out)
+		}
 	}
 }
 
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -43,6 +43,7 @@
 	known    map[string]*seen
 	engines  engines
 	attempts uint64
+	runs     map[uint64]wire.LeaveMark // engine of each run under way, by attempt
 	calls    map[uint64]submission // under way, by Seq
 	ends     map[string][]uint64   // calls that wait for the end of a job to be stored
 	now      time.Duration
@@ -133,6 +134,7 @@
 	}
 	p.jobs = map[string]*job{}
 	p.known = map[string]*seen{}
+	p.runs = map[uint64]wire.LeaveMark{}
 	p.calls = map[uint64]submission{}
 	p.ends = map[string][]uint64{}
 	p.started = now
@@ -161,4 +163,7 @@
 }
 
 // Contribute tells the other hosts how many items run on each engine.
-func (p *Part) Contribute(_ time.Duration, beat *wire.Beat) { beat.Runs = p.engines.own() }
+func (p *Part) Contribute(_ time.Duration, beat *wire.Beat) { beat.Runs = p.Running() }
+
+// Running returns the items of this host by engine, sorted.
+func (p *Part) Running() []wire.EngineRuns { return p.engines.own() }
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -110,6 +110,7 @@
 	it := w.item
 	it.attempt, it.state, it.engine = p.attempts, running, e.Name
 	e.running++
+	p.runs[it.attempt] = mark(&e.Endpoint)
 	started := event.RunItem{
 		Job: w.job.head.ID, Item: it.index, Attempt: it.attempt,
 		Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
@@ -136,11 +137,11 @@
 
 // itemEnded goes on from the end of a run.
 func (p *Part) itemEnded(now time.Duration, e event.ItemEnded, out *event.Batch) {
+	p.release(now, e)
 	j, it := p.find(e.Job, e.Item, e.Attempt)
 	if it == nil || it.state != running && it.state != stopping {
 		return
 	}
-	p.release(now, it, e)
 	stopped := it.state == stopping
 	it.state, it.events, it.versions = waiting, e.Events, e.Versions
 	p.log(j, it, "ItemEnded", out, event.Field{Key: "Endpoint", Value: it.engine},
@@ -191,10 +192,13 @@
 	return defaultFailures
 }
 
-// release gives an engine's place back and judges the engine by the end of the run.
-func (p *Part) release(now time.Duration, it *item, e event.ItemEnded) {
-	g := p.engines.byName[it.engine]
-	if g == nil {
+// release gives an engine's place back, also when the job has gone meanwhile, and judges the engine by the end of the
+// run.
+func (p *Part) release(now time.Duration, e event.ItemEnded) {
+	id, ok := p.runs[e.Attempt]
+	delete(p.runs, e.Attempt)
+	g := p.engines.byName[id.Endpoint]
+	if !ok || g == nil || g.Incarnation != id.Incarnation {
 		return
 	}
 	g.running = max(0, g.running-1)
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -70,9 +70,10 @@
 // JobKept ends a KeepJob. Kind is "", Conflict when the job was accepted before, StoreRefused when it certainly is not
 // stored, and else OutcomeUnknown.
 type JobKept struct {
-	Seq  uint64
-	Job  string
-	Kind kinds.Kind
+	Seq   uint64
+	Job   string
+	Kind  kinds.Kind
+	Owner JobSeen // after a conflict, who runs the job
 }
 
 // TakeJob takes a job over from a host that has gone and reads what it has listed; JobTaken answers.
--- a/internal/items/api.go
+++ b/internal/items/api.go
@@ -98,24 +98,26 @@
 
 // storedPage reads a page from the store's chunks.
 func (x *Executor) storedPage(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, error) {
-	job, err := x.load(ctx, id)
+	job, err := x.loadPast(ctx, id)
 	if err != nil {
 		return wire.JobPage{}, err
 	}
-	j := &kept{job: job}
 	until := time.Now().Add(wait)
 	for {
-		chunk, err := x.chunk(ctx, id, j.chunks)
+		page := x.past.page(job, after)
+		if len(page.Results) > 0 || page.Next >= page.Total {
+			return page, nil
+		}
+		number := x.past.next(id)
+		chunk, err := x.chunk(ctx, id, number)
 		switch {
 		case err == nil:
-			j.chunks++
-			j.listed = append(j.listed, chunk.Results...)
+			x.past.extend(id, number, chunk.Results)
 			continue
 		case kinds.From(err) != kinds.NotFound:
 			return wire.JobPage{}, err
 		}
-		page := j.page(after, pageBytes)
-		if len(page.Results) > 0 || page.Next >= page.Total || time.Now().Add(pollEvery).After(until) || ctx.Err() != nil {
+		if time.Now().Add(pollEvery).After(until) || ctx.Err() != nil {
 			return page, nil
 		}
 		pause(ctx, pollEvery)
@@ -124,7 +126,7 @@
 
 // Body returns the body of an item that is not listed yet. Its error has kind NotFound when there is none.
 func (x *Executor) Body(ctx context.Context, id, item string) ([]byte, string, error) {
-	job, err := x.load(ctx, id)
+	job, err := x.loadPast(ctx, id)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -28,6 +28,7 @@
 	Now         func() time.Duration
 
 	keeper   keeper
+	past     past
 	ctx      context.Context
 	cancel   context.CancelFunc
 	mu       sync.Mutex
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -23,7 +23,26 @@
 
 // keep stores a job. A conflict with this process's own write, whose answer was lost, is success.
 func (x *Executor) keep(ctx context.Context, e event.KeepJob) {
-	x.Post(event.JobKept{Seq: e.Seq, Job: e.Job, Kind: x.create(ctx, e)})
+	done := event.JobKept{Seq: e.Seq, Job: e.Job, Kind: x.create(ctx, e), Owner: event.JobSeen{Job: e.Job}}
+	if done.Kind == kinds.Conflict {
+		done.Owner = x.seen(ctx, e.Job)
+	}
+	x.Post(done)
+}
+
+// seen reads who runs a job; without an answer it names nobody.
+func (x *Executor) seen(ctx context.Context, id string) event.JobSeen {
+	seen := event.JobSeen{Job: id}
+	job, err := x.loadPast(ctx, id)
+	if err != nil {
+		return seen
+	}
+	seen.Host, seen.Incarnation = job.Host, job.Incarnation
+	owner, _, err := x.ownerOf(ctx, id)
+	if err == nil && owner.Host != "" {
+		seen = event.JobSeen{Job: id, Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch, Ended: owner.Ended}
+	}
+	return seen
 }
 
 func (x *Executor) create(ctx context.Context, e event.KeepJob) kinds.Kind {
@@ -291,6 +310,18 @@
 	return job, decode(object.Value, &job)
 }
 
+// loadPast returns a job that another host runs or ran.
+func (x *Executor) loadPast(ctx context.Context, id string) (wire.Job, error) {
+	if job, ok := x.past.job(id); ok {
+		return job, nil
+	}
+	job, err := x.load(ctx, id)
+	if err == nil {
+		x.past.keep(job)
+	}
+	return job, err
+}
+
 // head returns what the reducer knows of a job, its times on this daemon's clock.
 func (x *Executor) head(job wire.Job) event.JobHead {
 	head := HeadOf(job)
--- a/internal/lease/compete.go
+++ b/internal/lease/compete.go
@@ -81,6 +81,8 @@
 		return d.since + later
 	case d.record.Holder == p.Self.Name && d.record.Incarnation == p.Self.Incarnation:
 		return d.since
+	case p.replaced(d):
+		return d.since + later // the process that held it has ended
 	default:
 		return d.since + d.record.Timing.TTL + d.record.Timing.Margin + later
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -45,7 +45,8 @@
 	meshUpTo int                 // hosts up to which all hear all
 	wants    map[string][]string // by owner
 	duties   map[string]*duty
-	calls    map[uint64]string // duty of each call under way
+	calls    map[uint64]string  // duty of each call under way
+	running  map[string]process // by host
 	seq      uint64
 	started  bool
 	readyAt  time.Duration // 0 before the first configuration
@@ -63,6 +64,8 @@
 		p.tick(now, out)
 	case event.HostsChanged:
 		p.rankAnew()
+	case event.PeerUp:
+		p.noteProcess(e)
 	case event.ConfigInForce:
 		p.configure(now, e.Site)
 	case event.WantDuties:
@@ -75,6 +78,7 @@
 		p.objectDone(now, e, out)
 	case event.BeatSeen:
 		p.hear(now, e)
+		p.noteAlive(e)
 	case event.StopAsked:
 		p.stopping = true
 		p.stopAt = now
@@ -86,6 +90,33 @@
 	}
 }
 
+// replaced reports whether the process that holds a duty has ended: another one was alive on its host after the record
+// was seen, and a host runs one at a time.
+func (p *Part) replaced(d *duty) bool {
+	if d.record.Holder == p.Self.Name {
+		return true
+	}
+	now, ok := p.running[d.record.Holder]
+	return ok && now.incarnation != d.record.Incarnation && now.aliveAt > d.since
+}
+
+// noteProcess remembers the process that a host runs.
+func (p *Part) noteProcess(e event.PeerUp) { p.running[e.Host] = process{incarnation: e.Incarnation} }
+
+// noteAlive remembers a time at which a host's process was alive.
+func (p *Part) noteAlive(e event.BeatSeen) {
+	if r, ok := p.running[e.Host]; ok && e.Anchored {
+		r.aliveAt = max(r.aliveAt, e.Anchor)
+		p.running[e.Host] = r
+	}
+}
+
+// process is what a host was last known to run.
+type process struct {
+	incarnation string
+	aliveAt     time.Duration
+}
+
 func (p *Part) start() {
 	if p.started {
 		return
@@ -96,6 +127,7 @@
 	p.wants = map[string][]string{}
 	p.duties = map[string]*duty{}
 	p.calls = map[uint64]string{}
+	p.running = map[string]process{}
 }
 
 func (p *Part) configure(now time.Duration, site *config.Site) {
--- a/internal/update/part.go
+++ b/internal/update/part.go
@@ -27,6 +27,10 @@
 	orderTime = time.Second
 	// sendMargin is the least time left in the lease for an order.
 	sendMargin = 200 * time.Millisecond
+	// stepAfter is the time after a version was named in which its step may begin; engines that can serve it wait.
+	stepAfter = 300 * time.Millisecond
+	// staleBy is the number of versions behind the newest from which on an engine can't serve the next step.
+	staleBy = 2
 	// againAfter is the pause after an order that was refused or had no answer.
 	againAfter = 500 * time.Millisecond
 )
@@ -35,6 +39,7 @@
 type Part struct {
 	Host  string
 	Trust event.Trust
+	Runs  Runs
 
 	site      *config.Site
 	wanted    bool
@@ -42,11 +47,20 @@
 	epoch     uint64
 	endpoints []wire.Endpoint
 	newest    map[string]uint64 // by model
+	named     map[string]time.Duration
+	remote    map[string][]wire.EngineRuns // by host
+	busy      map[string]bool              // engines that run items
 	assigned  map[wire.LeaveMark]string
 	orders    map[wire.LeaveMark]*order
 	seq       uint64
 }
 
+// Runs tells what this host runs.
+type Runs interface {
+	// Running returns the items of this host by engine.
+	Running() []wire.EngineRuns
+}
+
 // order is an order to an engine that is under way or was just refused.
 type order struct {
 	id      string
@@ -60,6 +74,8 @@
 func (p *Part) Step(now time.Duration, ev event.Event, out *event.Batch) {
 	if p.newest == nil {
 		p.newest = map[string]uint64{}
+		p.named = map[string]time.Duration{}
+		p.remote = map[string][]wire.EngineRuns{}
 		p.assigned = map[wire.LeaveMark]string{}
 		p.orders = map[wire.LeaveMark]*order{}
 	}
@@ -70,7 +86,13 @@
 		p.endpoints = e.List.Endpoints
 		p.settle()
 	case event.VersionPublished:
-		p.newest[e.Model] = max(p.newest[e.Model], e.Version)
+		if e.Version > p.newest[e.Model] {
+			p.newest[e.Model], p.named[e.Model] = e.Version, now
+		}
+	case event.BeatSeen:
+		p.remote[e.Host] = e.Beat.Runs
+	case event.HostLost:
+		delete(p.remote, e.Host)
 	case event.DutyGained:
 		if e.Duty == Duty {
 			p.held, p.epoch = true, e.Epoch
@@ -99,11 +121,25 @@
 	if !p.held || !ok || epoch != p.epoch || until-now < sendMargin {
 		return
 	}
+	p.countRuns()
 	for _, service := range slices.Sorted(maps.Keys(p.site.Models)) {
 		p.order(now, until, service, p.site.Models[service], out)
 	}
 }
 
+// countRuns notes the engines that run items of any host.
+func (p *Part) countRuns() {
+	p.busy = map[string]bool{}
+	for _, runs := range p.remote {
+		for _, r := range runs {
+			p.busy[r.Endpoint] = true
+		}
+	}
+	for _, r := range p.Runs.Running() {
+		p.busy[r.Endpoint] = true
+	}
+}
+
 // settle forgets the orders that the list shows as done and those of engines that have gone.
 func (p *Part) settle() {
 	listed := map[wire.LeaveMark]*wire.Endpoint{}
@@ -222,25 +258,41 @@
 	return slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(count[a], count[b]) })
 }
 
-// behind returns the engines that lack the newest version of their model, those furthest behind first.
+// behind returns the engines to load now, in order. One that can't serve its model's next step loads at once, those of
+// the model with the fewest that can first. One that can loads while it has nothing to run.
 func (p *Part) behind(now time.Duration, engines []*wire.Endpoint) []*wire.Endpoint {
 	var all []*wire.Endpoint
-	lag := func(e *wire.Endpoint) uint64 {
-		m := p.assigned[mark(e)]
-		return p.newest[m] - min(p.newest[m], e.VersionOf(m))
+	able := map[string]int{} // engines that can serve the next step, by model
+	for _, e := range engines {
+		if m := p.assigned[mark(e)]; p.lag(e) < staleBy {
+			able[m]++
+		}
 	}
 	for _, e := range engines {
 		if o := p.orders[mark(e)]; o != nil && now < o.until {
 			continue
 		}
-		if lag(e) > 0 {
+		idle := !p.busy[e.Name] && now-p.named[p.assigned[mark(e)]] >= stepAfter
+		if lag := p.lag(e); lag >= staleBy || lag > 0 && idle {
 			all = append(all, e)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b *wire.Endpoint) int { return cmp.Compare(lag(b), lag(a)) })
+	slices.SortStableFunc(all, func(a, b *wire.Endpoint) int {
+		return cmp.Or(
+			cmp.Compare(min(p.lag(b), staleBy), min(p.lag(a), staleBy)),
+			cmp.Compare(able[p.assigned[mark(a)]], able[p.assigned[mark(b)]]),
+			cmp.Compare(p.lag(b), p.lag(a)),
+		)
+	})
 	return all
 }
 
+// lag returns the number of versions that an engine's weights of its model are behind the newest.
+func (p *Part) lag(e *wire.Endpoint) uint64 {
+	m := p.assigned[mark(e)]
+	return p.newest[m] - min(p.newest[m], e.VersionOf(m))
+}
+
 func (p *Part) send(now, until time.Duration, e *wire.Endpoint, out *event.Batch) {
 	p.seq++
 	model := p.assigned[mark(e)]
--- a/internal/view/feed.go
+++ b/internal/view/feed.go
@@ -14,7 +14,6 @@
 // feed holds the objects under one prefix.
 type feed struct {
 	prefix   string
-	wait     time.Duration
 	objects  map[string]wire.Object
 	removed  map[string]uint64 // revisions of removals, so that a peer's older copy does not bring an object back
 	listed   bool
@@ -22,13 +21,16 @@
 	newest   uint64 // highest revision of an object or removal
 	busy     bool
 	seq      uint64
-	sentAt   time.Duration
 	next     time.Duration
 	failures int
+
+	checked   bool   // is read again now and then
+	checking  uint64 // call of the check under way, 0 for none
+	nextCheck time.Duration
 }
 
-func newFeed(prefix string, wait time.Duration) *feed {
-	return &feed{prefix: prefix, wait: wait, objects: map[string]wire.Object{}, removed: map[string]uint64{}}
+func newFeed(prefix string, checked bool) *feed {
+	return &feed{prefix: prefix, checked: checked, objects: map[string]wire.Object{}, removed: map[string]uint64{}}
 }
 
 // take keeps an object that is newer than the known one and reports whether it was.
@@ -82,7 +84,14 @@
 
 func (p *Part) done(now time.Duration, e event.ObjectsDone, out *event.Batch) {
 	f := p.feed(e.Prefix)
-	if e.Call.Owner != owner || f == nil || f.seq != e.Call.Seq {
+	if e.Call.Owner != owner || f == nil {
+		return
+	}
+	if f.checking == e.Call.Seq {
+		p.checkDone(now, f, e, out)
+		return
+	}
+	if f.seq != e.Call.Seq {
 		return
 	}
 	f.busy = false
@@ -107,6 +116,23 @@
 	}
 }
 
+// checkDone takes a list that was read beside the watch.
+func (p *Part) checkDone(now time.Duration, f *feed, e event.ObjectsDone, out *event.Batch) {
+	f.checking = 0
+	if e.Kind != "" {
+		f.failures++
+		return
+	}
+	p.contact(now, out)
+	if e.List.Revision < f.newest {
+		return // older than what is known
+	}
+	changed := f.replace(e.List)
+	f.position = max(f.position, e.List.Revision)
+	p.push(f, changed, out)
+	p.apply(now, f, changed, out)
+}
+
 // contact notes an answer of the store.
 func (p *Part) contact(now time.Duration, out *event.Batch) {
 	if p.away() {
@@ -151,6 +177,9 @@
 		}
 		changed = f.replace(list)
 	}
+	if f.listed {
+		p.push(f, changed, out)
+	}
 	f.listed = true
 	f.position = max(f.position, list.Revision)
 	p.apply(now, f, changed, out)
--- a/internal/view/peers.go
+++ b/internal/view/peers.go
@@ -29,6 +29,23 @@
 	out.Emit(event.SendPeer{Host: e.Host, Message: wire.Message{Pull: &pull}})
 }
 
+// push sends changes that the store has told to the other hosts.
+func (p *Part) push(f *feed, changed []wire.Object, out *event.Batch) {
+	if len(changed) == 0 {
+		return
+	}
+	push := wire.Push{Prefix: f.prefix, Revision: f.newest}
+	for _, o := range changed {
+		if o.Deleted {
+			o.Value = nil
+		}
+		push.Objects = append(push.Objects, o)
+	}
+	for _, host := range slices.Sorted(maps.Keys(p.heard)) {
+		out.Emit(event.SendPeer{Host: host, Message: wire.Message{Push: &push}})
+	}
+}
+
 func (p *Part) receive(now time.Duration, e event.PeerReceived, out *event.Batch) {
 	switch {
 	case e.Message.Pull != nil:
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -3,11 +3,14 @@
 package view
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/ranks"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -20,9 +23,13 @@
 )
 
 const (
-	owner      = "view"
-	shortWait  = 4 * time.Second // of a watch whose objects bind within seconds
-	longWait   = 10 * time.Second
+	owner = "view"
+	// watchWait is the length of one watch.
+	watchWait = 10 * time.Second
+	// watchers is the number of hosts that watch one prefix; they push to the others.
+	watchers = 2
+	// checkEvery is the interval at which some host reads a prefix again, since a watch may be silent.
+	checkEvery = 500 * time.Millisecond
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = time.Second
 	pullEvery  = 300 * time.Millisecond
@@ -97,16 +104,17 @@
 	p.pulled = map[string]time.Duration{}
 	p.heard = map[string]time.Duration{}
 	p.feeds = []*feed{
-		newFeed(PrefixConfig, shortWait),
-		newFeed(PrefixEndpoints, shortWait),
-		newFeed(PrefixVersions, shortWait),
-		newFeed(PrefixHosts, longWait),
+		newFeed(PrefixConfig, true),
+		newFeed(PrefixEndpoints, true),
+		newFeed(PrefixVersions, true),
+		newFeed(PrefixHosts, false),
 	}
 }
 
 func (p *Part) tick(now time.Duration, out *event.Batch) {
 	for _, f := range p.feeds {
 		p.call(now, f, out)
+		p.check(now, f, out)
 	}
 	p.dropLapsed(now, out)
 	p.report(out)
@@ -114,19 +122,37 @@
 
 // call lists a prefix that is not known and watches one that is.
 func (p *Part) call(now time.Duration, f *feed, out *event.Batch) {
-	if f.busy || now < f.next {
+	if f.busy || now < f.next || f.listed && !p.watches(f) {
 		return
 	}
 	f.busy = true
 	p.seq++
 	f.seq = p.seq
-	f.sentAt = now
 	id := event.ObjectCall{Owner: owner, Seq: p.seq}
 	if !f.listed {
 		out.Emit(event.ListObjects{Call: id, Prefix: f.prefix})
 		return
 	}
-	out.Emit(event.WatchObjects{Call: id, Prefix: f.prefix, After: f.position, Wait: f.wait})
+	out.Emit(event.WatchObjects{Call: id, Prefix: f.prefix, After: f.position, Wait: watchWait})
+}
+
+// watches reports whether this host is one of those that watch a prefix.
+func (p *Part) watches(f *feed) bool {
+	names := append(slices.Sorted(maps.Keys(p.heard)), p.Host)
+	rank := ranks.Of(f.prefix, names, p.Host)
+	return rank < watchers
+}
+
+// check reads a prefix again now and then, each host in its turn: a change that no watch has told is known to all
+// within checkEvery and a beat.
+func (p *Part) check(now time.Duration, f *feed, out *event.Batch) {
+	if !f.checked || !f.listed || f.checking != 0 || now < f.nextCheck {
+		return
+	}
+	f.nextCheck = now + checkEvery*time.Duration(len(p.heard)+1)
+	p.seq++
+	f.checking = p.seq
+	out.Emit(event.ListObjects{Call: event.ObjectCall{Owner: owner, Seq: p.seq}, Prefix: f.prefix})
 }
 
 func (p *Part) feed(prefix string) *feed {
