--- a/figd/platform.go
+++ b/figd/platform.go
@@ -52,6 +52,7 @@
 	// memoryShare is the part of a host's memory at which the collector works harder.
 	memoryShare    = 0.7
 	storeTimeout   = time.Second
+	storeRead      = 1500 * time.Millisecond
 	endpointDial   = 500 * time.Millisecond
 	idleConns      = 16
 	idleConnsFor   = 10 * time.Second
@@ -170,7 +171,7 @@
 	d.addPart(d.members)
 	d.addPart(d.view)
 	d.addPart(d.leases)
-	objects := &objapi.Executor{Client: d.store, Post: d.loop.Post, Now: d.loop.Now, Scope: d.metrics(), Timeout: storeTimeout}
+	objects := &objapi.Executor{Client: d.store, Post: d.loop.Post, Now: d.loop.Now, Scope: d.metrics(), Timeout: storeTimeout, ReadTimeout: storeRead}
 	objects.Prepare()
 	d.addExecutor(objects)
 	d.addActor(objects.Run)
--- a/internal/objapi/executor.go
+++ b/internal/objapi/executor.go
@@ -40,6 +40,8 @@
 	Now     func() time.Duration // monotonic, on the reducer's clock
 	Scope   tally.Scope
 	Timeout time.Duration // of one get, put or delete; 0 for the default
+	// ReadTimeout bounds a list, and a watch beyond the time that it waits; 0 for the default.
+	ReadTimeout time.Duration
 
 	urgent  chan call
 	normal  chan call
@@ -62,6 +64,9 @@
 	if x.Timeout == 0 {
 		x.Timeout = callTimeout
 	}
+	if x.ReadTimeout == 0 {
+		x.ReadTimeout = readTimeout
+	}
 }
 
 // Do queues an effect on the object API; it returns false for other effects. It may be called concurrently.
@@ -200,7 +205,7 @@
 func (x *Executor) list(e event.ListObjects) call {
 	return call{
 		kind:    "list",
-		timeout: readTimeout,
+		timeout: x.ReadTimeout,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
 			list, err := x.Client.List(ctx, e.Prefix)
@@ -213,7 +218,7 @@
 func (x *Executor) watch(e event.WatchObjects) call {
 	return call{
 		kind:    "watch",
-		timeout: readTimeout + e.Wait,
+		timeout: x.ReadTimeout + e.Wait,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
 			list, err := x.Client.Watch(ctx, e.Prefix, e.After, e.Wait)
@@ -226,7 +231,7 @@
 func (x *Executor) endpoints(e event.ListEndpoints) call {
 	return call{
 		kind:    "endpoints",
-		timeout: readTimeout,
+		timeout: x.ReadTimeout,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
 			list, err := x.Client.Endpoints(ctx)
--- a/internal/view/feed.go
+++ b/internal/view/feed.go
@@ -129,6 +129,9 @@
 	}
 	changed := f.replace(e.List)
 	f.position = max(f.position, e.List.Revision)
+	if len(changed) > 0 && f.busy {
+		f.busy, f.seq = false, 0 // the watch is silent: its answer is not waited for
+	}
 	p.push(f, changed, out)
 	p.apply(now, f, changed, out)
 }
