call, batch: only endpoints' own failures count against a score; a taken job runs only what is not listed

The new test of takeovers showed that listed items ran again. Change: only status 500 counts; a job's listed items are set before its first dispatch. Tests of the batch part.

--- /dev/null
+++ b/internal/batch/batch_test.go
@@ -0,0 +1,202 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+func none(int) int { return 0 }
+
+// Answers the pattern: another host takes a job over while its items run here. The engine's places must be free for
+// the next job, here and for the hosts that hear this one's beats.
+func TestPlacesOfATakenJobAreGivenBack(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	r.submit("j1", testHead(1, 4, none))
+	runs := take[event.RunItem](r)
+	r.step(event.PeerReceived{Host: "h2", Message: wire.Message{News: &wire.JobNews{Job: "j1", Host: "h2", Incarnation: "1", Epoch: 1}}})
+	for _, e := range runs {
+		r.step(event.ItemEnded{Job: e.Job, Item: e.Item, Attempt: e.Attempt, Reason: event.ReasonStopped})
+	}
+	if diff := cmp.Diff([]wire.EngineRuns(nil), r.p.Running()); diff != "" {
+		t.Errorf("items still counted (-want +got):\n%s", diff)
+	}
+	r.effects = nil
+	r.submit("j2", testHead(1, 1, none))
+	if diff := cmp.Diff([]string{"j2/0@e1"}, r.running()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+// Answers the pattern: a trainer submits a job again, at a host that has just started, while its first owner runs it.
+func TestRepeatedSubmissionDoesNotTakeTheJobOver(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	r.step(event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 1, none)})
+	r.step(event.JobKept{Seq: 1, Job: "j1", Kind: kinds.Conflict, Owner: event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"}})
+	for range 100 {
+		r.tick(100 * time.Millisecond)
+	}
+	if got := take[event.TakeJob](r); len(got) > 0 {
+		t.Errorf("the job was taken from its owner: %v", got)
+	}
+	if got := take[event.JobAnswer](r); len(got) != 1 || got[0].Kind != "" {
+		t.Errorf("answers = %v, want one acceptance", got)
+	}
+}
+
+// Answers the pattern: the owner of a job is gone, or its host runs another process.
+func TestOrphanIsTakenOver(t *testing.T) {
+	cases := map[string][]event.Host{
+		"host gone":       {{Name: "h1", Zone: "a", Incarnation: "1"}},
+		"process started": {{Name: "h1", Zone: "a", Incarnation: "1"}, {Name: "h2", Zone: "b", Incarnation: "2"}},
+	}
+	for name, alive := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			r.step(event.PeerReceived{Host: "h2", Message: wire.Message{News: &wire.JobNews{Job: "j1", Host: "h2", Incarnation: "1"}}})
+			r.tick(settle)
+			if got := take[event.TakeJob](r); len(got) > 0 {
+				t.Fatalf("taken while its owner lives: %v", got)
+			}
+			r.alive = alive
+			r.tick(time.Second)
+			r.tick(time.Second)
+			if diff := cmp.Diff([]event.TakeJob{{Job: "j1"}}, take[event.TakeJob](r)); diff != "" {
+				t.Fatalf("takes (-want +got):\n%s", diff)
+			}
+			head := testHead(1, 3, none)
+			head.ID, head.Route, head.GiveUp = "j1", "rollouts", r.now+time.Minute
+			r.step(event.JobTaken{Job: "j1", Epoch: 1, Head: head, Chunks: 1, Listed: []int{1}})
+			if diff := cmp.Diff([]string{"j1/0@e1", "j1/2@e1"}, r.running()); diff != "" {
+				t.Errorf("runs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Answers the pattern: two owners list at once. The positions of the one that was first hold, and no item stands twice.
+func TestChunkOfAnotherOwnerIsTaken(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	r.submit("j1", testHead(2, 1, none))
+	for _, e := range take[event.RunItem](r) {
+		r.step(event.ItemEnded{Job: e.Job, Item: e.Item, Attempt: e.Attempt, Events: 3, Versions: []uint64{1}})
+	}
+	first := take[event.StoreChunk](r)
+	r.effects = nil
+	r.step(event.ChunkStored{Job: "j1", Number: 0, Kind: kinds.Conflict, Items: []int{1}})
+	r.tick(time.Second)
+	want := []event.StoreChunk{{Job: "j1", Number: 1, Items: []int{0}, Down: []bool{false}}}
+	if diff := cmp.Diff(want, take[event.StoreChunk](r)); diff != "" {
+		t.Errorf("chunks after a conflict with %v (-want +got):\n%s", first, diff)
+	}
+}
+
+func TestEndsOfRuns(t *testing.T) {
+	cases := map[string]struct {
+		ends []event.ItemEnded
+		down bool
+		runs int
+	}{
+		"never":                {[]event.ItemEnded{{Reason: event.ReasonNever, Status: 422}}, true, 1},
+		"fails as often":       {[]event.ItemEnded{{Reason: event.ReasonStatus}, {Reason: event.ReasonStatus}, {Reason: event.ReasonStatus}}, true, 3},
+		"broken":               {[]event.ItemEnded{{Reason: event.ReasonBroken}, {Reason: event.ReasonCut}, {Reason: event.ReasonSilent}, {}}, false, 4},
+		"refused":              {[]event.ItemEnded{{Reason: event.ReasonRefused, Status: 503}, {}}, false, 2},
+		"by an old version":    {[]event.ItemEnded{{Events: 3, Versions: []uint64{0, 1}}, {Versions: []uint64{1}}}, false, 2},
+		"whole":                {[]event.ItemEnded{{Events: 3, Versions: []uint64{1}}}, false, 1},
+		"failures and refusal": {[]event.ItemEnded{{Reason: event.ReasonStatus}, {Reason: event.ReasonRefused}, {Reason: event.ReasonStatus}, {}}, false, 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1), testEngine("e2", 1))
+			r.submit("j1", testHead(1, 1, none))
+			for i, end := range c.ends {
+				runs := take[event.RunItem](r)
+				if len(runs) != i+1 {
+					t.Fatalf("run %d did not begin: %v", i+1, runs)
+				}
+				end.Job, end.Item, end.Attempt = "j1", 0, runs[i].Attempt
+				r.step(end)
+				r.tick(brokenMost)
+			}
+			if got := len(take[event.RunItem](r)); got != c.runs {
+				t.Errorf("%d runs, want %d", got, c.runs)
+			}
+			chunks := take[event.StoreChunk](r)
+			if len(chunks) != 1 || chunks[0].Down[0] != c.down {
+				t.Errorf("chunks = %v, want one with down %v", chunks, c.down)
+			}
+		})
+	}
+}
+
+// Answers the pattern: the call that scores a text fails as often as its route allows, or is refused.
+func TestFailuresOfScores(t *testing.T) {
+	cases := map[string]struct {
+		scores []event.ItemScored
+		down   []bool
+	}{
+		"scored":   {[]event.ItemScored{{Status: 200}}, []bool{false}},
+		"fails":    {[]event.ItemScored{{Status: 500, Failures: 4}}, []bool{true}},
+		"refused":  {[]event.ItemScored{{Kind: kinds.NoEndpoint}, {Kind: kinds.EndpointRefused, Failures: 3}, {Status: 200}}, []bool{false}},
+		"adds up":  {[]event.ItemScored{{Kind: kinds.DeadlineExceeded, Failures: 2}, {Status: 500, Failures: 2}}, []bool{true}},
+		"deadline": {[]event.ItemScored{{Status: 504}, {Status: 504}}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			head := testHead(1, 1, none)
+			head.Items[0].ScorePath = "/s/x"
+			r.submit("j1", head)
+			run := take[event.RunItem](r)[0]
+			r.step(event.ItemEnded{Job: "j1", Attempt: run.Attempt, Events: 1, Versions: []uint64{1}})
+			for _, s := range c.scores {
+				s.Job = "j1"
+				r.step(s)
+				r.tick(time.Second)
+			}
+			var down []bool
+			for _, chunk := range take[event.StoreChunk](r) {
+				down = append(down, chunk.Down...)
+			}
+			if diff := cmp.Diff(c.down, down); diff != "" {
+				t.Errorf("listed as given up (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestSubmissions(t *testing.T) {
+	cases := map[string]struct {
+		path string
+		kept kinds.Kind
+		want kinds.Kind
+		runs int
+	}{
+		"accepted":       {"/r/x", "", "", 1},
+		"refused":        {"/r/x", kinds.StoreRefused, kinds.StoreRefused, 0},
+		"not known":      {"/r/x", kinds.OutcomeUnknown, kinds.OutcomeUnknown, 0},
+		"no such route":  {"/q/x", "", kinds.RouteUnknown, 0},
+		"not of batches": {"/s/x", "", kinds.BadRequest, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			r.step(event.JobCalled{Seq: 7, Call: event.JobSubmit, Path: c.path, Job: "j1", Head: testHead(1, 1, none)})
+			if len(take[event.KeepJob](r)) > 0 {
+				r.step(event.JobKept{Seq: 7, Job: "j1", Kind: c.kept})
+			}
+			answers := take[event.JobAnswer](r)
+			if len(answers) != 1 || answers[0].Kind != c.want {
+				t.Errorf("answers = %v, want kind %q", answers, c.want)
+			}
+			if got := len(take[event.RunItem](r)); got != c.runs {
+				t.Errorf("%d items run, want %d", got, c.runs)
+			}
+		})
+	}
+}
--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -93,7 +93,7 @@
 	}
 	p.answer(e.Seq, e.Kind, s.head.Organisation, out)
 	if e.Kind == "" {
-		p.own(now, s.head, 0, out)
+		p.own(now, event.JobTaken{Job: e.Job, Head: s.head}, out)
 	}
 }
 
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -45,11 +45,17 @@
 	return k
 }
 
-// own begins to run a job and tells the other hosts.
-func (p *Part) own(now time.Duration, head event.JobHead, epoch uint64, out *event.Batch) {
-	p.jobs[head.ID] = newJob(now, head, epoch)
-	k := p.see(head.ID)
-	k.Host, k.Incarnation, k.Epoch, k.heardAt, k.orphan = p.Self.Name, p.Self.Incarnation, epoch, now, 0
+// own begins to run a job, of which some items may be listed, and tells the other hosts.
+func (p *Part) own(now time.Duration, taken event.JobTaken, out *event.Batch) {
+	j := newJob(now, taken.Head, taken.Epoch)
+	p.jobs[taken.Job] = j
+	j.chunks = taken.Chunks
+	for _, i := range taken.Listed {
+		j.setListed(i)
+	}
+	k := p.see(taken.Job)
+	k.Host, k.Incarnation, k.Epoch, k.heardAt, k.orphan = p.Self.Name, p.Self.Incarnation, taken.Epoch, now, 0
+	k.Ended = j.left == 0 // nothing is left to run
 	p.tell(k.JobSeen, out)
 	p.dispatch(now, out)
 }
@@ -204,17 +210,7 @@
 		out.Emit(event.KnowJob{Seen: k.JobSeen})
 	case p.stopping:
 	default:
-		p.own(now, e.Head, e.Epoch, out)
-		j := p.jobs[e.Job]
-		j.chunks = e.Chunks
-		for _, i := range e.Listed {
-			p.endRun(j, i, out)
-			j.setListed(i)
-		}
-		if j.left == 0 {
-			k.Ended = true // nothing is left to run
-			p.tell(k.JobSeen, out)
-		}
+		p.own(now, e, out)
 	}
 }
 
--- /dev/null
+++ b/internal/batch/rig_test.go
@@ -0,0 +1,102 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const testModel = "m"
+
+// rig is one host's part with the outside that a test plays.
+type rig struct {
+	t       *testing.T
+	now     time.Duration
+	p       *Part
+	alive   []event.Host
+	effects []event.Effect // since the last take
+}
+
+func (r *rig) Holder(time.Duration, string) (string, kinds.Kind) { return "North", "" }
+
+func (r *rig) Alive(time.Duration) []event.Host { return r.alive }
+
+func newRig(t *testing.T, engines ...wire.Endpoint) *rig {
+	t.Helper()
+	r := &rig{t: t, now: time.Second}
+	self := event.Host{Name: "h1", Zone: "a", Incarnation: "1"}
+	r.alive = []event.Host{self, {Name: "h2", Zone: "b", Incarnation: "1"}}
+	r.p = &Part{Self: self, Holders: r, Roster: r, Fresh: true}
+	r.step(event.ConfigInForce{Site: testSite()})
+	r.step(event.EndpointsListed{List: wire.EndpointList{Revision: 1, Endpoints: engines}})
+	return r
+}
+
+func testSite() *config.Site {
+	s := config.Defaults()
+	s.Routes["rollouts"] = config.Route{
+		Name: "rollouts", Prefix: "/r/", Service: "engines", MaxAttempts: 3,
+		Jobs: &config.JobRules{Due: 7 * time.Second, GiveUpAfter: 40 * time.Second},
+	}
+	s.Routes["scores"] = config.Route{Name: "scores", Prefix: "/s/", Service: "scorers", MaxAttempts: 4, Open: true}
+	return s
+}
+
+func testEngine(name string, version uint64) wire.Endpoint {
+	return wire.Endpoint{
+		Name: name, Incarnation: "1", Kind: wire.Service, Service: "engines", Zone: "a", Address: name, State: wire.Live,
+		Slots: 4, Weights: []wire.ModelVersion{{Model: testModel, Version: version}},
+	}
+}
+
+// testHead returns a job of groups of equal size; hints are by item.
+func testHead(groups, size int, hint func(i int) int) event.JobHead {
+	head := event.JobHead{Model: testModel, MinVersion: 1, Target: groups}
+	for i := range groups * size {
+		head.Items = append(head.Items, event.ItemHead{Group: i / size, Hint: hint(i)})
+	}
+	return head
+}
+
+func (r *rig) step(ev event.Event) {
+	r.t.Helper()
+	var out event.Batch
+	r.p.Step(r.now, ev, &out)
+	r.effects = append(r.effects, out.Effects...)
+}
+
+func (r *rig) tick(d time.Duration) {
+	r.now += d
+	r.step(event.Tick{})
+}
+
+// submit has a job accepted.
+func (r *rig) submit(id string, head event.JobHead) {
+	r.step(event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: id, Head: head})
+	r.step(event.JobKept{Seq: 1, Job: id})
+}
+
+// take returns the effects of one type since the last take of any.
+func take[E event.Effect](r *rig) []E {
+	var all []E
+	for _, e := range r.effects {
+		if one, ok := e.(E); ok {
+			all = append(all, one)
+		}
+	}
+	return all
+}
+
+// running returns the items that were sent, as job/item@engine.
+func (r *rig) running() []string {
+	var all []string
+	for _, e := range take[event.RunItem](r) {
+		all = append(all, fmt.Sprintf("%s/%d@%s", e.Job, e.Item, e.Endpoint))
+	}
+	return all
+}
--- a/internal/call/exchange.go
+++ b/internal/call/exchange.go
@@ -42,7 +42,7 @@
 	commands chan event.Effect
 	begun    bool     // part of an answer was handed on
 	mayRun   bool     // an attempt wrote something that may have run
-	failed   int      // attempts that endpoints answered with a 5xx status
+	failed   int      // attempts that endpoints answered with status 500
 	held     []string // tokens handed on
 	prompt   int
 	cached   int
@@ -64,9 +64,7 @@
 			case event.StartAttempt:
 				report := x.try(ctx, e, c)
 				e.mayRun = e.mayRun || report.Run != kinds.NotRun
-				if report.Status/100 == 5 && report.Reason != event.ReasonRefused {
-					e.failed++
-				}
+				e.count(report)
 				x.Post(report)
 			case event.AnswerRequest:
 				return c
@@ -88,9 +86,16 @@
 	return kinds.Stopping
 }
 
-// Failed returns the number of attempts that endpoints answered with a 5xx status. The goroutine of Run calls it.
+// Failed returns the number of attempts that endpoints answered with status 500. The goroutine of Run calls it.
 func (e *Exchange) Failed() int { return e.failed }
 
+// count notes an endpoint's own failure. Other 5xx statuses tell of a full or leaving endpoint, or of a deadline.
+func (e *Exchange) count(report event.AttemptDone) {
+	if report.Status == http.StatusInternalServerError && report.Reason != event.ReasonRefused {
+		e.failed++
+	}
+}
+
 // Begun reports whether part of an answer was handed on. The goroutine of Run calls it.
 func (e *Exchange) Begun() bool { return e.begun }
 
--- /dev/null
+++ b/internal/call/failed_test.go
@@ -0,0 +1,33 @@
+package call
+
+import (
+	"testing"
+
+	"github.com/figshift/figshift/internal/event"
+)
+
+// Answers the pattern: a call that scores a text is refused by full and leaving endpoints until its time is up. The
+// item must not be given up as if its call had failed.
+func TestOnlyOwnFailuresOfEndpointsCount(t *testing.T) {
+	cases := map[string]struct {
+		reports []event.AttemptDone
+		want    int
+	}{
+		"failures":       {[]event.AttemptDone{{Status: 500, Reason: event.ReasonStatus}, {Status: 500, Whole: true}}, 2},
+		"past deadline":  {[]event.AttemptDone{{Status: 504, Reason: event.ReasonStatus}}, 0},
+		"full":           {[]event.AttemptDone{{Status: 503, Reason: event.ReasonRefused}, {Status: 503, Reason: event.ReasonStatus}}, 0},
+		"refused by 500": {[]event.AttemptDone{{Status: 500, Reason: event.ReasonRefused}}, 0},
+		"answers":        {[]event.AttemptDone{{Status: 200, Whole: true}}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := &Exchange{}
+			for _, r := range c.reports {
+				e.count(r)
+			}
+			if e.Failed() != c.want {
+				t.Errorf("Failed() = %d, want %d", e.Failed(), c.want)
+			}
+		})
+	}
+}
