relay: a host that the store turns away makes its calls by way of another

Change: package relay: reads and conditional writes go by way of up to three hosts while the own way fails; a write whose outcome is not known is never repeated there. items' reads between hosts share its listener.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -32,6 +33,7 @@
 	"github.com/figshift/figshift/internal/orders"
 	"github.com/figshift/figshift/internal/peer"
 	"github.com/figshift/figshift/internal/reduce"
+	"github.com/figshift/figshift/internal/relay"
 	"github.com/figshift/figshift/internal/serve"
 	"github.com/figshift/figshift/internal/stats"
 	"github.com/figshift/figshift/internal/update"
@@ -66,13 +68,16 @@
 	metricsPort
 )
 
-// site is the composition of one process on the platform.
+// onPlatform is the composition of one process on the platform.
 type onPlatform struct {
 	*daemon
 	settings platform.Settings
 	self     event.Host
 	secret   []byte
 	store    *platform.Store
+	between  http.RoundTripper // to the other hosts
+	book     *relay.Book
+	relayed  *relay.Store
 	view     *view.Part
 	leases   *lease.Part
 	calls    *call.Executor
@@ -171,7 +176,11 @@
 	d.addPart(d.members)
 	d.addPart(d.view)
 	d.addPart(d.leases)
-	objects := &objapi.Executor{Client: d.store, Post: d.loop.Post, Now: d.loop.Now, Scope: d.metrics(), Timeout: storeTimeout, ReadTimeout: storeRead}
+	d.between = conns.Transport(endpointDial, idleConns, idleConnsFor)
+	d.book = &relay.Book{Port: d.settings.Ports[pagePort]}
+	d.relayed = &relay.Store{Own: d.store, Book: d.book, Secret: hex.EncodeToString(d.secret), HTTP: d.between, Log: d.log}
+	d.addExecutor(d.book)
+	objects := &objapi.Executor{Client: d.relayed, Post: d.loop.Post, Now: d.loop.Now, Scope: d.metrics(), Timeout: storeTimeout, ReadTimeout: storeRead}
 	objects.Prepare()
 	d.addExecutor(objects)
 	d.addActor(objects.Run)
@@ -212,20 +221,19 @@
 	d.batch = &batch.Part{Self: d.self, Holders: d.flow, Roster: d.members, Fresh: d.settings.FirstStart}
 	d.members.Contributors = append(d.members.Contributors, d.batch)
 	d.addPart(d.batch)
-	pages := &items.Pages{
-		Listen: d.own(pagePort), Port: d.settings.Ports[pagePort], Secret: d.secret,
-		HTTP: conns.Transport(endpointDial, idleConns, idleConnsFor),
-	}
+	pages := &items.Pages{Book: d.book, Secret: hex.EncodeToString(d.secret), HTTP: d.between}
 	d.jobs = &items.Executor{
-		Host: d.self.Name, Incarnation: d.incarnation, Store: d.store, Calls: d.calls, Names: platform.ItemNames(),
+		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayed, Calls: d.calls, Names: platform.ItemNames(),
 		HTTP: conns.Transport(endpointDial, idleConns, idleConnsFor), Peers: pages, Post: d.loop.Post, Now: d.loop.Now,
 	}
 	d.jobs.Prepare()
 	pages.Jobs = d.jobs
 	d.addExecutor(d.jobs)
-	d.addExecutor(pages)
 	d.addActor(d.jobs.Run)
-	d.addActor(pages.Run)
+	calls := http.NewServeMux()
+	calls.Handle(items.PathPage, pages)
+	calls.Handle(relay.Path, &relay.Server{Own: d.store, Secret: hex.EncodeToString(d.secret)})
+	d.addActor(d.listen(d.own(pagePort), calls))
 	lots := &platform.Lots{Jobs: d.jobs}
 	server := &serve.Server{
 		Address: d.settings.Listen, Executor: d.calls, Post: d.loop.Post, Now: d.loop.Now,
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -40,6 +41,12 @@
 	return failed
 }
 
+// Unsent reports whether an error says that no connection was made, so that nothing was sent.
+func Unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // Transport returns an HTTP transport on such connections. Its answers are as they come, uncompressed.
 func Transport(dialTimeout time.Duration, idlePerHost int, idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
--- a/internal/items/pages.go
+++ b/internal/items/pages.go
@@ -2,76 +2,47 @@
 
 import (
 	"context"
-	"crypto/subtle"
-	"encoding/hex"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/relay"
 	"github.com/figshift/figshift/internal/wire"
 )
 
 const (
-	pathPage     = "/jobs"
-	headerSecret = "X-Figshift-Secret"
-	pageTimeout  = 800 * time.Millisecond // beyond the time that a read waits
+	// PathPage is that of a read of a job at the host that runs it.
+	PathPage    = "/jobs"
+	pageTimeout = 800 * time.Millisecond // beyond the time that a read waits
 )
 
-// Pages reads results at other hosts and answers their reads. Its exported fields are set before Run.
+// Pages reads results at other hosts and answers their reads. Its fields are set before use.
 type Pages struct {
-	Listen string // host:port
-	Port   int    // of the other hosts' listeners
-	Secret []byte
+	Book   *relay.Book
+	Secret string
 	HTTP   http.RoundTripper
 	Jobs   *Executor
-
-	mu    sync.Mutex
-	hosts map[string]string // addresses by name
-}
-
-// Do takes the hosts that are connected. It may be called concurrently.
-func (p *Pages) Do(effect event.Effect) bool {
-	e, ok := effect.(event.ConnectPeers)
-	if !ok {
-		return false
-	}
-	hosts := make(map[string]string, len(e.Hosts))
-	for _, h := range e.Hosts {
-		if ip, _, err := net.SplitHostPort(h.Address); err == nil {
-			hosts[h.Name] = net.JoinHostPort(ip, strconv.Itoa(p.Port))
-		}
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.hosts = hosts
-	return false // others need it too
 }
 
 // Page returns a page of a job from the host of that name.
 func (p *Pages) Page(ctx context.Context, host, job string, after int, wait time.Duration) (wire.JobPage, bool) {
-	p.mu.Lock()
-	address := p.hosts[host]
-	p.mu.Unlock()
 	var page wire.JobPage
+	address := p.Book.Address(host)
 	if address == "" {
 		return page, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pageTimeout)
 	defer cancel()
 	query := url.Values{"Job": {job}, "After": {strconv.Itoa(after)}, "WaitMS": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathPage+"?"+query.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathPage+"?"+query.Encode(), nil)
 	if err != nil {
 		return page, false
 	}
-	req.Header.Set(headerSecret, hex.EncodeToString(p.Secret))
+	req.Header.Set(relay.HeaderSecret, p.Secret)
 	resp, err := p.HTTP.RoundTrip(req)
 	if err != nil {
 		return page, false
@@ -84,24 +55,9 @@
 	return page, true
 }
 
-// Run answers the other hosts' reads until ctx ends.
-func (p *Pages) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", p.Listen)
-	if err != nil {
-		return errors.Wrap(err, "listening for the other hosts' reads")
-	}
-	server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); ctx.Err() == nil {
-		return errors.Wrap(err, "serving the other hosts' reads")
-	}
-	return nil
-}
-
-// ServeHTTP answers one read of a job that this host runs.
+// ServeHTTP answers one read of a job that this host runs. It may be called concurrently.
 func (p *Pages) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if subtle.ConstantTimeCompare([]byte(r.Header.Get(headerSecret)), []byte(hex.EncodeToString(p.Secret))) == 0 {
+	if !relay.Knows(r, p.Secret) {
 		http.Error(w, "unknown secret", http.StatusForbidden)
 		return
 	}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const testSecret = "s"
+
+// stub is a store that answers every call with one kind and counts the calls.
+type stub struct {
+	kind  kinds.Kind
+	calls int
+}
+
+func (s *stub) err() error {
+	s.calls++
+	if s.kind == "" {
+		return nil
+	}
+	return kinds.New(s.kind, "stub")
+}
+
+func (s *stub) Get(_ context.Context, name string) (wire.Object, error) {
+	return wire.Object{Name: name}, s.err()
+}
+
+func (s *stub) Put(_ context.Context, put wire.ObjectPut) (wire.Object, error) {
+	return wire.Object{Name: put.Name, Writer: put.Writer}, s.err()
+}
+
+func (s *stub) Delete(context.Context, string, uint64) error { return s.err() }
+
+func (s *stub) List(context.Context, string) (wire.ObjectList, error) {
+	return wire.ObjectList{Revision: 3}, s.err()
+}
+
+func (s *stub) Watch(context.Context, string, uint64, time.Duration) (wire.ObjectList, error) {
+	return wire.ObjectList{}, s.err()
+}
+
+func (s *stub) Endpoints(context.Context) (wire.EndpointList, error) {
+	return wire.EndpointList{}, s.err()
+}
+
+// hosts serves each store as another host's and returns a store whose own way gives kind.
+func hosts(t *testing.T, own *stub, others ...*stub) *Store {
+	t.Helper()
+	s := &Store{Own: own, Book: &Book{}, Secret: testSecret, HTTP: &http.Transport{}, Log: zap.NewNop()}
+	for i, o := range others {
+		mux := http.NewServeMux()
+		mux.Handle(Path, &Server{Own: o, Secret: testSecret})
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		s.Book.hosts = append(s.Book.hosts, entry{name: strconv.Itoa(i), address: server.Listener.Addr().String()})
+	}
+	return s
+}
+
+// Answers the pattern: the store turns this host away, or is cut off from it, and serves the others.
+func TestCallsByWayOfOthers(t *testing.T) {
+	cases := map[string]struct {
+		own    kinds.Kind
+		others []kinds.Kind
+		want   kinds.Kind
+		calls  []int // of each other host
+	}{
+		"own way works":         {"", []kinds.Kind{""}, "", []int{0}},
+		"own answer stands":     {kinds.Conflict, []kinds.Kind{""}, kinds.Conflict, []int{0}},
+		"turned away":           {kinds.StoreRefused, []kinds.Kind{""}, "", []int{1}},
+		"one other away too":    {kinds.StoreRefused, []kinds.Kind{kinds.StoreRefused, ""}, "", []int{1, 1}},
+		"all away":              {kinds.StoreRefused, []kinds.Kind{kinds.StoreRefused, kinds.StoreRefused}, kinds.StoreRefused, []int{1, 1}},
+		"other's answer stands": {kinds.StoreRefused, []kinds.Kind{kinds.Conflict, ""}, kinds.Conflict, []int{1, 0}},
+		// The write may have been done: its caller reads before it writes again.
+		"own outcome unknown":     {kinds.StoreUnavailable, []kinds.Kind{""}, kinds.StoreUnavailable, []int{0}},
+		"other's outcome unknown": {kinds.StoreRefused, []kinds.Kind{kinds.StoreUnavailable, ""}, kinds.StoreUnavailable, []int{1, 0}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var others []*stub
+			for _, k := range c.others {
+				others = append(others, &stub{kind: k})
+			}
+			s := hosts(t, &stub{kind: c.own}, others...)
+			_, err := s.Put(context.Background(), wire.ObjectPut{Name: "Lots/a"})
+			if got := kinds.From(err); got != c.want {
+				t.Errorf("kind %q, want %q", got, c.want)
+			}
+			var calls []int
+			for _, o := range others {
+				calls = append(calls, o.calls)
+			}
+			if diff := cmp.Diff(c.calls, calls); diff != "" {
+				t.Errorf("calls of the others (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Answers the pattern: a read's answer is lost on the own way.
+func TestLostReadGoesByWayOfOthers(t *testing.T) {
+	s := hosts(t, &stub{kind: kinds.StoreUnavailable}, &stub{})
+	if o, err := s.Get(context.Background(), "Lots/a"); err != nil || o.Name != "Lots/a" {
+		t.Errorf("Get() = %v, %v", o, err)
+	}
+}
+
+func TestHostThatIsNotThereIsPassedOver(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := free.Close(); err != nil {
+		t.Fatal(err)
+	}
+	other := &stub{}
+	s := hosts(t, &stub{kind: kinds.StoreRefused}, other)
+	s.Book.hosts = append([]entry{{name: "gone", address: free.Addr().String()}}, s.Book.hosts...)
+	if _, err := s.Put(context.Background(), wire.ObjectPut{Name: "Lots/a"}); err != nil || other.calls != 1 {
+		t.Errorf("Put() error %v after %d calls of the other host", err, other.calls)
+	}
+}
+
+// Answers the pattern: the store is back for this host.
+func TestOwnWayIsTriedAgain(t *testing.T) {
+	own, other := &stub{kind: kinds.StoreRefused}, &stub{}
+	s := hosts(t, own, other)
+	if _, err := s.Get(context.Background(), "a/a"); err != nil {
+		t.Fatal(err)
+	}
+	own.kind = ""
+	s.probe()
+	other.calls = 0
+	if _, err := s.Get(context.Background(), "a/a"); err != nil || other.calls != 0 {
+		t.Errorf("Get() error %v, %d calls by way of the other host, want 0", err, other.calls)
+	}
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	own, other := &stub{kind: kinds.StoreRefused}, &stub{}
+	s := hosts(t, own, other)
+	s.Secret = "wrong"
+	if _, err := s.Get(context.Background(), "a/a"); kinds.From(err) != kinds.StoreRefused || other.calls != 0 {
+		t.Errorf("Get() error %v after %d calls", err, other.calls)
+	}
+}
+
+func TestBookKeepsTheConnectedHosts(t *testing.T) {
+	b := &Book{Port: 7}
+	b.Do(event.ConnectPeers{Hosts: []event.Host{{Name: "h2", Address: "127.0.0.2:1"}, {Name: "h1", Address: "127.0.0.1:1"}}})
+	if diff := cmp.Diff([]string{"127.0.0.1:7", "127.0.0.2:7"}, b.addresses()); diff != "" {
+		t.Errorf("addresses (-want +got):\n%s", diff)
+	}
+	if got := b.Address("h2"); got != "127.0.0.2:7" {
+		t.Errorf("Address() = %q", got)
+	}
+}
