--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -28,6 +28,8 @@
 	left     bool
 	failures int
 	until    time.Duration // no run before
+	gap      time.Duration // time between two events of an item, 0 when not known
+	gapAt    time.Duration // when it was measured
 }
 
 // engines holds the endpoints by name and what the other hosts run on them.
@@ -65,7 +67,12 @@
 	}
 }
 
-func (s *engines) others(host string, runs []wire.EngineRuns) {
+func (s *engines) others(now time.Duration, host string, runs []wire.EngineRuns) {
+	for _, r := range runs {
+		if e := s.byName[r.Endpoint]; e != nil && r.GapMS > 0 && e.running == 0 {
+			e.gap, e.gapAt = time.Duration(r.GapMS)*time.Millisecond, now
+		}
+	}
 	if s.remote == nil {
 		s.remote = map[string][]wire.EngineRuns{}
 	}
@@ -81,7 +88,7 @@
 	var all []wire.EngineRuns
 	for _, name := range slices.Sorted(maps.Keys(s.byName)) {
 		if e := s.byName[name]; e.running > 0 {
-			all = append(all, wire.EngineRuns{Endpoint: name, Items: e.running})
+			all = append(all, wire.EngineRuns{Endpoint: name, Items: e.running, GapMS: int(e.gap.Milliseconds())})
 		}
 	}
 	return all
@@ -118,6 +125,7 @@
 	return slices.MinFunc(fits, func(a, b *engine) int {
 		return cmp.Or(
 			first(a.Name != w.notAt, b.Name != w.notAt),
+			first(!s.slow(now, a), !s.slow(now, b)),
 			cmp.Compare(a.failures, b.failures),
 			cmp.Compare(a.load(busy), b.load(busy)),
 			first(a.Zone == w.zone, b.Zone == w.zone),
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -44,8 +44,8 @@
 	engines  engines
 	attempts uint64
 	runs     map[uint64]wire.LeaveMark // engine of each run under way, by attempt
-	calls    map[uint64]submission // under way, by Seq
-	ends     map[string][]uint64   // calls that wait for the end of a job to be stored
+	calls    map[uint64]submission     // under way, by Seq
+	ends     map[string][]uint64       // calls that wait for the end of a job to be stored
 	now      time.Duration
 	stopping bool
 	drained  bool
@@ -95,6 +95,8 @@
 	switch e := ev.(type) {
 	case event.ItemEnded:
 		p.itemEnded(now, e, out)
+	case event.EnginePace:
+		p.pace(now, e, out)
 	case event.ItemScored:
 		p.scored(now, e, out)
 	case event.ChunkStored:
@@ -119,9 +121,9 @@
 	case event.PeerUp:
 		p.tellAll(e.Host, out)
 	case event.BeatSeen:
-		p.engines.others(e.Host, e.Beat.Runs)
+		p.engines.others(now, e.Host, e.Beat.Runs)
 	case event.HostLost:
-		p.engines.others(e.Host, nil)
+		p.engines.others(now, e.Host, nil)
 	default:
 		return false
 	}
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -171,6 +171,15 @@
 	ReasonSilent = "Silent"
 )
 
+// EnginePace tells how fast an engine makes the events of this host's items: the mean time between two events of a run
+// since the last report, and the number of events that it is the mean of.
+type EnginePace struct {
+	Endpoint    string
+	Incarnation string
+	Gap         time.Duration
+	Events      int
+}
+
 // ScoreItem sends the call that scores an item's text; ItemScored answers.
 type ScoreItem struct {
 	Job      string
@@ -218,6 +227,7 @@
 func (RunItem) isEffect()    {}
 func (StopItem) isEffect()   {}
 func (ItemEnded) isEvent()   {}
+func (EnginePace) isEvent()  {}
 func (ScoreItem) isEffect()  {}
 func (ItemScored) isEvent()  {}
 func (StoreChunk) isEffect() {}
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -37,6 +37,7 @@
 		JobsListed{},
 		JobEnded{},
 		ItemEnded{},
+		EnginePace{},
 		ItemScored{},
 		ChunkStored{},
 	}
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -29,6 +29,7 @@
 
 	keeper   keeper
 	past     past
+	paces    paces
 	ctx      context.Context
 	cancel   context.CancelFunc
 	mu       sync.Mutex
@@ -71,7 +72,7 @@
 
 // Run waits for ctx and then ends every run.
 func (x *Executor) Run(ctx context.Context) error {
-	<-ctx.Done()
+	x.tellPaces(ctx)
 	x.cancel()
 	return nil
 }
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 const (
@@ -39,7 +40,16 @@
 	var silent atomic.Bool
 	watchdog := time.AfterFunc(e.Silence, func() { silent.Store(true); cancel() })
 	defer watchdog.Stop()
-	done.Status, done.Reason = x.exchange(ctx, j, e, t, last, func() { watchdog.Reset(e.Silence) })
+	engine := wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}
+	var previous time.Duration
+	done.Status, done.Reason = x.exchange(ctx, j, e, t, last, func() {
+		watchdog.Reset(e.Silence)
+		now := x.Now()
+		if previous > 0 {
+			x.paces.add(engine, now-previous)
+		}
+		previous = now
+	})
 	if done.Reason != "" && done.Reason != event.ReasonRefused && silent.Load() {
 		done.Reason = event.ReasonSilent
 	} else if done.Reason != "" && done.Reason != event.ReasonRefused && ctx.Err() != nil {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -94,6 +94,7 @@
 type EngineRuns struct {
 	Endpoint string
 	Items    int
+	GapMS    int `json:",omitempty" msgpack:",omitempty"` // mean time between two events of an item, 0 when not known
 }
 
 // JobNews tells the other hosts who runs a batch job.
