batch, items: texts of running items are copied to the host that would take their job over

A host whose connections closed and did not come back within 400 ms counts as gone; stopping hosts take nothing over.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/figshift/figshift/internal/batch"
 	"github.com/figshift/figshift/internal/call"
@@ -137,6 +138,9 @@
 
 func (d *onPlatform) addLogs(stdout io.Writer) {
 	d.log = logs.New(d.settings.LogLevel, d.settings.Host, stdout)
+	if _, err := zap.RedirectStdLogAt(d.log, zap.DebugLevel); err != nil {
+		d.log.Warn("LogNotRedirected", zap.Error(err)) // the HTTP library's own lines stay on standard error
+	}
 	scope, metrics, closer := stats.New(func(error) {})
 	d.scope = scope
 	d.closers = append(d.closers, closer)
@@ -232,6 +236,7 @@
 	d.addActor(d.jobs.Run)
 	calls := http.NewServeMux()
 	calls.Handle(items.PathPage, pages)
+	calls.HandleFunc(items.PathCopies, pages.ServeCopies)
 	calls.Handle(relay.Path, &relay.Server{Own: d.store, Secret: hex.EncodeToString(d.secret)})
 	d.addActor(d.listen(d.own(pagePort), calls))
 	lots := &platform.Lots{Jobs: d.jobs}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -50,6 +50,8 @@
 	left   int // items that are not listed
 	ended  bool
 	since  time.Duration
+	// copiesTo is the host that gets copies of the texts, "" for none.
+	copiesTo string
 }
 
 // group is what is known of the items that share a prompt.
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -21,6 +21,11 @@
 	takeAgain = 500 * time.Millisecond
 	// rankDelay is what each host waits longer than the one before it in the order of preference.
 	rankDelay = 300 * time.Millisecond
+	// closedFor is the time for which a host may have no connection to this one before it counts as gone: a process that
+	// ends closes its connections, one that lives makes them again.
+	closedFor = 400 * time.Millisecond
+	// flushFor bounds the wait for the last copies of a stopping host.
+	flushFor = 700 * time.Millisecond
 	// rememberFor is the time for which a job is remembered after it was last heard of.
 	rememberFor = 3 * time.Minute
 	// keepTexts is the time for which the texts of an ended job stay in memory; later reads go to the store.
@@ -33,6 +38,7 @@
 	heardAt time.Duration
 	orphan  time.Duration // time since which nobody runs it, 0 while somebody does
 	taking  bool
+	dropped bool // the executor holds nothing of it
 	next    time.Duration
 }
 
@@ -53,13 +59,49 @@
 	for _, i := range taken.Listed {
 		j.setListed(i)
 	}
+	for _, h := range taken.Held {
+		if it := j.items[h.Item]; it.state == waiting {
+			it.events, it.versions = h.Events, h.Versions
+		}
+	}
 	k := p.see(taken.Job)
 	k.Host, k.Incarnation, k.Epoch, k.heardAt, k.orphan = p.Self.Name, p.Self.Incarnation, taken.Epoch, now, 0
 	k.Ended = j.left == 0 // nothing is left to run
 	p.tell(k.JobSeen, out)
+	p.copyTo(now, j, out)
 	p.dispatch(now, out)
 }
 
+// copyTo names the host that gets copies of a job: the one that would take it over.
+func (p *Part) copyTo(now time.Duration, j *job, out *event.Batch) {
+	to := ""
+	for _, name := range ranks.Order(j.head.ID, p.stayingHosts(now)) {
+		if name != p.Self.Name {
+			to = name
+			break
+		}
+	}
+	if j.left == 0 || j.ended {
+		to = ""
+	}
+	if to != j.copiesTo {
+		j.copiesTo = to
+		out.Emit(event.CopyJob{Job: j.head.ID, To: to})
+	}
+}
+
+// stayingHosts returns the hosts that are alive and not stopping, sorted.
+func (p *Part) stayingHosts(now time.Duration) []string {
+	var names []string
+	for _, h := range p.Roster.Alive(now) {
+		since, down := p.down[h.Name]
+		if !p.leaving[h.Name] && (!down || now-since < closedFor) {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
 // tell sends who runs a job to all hosts and to the executor.
 func (p *Part) tell(s event.JobSeen, out *event.Batch) {
 	out.Emit(event.KnowJob{Seen: s})
@@ -151,19 +193,23 @@
 	if p.stopping || now-p.started < settle {
 		return
 	}
-	alive := p.Roster.Alive(now)
 	incarnations := map[string]string{}
-	names := make([]string, 0, len(alive))
-	for _, h := range alive {
-		incarnations[h.Name] = h.Incarnation
-		names = append(names, h.Name)
+	for _, h := range p.Roster.Alive(now) {
+		if since, down := p.down[h.Name]; !down || now-since < closedFor {
+			incarnations[h.Name] = h.Incarnation
+		}
 	}
+	names := p.stayingHosts(now)
 	for _, id := range slices.Sorted(maps.Keys(p.known)) {
 		k := p.known[id]
 		if k.Ended && now-k.heardAt > rememberFor {
 			delete(p.known, id)
 			continue
 		}
+		if k.Ended && !k.dropped && now-k.heardAt > keepTexts && p.jobs[id] == nil {
+			k.dropped = true
+			out.Emit(event.DropJob{Job: id})
+		}
 		p.takeOrphan(now, k, incarnations, names, out)
 	}
 	p.dropEnded(now, out)
@@ -255,6 +301,20 @@
 			return
 		}
 	}
+	if p.flushing == 0 {
+		p.flushing = p.now
+		out.Emit(event.FlushCopies{})
+	}
+	if p.now-p.flushing >= flushFor {
+		p.handOver(out)
+	}
+}
+
+// handOver gives the jobs up.
+func (p *Part) handOver(out *event.Batch) {
+	if p.drained {
+		return
+	}
 	p.drained = true
 	for _, j := range p.sorted() {
 		if !j.ended && j.left > 0 {
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -49,6 +49,9 @@
 	now      time.Duration
 	stopping bool
 	drained  bool
+	flushing time.Duration            // since when the copies are flushed, 0 before
+	leaving  map[string]bool          // hosts that are stopping
+	down     map[string]time.Duration // since when a host's connection is closed
 	started  time.Duration
 	listed   bool // the jobs that were there at the start are known
 	listing  bool
@@ -119,9 +122,15 @@
 			p.news(now, *e.Message.News, out)
 		}
 	case event.PeerUp:
+		delete(p.down, e.Host)
 		p.tellAll(e.Host, out)
+	case event.PeerDown:
+		p.down[e.Host] = now
+	case event.CopiesFlushed:
+		p.handOver(out)
 	case event.BeatSeen:
 		p.engines.others(now, e.Host, e.Beat.Runs)
+		p.leaving[e.Host] = e.Beat.Stopping
 	case event.HostLost:
 		p.engines.others(now, e.Host, nil)
 	default:
@@ -139,6 +148,8 @@
 	p.runs = map[uint64]wire.LeaveMark{}
 	p.calls = map[uint64]submission{}
 	p.ends = map[string][]uint64{}
+	p.leaving = map[string]bool{}
+	p.down = map[string]time.Duration{}
 	p.started = now
 	p.listed = p.Fresh
 	if p.Order == nil {
@@ -150,6 +161,7 @@
 	p.lookForJobs(now, out)
 	p.takeOrphans(now, out)
 	for _, j := range p.sorted() {
+		p.copyTo(now, j, out)
 		p.giveUp(now, j, out)
 		p.list(now, j, out)
 	}
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -91,8 +91,28 @@
 	Ended  bool
 	Chunks int
 	Listed []int
+	Held   []ItemHeld // texts that were copied here
 }
 
+// ItemHeld is what is held of an item's text.
+type ItemHeld struct {
+	Item     int
+	Events   int
+	Versions []uint64
+}
+
+// CopyJob names the host that gets copies of a job's texts, which it would go on from; "" ends the copies.
+type CopyJob struct {
+	Job string
+	To  string
+}
+
+// FlushCopies sends what the copies lack; CopiesFlushed answers.
+type FlushCopies struct{}
+
+// CopiesFlushed ends a FlushCopies.
+type CopiesFlushed struct{}
+
 // ListJobs reads which jobs there are; JobsListed answers.
 type ListJobs struct{}
 
@@ -212,23 +232,26 @@
 	Kind   kinds.Kind
 }
 
-func (JobCalled) isEvent()   {}
-func (JobAnswer) isEffect()  {}
-func (KeepJob) isEffect()    {}
-func (JobKept) isEvent()     {}
-func (TakeJob) isEffect()    {}
-func (JobTaken) isEvent()    {}
-func (ListJobs) isEffect()   {}
-func (JobsListed) isEvent()  {}
-func (KnowJob) isEffect()    {}
-func (EndJob) isEffect()     {}
-func (JobEnded) isEvent()    {}
-func (DropJob) isEffect()    {}
-func (RunItem) isEffect()    {}
-func (StopItem) isEffect()   {}
-func (ItemEnded) isEvent()   {}
-func (EnginePace) isEvent()  {}
-func (ScoreItem) isEffect()  {}
-func (ItemScored) isEvent()  {}
-func (StoreChunk) isEffect() {}
-func (ChunkStored) isEvent() {}
+func (JobCalled) isEvent()     {}
+func (JobAnswer) isEffect()    {}
+func (KeepJob) isEffect()      {}
+func (JobKept) isEvent()       {}
+func (TakeJob) isEffect()      {}
+func (JobTaken) isEvent()      {}
+func (ListJobs) isEffect()     {}
+func (JobsListed) isEvent()    {}
+func (KnowJob) isEffect()      {}
+func (EndJob) isEffect()       {}
+func (JobEnded) isEvent()      {}
+func (DropJob) isEffect()      {}
+func (RunItem) isEffect()      {}
+func (StopItem) isEffect()     {}
+func (ItemEnded) isEvent()     {}
+func (EnginePace) isEvent()    {}
+func (CopyJob) isEffect()      {}
+func (FlushCopies) isEffect()  {}
+func (CopiesFlushed) isEvent() {}
+func (ScoreItem) isEffect()    {}
+func (ItemScored) isEvent()    {}
+func (StoreChunk) isEffect()   {}
+func (ChunkStored) isEvent()   {}
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -38,6 +38,7 @@
 		JobEnded{},
 		ItemEnded{},
 		EnginePace{},
+		CopiesFlushed{},
 		ItemScored{},
 		ChunkStored{},
 	}
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -30,6 +30,8 @@
 	keeper   keeper
 	past     past
 	paces    paces
+	copying  sync.Mutex         // held while copies are sent
+	copies   map[string]*copied // by job
 	ctx      context.Context
 	cancel   context.CancelFunc
 	mu       sync.Mutex
@@ -53,6 +55,8 @@
 type Peers interface {
 	// Page returns a page of a job from the host of that name; false when it does not answer for the job.
 	Page(ctx context.Context, host, job string, after int, wait time.Duration) (wire.JobPage, bool)
+	// Copy sends copies to the host of that name and reports whether it has taken them.
+	Copy(ctx context.Context, host string, all []jobCopy) bool
 }
 
 type runKey struct {
@@ -67,11 +71,13 @@
 	x.arriving = map[uint64]wire.Job{}
 	x.answers = map[uint64]chan event.JobAnswer{}
 	x.runs = map[runKey]context.CancelFunc{}
+	x.copies = map[string]*copied{}
 	x.scores = FirstScore
 }
 
 // Run waits for ctx and then ends every run.
 func (x *Executor) Run(ctx context.Context) error {
+	go x.copyUntil(ctx)
 	x.tellPaces(ctx)
 	x.cancel()
 	return nil
@@ -97,6 +103,14 @@
 		}
 	case event.DropJob:
 		x.keeper.drop(e.Job)
+		x.copyJob(event.CopyJob{Job: e.Job})
+	case event.CopyJob:
+		x.copyJob(e)
+	case event.FlushCopies:
+		go func() {
+			x.sendCopies(x.ctx)
+			x.Post(event.CopiesFlushed{})
+		}()
 	case event.RunItem:
 		x.start(e)
 	case event.StopItem:
@@ -111,6 +125,20 @@
 	return true
 }
 
+// copyUntil sends copies at their interval until ctx ends.
+func (x *Executor) copyUntil(ctx context.Context) {
+	tick := time.NewTicker(copyEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			x.sendCopies(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (x *Executor) start(e event.RunItem) {
 	ctx, cancel := context.WithTimeout(x.ctx, max(e.Deadline-x.Now(), time.Millisecond))
 	key := runKey{job: e.Job, attempt: e.Attempt}
--- a/internal/items/keeper.go
+++ b/internal/items/keeper.go
@@ -25,6 +25,7 @@
 	texts   []*text
 	listed  []wire.JobResult
 	chunks  int           // in listed
+	starts  []int         // positions at which the chunks begin
 	changed chan struct{} // closed when listed grows
 	owned   bool          // this host runs the job, so that listed is whole
 }
@@ -80,6 +81,14 @@
 	}
 }
 
+// owns reports whether this host runs a job.
+func (k *keeper) owns(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j := k.jobs[id]
+	return j != nil && j.owned
+}
+
 func (k *keeper) know(s event.JobSeen) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -101,6 +110,7 @@
 		return
 	}
 	j.chunks++
+	j.starts = append(j.starts, len(j.listed))
 	j.listed = append(j.listed, results...)
 	close(j.changed)
 	j.changed = make(chan struct{})
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -292,6 +292,7 @@
 		done.Listed = append(done.Listed, r.Item)
 	}
 	done.Chunks = j.chunks
+	done.Held = j.held()
 	done.Head = x.head(job)
 	x.keeper.setOwned(e.Job, true)
 	return ""
