view: checks take turns; lapsed entries are kept on every host

A test of the turns and one of lapsed entries showed two more faults: a host kept an entry that ended within 2 s of its own start, and a host that watches nothing dropped lapsed entries at once. Change: three hosts check a prefix, each in its turn of 500 ms; a push says whether the store has only just returned. Result: TestChecksTakeTurns, TestLapsedEntries and TestLapsedEntriesByAPeer fail before and pass after.

--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -84,7 +84,7 @@
 			continue
 		}
 		gone, err := p.Decode.Endpoint(name, o.Value)
-		late := p.away() || now-p.returned < lapseGrace
+		late := p.away() || p.justReturned(now)
 		if late && err == nil && gone.State == wire.Live {
 			p.lapsed[name] = lapse{endpoint: gone, since: now}
 		}
@@ -97,6 +97,11 @@
 	p.raiseEndpoints(f, out)
 }
 
+// justReturned reports whether lapsed entries may still come back after the store's return.
+func (p *Part) justReturned(now time.Duration) bool {
+	return p.returned != 0 && now-p.returned < lapseGrace
+}
+
 func (p *Part) raiseEndpoints(f *feed, out *event.Batch) {
 	list := wire.EndpointList{Revision: f.newest}
 	for _, o := range f.sorted() {
--- a/internal/view/feed.go
+++ b/internal/view/feed.go
@@ -132,7 +132,7 @@
 	if len(changed) > 0 && f.busy {
 		f.busy, f.seq = false, 0 // the watch is silent: its answer is not waited for
 	}
-	p.push(f, changed, out)
+	p.push(now, f, changed, out)
 	p.apply(now, f, changed, out)
 }
 
@@ -181,7 +181,7 @@
 		changed = f.replace(list)
 	}
 	if f.listed {
-		p.push(f, changed, out)
+		p.push(now, f, changed, out)
 	}
 	f.listed = true
 	f.position = max(f.position, list.Revision)
--- a/internal/view/peers.go
+++ b/internal/view/peers.go
@@ -30,11 +30,11 @@
 }
 
 // push sends changes that the store has told to the other hosts.
-func (p *Part) push(f *feed, changed []wire.Object, out *event.Batch) {
+func (p *Part) push(now time.Duration, f *feed, changed []wire.Object, out *event.Batch) {
 	if len(changed) == 0 {
 		return
 	}
-	push := wire.Push{Prefix: f.prefix, Revision: f.newest}
+	push := wire.Push{Prefix: f.prefix, Revision: f.newest, Returned: p.justReturned(now)}
 	for _, o := range changed {
 		if o.Deleted {
 			o.Value = nil
@@ -86,6 +86,9 @@
 	if f == nil {
 		return
 	}
+	if push.Returned && !p.justReturned(now) {
+		p.returned = now
+	}
 	var changed []wire.Object
 	for _, o := range push.Objects {
 		old := f.objects[o.Name]
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -28,8 +28,10 @@
 	watchWait = 10 * time.Second
 	// watchers is the number of hosts that watch one prefix; they push to the others.
 	watchers = 2
-	// checkEvery is the interval at which some host reads a prefix again, since a watch may be silent.
-	checkEvery = 500 * time.Millisecond
+	// checkers is the number of hosts that read a prefix again now and then, since a watch may be silent; each does in
+	// its turn. A host whose turn is not known bounds what a change may lag by checkers times checkTurn.
+	checkers   = 3
+	checkTurn  = 500 * time.Millisecond
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = time.Second
 	pullEvery  = 300 * time.Millisecond
@@ -138,18 +140,26 @@
 
 // watches reports whether this host is one of those that watch a prefix.
 func (p *Part) watches(f *feed) bool {
+	return p.rank(f) < watchers
+}
+
+// rank returns this host's place among those that are heard, in an order of its own for each prefix.
+func (p *Part) rank(f *feed) int {
 	names := append(slices.Sorted(maps.Keys(p.heard)), p.Host)
-	rank := ranks.Of(f.prefix, names, p.Host)
-	return rank < watchers
+	return ranks.Of(f.prefix, names, p.Host)
 }
 
-// check reads a prefix again now and then, each host in its turn: a change that no watch has told is known to all
-// within checkEvery and a beat.
+// check reads a prefix again when it is this host's turn and pushes what no watch has told.
 func (p *Part) check(now time.Duration, f *feed, out *event.Batch) {
 	if !f.checked || !f.listed || f.checking != 0 || now < f.nextCheck {
 		return
 	}
-	f.nextCheck = now + checkEvery*time.Duration(len(p.heard)+1)
+	rank, turn := p.rank(f), int(now/checkTurn)
+	if rank >= checkers || len(p.heard) >= checkers-1 && turn%checkers != rank {
+		f.nextCheck = time.Duration(turn+1) * checkTurn
+		return
+	}
+	f.nextCheck = time.Duration(turn+checkers) * checkTurn
 	p.seq++
 	f.checking = p.seq
 	out.Emit(event.ListObjects{Call: event.ObjectCall{Owner: owner, Seq: p.seq}, Prefix: f.prefix})
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -130,6 +130,8 @@
 	After    uint64
 	Revision uint64
 	Objects  []Object
+	// Returned says that the store answers the sender again since a moment ago.
+	Returned bool `json:",omitempty" msgpack:",omitempty"`
 }
 
 // Pull asks a peer for the objects under each prefix that changed after the revision of the same index.
