batch, usage: items of a submitted job run while the store is away; a successor waits for the daemons' counts

A new holder of the usage duty closed windows before the daemons' counts had come to it (off by 29 of 30 requests; two duties missed). Change: after 600 ms without the store's answer a job's items run; nothing is listed before the job is stored, and the caller is not told any more that nothing runs; a second host stores it in the first one's name. A successor closes no window for two flushes.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -170,6 +170,68 @@
 	}
 }
 
+// Answers the pattern: the store is away for seconds while a trainer submits a step. Its items run meanwhile; nothing is
+// listed before the store has the job, and the caller is not told that nothing runs.
+func TestItemsRunWhileTheStoreIsAway(t *testing.T) {
+	cases := map[string]struct {
+		kept   []event.JobKept // ends of the storing, a second apart
+		answer kinds.Kind
+		chunks int
+	}{
+		"stored late":        {[]event.JobKept{{}}, "", 1},
+		"stored by a second": {[]event.JobKept{{Kind: kinds.OutcomeUnknown}, {}}, kinds.OutcomeUnknown, 1},
+		"refused by then":    {[]event.JobKept{{Kind: kinds.StoreRefused}, {}}, kinds.OutcomeUnknown, 1},
+		"stored by another":  {[]event.JobKept{{Kind: kinds.Conflict, Owner: event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"}}}, "", 0},
+		"in this one's name": {[]event.JobKept{{Kind: kinds.Conflict, Owner: event.JobSeen{Job: "j1", Host: "h1", Incarnation: "1"}}}, "", 1},
+		"still not stored":   {[]event.JobKept{{Kind: kinds.OutcomeUnknown}}, kinds.OutcomeUnknown, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			r.step(event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 1, none)})
+			r.tick(beginAfter)
+			runs := take[event.RunItem](r)
+			if len(runs) != 1 {
+				t.Fatalf("runs = %v, want one while the store is away", runs)
+			}
+			r.step(event.ItemEnded{Job: "j1", Attempt: runs[0].Attempt, Events: 1, Versions: []uint64{1}})
+			r.tick(time.Second)
+			if got := take[event.StoreChunk](r); len(got) > 0 {
+				t.Fatalf("listed before the job is stored: %v", got)
+			}
+			for _, k := range c.kept {
+				k.Seq, k.Job = 1, "j1"
+				r.step(k)
+				r.tick(time.Second)
+			}
+			answers := take[event.JobAnswer](r)
+			if len(answers) != 1 || answers[0].Kind != c.answer {
+				t.Errorf("answers = %v, want one of kind %q", answers, c.answer)
+			}
+			if got := len(take[event.StoreChunk](r)); got != c.chunks {
+				t.Errorf("%d chunks, want %d", got, c.chunks)
+			}
+		})
+	}
+}
+
+// Answers the pattern: the trainer submits such a job again at another host, which knows who runs it.
+func TestJobThatRunsElsewhereIsStoredInItsName(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	r.step(event.PeerReceived{Host: "h2", Message: wire.Message{News: &wire.JobNews{Job: "j1", Host: "h2", Incarnation: "1"}}})
+	r.step(event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 1, none)})
+	r.tick(beginAfter)
+	keeps := take[event.KeepJob](r)
+	if len(keeps) != 1 || keeps[0].Host != "h2" {
+		t.Fatalf("stored as %v, want in the name of h2", keeps)
+	}
+	r.step(event.JobKept{Seq: 1, Job: "j1"})
+	r.tick(time.Second)
+	if got := r.running(); len(got) > 0 {
+		t.Errorf("runs here too: %v", got)
+	}
+}
+
 func TestSubmissions(t *testing.T) {
 	cases := map[string]struct {
 		path string
--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -8,8 +10,15 @@
 	"github.com/figshift/figshift/internal/kinds"
 )
 
-// retryIn is the time after which a refused caller should come back: another host takes the job at once.
-const retryIn = 100 * time.Millisecond
+const (
+	// retryIn is the time after which a refused caller should come back: another host takes the job at once.
+	retryIn = 100 * time.Millisecond
+	// keepBudget is the time within which a submission is answered.
+	keepBudget = 3 * time.Second
+	// beginAfter is the time after which the items of a job begin to run though the store has not taken it yet. From
+	// then on its submission is not refused any more.
+	beginAfter = 600 * time.Millisecond
+)
 
 // called authorises a call and begins a submission or an end.
 func (p *Part) called(now time.Duration, e event.JobCalled, out *event.Batch) {
@@ -56,18 +65,37 @@
 		p.answer(e.Seq, kinds.Stopping, "", out)
 		return
 	}
-	if _, ok := p.jobs[e.Job]; ok {
+	if j, ok := p.jobs[e.Job]; ok && !j.unkept {
 		p.answer(e.Seq, "", organisation, out)
 		return
 	}
 	head := e.Head
 	head.ID, head.Organisation, head.Route, head.Single = e.Job, organisation, r.Name, r.Jobs.SingleVersion
 	head.Due, head.GiveUp = now+r.Jobs.Due, now+r.Jobs.GiveUpAfter
-	p.calls[e.Seq] = submission{head: head, since: now}
-	out.Emit(event.KeepJob{
-		Seq: e.Seq, Job: e.Job, Organisation: organisation, Route: r.Name,
+	keep := event.KeepJob{
+		Seq: e.Seq, Job: e.Job, Organisation: organisation, Route: r.Name, Budget: keepBudget,
 		Due: r.Jobs.Due, GiveUp: r.Jobs.GiveUpAfter, Single: r.Jobs.SingleVersion,
-	})
+		Host: p.Self.Name, Incarnation: p.Self.Incarnation,
+	}
+	if k := p.known[e.Job]; k != nil && k.Host != "" && p.lives(now, k) {
+		keep.Host, keep.Incarnation = k.Host, k.Incarnation // it runs there already
+	}
+	p.calls[e.Seq] = submission{head: head, since: now, keep: keep}
+	out.Emit(keep)
+}
+
+// begin runs the items of submissions that the store has not taken for a while: it may be away for as long as a step.
+func (p *Part) begin(now time.Duration, out *event.Batch) {
+	for _, seq := range slices.Sorted(maps.Keys(p.calls)) {
+		s := p.calls[seq]
+		if now-s.since < beginAfter || s.keep.Host != p.Self.Name || p.jobs[s.head.ID] != nil || p.stopping {
+			continue
+		}
+		out.Emit(event.BeginJob{Keep: s.keep})
+		p.own(now, event.JobTaken{Job: s.head.ID, Head: s.head}, out)
+		p.jobs[s.head.ID].unkept = true
+		out.Emit(event.Log{Level: "info", Event: "JobBegun", Fields: []event.Field{{Key: "Job", Value: s.head.ID}, {Key: "Reason", Value: "StoreAway"}}})
+	}
 }
 
 // kept answers a submission once the store has the job.
@@ -86,15 +114,63 @@
 		{Key: "Items", Value: strconv.Itoa(len(s.head.Items))},
 		{Key: "TookMS", Value: strconv.FormatInt((now - s.since).Milliseconds(), 10)},
 	}})
-	if e.Kind == kinds.Conflict {
-		p.answer(e.Seq, "", s.head.Organisation, out) // another host accepted it
+	if e.Kind == kinds.Conflict && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation {
+		e.Kind = "" // another host stored it in this one's name
+	}
+	p.keptAs(now, e, s, out)
+}
+
+// keptAs goes on from the end of a submission's storing.
+func (p *Part) keptAs(now time.Duration, e event.JobKept, s submission, out *event.Batch) {
+	j := p.jobs[e.Job]
+	switch {
+	case e.Kind == kinds.Conflict:
+		p.answerOnce(s, "", out) // another host accepted it
+		p.yield(j, out)
 		p.noteOther(now, e.Owner, out)
+	case e.Kind == "" && s.keep.Host != p.Self.Name:
+		p.answerOnce(s, "", out)
+		p.noteOther(now, event.JobSeen{Job: e.Job, Host: s.keep.Host, Incarnation: s.keep.Incarnation}, out)
+	case e.Kind == "" && j == nil:
+		p.answerOnce(s, "", out)
+		p.own(now, event.JobTaken{Job: e.Job, Head: s.head}, out)
+	case e.Kind == "":
+		p.answerOnce(s, "", out)
+		j.unkept = false
+		p.list(now, j, out)
+	case j != nil && j.unkept:
+		p.keepOn(now, s, out)
+	default:
+		p.answerOnce(s, e.Kind, out)
+	}
+}
+
+// answerOnce answers a submission that has no answer yet.
+func (p *Part) answerOnce(s submission, kind kinds.Kind, out *event.Batch) {
+	if !s.answered {
+		p.answer(s.keep.Seq, kind, s.head.Organisation, out)
+	}
+}
+
+// keepOn tries on to store a job whose items run already. Its submission is not said not to have run.
+func (p *Part) keepOn(now time.Duration, s submission, out *event.Batch) {
+	p.answerOnce(s, kinds.OutcomeUnknown, out)
+	if now >= s.head.GiveUp || p.stopping {
+		p.yield(p.jobs[s.head.ID], out)
 		return
 	}
-	p.answer(e.Seq, e.Kind, s.head.Organisation, out)
-	if e.Kind == "" {
-		p.own(now, event.JobTaken{Job: e.Job, Head: s.head}, out)
+	s.answered = true
+	p.calls[s.keep.Seq] = s
+	out.Emit(s.keep)
+}
+
+// yield gives up a job that this host began and that is another's, or nobody's.
+func (p *Part) yield(j *job, out *event.Batch) {
+	if j == nil || !j.unkept {
+		return
 	}
+	p.stopJob(j, out)
+	delete(p.jobs, j.head.ID)
 }
 
 // end stops a job here and records its end; any host may be asked.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -49,6 +49,7 @@
 	retry  time.Duration
 	left   int // items that are not listed
 	ended  bool
+	unkept bool // its items run, though the store may not have it: nothing is listed yet
 	since  time.Duration
 	// copiesTo is the host that gets copies of the texts, "" for none.
 	copiesTo string
--- a/internal/batch/list.go
+++ b/internal/batch/list.go
@@ -19,7 +19,7 @@
 
 // list stores the results that wait: a whole group at once, others after a short time.
 func (p *Part) list(now time.Duration, j *job, out *event.Batch) {
-	if j.busy || now < j.retry || !p.due(now, j) {
+	if j.busy || j.unkept || now < j.retry || !p.due(now, j) {
 		return
 	}
 	chunk := event.StoreChunk{Job: j.head.ID, Number: j.chunks}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -14,7 +14,7 @@
 
 const (
 	// settle is the time after the start in which the other hosts are first heard.
-	settle = 2 * time.Second
+	settle = 1200 * time.Millisecond
 	// lookAgain is the pause after a failed look for jobs.
 	lookAgain = 500 * time.Millisecond
 	// takeAgain is the pause between two attempts to take a job over.
@@ -188,6 +188,17 @@
 	out.Emit(event.Log{Level: "info", Event: "JobsListed", Fields: []event.Field{{Key: "Jobs", Value: strconv.Itoa(len(e.Jobs))}}})
 }
 
+// lives reports whether the process that runs a job is alive.
+func (p *Part) lives(now time.Duration, k *seen) bool {
+	for _, h := range p.Roster.Alive(now) {
+		if h.Name == k.Host {
+			since, down := p.down[h.Name]
+			return h.Incarnation == k.Incarnation && (!down || now-since < closedFor)
+		}
+	}
+	return false
+}
+
 // takeOrphans takes over the jobs that nobody runs and that fall to this host.
 func (p *Part) takeOrphans(now time.Duration, out *event.Batch) {
 	if p.stopping || now-p.started < settle {
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -60,8 +60,10 @@
 
 // submission is a job that is being stored.
 type submission struct {
-	head  event.JobHead
-	since time.Duration
+	head     event.JobHead
+	since    time.Duration
+	keep     event.KeepJob
+	answered bool // the caller has its answer; the job is still being stored
 }
 
 // Step applies one event. It must not be called concurrently.
@@ -160,6 +162,7 @@
 func (p *Part) tick(now time.Duration, out *event.Batch) {
 	p.lookForJobs(now, out)
 	p.takeOrphans(now, out)
+	p.begin(now, out)
 	for _, j := range p.sorted() {
 		p.copyTo(now, j, out)
 		p.giveUp(now, j, out)
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -44,7 +44,7 @@
 		if e == nil {
 			continue
 		}
-		p.run(now, w, r, e, out)
+		p.run(w, r, e, out)
 	}
 }
 
@@ -105,7 +105,7 @@
 	return r.Service
 }
 
-func (p *Part) run(now time.Duration, w place, r config.Route, e *engine, out *event.Batch) {
+func (p *Part) run(w place, r config.Route, e *engine, out *event.Batch) {
 	p.attempts++
 	it := w.item
 	it.attempt, it.state, it.engine = p.attempts, running, e.Name
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -65,8 +65,14 @@
 	Due          time.Duration // after its submission
 	GiveUp       time.Duration
 	Single       bool
+	Host         string // who runs the job
+	Incarnation  string
+	Budget       time.Duration // until the outcome must be told
 }
 
+// BeginJob hands the texts' keeper a submitted job whose items run before it is stored.
+type BeginJob struct{ Keep KeepJob }
+
 // JobKept ends a KeepJob. Kind is "", Conflict when the job was accepted before, StoreRefused when it certainly is not
 // stored, and else OutcomeUnknown.
 type JobKept struct {
@@ -235,6 +241,7 @@
 func (JobCalled) isEvent()     {}
 func (JobAnswer) isEffect()    {}
 func (KeepJob) isEffect()      {}
+func (BeginJob) isEffect()     {}
 func (JobKept) isEvent()       {}
 func (TakeJob) isEffect()      {}
 func (JobTaken) isEvent()      {}
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -36,6 +36,7 @@
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	arriving map[uint64]wire.Job // submissions by Seq
+	storing  map[uint64]wire.Job // those that are being stored
 	answers  map[uint64]chan event.JobAnswer
 	runs     map[runKey]context.CancelFunc
 	seq      uint64
@@ -69,6 +70,7 @@
 	x.keeper.prepare()
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	x.arriving = map[uint64]wire.Job{}
+	x.storing = map[uint64]wire.Job{}
 	x.answers = map[uint64]chan event.JobAnswer{}
 	x.runs = map[runKey]context.CancelFunc{}
 	x.copies = map[string]*copied{}
@@ -88,6 +90,8 @@
 	switch e := effect.(type) {
 	case event.KeepJob:
 		go x.keep(x.ctx, e)
+	case event.BeginJob:
+		x.begin(e)
 	case event.JobAnswer:
 		x.answer(e)
 	case event.EndJob:
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	callTimeout = time.Second     // one call to the store
-	keepBudget  = 3 * time.Second // until the outcome of a submission must be told
+	callTimeout = time.Second // one call to the store
 	endBudget   = 3 * time.Second
 	storeRetry  = 150 * time.Millisecond
 )
@@ -50,12 +49,14 @@
 	if !ok {
 		return kinds.Internal
 	}
+	x.setStoring(e.Seq, &job)
+	defer x.setStoring(e.Seq, nil)
 	value, err := encode(job)
 	if err != nil {
 		return kinds.Internal
 	}
 	put := wire.ObjectPut{Name: wire.PrefixJobs + job.ID, Writer: x.writer(e.Seq), Value: value}
-	until := time.Now().Add(keepBudget)
+	until := time.Now().Add(e.Budget)
 	unknown := false
 	for {
 		kind := x.put(ctx, put)
@@ -64,8 +65,10 @@
 		}
 		switch kind {
 		case "":
-			x.keeper.add(job)
-			x.keeper.setOwned(job.ID, true)
+			if job.Host == x.Host {
+				x.keeper.add(job)
+				x.keeper.setOwned(job.ID, true)
+			}
 			return ""
 		case kinds.Conflict:
 			return kinds.Conflict
@@ -83,6 +86,17 @@
 	}
 }
 
+// setStoring notes the job that a submission stores, nil for none any more.
+func (x *Executor) setStoring(seq uint64, job *wire.Job) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if job == nil {
+		delete(x.storing, seq)
+		return
+	}
+	x.storing[seq] = *job
+}
+
 // put makes one conditional write.
 func (x *Executor) put(ctx context.Context, put wire.ObjectPut) kinds.Kind {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -120,10 +134,31 @@
 	defer x.mu.Unlock()
 	job, ok := x.arriving[e.Seq]
 	delete(x.arriving, e.Seq)
+	if !ok {
+		if j := x.keeper.get(e.Job); j != nil {
+			return j.job, true // its items run already
+		}
+	}
+	complete(&job, e)
+	return job, ok
+}
+
+// begin keeps a job whose items run before it is stored.
+func (x *Executor) begin(e event.BeginJob) {
+	x.mu.Lock()
+	job, ok := x.storing[e.Keep.Seq]
+	x.mu.Unlock()
+	if ok {
+		x.keeper.add(job)
+		x.keeper.setOwned(job.ID, true)
+	}
+}
+
+// complete adds what was decided to a submitted job.
+func complete(job *wire.Job, e event.KeepJob) {
 	job.Organisation, job.Route, job.Single = e.Organisation, e.Route, e.Single
 	job.DueMS, job.GiveUpMS = e.Due.Milliseconds(), e.GiveUp.Milliseconds()
-	job.Host, job.Incarnation = x.Host, x.Incarnation
-	return job, ok
+	job.Host, job.Incarnation = e.Host, e.Incarnation
 }
 
 // storeChunk writes the next results. When another owner wrote the same number, its results are taken.
--- a/internal/usage/holder.go
+++ b/internal/usage/holder.go
@@ -46,6 +46,7 @@
 	heard     map[Stream]time.Duration
 	nextSweep time.Duration
 	report    sending
+	closeFrom time.Duration // no window is closed before: the daemons' counts are on their way to a new holder
 }
 
 // waiting is a delta whose answer waits for a write of the ledger.
@@ -92,6 +93,9 @@
 		return
 	}
 	h.term = &term{epoch: e.Epoch, ledger: ledger, frozenBy: map[string]uint64{}, heard: map[Stream]time.Duration{}, nextSweep: now}
+	if ledger.Closed > 0 {
+		h.term.closeFrom = now + flushesInGrace*h.settings.Flush
+	}
 	for s := range ledger.Streams {
 		h.term.heard[s] = now
 	}
@@ -182,7 +186,7 @@
 func (h *Holder) close(now time.Duration, out *event.Batch) {
 	length := h.length()
 	unix := now + h.offset - h.settings.Grace
-	if !h.hasClock || WindowAt(unix, length) == 0 {
+	if !h.hasClock || now < h.term.closeFrom || WindowAt(unix, length) == 0 {
 		return
 	}
 	t := h.term
