--- /dev/null
+++ b/figbed/internal/estate/estate.go
@@ -0,0 +1,159 @@
+package estate
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+)
+
+// Names of the estate's configuration.
+const (
+	Host     = "site.example"
+	Lookup   = "/lookup/"
+	Rollouts = "/rollout/"
+	Scores   = "/score/"
+	Model    = "model-a"
+	Key      = "key-of-north"
+	Tenant   = "north"
+)
+
+// Report is a usage report that the estate accepted.
+type Report struct {
+	Window uint64         `json:"window"`
+	Counts map[string]int `json:"counts"`
+	Holder string         `json:"-"`
+	Fence  string         `json:"-"`
+}
+
+// Estate is a platform with its servers. Its exported fields are set before Start.
+type Estate struct {
+	Store   Store
+	Servers []*Server
+	Port    int // the first of a range of ports that are free on each host's address
+
+	address string
+	stops   []func()
+	mu      sync.Mutex
+	reports []Report
+}
+
+// Start runs the platform and the servers and writes the first configuration.
+func (e *Estate) Start() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	e.address = listener.Addr().String()
+	mux := http.NewServeMux()
+	mux.Handle("/api/objects/", &e.Store)
+	mux.HandleFunc("/usage", e.usage)
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
+	e.stops = append(e.stops, func() { _ = server.Close() })
+	for _, s := range e.Servers {
+		stop, err := s.Start(&e.Store)
+		if err != nil {
+			return err
+		}
+		e.stops = append(e.stops, stop)
+	}
+	e.Configure(1, Key)
+	return nil
+}
+
+// Stop ends the platform and the servers.
+func (e *Estate) Stop() {
+	for _, stop := range e.stops {
+		stop()
+	}
+}
+
+// Configure writes a configuration with the given keys.
+func (e *Estate) Configure(version int, keys ...string) {
+	route := func(name, path, kind, service string, public bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": Host, "path_prefix": path, "kind": kind, "service": service, "public": public,
+			"timeout_ms": 5000, "max_attempts": 3, "priority": 1, "run_deadline_ms": 7500, "max_queue_s": 40,
+		}
+	}
+	e.Store.Put("config", "main", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("lookup", Lookup, "safe", "plain", false), route("score", Scores, "safe", "plain", true),
+			route("rollout", Rollouts, "rollout", "engines", false),
+		},
+		"services": []any{
+			map[string]any{"name": "plain"},
+			map[string]any{"name": "engines", "engine": map[string]any{"models": []any{map[string]any{"name": Model}}}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+		"tenants": []any{map[string]any{"name": Tenant, "api_keys": keys}},
+	})
+}
+
+// Name names a version of the model's weights.
+func (e *Estate) Name(version int) {
+	e.Store.Put("versions", Model, map[string]any{"model": Model, "version": version})
+}
+
+// Reports returns the usage reports that were accepted.
+func (e *Estate) Reports() []Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Report(nil), e.reports...)
+}
+
+func (e *Estate) usage(w http.ResponseWriter, r *http.Request) {
+	var report Report
+	if json.NewDecoder(r.Body).Decode(&report) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	report.Holder, report.Fence = r.Header.Get("Figshift-Duty-Holder"), r.Header.Get("Figshift-Fence-Token")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reports = append(e.reports, report)
+	w.WriteHeader(http.StatusOK)
+}
+
+// IP returns the address of a host, counted from 1.
+func IP(host int) string { return fmt.Sprintf("127.0.0.%d", 10+host) }
+
+// Front returns the address of a host's callers' listener, and Ready that which the balancer asks.
+func (e *Estate) Front(host int) string { return fmt.Sprintf("%s:%d", IP(host), e.Port) }
+
+// Ready returns the address that the balancer asks.
+func (e *Estate) Ready(host int) string { return fmt.Sprintf("%s:%d", IP(host), e.Port+1) }
+
+// Metrics returns the address of a host's metrics.
+func (e *Estate) Metrics(host int) string { return fmt.Sprintf("%s:%d", IP(host), e.Port+6) }
+
+// Settings writes the settings of a host and returns their file. Class is front or store.
+func (e *Estate) Settings(folder string, host int, class string) (string, error) {
+	address := cmp.Or(e.address, "127.0.0.1:1")
+	file := filepath.Join(folder, fmt.Sprintf("host%d.ini", host))
+	text := fmt.Sprintf(`[Host]
+Host = host-%d
+Zone = zone-%d
+Class = %s
+IP = %s
+Listen = %s
+Ready = %s
+Ports = %d,%d
+Store = %s
+Cloud = %s
+MemoryMB = 200
+FirstStart = false
+GraceS = 8
+LeaseMS = 3000
+UsageWindowS = 2
+UsageLateS = 4
+LogLevel = info
+`, host, host, class, IP(host), e.Front(host), e.Ready(host), e.Port+4, e.Port+9, address, address)
+	return file, os.WriteFile(file, []byte(text), 0o600)
+}
--- a/figd/main.go
+++ b/figd/main.go
@@ -43,8 +43,8 @@
 
 // start runs the daemon and returns its exit code.
 func start(args []string, stdout, stderr io.Writer) int {
-	if len(args) == 1 && args[0] == platformCommand {
-		return runPlatform(stdout, stderr)
+	if len(args) > 0 && args[0] == platformCommand {
+		return startPlatform(args[1:], stdout, stderr)
 	}
 	flags := flag.NewFlagSet("figd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
@@ -60,7 +60,7 @@
 		return runReplay(*recorded, stderr)
 	}
 	if *base == "" || flags.NArg() > 0 {
-		fmt.Fprintln(stderr, "usage: figd --config base.ini [--overlay site.ini] [--record run.trace] [--check]\n       figd --replay run.trace\n       figd platform")
+		fmt.Fprintln(stderr, "usage: figd --config base.ini [--overlay site.ini] [--record run.trace] [--check]\n       figd --replay run.trace\n       figd platform [SETTINGS]")
 		return exitUsage
 	}
 	loaded, problems := config.Load(*base, *overlay)
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -87,9 +87,25 @@
 	batch    *batch.Part
 }
 
-// runPlatform runs the process that the platform's settings describe and returns its exit code.
-func runPlatform(stdout, stderr io.Writer) int {
-	settings, err := platform.LoadSettings(os.Getenv(settingsVariable))
+// startPlatform takes the file of settings from its one argument, or else from the environment.
+func startPlatform(args []string, stdout, stderr io.Writer) int {
+	file := os.Getenv(settingsVariable)
+	switch {
+	case len(args) > 1:
+		fmt.Fprintln(stderr, "usage: figd platform [SETTINGS]")
+		return exitUsage
+	case len(args) == 1:
+		file = args[0]
+	case file == "":
+		fmt.Fprintf(stderr, "no settings: name a file or set %s\n", settingsVariable)
+		return exitUsage
+	}
+	return runPlatform(file, stdout, stderr)
+}
+
+// runPlatform runs the process that a file of settings describes and returns its exit code.
+func runPlatform(file string, stdout, stderr io.Writer) int {
+	settings, err := platform.LoadSettings(file)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitConfig
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -79,6 +79,24 @@
 	}
 }
 
+// Answers the pattern: a job is accepted before the hosts hear each other, and its owner dies.
+func TestHostThatComesLaterHearsOfJobs(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	r.alive = r.alive[:1]
+	r.submit("j1", testHead(1, 1, none))
+	r.step(event.PeerUp{Host: "h3", Incarnation: "1"})
+	r.step(event.BeatSeen{Host: "h3"}) // not yet an answer to a beat of this host
+	if got := take[event.SendPeer](r); len(got) > 0 {
+		t.Fatalf("sent before the way to the host is known to work: %v", got)
+	}
+	r.step(event.BeatSeen{Host: "h3", Anchored: true})
+	r.step(event.BeatSeen{Host: "h3", Anchored: true})
+	news := wire.JobNews{Job: "j1", Host: "h1", Incarnation: "1"}
+	if diff := cmp.Diff([]event.SendPeer{{Host: "h3", Message: wire.Message{News: &news}}}, take[event.SendPeer](r)); diff != "" {
+		t.Errorf("news (-want +got):\n%s", diff)
+	}
+}
+
 // Answers the pattern: two owners list at once. The positions of the one that was first hold, and no item stands twice.
 func TestChunkOfAnotherOwnerIsTaken(t *testing.T) {
 	r := newRig(t, testEngine("e1", 1))
--- a/internal/batch/list.go
+++ b/internal/batch/list.go
@@ -38,15 +38,15 @@
 // due reports whether results wait that should be listed now.
 func (p *Part) due(now time.Duration, j *job) bool {
 	ready := make([]int, len(j.groups))
-	any, old := false, false
+	some, old := false, false
 	for _, it := range j.items {
 		if it.state == finished {
-			any = true
+			some = true
 			ready[it.Group]++
 			old = old || now-it.since >= listWithin
 		}
 	}
-	if !any {
+	if !some {
 		return false
 	}
 	for i, g := range j.groups {
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -52,6 +52,7 @@
 	flushing time.Duration            // since when the copies are flushed, 0 before
 	leaving  map[string]bool          // hosts that are stopping
 	down     map[string]time.Duration // since when a host's connection is closed
+	told     map[string]bool          // hosts that know the jobs of this one
 	started  time.Duration
 	listed   bool // the jobs that were there at the start are known
 	listing  bool
@@ -125,16 +126,22 @@
 		}
 	case event.PeerUp:
 		delete(p.down, e.Host)
-		p.tellAll(e.Host, out)
+		delete(p.told, e.Host)
 	case event.PeerDown:
 		p.down[e.Host] = now
+		delete(p.told, e.Host)
 	case event.CopiesFlushed:
 		p.handOver(out)
 	case event.BeatSeen:
 		p.engines.others(now, e.Host, e.Beat.Runs)
 		p.leaving[e.Host] = e.Beat.Stopping
+		if e.Anchored && !p.told[e.Host] {
+			p.told[e.Host] = true // it answers a beat from here, so that what is sent arrives
+			p.tellAll(e.Host, out)
+		}
 	case event.HostLost:
 		p.engines.others(now, e.Host, nil)
+		delete(p.told, e.Host)
 	default:
 		return false
 	}
@@ -152,6 +159,7 @@
 	p.ends = map[string][]uint64{}
 	p.leaving = map[string]bool{}
 	p.down = map[string]time.Duration{}
+	p.told = map[string]bool{}
 	p.started = now
 	p.listed = p.Fresh
 	if p.Order == nil {
--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -19,7 +19,7 @@
 	switch f.prefix {
 	case PrefixConfig:
 		for _, o := range changed {
-			p.takeSite(now, o, out)
+			p.takeSite(o, out)
 		}
 	case PrefixEndpoints:
 		p.takeEndpoints(now, f, changed, out)
@@ -35,7 +35,7 @@
 }
 
 // takeSite puts a configuration into force that is newer than the one in force.
-func (p *Part) takeSite(now time.Duration, o wire.Object, out *event.Batch) {
+func (p *Part) takeSite(o wire.Object, out *event.Batch) {
 	if o.Deleted {
 		return
 	}
