logs, figctl: bounded lines that never block, a line for each decision, figctl explain

Change: lines go through a queue that drops and counts what its reader does not take; each event has a token bucket (LogPerSecond), what it keeps back is counted and told by the next line; flow and batch log each decision with the id and what decided it; histograms of jobs, items and listing; metrics at a port that the deploy file names; figctl explain puts the lines of an id in order with what the hosts believed meanwhile.

--- a/figbed/internal/estate/estate.go
+++ b/figbed/internal/estate/estate.go
@@ -147,6 +147,7 @@
 Ports = %d,%d
 Store = %s
 Cloud = %s
+MetricsPort = %d
 MemoryMB = 200
 FirstStart = false
 GraceS = 8
@@ -154,6 +155,7 @@
 UsageWindowS = 2
 UsageLateS = 4
 LogLevel = info
-`, host, host, class, IP(host), e.Front(host), e.Ready(host), e.Port+4, e.Port+9, address, address)
+LogPerSecond = 60
+`, host, host, class, IP(host), e.Front(host), e.Ready(host), e.Port+4, e.Port+9, address, address, e.Port+6)
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -42,6 +42,7 @@
 	Events  int           // of a stream
 	Gap     time.Duration // between two events
 	Work    time.Duration // of a plain request
+	Fail    int           // next requests that are answered 500
 
 	store    *Store
 	born     int64
@@ -160,9 +161,30 @@
 		return
 	}
 	time.Sleep(s.Work)
+	if s.fails() {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.Name, r.URL.Path) // the caller may have gone
 }
 
+// Break makes the next requests fail.
+func (s *Server) Break(requests int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Fail = requests
+}
+
+func (s *Server) fails() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Fail == 0 {
+		return false
+	}
+	s.Fail--
+	return true
+}
+
 func (s *Server) enter(r *http.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/figbed/proofs/platform_test.go
+++ b/figbed/proofs/platform_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -465,3 +467,51 @@
 		})
 	}
 }
+
+// figctlExplain prints the story of an id from the hosts' logs.
+func (f *onEstate) figctlExplain(id string) string {
+	f.t.Helper()
+	var names []string
+	for i, h := range f.hosts {
+		name := filepath.Join(f.folder, fmt.Sprintf("host%d.log", i+1))
+		if err := os.WriteFile(name, []byte(h.Output()), 0o600); err != nil {
+			f.t.Fatal(err)
+		}
+		names = append(names, name)
+	}
+	p := proc.Start(f.t, "figctl", "figctl", "explain", "--id", id, "--files", strings.Join(names, ","))
+	if code := p.ExitCode(10 * time.Second); code != 0 {
+		f.t.Errorf("figctl explain --id %s: exit code %d", id, code)
+	}
+	return p.Output()
+}
+
+// Answers the pattern: a lookup came late, a job was refused, a result lacks its score. The logs lead from the id to
+// the cause.
+func TestPlatformLogsExplain(t *testing.T) {
+	t.Parallel()
+	slow := plainServer("p1", "zone-1")
+	slow.Fail = 2
+	e1 := engine("e1", "zone-1", 5, 10*time.Millisecond)
+	f := startFleet(t, 1, slow, e1)
+	if status, body := f.call(1, http.MethodGet, estate.Lookup+"x", "late-lookup", estate.Key, nil); status != http.StatusOK {
+		t.Errorf("lookup: status %d (%s)", status, body)
+	}
+	slow.Break(100)
+	f.submit(1, "no-score", 1, 1)
+	proc.WaitUntil(t, 15*time.Second, "a score fails", func() bool { return strings.Contains(f.hosts[0].Output(), "Event=ScoreFailed") })
+	f.Store.Refuse(true)
+	if status, _ := f.call(1, http.MethodPost, estate.Rollouts+"j9", "refused-job", "no-key", submission("j9", 1, 1)); status != http.StatusUnauthorized {
+		t.Errorf("job with an unknown key: status %d", status)
+	}
+	cases := map[string]string{
+		"late-lookup": "RequestRetried Status at p1 2 times",
+		"refused-job": "JobRefused KeyUnknown 1 times",
+		"no-score-0":  "ScoreFailed",
+	}
+	for id, cause := range cases {
+		if out := f.figctlExplain(id); !strings.Contains(out, cause) {
+			t.Errorf("the story of %s lacks %q:\n%s", id, cause, out)
+		}
+	}
+}
--- a/figctl/main.go
+++ b/figctl/main.go
@@ -55,6 +55,7 @@
 	}
 	root.Register(fleetCommand(o), "")
 	root.Register(statusCommand(o), "")
+	root.Register(explainCommand(o, os.Stdin), "")
 	if flags.Parse(args) != nil {
 		return subcommands.ExitUsageError
 	}
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -66,7 +66,6 @@
 const (
 	peerPort = iota
 	pagePort
-	metricsPort
 )
 
 // onPlatform is the composition of one process on the platform.
@@ -153,22 +152,27 @@
 }
 
 func (d *onPlatform) addLogs(stdout io.Writer) {
-	d.log = logs.New(d.settings.LogLevel, d.settings.Host, stdout)
+	lines := &logs.Queue{Out: stdout, Dropped: func(n int) { d.metrics().Counter("LogLinesDropped").Inc(int64(n)) }}
+	lines.Prepare()
+	d.log = logs.New(d.settings.LogLevel, d.settings.Host, lines)
 	if _, err := zap.RedirectStdLogAt(d.log, zap.DebugLevel); err != nil {
 		d.log.Warn("LogNotRedirected", zap.Error(err)) // the HTTP library's own lines stay on standard error
 	}
-	scope, metrics, closer := stats.New(func(error) {})
+	scope, metrics, closer := stats.New(func(err error) { d.log.Error("MetricRefused", zap.Error(err)) })
 	d.scope = scope
 	d.closers = append(d.closers, closer)
 	d.ready = &readiness{}
 	exit := &exiter{asked: make(chan struct{})}
-	d.addExecutor(&logs.Executor{Log: d.log})
+	d.addExecutor(&logs.Executor{Log: d.log, PerSecond: d.settings.LogPerSecond, Held: func(name string) {
+		d.metrics().Tagged(map[string]string{"Event": name}).Counter("LogLinesHeld").Inc(1)
+	}})
+	d.addActor(lines.Run)
 	d.addExecutor(&stats.Executor{Scope: scope})
 	d.addExecutor(d.ready)
 	d.addExecutor(exit)
 	d.addActor(exit.run)
 	d.addActor(d.watchSignals)
-	d.addActor(d.listen(d.own(metricsPort), metrics))
+	d.addActor(d.listen(net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.MetricsPort)), metrics))
 	d.addPart(&drain.Part{Bound: d.settings.Grace, Within: d.settings.Grace - stopMargin})
 	d.log.Info("Started")
 }
@@ -226,7 +230,7 @@
 	d.trust = holds{Part: d.view, leases: d.leases}
 	d.flow = &flow.Part{
 		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Keys: d.keys,
-		Random: rand.New(rand.NewPCG(d.seed, 0)), Process: d.process, NoPolls: true,
+		Random: rand.New(rand.NewPCG(d.seed, 0)), Process: d.process, NoPolls: true, Lines: true,
 	}
 	d.members.Contributors = append(d.members.Contributors, d.flow)
 	d.addPart(d.flow)
--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -23,12 +23,12 @@
 // called authorises a call and begins a submission or an end.
 func (p *Part) called(now time.Duration, e event.JobCalled, out *event.Batch) {
 	if p.site == nil {
-		p.answer(e.Seq, kinds.NotReady, "", out)
+		p.answer(e.Seq, e.Job, kinds.NotReady, "", out)
 		return
 	}
 	organisation, kind := p.Holders.Holder(now, e.KeyHash)
 	if kind != "" {
-		p.answer(e.Seq, kind, "", out)
+		p.answer(e.Seq, e.Job, kind, "", out)
 		return
 	}
 	switch e.Call {
@@ -37,16 +37,19 @@
 	case event.JobEnd:
 		p.end(e, out)
 	default:
-		p.answer(e.Seq, "", organisation, out)
+		p.answer(e.Seq, e.Job, "", organisation, out)
 	}
 }
 
-func (p *Part) answer(seq uint64, kind kinds.Kind, organisation string, out *event.Batch) {
+func (p *Part) answer(seq uint64, job string, kind kinds.Kind, organisation string, out *event.Batch) {
 	answer := event.JobAnswer{Seq: seq, Kind: kind, Organisation: organisation}
 	if kinds.Of(kind).RetryAfter && kind != "" {
 		answer.RetryAfter = retryIn
 	}
 	if kind != "" {
+		out.Emit(event.Log{Level: "info", Event: "JobRefused", Fields: []event.Field{
+			{Key: "Job", Value: job}, {Key: "Kind", Value: string(kind)}, {Key: "RetryMS", Value: strconv.FormatInt(answer.RetryAfter.Milliseconds(), 10)},
+		}})
 		out.Emit(event.Count{Name: "JobRefusals", Tags: []event.Field{{Key: "Kind", Value: string(kind)}}, N: 1})
 	}
 	out.Emit(answer)
@@ -56,17 +59,17 @@
 	r, ok := p.routes.Match(e.Host, e.Path)
 	switch {
 	case !ok:
-		p.answer(e.Seq, kinds.RouteUnknown, "", out)
+		p.answer(e.Seq, e.Job, kinds.RouteUnknown, "", out)
 		return
 	case r.Jobs == nil:
-		p.answer(e.Seq, kinds.BadRequest, "", out)
+		p.answer(e.Seq, e.Job, kinds.BadRequest, "", out)
 		return
 	case p.stopping:
-		p.answer(e.Seq, kinds.Stopping, "", out)
+		p.answer(e.Seq, e.Job, kinds.Stopping, "", out)
 		return
 	}
 	if j, ok := p.jobs[e.Job]; ok && !j.unkept {
-		p.answer(e.Seq, "", organisation, out)
+		p.answer(e.Seq, e.Job, "", organisation, out)
 		return
 	}
 	head := e.Head
@@ -117,6 +120,7 @@
 	if e.Kind == kinds.Conflict && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation {
 		e.Kind = "" // another host stored it in this one's name
 	}
+	out.Emit(event.Observe{Name: "JobKeepTime", Took: now - s.since})
 	p.keptAs(now, e, s, out)
 }
 
@@ -148,7 +152,7 @@
 // answerOnce answers a submission that has no answer yet.
 func (p *Part) answerOnce(s submission, kind kinds.Kind, out *event.Batch) {
 	if !s.answered {
-		p.answer(s.keep.Seq, kind, s.head.Organisation, out)
+		p.answer(s.keep.Seq, s.keep.Job, kind, s.head.Organisation, out)
 	}
 }
 
@@ -176,7 +180,7 @@
 // end stops a job here and records its end; any host may be asked.
 func (p *Part) end(e event.JobCalled, out *event.Batch) {
 	if k := p.known[e.Job]; k != nil && k.Ended {
-		p.answer(e.Seq, "", "", out)
+		p.answer(e.Seq, e.Job, "", "", out)
 		return
 	}
 	if j := p.jobs[e.Job]; j != nil {
@@ -192,7 +196,7 @@
 	seqs := p.ends[e.Job]
 	delete(p.ends, e.Job)
 	for _, seq := range seqs {
-		p.answer(seq, e.Kind, "", out)
+		p.answer(seq, e.Job, e.Kind, "", out)
 	}
 	out.Emit(event.Log{Level: "info", Event: "JobEnd", Fields: []event.Field{{Key: "Job", Value: e.Job}, {Key: "Kind", Value: string(e.Kind)}}})
 	if e.Kind != "" {
--- a/internal/batch/list.go
+++ b/internal/batch/list.go
@@ -69,6 +69,7 @@
 	if stored {
 		j.chunks++
 		for _, i := range e.Items {
+			p.observeListing(now, j, i, out)
 			p.endRun(j, i, out)
 			j.setListed(i)
 		}
@@ -94,6 +95,13 @@
 	p.list(now, j, out)
 }
 
+// observeListing tells how long a result waited to be listed.
+func (p *Part) observeListing(now time.Duration, j *job, i int, out *event.Batch) {
+	if i >= 0 && i < len(j.items) && j.items[i].state == listing {
+		out.Emit(event.Observe{Name: "ListTime", Took: now - j.items[i].since})
+	}
+}
+
 // endRun stops the run of an item that another owner has listed.
 func (p *Part) endRun(j *job, i int, out *event.Batch) {
 	if i >= 0 && i < len(j.items) && j.items[i].state == running {
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -257,6 +257,7 @@
 		{Key: "Listed", Value: strconv.Itoa(len(e.Listed))},
 		{Key: "Ended", Value: strconv.FormatBool(e.Ended)},
 	}})
+	out.Emit(event.Count{Name: "JobTakeovers", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
 	switch {
 	case e.Kind == kinds.NotFound:
 		k.Ended = true
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -129,10 +129,10 @@
 func (p *Part) log(j *job, it *item, name string, out *event.Batch, fields ...event.Field) {
 	all := []event.Field{
 		{Key: "Job", Value: j.head.ID},
-		{Key: "Item", Value: strconv.Itoa(it.index)},
+		{Key: "Item", Value: it.ID},
 		{Key: "Attempt", Value: strconv.FormatUint(it.attempt, 10)},
 	}
-	out.Emit(event.Log{Level: "debug", Event: name, Fields: append(all, fields...)})
+	out.Emit(event.Log{Level: "info", Event: name, Fields: append(all, fields...)})
 }
 
 // itemEnded goes on from the end of a run.
@@ -147,6 +147,7 @@
 	p.log(j, it, "ItemEnded", out, event.Field{Key: "Endpoint", Value: it.engine},
 		event.Field{Key: "Reason", Value: e.Reason}, event.Field{Key: "Status", Value: strconv.Itoa(e.Status)},
 		event.Field{Key: "Events", Value: strconv.Itoa(e.Events)}, event.Field{Key: "TookMS", Value: strconv.FormatInt(e.Took.Milliseconds(), 10)})
+	out.Emit(event.Observe{Name: "ItemTime", Tags: []event.Field{{Key: "Reason", Value: e.Reason}}, Took: e.Took})
 	if e.Reason != "" {
 		out.Emit(event.Count{Name: "ItemRetries", Tags: []event.Field{{Key: "Reason", Value: e.Reason}}, N: 1})
 	}
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -22,6 +22,7 @@
 
 // ItemHead is what the reducer knows of an item. Group counts from 0 in the order of the job's items.
 type ItemHead struct {
+	ID     string
 	Group  int
 	Tokens int
 	Hint   int
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -21,6 +21,7 @@
 // Request is unique in this process. KeyHash is the lower-case hex SHA-256 of the key, "" without one.
 type RequestArrived struct {
 	Request    uint64
+	ID         string `json:",omitempty"` // for people and endpoints, "" where there is none
 	KeyHash    string
 	Host       string // name that the caller asked for
 	Path       string
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/figshift/figshift/internal/admit"
@@ -78,6 +79,8 @@
 	r.tries++
 	r.sentAt, r.charged = now, true
 	r.endpoint, r.incarnation, r.price = e.Name, e.Incarnation, string(e.Price)
+	p.line(now, r, "RequestSent", out, event.Field{Key: "Endpoint", Value: e.Name}, event.Field{Key: "Try", Value: strconv.Itoa(r.tries)},
+		event.Field{Key: "LeftMS", Value: ms(r.deadline - now)}, event.Field{Key: "Work", Value: strconv.Itoa(int(e.Work(now)))})
 	out.Emit(event.StartAttempt{
 		Request:      r.id(),
 		Attempt:      r.attempt,
@@ -237,6 +240,8 @@
 	p.Queue.Correct(r.item, 0)
 	p.timers.add(now+wait, r.id())
 	out.Emit(event.Count{Name: "Retries", Tags: []event.Field{{Key: "Reason", Value: e.Reason}}, N: 1})
+	p.line(now, r, "RequestRetried", out, event.Field{Key: "Endpoint", Value: r.endpoint}, event.Field{Key: "Reason", Value: e.Reason},
+		event.Field{Key: "Status", Value: strconv.Itoa(e.Status)}, event.Field{Key: "WaitMS", Value: ms(wait)})
 	return true
 }
 
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -28,6 +28,7 @@
 	})
 	p.settle(now, r, kind)
 	p.count(r, kind, out)
+	p.lineEnd(now, r, kind, out)
 	out.Raise(event.RequestDone{
 		Request:         r.id(),
 		Organisation:    r.organisation,
--- /dev/null
+++ b/internal/flow/line.go
@@ -0,0 +1,39 @@
+package flow
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+)
+
+// line logs one decision about a request.
+func (p *Part) line(now time.Duration, r *request, name string, out *event.Batch, fields ...event.Field) {
+	if !p.Lines || r.arrived.ID == "" {
+		return
+	}
+	all := []event.Field{{Key: "Request", Value: r.arrived.ID}, {Key: "AgeMS", Value: ms(now - r.started)}}
+	out.Emit(event.Log{Level: "info", Event: name, Fields: append(all, fields...)})
+}
+
+// lineEnd logs the end of a request with what decided it.
+func (p *Part) lineEnd(now time.Duration, r *request, kind kinds.Kind, out *event.Batch) {
+	if !p.Lines {
+		return
+	}
+	name, config := "RequestDone", "0"
+	if kind != "" {
+		name = "RequestFailed"
+	}
+	if p.site != nil {
+		config = strconv.FormatUint(p.site.Revision, 10)
+	}
+	_, waits := p.Queue.Len(r.organisation)
+	p.line(now, r, name, out, event.Field{Key: "Kind", Value: string(kind)}, event.Field{Key: "Route", Value: r.route.Name},
+		event.Field{Key: "Organisation", Value: r.organisation}, event.Field{Key: "Endpoint", Value: r.endpoint},
+		event.Field{Key: "Tries", Value: strconv.Itoa(r.tries)}, event.Field{Key: "Waiting", Value: strconv.Itoa(waits)},
+		event.Field{Key: "Config", Value: config})
+}
+
+func ms(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -26,6 +26,7 @@
 	Random  *rand.Rand
 	Process config.Process
 	NoPolls bool                // endpoints tell their load with their answers only
+	Lines   bool                // each decision about a request is logged
 	Queue   admit.Queue[uint64] // nil takes admit.Fair
 	Picker  route.Picker[*route.Endpoint]
 
--- a/internal/items/score.go
+++ b/internal/items/score.go
@@ -33,7 +33,7 @@
 	x.Calls.Open(exchange)
 	defer x.Calls.Close(exchange)
 	x.Post(event.RequestArrived{
-		Request: request, Host: reward.Host, Path: reward.Path, Method: http.MethodPost,
+		Request: request, ID: reward.ID, Host: reward.Host, Path: reward.Path, Method: http.MethodPost,
 		Tokens: scoreTokens, Deadline: e.Deadline, Own: true,
 	})
 	answer := exchange.Run(context.Background(), x.Calls, func() {})
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -380,7 +380,7 @@
 			g = len(groups)
 			groups[it.Group] = g
 		}
-		h := event.ItemHead{Group: g, Tokens: it.Tokens, Hint: it.Hint}
+		h := event.ItemHead{ID: it.ID, Group: g, Tokens: it.Tokens, Hint: it.Hint}
 		if it.Reward != nil {
 			h.ScoreHost, h.ScorePath = it.Reward.Host, it.Reward.Path
 		}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -32,8 +32,14 @@
 	return l
 }
 
-// Executor writes event.Log effects. Its field is set before use.
-type Executor struct{ Log *zap.Logger }
+// Executor writes event.Log effects. Its exported fields are set before use.
+type Executor struct {
+	Log       *zap.Logger
+	PerSecond float64            // lines of one event, 0 for any number
+	Held      func(event string) // called for each line that the bound keeps back, nil for none
+
+	budget budget
+}
 
 // Do writes a Log effect and reports whether the effect was one.
 func (x *Executor) Do(effect event.Effect) bool {
@@ -41,9 +47,23 @@
 	if !ok {
 		return false
 	}
-	fields := make([]zap.Field, len(e.Fields))
-	for i, f := range e.Fields {
-		fields[i] = zap.String(f.Key, f.Value)
+	if !x.Log.Core().Enabled(levelOf(e.Level)) {
+		return true
+	}
+	x.budget.perSecond = x.PerSecond
+	held, ok := x.budget.take(e.Event)
+	if !ok {
+		if x.Held != nil {
+			x.Held(e.Event)
+		}
+		return true
+	}
+	fields := make([]zap.Field, 0, len(e.Fields)+1)
+	for _, f := range e.Fields {
+		fields = append(fields, zap.String(f.Key, f.Value))
+	}
+	if held > 0 {
+		fields = append(fields, zap.Int("Held", held)) // lines of this event that were not written before this one
 	}
 	x.Log.Log(levelOf(e.Level), e.Event, fields...)
 	return true
--- a/internal/serve/read.go
+++ b/internal/serve/read.go
@@ -86,7 +86,7 @@
 		ID: head.ID, Host: r.Host, Method: r.Method, Target: head.Target, Header: head.Header, Body: body,
 	}}
 	in.arrived = event.RequestArrived{
-		KeyHash: head.KeyHash, Host: r.Host, Path: r.URL.Path, Method: r.Method, Tokens: serviceTokens + len(body)/bytesPerToken,
+		ID: head.ID, KeyHash: head.KeyHash, Host: r.Host, Path: r.URL.Path, Method: r.Method, Tokens: serviceTokens + len(body)/bytesPerToken,
 	}
 	if head.Within > 0 {
 		in.arrived.Deadline = now + head.Within
