--- a/figd/rollouts.go
+++ b/figd/rollouts.go
@@ -8,6 +8,7 @@
 	"github.com/figshift/figshift/internal/block"
 	"github.com/figshift/figshift/internal/lots"
 	"github.com/figshift/figshift/internal/objapi"
+	"github.com/figshift/figshift/internal/swap"
 	"github.com/figshift/figshift/internal/train"
 	"github.com/figshift/figshift/internal/weight"
 	"github.com/figshift/figshift/internal/wire"
@@ -39,6 +40,6 @@
 	d.addPart(&weight.Part{Trust: d.trust})
 	d.addExecutor(store)
 	d.addExecutor(calls)
-	d.addExecutor(&weight.Engines{Platform: d.process.Platform, HTTP: &http.Client{}, Post: d.loop.Post, Now: d.loop.Now})
+	d.addExecutor(&swap.Engines{Platform: d.process.Platform, HTTP: &http.Client{}, Post: d.loop.Post, Now: d.loop.Now})
 	d.addActor(store.Run)
 }
--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -95,8 +95,7 @@
 			continue
 		}
 		out.Emit(event.BeginJob{Keep: s.keep})
-		p.own(now, event.JobTaken{Job: s.head.ID, Head: s.head}, out)
-		p.jobs[s.head.ID].unkept = true
+		p.beginUnkept(now, s, out)
 		out.Emit(event.Log{Level: "info", Event: "JobBegun", Fields: []event.Field{{Key: "Job", Value: s.head.ID}, {Key: "Reason", Value: "StoreAway"}}})
 	}
 }
@@ -130,8 +129,7 @@
 	switch {
 	case e.Kind == kinds.Conflict:
 		p.answerOnce(s, "", out) // another host accepted it
-		p.yield(j, out)
-		p.noteOther(now, e.Owner, out)
+		p.yieldTo(now, j, e.Owner, out)
 	case e.Kind == "" && s.keep.Host != p.Self.Name:
 		p.answerOnce(s, "", out)
 		p.noteOther(now, event.JobSeen{Job: e.Job, Host: s.keep.Host, Incarnation: s.keep.Incarnation}, out)
@@ -144,11 +142,20 @@
 		p.list(now, j, out)
 	case j != nil && j.unkept:
 		p.keepOn(now, s, out)
+	case e.Kind == kinds.OutcomeUnknown && s.keep.Host == p.Self.Name && j == nil:
+		// The store may have it in this host's name, so that nobody else would run it.
+		p.beginUnkept(now, s, out)
+		p.keepOn(now, s, out)
 	default:
 		p.answerOnce(s, e.Kind, out)
 	}
 }
 
+func (p *Part) beginUnkept(now time.Duration, s submission, out *event.Batch) {
+	p.own(now, event.JobTaken{Job: s.head.ID, Head: s.head}, out)
+	p.jobs[s.head.ID].unkept = true
+}
+
 // answerOnce answers a submission that has no answer yet.
 func (p *Part) answerOnce(s submission, kind kinds.Kind, out *event.Batch) {
 	if !s.answered {
@@ -168,6 +175,18 @@
 	out.Emit(s.keep)
 }
 
+// yieldTo notes whose a job is and, when its items ran here, tells the hosts that heard so.
+func (p *Part) yieldTo(now time.Duration, j *job, owner event.JobSeen, out *event.Batch) {
+	if j == nil || !j.unkept {
+		p.noteOther(now, owner, out)
+		return
+	}
+	p.yield(j, out)
+	k := p.see(owner.Job)
+	k.JobSeen, k.heardAt, k.orphan = owner, now, 0
+	p.tell(k.JobSeen, out)
+}
+
 // yield gives up a job that this host began and that is another's, or nobody's.
 func (p *Part) yield(j *job, out *event.Batch) {
 	if j == nil || !j.unkept {
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -26,6 +26,8 @@
 	closedFor = 400 * time.Millisecond
 	// flushFor bounds the wait for the last copies of a stopping host.
 	flushFor = 700 * time.Millisecond
+	// silentOwner is the time without a word from a job's owner after which it is asked.
+	silentOwner = 3 * time.Second
 	// rememberFor is the time for which a job is remembered after it was last heard of.
 	rememberFor = 3 * time.Minute
 	// keepTexts is the time for which the texts of an ended job stay in memory; later reads go to the store.
@@ -37,6 +39,7 @@
 	event.JobSeen
 	heardAt time.Duration
 	orphan  time.Duration // time since which nobody runs it, 0 while somebody does
+	asked   time.Duration // when the owner was last asked
 	taking  bool
 	dropped bool // the executor holds nothing of it
 	next    time.Duration
@@ -126,10 +129,38 @@
 	}
 }
 
+// claims returns the jobs that this host runs, for its beats.
+func (p *Part) claims() []wire.JobNews {
+	var all []wire.JobNews
+	for _, j := range p.sorted() {
+		if j.left > 0 && !j.ended && !p.drained {
+			all = append(all, wire.JobNews{Job: j.head.ID, Host: p.Self.Name, Incarnation: p.Self.Incarnation, Epoch: j.epoch})
+		}
+	}
+	return all
+}
+
+// askOwners tells a host that others take for a job's owner, and that does not say so itself, what is believed of it:
+// the answer to its takeover may have been lost.
+func (p *Part) askOwners(now time.Duration, out *event.Batch) {
+	if p.stopping {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.known)) {
+		k := p.known[id]
+		if k.Ended || k.Host == "" || k.Host == p.Self.Name || p.jobs[id] != nil || now-max(k.heardAt, k.asked) < silentOwner {
+			continue
+		}
+		k.asked = now
+		p.tellHost(k.Host, k.JobSeen, out)
+	}
+}
+
 // news takes what another host tells of a job. A higher epoch ends the own run of it.
 func (p *Part) news(now time.Duration, n wire.JobNews, out *event.Batch) {
 	k := p.see(n.Job)
 	k.heardAt = now
+	before := k.JobSeen
 	ended := k.Ended || n.Ended
 	if n.Epoch >= k.Epoch && n.Host != "" {
 		k.Host, k.Incarnation, k.Epoch, k.orphan = n.Host, n.Incarnation, n.Epoch, 0
@@ -138,7 +169,9 @@
 		k.Epoch, k.orphan = n.Epoch, now
 	}
 	k.Ended = ended
-	out.Emit(event.KnowJob{Seen: k.JobSeen})
+	if k.JobSeen != before {
+		out.Emit(event.KnowJob{Seen: k.JobSeen})
+	}
 	j := p.jobs[n.Job]
 	if j == nil {
 		return
@@ -230,13 +263,18 @@
 	if k.Ended || k.taking || p.jobs[k.Job] != nil || now < k.next {
 		return
 	}
-	if k.Host != "" && incarnations[k.Host] == k.Incarnation && k.orphan == 0 {
+	// A takeover whose answer was lost may have made this host the owner.
+	mine := k.Host == p.Self.Name && k.Incarnation == p.Self.Incarnation
+	if !mine && k.Host != "" && incarnations[k.Host] == k.Incarnation && k.orphan == 0 {
 		return
 	}
 	if k.orphan == 0 {
 		k.orphan = now
 	}
 	rank := ranks.Of(k.Job, names, p.Self.Name)
+	if mine {
+		rank = 0
+	}
 	if rank < 0 || now-k.orphan < time.Duration(rank)*rankDelay {
 		return
 	}
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -139,6 +139,9 @@
 			p.told[e.Host] = true // it answers a beat from here, so that what is sent arrives
 			p.tellAll(e.Host, out)
 		}
+		for _, n := range e.Beat.Jobs {
+			p.news(now, n, out)
+		}
 	case event.HostLost:
 		p.engines.others(now, e.Host, nil)
 		delete(p.told, e.Host)
@@ -171,6 +174,7 @@
 	p.lookForJobs(now, out)
 	p.takeOrphans(now, out)
 	p.begin(now, out)
+	p.askOwners(now, out)
 	for _, j := range p.sorted() {
 		p.copyTo(now, j, out)
 		p.giveUp(now, j, out)
@@ -188,7 +192,9 @@
 }
 
 // Contribute tells the other hosts how many items run on each engine.
-func (p *Part) Contribute(_ time.Duration, beat *wire.Beat) { beat.Runs = p.Running() }
+func (p *Part) Contribute(_ time.Duration, beat *wire.Beat) {
+	beat.Runs, beat.Jobs = p.Running(), p.claims()
+}
 
 // Running returns the items of this host by engine, sorted.
 func (p *Part) Running() []wire.EngineRuns { return p.engines.own() }
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -78,6 +78,8 @@
 		}
 		if time.Now().After(until) || ctx.Err() != nil {
 			if unknown {
+				x.keeper.add(job) // it may be stored in this host's name
+				x.keeper.setOwned(job.ID, job.Host == x.Host)
 				return kinds.OutcomeUnknown
 			}
 			return kinds.StoreRefused
--- a/internal/weight/engines.go
+++ b/internal/swap/engines.go
@@ -1,4 +1,5 @@
-package weight
+// Package swap carries out orders to engines: all I/O of the models' versions.
+package swap
 
 import (
 	"bytes"
--- a/internal/weight/engines_test.go
+++ b/internal/swap/engines_test.go
@@ -1,4 +1,4 @@
-package weight
+package swap
 
 import (
 	"encoding/json"
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -86,6 +86,8 @@
 	Demand  []Demand     `msgpack:",omitempty"`
 	// Positions holds, for each kind of object that every host follows, the highest revision known of it.
 	Positions []uint64 `json:",omitempty" msgpack:",omitempty"`
+	// Jobs tells the batch jobs that the sender runs and that are not listed whole.
+	Jobs []JobNews `json:",omitempty" msgpack:",omitempty"`
 	// Runs tells the items that run on engines by the sender's order.
 	Runs []EngineRuns `json:",omitempty" msgpack:",omitempty"`
 }
