--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,13 @@
 UNITS := ./... ./figd/... ./figctl/...
 PROCESSES := ./figbed/...
 COUNT ?= 1
-CLUSTERS ?= 3
+# Clusters of processes that run at once, and those of the tests that measure.
+CLUSTERS ?= 12
+MEASURES ?= 6
+MEASURING := ^(TestPolicy.*|TestStragglers.*|TestIdleThrough.*|TestOverload.*|TestLotSizes)$$
 KNOWN_RED := $(shell sed -n 's/^Test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+SKIPRED := $(if $(KNOWN_RED),^($(KNOWN_RED))$$|)
 
 .PHONY: all build format lint vet test race demo known-red
 
@@ -29,7 +33,8 @@
 
 test: lint vet known-red
 	go test -count=$(COUNT) -timeout 20m $(SKIP) $(UNITS)
-	go test -count=$(COUNT) -timeout 40m -p 1 -parallel $(CLUSTERS) $(SKIP) $(PROCESSES)
+	go test -count=$(COUNT) -timeout 20m -p 1 -parallel $(CLUSTERS) -skip '$(SKIPRED)$(MEASURING)' $(PROCESSES)
+	go test -count=$(COUNT) -timeout 20m -parallel $(MEASURES) -run '$(MEASURING)' $(SKIP) ./figbed/proofs/
 
 race: known-red
 	go test -race -count=3 -timeout 60m -parallel $(CLUSTERS) $(SKIP) ./figbed/proofs/
--- a/figbed/proofs/overload_test.go
+++ b/figbed/proofs/overload_test.go
@@ -27,6 +27,7 @@
 // when to come again, and say truly that nothing ran, while the daemon's memory stays bounded. The cold daemon has
 // not seen yet how fast the service is.
 func TestOverloadRefusesAtOnce(t *testing.T) {
+	t.Parallel()
 	for name, warm := range map[string]bool{"Warm": true, "Cold": false} {
 		t.Run(name, func(t *testing.T) {
 			c := overloadCluster(t)
--- a/figbed/proofs/policy_cache_test.go
+++ b/figbed/proofs/policy_cache_test.go
@@ -12,6 +12,7 @@
 )
 
 func TestPolicyPrefixAffinity(t *testing.T) {
+	t.Parallel()
 	cases := map[string]float64{"EvenHeads": 0, "OneHotHead": 60}
 	for name, hot := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/figbed/proofs/policy_retry_test.go
+++ b/figbed/proofs/policy_retry_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestPolicyRetryBudget(t *testing.T) {
+	t.Parallel()
 	all := []string{"s1", "s2", "s3"}
 	cases := map[string]struct {
 		faults  servc.Faults
--- a/figbed/proofs/policy_spend_test.go
+++ b/figbed/proofs/policy_spend_test.go
@@ -14,6 +14,7 @@
 // TestPolicySpend compares a mix of on-demand and cheap engines with as many on-demand ones as the limits allow,
 // while a zone's cheap engines are reclaimed.
 func TestPolicySpend(t *testing.T) {
+	t.Parallel()
 	mix := gauge.Spend(t, config.FollowDemand)
 	peak := gauge.Spend(t, config.HoldPeak)
 	t.Logf("Policy=FollowDemand %v", mix)
--- a/figbed/proofs/policy_test.go
+++ b/figbed/proofs/policy_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestPolicyFairQueueUnderFlood(t *testing.T) {
+	t.Parallel()
 	const demand, flood = 0.7 * gauge.FairPart, 10 * gauge.FairPart
 	calm := gauge.NeighborsOf(gauge.Fair(t, "", demand, demand, 0))
 	fair := gauge.NeighborsOf(gauge.Fair(t, "", demand, flood, 0))
@@ -28,6 +29,7 @@
 }
 
 func TestPolicyFairQueueSaturated(t *testing.T) {
+	t.Parallel()
 	const demand, flood = 1.5 * gauge.FairPart, 10 * gauge.FairPart
 	fair := gauge.WorstPart(gauge.Fair(t, "", demand, flood, time.Millisecond))
 	fifo := gauge.WorstPart(gauge.Fair(t, "QueuePolicy = Fifo\n", demand, flood, time.Millisecond))
--- a/figbed/proofs/rollouts_measure_test.go
+++ b/figbed/proofs/rollouts_measure_test.go
@@ -17,6 +17,7 @@
 // TestStragglersWithHedgesAndSpareGroups measures trainer idle time with 2 % of the attempts 10 times slower,
 // with and without hedges and spare groups, and without stragglers.
 func TestStragglersWithHedgesAndSpareGroups(t *testing.T) {
+	t.Parallel()
 	const lots = 8
 	run := func(name, stragglers string, spare int, hedge float64) time.Duration {
 		spec := drill.Spec()
@@ -47,6 +48,7 @@
 
 // TestIdleThroughAnOutage measures trainer idle time through a store outage, without and with lots sealed ahead.
 func TestIdleThroughAnOutage(t *testing.T) {
+	t.Parallel()
 	const ahead = 10
 	outage := *outageLength
 	step := outage / ahead
@@ -125,6 +127,7 @@
 
 // TestLotSizes measures object calls, bytes, processor time and memory by the samples of a lot.
 func TestLotSizes(t *testing.T) {
+	t.Parallel()
 	const lots = 3
 	for _, groups := range []int{8, 64, 512} {
 		spec := drill.Spec()
