--- a/figbed/main.go
+++ b/figbed/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(&serviceCommand{}, "stand-ins")
 	subcommands.Register(&scorerCommand{}, "stand-ins")
 	subcommands.Register(&trainerCommand{}, "stand-ins")
+	subcommands.Register(&estateCommand{}, "stand-ins")
 	subcommands.Register(&loadCommand{}, "measurement")
 	subcommands.Register(&demoCommand{}, "demo")
 	flag.Parse()
--- a/figd/main.go
+++ b/figd/main.go
@@ -22,6 +22,7 @@
 
 const (
 	tickEvery      = 50 * time.Millisecond
+	idleEvery      = 150 * time.Millisecond
 	eventQueueSize = 8192
 )
 
@@ -116,7 +117,7 @@
 // newDaemon composes the areas. The order fixes the order in which parts see an event.
 func newDaemon(process config.Process, self identity, stderr io.Writer) (*daemon, error) {
 	d := &daemon{process: process, identity: self, state: &reduce.State{}, handlers: map[string]httpHandler{}}
-	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, QueueSize: eventQueueSize}
+	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, IdleEvery: idleEvery, QueueSize: eventQueueSize}
 	d.loop.Prepare()
 	if err := d.addOperations(stderr); err != nil {
 		return nil, err
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -120,7 +120,7 @@
 func newOnPlatform(settings platform.Settings, id identity, stdout io.Writer) *onPlatform {
 	d := &onPlatform{settings: settings, daemon: &daemon{identity: id, state: &reduce.State{}}}
 	d.process = config.Process{Host: settings.Host, Zone: settings.Zone, BalancerDelay: balancerDelay, LogLevel: settings.LogLevel}
-	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, QueueSize: eventQueueSize}
+	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, IdleEvery: idleEvery, QueueSize: eventQueueSize}
 	d.loop.Prepare()
 	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.own(peerPort), Incarnation: id.incarnation}
 	d.secret = deploymentID(settings)
--- a/internal/config/docs_test.go
+++ b/internal/config/docs_test.go
@@ -9,14 +9,14 @@
 )
 
 func TestEverySettingIsOnTheOperatorsPage(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, s := range config.Settings() {
 		row := "| " + s.Section + " | " + s.Key + " | " + s.Default + " | " + s.Allowed + " |"
 		if !strings.Contains(string(page), row) {
-			t.Errorf("docs/OPERATING.md lacks the row\n%s", row)
+			t.Errorf("docs/OPERATIONS.md lacks the row\n%s", row)
 		}
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -20,6 +20,8 @@
 	State     *reduce.State
 	Executors []Executor
 	TickEvery time.Duration
+	// IdleEvery is the interval of the ticks while nothing but peers' frames has come for a while; 0 takes TickEvery.
+	IdleEvery time.Duration
 	QueueSize int
 	// Record is called after each step when not nil; it must not keep the effects.
 	Record func(now time.Duration, ev event.Event, effects []event.Effect)
@@ -53,20 +55,52 @@
 // Run steps the reducer until ctx ends.
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.done)
-	tick := time.NewTicker(l.TickEvery)
+	tick := time.NewTimer(l.TickEvery)
 	defer tick.Stop()
+	active := l.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case ev := <-l.events:
+			if !idles(ev) {
+				if l.idle(active) {
+					tick.Reset(l.TickEvery)
+				}
+				active = l.Now()
+			}
 			l.step(ev)
 		case <-tick.C:
 			l.step(event.Tick{})
+			tick.Reset(l.every(active))
 		}
 	}
 }
 
+// idleAfter is the time without work after which ticks become rarer.
+const idleAfter = time.Second
+
+// every returns the time until the next tick.
+func (l *Loop) every(active time.Duration) time.Duration {
+	if l.idle(active) {
+		return l.IdleEvery
+	}
+	return l.TickEvery
+}
+
+func (l *Loop) idle(active time.Duration) bool {
+	return l.IdleEvery > 0 && l.Now()-active > idleAfter
+}
+
+// idles reports whether an event comes also while there is no work.
+func idles(ev event.Event) bool {
+	switch ev.(type) {
+	case event.PeerReceived, event.WallClock, event.ObjectsDone, event.EndpointsDone, event.EndpointPolled:
+		return true
+	}
+	return false
+}
+
 func (l *Loop) step(ev event.Event) {
 	now := l.Now()
 	effects := l.State.Step(now, ev)
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -32,6 +32,49 @@
 	return true
 }
 
+// ticks counts the ticks that come.
+type ticks struct{ n chan struct{} }
+
+func (p ticks) Step(_ time.Duration, ev event.Event, _ *event.Batch) {
+	if _, ok := ev.(event.Tick); ok {
+		p.n <- struct{}{}
+	}
+}
+
+// An idle daemon wakes up rarely, and at the usual interval again as soon as there is work.
+func TestTicksAreRareWhileIdle(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	part := ticks{n: make(chan struct{}, 10_000)}
+	l := &Loop{
+		State:     &reduce.State{Parts: []event.Part{part}},
+		TickEvery: 5 * time.Millisecond, IdleEvery: 500 * time.Millisecond, QueueSize: 16,
+	}
+	l.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	count := func(d time.Duration, ev event.Event) int {
+		l.Post(ev)
+		before := len(part.n)
+		time.Sleep(d)
+		return len(part.n) - before
+	}
+	if got := count(500*time.Millisecond, event.StatusAsked{}); got < 20 {
+		t.Errorf("%d ticks in half a second with work, want many", got)
+	}
+	time.Sleep(idleAfter)
+	if got := count(600*time.Millisecond, event.PeerReceived{}); got > 3 {
+		t.Errorf("%d ticks in 0.6 s with peers' frames only, want few", got)
+	}
+	if got := count(500*time.Millisecond, event.StatusAsked{}); got < 20 {
+		t.Errorf("%d ticks in half a second after new work, want many", got)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestLoopCarriesEventsToExecutors(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	out := sink{effects: make(chan event.Effect, 4)}
