items, relay, view: a host that is not heard is asked before its job is taken; ends reach the owner; watchers by zone

A fifth of the hosts watched every kind. Change: a takeover first asks the owner at its own address; an owner whose memory has nothing more asks the store when it was not shown to be whole within a second; the end of a job is told to its owner by a call; in a fleet of more than 16 hosts the watchers are chosen for each zone; all known hosts can be called.

--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -129,6 +129,12 @@
 	}
 }
 
+// knowHosts hands the other hosts' addresses to the executors.
+func (p *Part) knowHosts(hosts []event.Host, out *event.Batch) {
+	others := slices.DeleteFunc(slices.Clone(hosts), func(h event.Host) bool { return h.Name == p.Self.Name })
+	out.Emit(event.KnowHosts{Hosts: others})
+}
+
 // claims returns the jobs that this host runs, for its beats.
 func (p *Part) claims() []wire.JobNews {
 	var all []wire.JobNews
@@ -299,6 +305,8 @@
 	switch {
 	case e.Kind == kinds.NotFound:
 		k.Ended = true
+	case e.Kind == kinds.Conflict:
+		k.Epoch, k.next, k.heardAt = max(k.Epoch, e.Epoch), now+silentOwner, now // another host has it, heard or not
 	case e.Kind != "":
 		k.Epoch = max(k.Epoch, e.Epoch)
 	case e.Ended:
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -81,6 +81,8 @@
 	case event.EndpointsListed:
 		p.engines.list(now, e.List.Endpoints)
 		p.dispatch(now, out)
+	case event.HostsChanged:
+		p.knowHosts(e.Hosts, out)
 	case event.EndpointLeaving:
 		p.engines.leave(e.Mark)
 	case event.JobCalled:
--- a/internal/event/peer.go
+++ b/internal/event/peer.go
@@ -45,6 +45,9 @@
 	Message     wire.Message
 }
 
+// KnowHosts gives the other known hosts to the executors that call them.
+type KnowHosts struct{ Hosts []Host }
+
 // HostsChanged is raised when the known hosts changed; Hosts are sorted by name and include this one.
 type HostsChanged struct{ Hosts []Host }
 
@@ -96,6 +99,7 @@
 }
 
 func (ConnectPeers) isEffect() {}
+func (KnowHosts) isEffect()    {}
 func (SendPeer) isEffect()     {}
 func (PeerUp) isEvent()        {}
 func (PeerDown) isEvent()      {}
--- a/internal/items/api.go
+++ b/internal/items/api.go
@@ -77,7 +77,7 @@
 
 // Page returns a job's results from a position on, from this host's memory, the host that runs it, or the store.
 func (x *Executor) Page(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, error) {
-	if page, ok := x.Local(ctx, id, after, wait); ok {
+	if page, ok := x.Local(ctx, id, after, wait); ok && (len(page.Results) > 0 || x.confirmed(ctx, id)) {
 		return page, nil
 	}
 	if owner := x.keeper.owner(id); owner.Host != "" && owner.Host != x.Host {
@@ -88,6 +88,24 @@
 	return x.storedPage(ctx, id, after, wait)
 }
 
+// confirmed reports whether the list of a job that this host runs is whole: another host may have taken the job over
+// while this one was frozen, and listed more.
+func (x *Executor) confirmed(ctx context.Context, id string) bool {
+	if x.keeper.sure(id) {
+		return true
+	}
+	j := x.keeper.get(id)
+	if j == nil {
+		return false
+	}
+	_, err := x.chunk(ctx, id, x.keeper.count(id))
+	if kinds.From(err) != kinds.NotFound {
+		return false
+	}
+	x.keeper.setSure(id)
+	return true
+}
+
 // Local returns a page of a job that this host runs; false for any other job.
 func (x *Executor) Local(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, bool) {
 	return x.keeper.page(ctx, id, after, wait, pageBytes)
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -56,6 +56,8 @@
 type Peers interface {
 	// Page returns a page of a job from the host of that name; false when it does not answer for the job.
 	Page(ctx context.Context, host, job string, after int, wait time.Duration) (wire.JobPage, bool)
+	// Ended tells the host of that name that a job was ended.
+	Ended(ctx context.Context, host, job string)
 	// Copy sends copies to the host of that name and reports whether it has taken them.
 	Copy(ctx context.Context, host string, all []jobCopy) bool
 }
@@ -102,7 +104,7 @@
 		go x.listJobs(x.ctx)
 	case event.KnowJob:
 		x.keeper.know(e.Seen)
-		if e.Seen.Host != "" && e.Seen.Host != x.Host {
+		if e.Seen.Host != x.Host {
 			x.keeper.setOwned(e.Seen.Job, false)
 		}
 	case event.DropJob:
--- a/internal/items/keeper.go
+++ b/internal/items/keeper.go
@@ -12,6 +12,10 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
+// sureFor is the time for which an owner need not ask the store whether another host has listed more: it was frozen, or
+// cut off, for less.
+const sureFor = time.Second
+
 // keeper holds the jobs that this host runs or has read. It may be used concurrently.
 type keeper struct {
 	mu     sync.Mutex
@@ -27,7 +31,8 @@
 	chunks  int           // in listed
 	starts  []int         // positions at which the chunks begin
 	changed chan struct{} // closed when listed grows
-	owned   bool          // this host runs the job, so that listed is whole
+	owned   bool          // this host runs the job, so that listed is whole as of sureAt
+	sureAt  time.Time     // when the store last showed that no other host lists results
 }
 
 // text is what an item's runs have given so far.
@@ -89,6 +94,33 @@
 	return j != nil && j.owned
 }
 
+// sure reports whether the store has shown lately that an owned job's list is whole.
+func (k *keeper) sure(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j := k.jobs[id]
+	return j != nil && (time.Since(j.sureAt) < sureFor || len(j.listed) == len(j.job.Items))
+}
+
+// count returns the number of known chunks of a job.
+func (k *keeper) count(id string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if j := k.jobs[id]; j != nil {
+		return j.chunks
+	}
+	return 0
+}
+
+// setSure notes that the store holds no chunk beyond the known ones.
+func (k *keeper) setSure(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if j := k.jobs[id]; j != nil {
+		j.sureAt = time.Now()
+	}
+}
+
 func (k *keeper) know(s event.JobSeen) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -112,6 +144,7 @@
 	j.chunks++
 	j.starts = append(j.starts, len(j.listed))
 	j.listed = append(j.listed, results...)
+	j.sureAt = time.Now()
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
--- a/internal/items/pages.go
+++ b/internal/items/pages.go
@@ -10,6 +10,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/relay"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -55,6 +56,26 @@
 	return page, true
 }
 
+// Ended tells the host of that name that a job was ended. A host that is not reached learns it when it lists results.
+func (p *Pages) Ended(ctx context.Context, host, job string) {
+	address := p.Book.Address(host)
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+PathPage+"?"+url.Values{"Job": {job}}.Encode(), nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set(relay.HeaderSecret, p.Secret)
+	resp, err := p.HTTP.RoundTrip(req)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+}
+
 // ServeHTTP answers one read of a job that this host runs. It may be called concurrently.
 func (p *Pages) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !relay.Knows(r, p.Secret) {
@@ -62,6 +83,10 @@
 		return
 	}
 	query := r.URL.Query()
+	if r.Method == http.MethodDelete {
+		p.Jobs.Post(event.PeerReceived{Message: wire.Message{News: &wire.JobNews{Job: query.Get("Job"), Ended: true}}})
+		return
+	}
 	after, err := strconv.Atoi(query.Get("After"))
 	ms, err2 := strconv.Atoi(query.Get("WaitMS"))
 	if err != nil || err2 != nil {
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -1,6 +1,7 @@
 package items
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"strconv"
@@ -18,6 +19,7 @@
 	callTimeout = time.Second // one call to the store
 	endBudget   = 3 * time.Second
 	storeRetry  = 150 * time.Millisecond
+	askOwner    = 500 * time.Millisecond // to ask a host whether it still runs a job
 )
 
 // keep stores a job. A conflict with this process's own write, whose answer was lost, is success.
@@ -260,7 +262,24 @@
 		owner = wire.JobOwner{Host: seen.Host, Incarnation: seen.Incarnation, Epoch: seen.Epoch}
 	}
 	owner.Ended = true
-	return x.putOwner(ctx, id, owner, version)
+	kind := x.putOwner(ctx, id, owner, version)
+	if kind == "" {
+		x.tellEnd(ctx, id, owner)
+	}
+	return kind
+}
+
+// tellEnd tells the host that runs a job of its end; the news between hosts that hear each other may not reach it.
+func (x *Executor) tellEnd(ctx context.Context, id string, owner wire.JobOwner) {
+	host := owner.Host
+	if host == "" {
+		if job, err := x.loadPast(ctx, id); err == nil {
+			host = job.Host
+		}
+	}
+	if host != "" && host != x.Host {
+		x.Peers.Ended(ctx, host, id)
+	}
 }
 
 func (x *Executor) ownerOf(ctx context.Context, id string) (wire.JobOwner, uint64, error) {
@@ -307,6 +326,10 @@
 	if owner.Epoch > e.Epoch && owner.Incarnation != x.Incarnation {
 		return kinds.Conflict
 	}
+	if x.answersFor(ctx, cmp.Or(owner.Host, job.Host), e.Job) {
+		done.Held = nil
+		return kinds.Conflict // it only is not heard here
+	}
 	if owner.Incarnation != x.Incarnation || owner.Epoch == 0 {
 		next := wire.JobOwner{Host: x.Host, Incarnation: x.Incarnation, Epoch: owner.Epoch + 1}
 		if kind := x.putOwner(ctx, e.Job, next, version); kind != "" {
@@ -335,6 +358,18 @@
 	return ""
 }
 
+// answersFor reports whether a host that counts as gone runs a job all the same: in a large fleet few hosts hear each
+// other.
+func (x *Executor) answersFor(ctx context.Context, host, id string) bool {
+	if host == "" || host == x.Host {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askOwner)
+	defer cancel()
+	_, ok := x.Peers.Page(ctx, host, id, 0, 0)
+	return ok
+}
+
 // load returns a job from memory or the store.
 func (x *Executor) load(ctx context.Context, id string) (wire.Job, error) {
 	if j := x.keeper.get(id); j != nil {
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -22,9 +22,9 @@
 
 type entry struct{ name, address string }
 
-// Do takes the hosts that are connected; it leaves the effect to the others that need it.
+// Do takes the known hosts.
 func (b *Book) Do(effect event.Effect) bool {
-	e, ok := effect.(event.ConnectPeers)
+	e, ok := effect.(event.KnowHosts)
 	if !ok {
 		return false
 	}
@@ -38,10 +38,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.hosts = hosts
-	return false
+	return true
 }
 
-// Address returns the address of a host, "" when it is not connected.
+// Address returns the address of a host, "" for one that is not known.
 func (b *Book) Address(name string) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -53,7 +53,7 @@
 	return ""
 }
 
-// addresses returns the addresses of all connected hosts.
+// addresses returns the addresses of all known hosts.
 func (b *Book) addresses() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -157,9 +157,9 @@
 	}
 }
 
-func TestBookKeepsTheConnectedHosts(t *testing.T) {
+func TestBookKeepsTheKnownHosts(t *testing.T) {
 	b := &Book{Port: 7}
-	b.Do(event.ConnectPeers{Hosts: []event.Host{{Name: "h2", Address: "127.0.0.2:1"}, {Name: "h1", Address: "127.0.0.1:1"}}})
+	b.Do(event.KnowHosts{Hosts: []event.Host{{Name: "h2", Address: "127.0.0.2:1"}, {Name: "h1", Address: "127.0.0.1:1"}}})
 	if diff := cmp.Diff([]string{"127.0.0.1:7", "127.0.0.2:7"}, b.addresses()); diff != "" {
 		t.Errorf("addresses (-want +got):\n%s", diff)
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -30,8 +30,10 @@
 	watchers = 2
 	// checkers is the number of hosts that read a prefix again now and then, since a watch may be silent; each does in
 	// its turn. A host whose turn is not known bounds what a change may lag by checkers times checkTurn.
-	checkers   = 3
-	checkTurn  = 500 * time.Millisecond
+	checkers  = 3
+	checkTurn = 500 * time.Millisecond
+	// smallFleet is the number of hosts up to which all hear all.
+	smallFleet = 16
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = time.Second
 	pullEvery  = 300 * time.Millisecond
@@ -54,6 +56,7 @@
 // Part is the share of the reducer that follows the objects. Its exported fields are set before the first Step.
 type Part struct {
 	Host   string
+	Zone   string
 	Decode Decoder
 	Keys   *keys.Table // filled by this part
 
@@ -66,6 +69,7 @@
 	lapsed   map[string]lapse
 	pulled   map[string]time.Duration
 	heard    map[string]time.Duration // time of the last beat by host
+	zones    map[string]string        // of all known hosts
 	ready    event.Ready
 	stopping bool
 }
@@ -89,6 +93,11 @@
 		p.compare(now, e, out)
 	case event.HostLost:
 		delete(p.heard, e.Host)
+	case event.HostsChanged:
+		p.zones = map[string]string{}
+		for _, h := range e.Hosts {
+			p.zones[h.Name] = h.Zone
+		}
 	case event.PeerReceived:
 		p.receive(now, e, out)
 	case event.StopAsked:
@@ -145,8 +154,17 @@
 
 // rank returns this host's place among those that are heard, in an order of its own for each prefix.
 func (p *Part) rank(f *feed) int {
-	names := append(slices.Sorted(maps.Keys(p.heard)), p.Host)
-	return ranks.Of(f.prefix, names, p.Host)
+	return ranks.Of(f.prefix, append(p.group(), p.Host), p.Host)
+}
+
+// group returns the other hosts among which watchers are chosen: all that are heard of a small fleet, in a larger one
+// those of the own zone, which hear their zone's watchers.
+func (p *Part) group() []string {
+	heard := slices.Sorted(maps.Keys(p.heard))
+	if len(p.zones) <= smallFleet {
+		return heard
+	}
+	return slices.DeleteFunc(heard, func(host string) bool { return p.zones[host] != p.Zone })
 }
 
 // check reads a prefix again when it is this host's turn and pushes what no watch has told.
@@ -155,7 +173,7 @@
 		return
 	}
 	rank, turn := p.rank(f), int(now/checkTurn)
-	if rank >= checkers || len(p.heard) >= checkers-1 && turn%checkers != rank {
+	if rank >= checkers || len(p.group()) >= checkers-1 && turn%checkers != rank {
 		f.nextCheck = time.Duration(turn+1) * checkTurn
 		return
 	}
