update, lease, platform, items: tests of the platform's parts

Loads by need, turns of versions, models' shares, answers to orders; a replaced holder; decoding of entries, configurations and stores' answers, the template's keys; takeovers, frozen owners, ends, copies, streams.

--- /dev/null
+++ b/internal/update/update_test.go
@@ -0,0 +1,197 @@
+package update
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// rig is a holder of the duty with the engines that a test plays.
+type rig struct {
+	now     time.Duration
+	p       *Part
+	runs    []wire.EngineRuns
+	engines []wire.Endpoint
+	orders  []event.SwapEngine // since the last take
+	release int
+}
+
+func (r *rig) Running() []wire.EngineRuns { return r.runs }
+
+func (r *rig) Trusted(time.Duration) (time.Duration, bool) { return time.Hour, true }
+
+func (r *rig) Holds(_ string, now time.Duration) (time.Duration, uint64, bool) {
+	return now + 2*time.Second, 1, true
+}
+
+// newRig has engines that hold the models at version 1.
+func newRig(models []string, engines int) *rig {
+	r := &rig{now: time.Minute}
+	r.p = &Part{Host: "h1", Trust: r, Runs: r}
+	site := config.Defaults()
+	site.Models = map[string][]string{"e": models}
+	r.step(event.ConfigInForce{Site: site})
+	r.step(event.DutyGained{Duty: Duty, Epoch: 1})
+	for i := range engines {
+		e := wire.Endpoint{Name: fmt.Sprintf("e%d", i), Incarnation: "1", Service: "e", State: wire.Live}
+		for _, m := range models {
+			e.Weights = append(e.Weights, wire.ModelVersion{Model: m, Version: 1})
+		}
+		r.engines = append(r.engines, e)
+	}
+	r.list()
+	return r
+}
+
+func (r *rig) list() { r.step(event.EndpointsListed{List: wire.EndpointList{Endpoints: r.engines}}) }
+
+func (r *rig) step(ev event.Event) {
+	var out event.Batch
+	r.p.Step(r.now, ev, &out)
+	for _, e := range out.Effects {
+		if o, ok := e.(event.SwapEngine); ok {
+			r.orders = append(r.orders, o)
+		}
+	}
+	for _, e := range out.Raised {
+		if _, ok := e.(event.ReleaseDuty); ok {
+			r.release++
+		}
+	}
+}
+
+func (r *rig) name(model string, version uint64) {
+	r.step(event.VersionPublished{Model: model, Version: version})
+}
+
+// take returns the orders that a tick after d gives, as engine=version.
+func (r *rig) take(d time.Duration) []string {
+	r.now += d
+	r.orders = nil
+	r.step(event.Tick{})
+	var all []string
+	for _, o := range r.orders {
+		all = append(all, fmt.Sprintf("%s=%d", o.Endpoint, o.Version))
+	}
+	return all
+}
+
+// load carries out the orders of the last take.
+func (r *rig) load() {
+	for _, o := range r.orders {
+		for i := range r.engines {
+			if r.engines[i].Name != o.Endpoint {
+				continue
+			}
+			weights := append([]wire.ModelVersion(nil), r.engines[i].Weights...)
+			for n := range weights {
+				if weights[n].Model == o.Model {
+					weights[n].Version = o.Version
+				}
+			}
+			r.engines[i].Weights = weights
+		}
+	}
+	r.list()
+}
+
+// Answers the pattern: versions come faster than all engines can load them, a fifth of them at a time. Those that can't
+// serve the next step load at once; those that can go on serving and load when they have nothing to run.
+func TestLoadsByNeed(t *testing.T) {
+	r := newRig([]string{"m"}, 5)
+	for _, e := range r.engines {
+		r.runs = append(r.runs, wire.EngineRuns{Endpoint: e.Name, Items: 1})
+	}
+	r.name("m", 2)
+	if got := r.take(time.Second); len(got) > 0 {
+		t.Errorf("busy engines that can serve the step are ordered: %v", got)
+	}
+	r.runs = r.runs[1:]
+	if diff := cmp.Diff([]string{"e0=2"}, r.take(time.Second)); diff != "" {
+		t.Errorf("idle engine (-want +got):\n%s", diff)
+	}
+	r.load()
+	r.name("m", 3)
+	for i, want := range []string{"e1=3", "e2=3", "e3=3", "e4=3"} {
+		if diff := cmp.Diff([]string{want}, r.take(time.Second)); diff != "" {
+			t.Errorf("load %d (-want +got):\n%s", i, diff)
+		}
+		r.load()
+	}
+	if got := r.take(time.Second); len(got) > 0 && got[0] != "e0=3" {
+		t.Errorf("further orders: %v", got)
+	}
+}
+
+// Answers the pattern: a version is named and its step begins in the same moment; engines that can serve it must not
+// load under it.
+func TestIdleEnginesWaitForTheStep(t *testing.T) {
+	r := newRig([]string{"m"}, 5)
+	r.name("m", 2)
+	if got := r.take(stepAfter / 2); len(got) > 0 {
+		t.Errorf("ordered before the step can have begun: %v", got)
+	}
+	if got := r.take(stepAfter); len(got) != 1 {
+		t.Errorf("orders %v, want one", got)
+	}
+}
+
+func TestEnginesAreSharedByTheModels(t *testing.T) {
+	r := newRig([]string{"m", "n", "o"}, 9)
+	for _, m := range []string{"m", "n", "o"} {
+		r.name(m, 2)
+	}
+	count := map[string]int{}
+	for range 9 {
+		r.take(5 * time.Second)
+		for _, o := range r.orders {
+			count[o.Model]++
+		}
+		r.load()
+	}
+	if diff := cmp.Diff(map[string]int{"m": 3, "n": 3, "o": 3}, count); diff != "" {
+		t.Errorf("loads (-want +got):\n%s", diff)
+	}
+}
+
+func TestAnswersToOrders(t *testing.T) {
+	cases := map[string]struct {
+		kind    kinds.Kind
+		again   time.Duration // until the engine is ordered again
+		release int
+	}{
+		"refused":          {kinds.EndpointRefused, againAfter, 0},
+		"another came":     {kinds.Conflict, againAfter, 0},
+		"answer lost":      {kinds.OutcomeUnknown, againAfter, 0},
+		"higher epoch":     {kinds.NotHolder, 0, 1},
+		"carried out late": {"", loadTime, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig([]string{"m"}, 1)
+			r.name("m", 3)
+			r.take(time.Second)
+			order := r.orders[0]
+			r.step(event.EngineSwapped{Duty: Duty, Epoch: 1, OrderID: order.OrderID, Endpoint: order.Endpoint, Kind: c.kind})
+			if r.release != c.release {
+				t.Fatalf("the duty was released %d times, want %d", r.release, c.release)
+			}
+			if c.release > 0 {
+				return
+			}
+			if got := r.take(c.again / 2); len(got) > 0 {
+				t.Errorf("ordered again too soon: %v", got)
+			}
+			if got := r.take(c.again); len(got) != 1 {
+				t.Errorf("orders %v after %s, want one", got, c.again)
+			}
+		})
+	}
+}
