--- a/internal/items/api.go
+++ b/internal/items/api.go
@@ -77,7 +77,7 @@
 
 // Page returns a job's results from a position on, from this host's memory, the host that runs it, or the store.
 func (x *Executor) Page(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, error) {
-	if page, ok := x.Local(ctx, id, after, wait); ok && (len(page.Results) > 0 || x.confirmed(ctx, id)) {
+	if page, ok := x.OwnPage(ctx, id, after, wait); ok {
 		return page, nil
 	}
 	if owner := x.keeper.owner(id); owner.Host != "" && owner.Host != x.Host {
@@ -106,8 +106,15 @@
 	return true
 }
 
-// Local returns a page of a job that this host runs; false for any other job.
-func (x *Executor) Local(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, bool) {
+// OwnPage returns a page of a job that this host runs; false for any other job, and when the page is empty though
+// another host may have listed more.
+func (x *Executor) OwnPage(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, bool) {
+	page, ok := x.local(ctx, id, after, wait)
+	return page, ok && (len(page.Results) > 0 || x.confirmed(ctx, id))
+}
+
+// local returns a page of a job that this host runs, from memory.
+func (x *Executor) local(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, bool) {
 	return x.keeper.page(ctx, id, after, wait, pageBytes)
 }
 
--- a/internal/items/pages.go
+++ b/internal/items/pages.go
@@ -93,7 +93,7 @@
 		http.Error(w, "After and WaitMS are whole numbers", http.StatusBadRequest)
 		return
 	}
-	page, ok := p.Jobs.Local(r.Context(), query.Get("Job"), after, time.Duration(ms)*time.Millisecond)
+	page, ok := p.Jobs.OwnPage(r.Context(), query.Get("Job"), after, time.Duration(ms)*time.Millisecond)
 	if !ok {
 		http.NotFound(w, r)
 		return
