--- a/figd/platform.go
+++ b/figd/platform.go
@@ -44,8 +44,6 @@
 )
 
 const (
-	// settingsVariable names the environment variable that holds the path of the settings.
-	settingsVariable = "FIGSHIFT_BOOT"
 	// balancerDelay is the time after which the balancer has seen that a host is not ready: two questions.
 	balancerDelay = 2500 * time.Millisecond
 	// stopMargin is left of the platform's grace when a graceful stop is cut.
@@ -88,7 +86,7 @@
 
 // startPlatform takes the file of settings from its one argument, or else from the environment.
 func startPlatform(args []string, stdout, stderr io.Writer) int {
-	file := os.Getenv(settingsVariable)
+	file := os.Getenv(platform.SettingsVariable)
 	switch {
 	case len(args) > 1:
 		fmt.Fprintln(stderr, "usage: figd platform [SETTINGS]")
@@ -96,7 +94,7 @@
 	case len(args) == 1:
 		file = args[0]
 	case file == "":
-		fmt.Fprintf(stderr, "no settings: name a file or set %s\n", settingsVariable)
+		fmt.Fprintf(stderr, "no settings: name a file or set %s\n", platform.SettingsVariable)
 		return exitUsage
 	}
 	return runPlatform(file, stdout, stderr)
--- a/figd/retirement.go
+++ b/figd/retirement.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/figshift/figshift/internal/retry"
 	"github.com/figshift/figshift/internal/wire"
 	"github.com/figshift/figshift/platform"
 )
@@ -32,21 +33,14 @@
 		if err := r.look(ctx); err != nil {
 			r.log.Warn("RetirementsUnknown", zap.Error(err))
 			r.revision = 0
-			wait(ctx, retireRetry)
+			if retry.Pause(ctx, retireRetry) != nil {
+				return nil
+			}
 		}
 	}
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // look lists or watches the requests and completes the own one.
 func (r *retirement) look(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, retireWait+retireCall)
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/route"
 )
 
 const (
@@ -73,7 +74,7 @@
 func (p *Part) wantOf(w place, r config.Route) want {
 	it := w.item
 	asked := want{
-		service: p.serviceOf(r, it),
+		service: serviceOf(r, it),
 		model:   w.job.head.Model,
 		least:   w.job.head.MinVersion,
 		notAt:   it.notAt,
@@ -86,23 +87,9 @@
 }
 
 // serviceOf returns the service of a route; the items of a split route are spread by their index.
-func (p *Part) serviceOf(r config.Route, it *item) string {
-	sum := 0
-	for _, s := range r.Shares {
-		sum += s.Weight
-	}
-	if sum == 0 {
-		return r.Service
-	}
-	const stride = 37 // spreads neighbours over the shares
-	left := it.index * stride % sum
-	for _, s := range r.Shares {
-		if left < s.Weight {
-			return s.Service
-		}
-		left -= s.Weight
-	}
-	return r.Service
+func serviceOf(r config.Route, it *item) string {
+	const stride, parts = 37, 100 // neighbours come far apart
+	return route.ServiceOf(r, float64(it.index*stride%parts)/parts)
 }
 
 func (p *Part) run(w place, r config.Route, e *engine, out *event.Batch) {
--- a/internal/items/api.go
+++ b/internal/items/api.go
@@ -6,6 +6,7 @@
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/retry"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -80,14 +81,27 @@
 	if page, ok := x.OwnPage(ctx, id, after, wait); ok {
 		return page, nil
 	}
-	if owner := x.keeper.owner(id); owner.Host != "" && owner.Host != x.Host {
-		if page, ok := x.Peers.Page(ctx, owner.Host, id, after, wait); ok {
+	host, err := x.runner(ctx, id)
+	if err != nil {
+		return wire.JobPage{}, err
+	}
+	if host != x.Host {
+		if page, ok := x.Peers.Page(ctx, host, id, after, wait); ok {
 			return page, nil
 		}
 	}
 	return x.storedPage(ctx, id, after, wait)
 }
 
+// runner returns the host that runs a job as far as is known here: of a job that no news told of, its first owner.
+func (x *Executor) runner(ctx context.Context, id string) (string, error) {
+	if owner := x.keeper.owner(id); owner.Host != "" {
+		return owner.Host, nil
+	}
+	job, err := x.loadPast(ctx, id)
+	return job.Host, err
+}
+
 // confirmed reports whether the list of a job that this host runs is whole: another host may have taken the job over
 // while this one was frozen, and listed more.
 func (x *Executor) confirmed(ctx context.Context, id string) bool {
@@ -145,7 +159,9 @@
 		if time.Now().Add(pollEvery).After(until) || ctx.Err() != nil {
 			return page, nil
 		}
-		pause(ctx, pollEvery)
+		if retry.Pause(ctx, pollEvery) != nil {
+			return page, nil
+		}
 	}
 }
 
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -46,13 +46,17 @@
 
 func (m *memory) Delete(context.Context, string, uint64) error { return nil }
 
-func (m *memory) List(context.Context, string) (wire.ObjectList, error) { return wire.ObjectList{}, nil }
+func (m *memory) List(context.Context, string) (wire.ObjectList, error) {
+	return wire.ObjectList{}, nil
+}
 
 func (m *memory) Watch(context.Context, string, uint64, time.Duration) (wire.ObjectList, error) {
 	return wire.ObjectList{}, nil
 }
 
-func (m *memory) Endpoints(context.Context) (wire.EndpointList, error) { return wire.EndpointList{}, nil }
+func (m *memory) Endpoints(context.Context) (wire.EndpointList, error) {
+	return wire.EndpointList{}, nil
+}
 
 // owners are the other hosts, of which some answer for a job.
 type owners struct {
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -1,17 +1,15 @@
 package items
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/retry"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -86,7 +84,7 @@
 			}
 			return kinds.StoreRefused
 		}
-		pause(ctx, storeRetry)
+		_ = retry.Pause(ctx, storeRetry) // the next turn sees that ctx has ended
 	}
 }
 
@@ -230,146 +228,6 @@
 	return all
 }
 
-// end records that a job was ended, whoever runs it.
-func (x *Executor) end(ctx context.Context, id string) {
-	until := time.Now().Add(endBudget)
-	kind := kinds.StoreUnavailable
-	for {
-		kind = x.tryEnd(ctx, id)
-		if kind == "" || kind == kinds.NotFound || time.Now().After(until) || ctx.Err() != nil {
-			break
-		}
-		pause(ctx, storeRetry)
-	}
-	x.Post(event.JobEnded{Job: id, Kind: kind})
-}
-
-func (x *Executor) tryEnd(ctx context.Context, id string) kinds.Kind {
-	if x.keeper.get(id) == nil && x.keeper.owner(id).Job == "" {
-		if _, err := x.get(ctx, wire.PrefixJobs+id); err != nil {
-			return kinds.From(err)
-		}
-	}
-	owner, version, err := x.ownerOf(ctx, id)
-	if err != nil {
-		return kinds.From(err)
-	}
-	if owner.Ended {
-		return ""
-	}
-	if owner.Host == "" {
-		seen := x.keeper.owner(id)
-		owner = wire.JobOwner{Host: seen.Host, Incarnation: seen.Incarnation, Epoch: seen.Epoch}
-	}
-	owner.Ended = true
-	kind := x.putOwner(ctx, id, owner, version)
-	if kind == "" {
-		x.tellEnd(ctx, id, owner)
-	}
-	return kind
-}
-
-// tellEnd tells the host that runs a job of its end; the news between hosts that hear each other may not reach it.
-func (x *Executor) tellEnd(ctx context.Context, id string, owner wire.JobOwner) {
-	host := owner.Host
-	if host == "" {
-		if job, err := x.loadPast(ctx, id); err == nil {
-			host = job.Host
-		}
-	}
-	if host != "" && host != x.Host {
-		x.Peers.Ended(ctx, host, id)
-	}
-}
-
-func (x *Executor) ownerOf(ctx context.Context, id string) (wire.JobOwner, uint64, error) {
-	var owner wire.JobOwner
-	object, err := x.get(ctx, wire.PrefixOwners+id)
-	if kinds.From(err) == kinds.NotFound {
-		return owner, 0, nil
-	}
-	if err != nil {
-		return owner, 0, err
-	}
-	return owner, object.Version, json.Unmarshal(object.Value, &owner)
-}
-
-func (x *Executor) putOwner(ctx context.Context, id string, owner wire.JobOwner, version uint64) kinds.Kind {
-	value, err := json.Marshal(owner)
-	if err != nil {
-		return kinds.Internal
-	}
-	return x.put(ctx, wire.ObjectPut{Name: wire.PrefixOwners + id, Version: version, Writer: x.writer(owner.Epoch), Value: value})
-}
-
-// take makes this host the owner of a job and reads what is listed.
-func (x *Executor) take(ctx context.Context, e event.TakeJob) {
-	done := event.JobTaken{Job: e.Job}
-	done.Kind = x.tryTake(ctx, e, &done)
-	x.Post(done)
-}
-
-func (x *Executor) tryTake(ctx context.Context, e event.TakeJob, done *event.JobTaken) kinds.Kind {
-	job, err := x.load(ctx, e.Job)
-	if err != nil {
-		return kinds.From(err)
-	}
-	owner, version, err := x.ownerOf(ctx, e.Job)
-	if err != nil {
-		return kinds.From(err)
-	}
-	done.Epoch = owner.Epoch
-	done.Ended = owner.Ended
-	if owner.Ended {
-		return ""
-	}
-	if owner.Epoch > e.Epoch && owner.Incarnation != x.Incarnation {
-		return kinds.Conflict
-	}
-	if x.answersFor(ctx, cmp.Or(owner.Host, job.Host), e.Job) {
-		done.Held = nil
-		return kinds.Conflict // it only is not heard here
-	}
-	if owner.Incarnation != x.Incarnation || owner.Epoch == 0 {
-		next := wire.JobOwner{Host: x.Host, Incarnation: x.Incarnation, Epoch: owner.Epoch + 1}
-		if kind := x.putOwner(ctx, e.Job, next, version); kind != "" {
-			return kind
-		}
-		done.Epoch = next.Epoch
-	}
-	j := x.keeper.add(job)
-	for {
-		chunk, err := x.chunk(ctx, e.Job, j.chunks)
-		if kinds.From(err) == kinds.NotFound {
-			break
-		}
-		if err != nil {
-			return kinds.From(err)
-		}
-		x.keeper.extend(e.Job, j.chunks, chunk.Results)
-	}
-	for _, r := range j.listed {
-		done.Listed = append(done.Listed, r.Item)
-	}
-	done.Chunks = j.chunks
-	done.Held = j.held()
-	done.Head = x.head(job)
-	x.keeper.setOwned(e.Job, true)
-	return ""
-}
-
-// answersFor reports whether a host that counts as gone runs a job all the same: in a large fleet few hosts hear each
-// other.
-func (x *Executor) answersFor(ctx context.Context, host, id string) bool {
-	if host == "" || host == x.Host {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, askOwner)
-	defer cancel()
-	_, ok := x.Peers.Page(ctx, host, id, 0, 0)
-	return ok
-}
-
 // load returns a job from memory or the store.
 func (x *Executor) load(ctx context.Context, id string) (wire.Job, error) {
 	if j := x.keeper.get(id); j != nil {
@@ -426,51 +284,6 @@
 	return head
 }
 
-// listJobs reads which jobs there are and who runs them.
-func (x *Executor) listJobs(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 5*callTimeout)
-	defer cancel()
-	jobs, err := x.Store.List(ctx, wire.PrefixJobs)
-	if err != nil {
-		x.Post(event.JobsListed{Kind: kinds.From(err)})
-		return
-	}
-	owners, err := x.Store.List(ctx, wire.PrefixOwners)
-	if err != nil {
-		x.Post(event.JobsListed{Kind: kinds.From(err)})
-		return
-	}
-	taken := map[string]wire.JobOwner{}
-	for _, o := range owners.Objects {
-		var owner wire.JobOwner
-		if json.Unmarshal(o.Value, &owner) == nil {
-			taken[strings.TrimPrefix(o.Name, wire.PrefixOwners)] = owner
-		}
-	}
-	var done event.JobsListed
-	for _, o := range jobs.Objects {
-		var job wire.Job
-		if decode(o.Value, &job) != nil {
-			continue // another writer's object
-		}
-		seen := event.JobSeen{Job: job.ID, Host: job.Host, Incarnation: job.Incarnation}
-		if owner, ok := taken[job.ID]; ok {
-			seen = event.JobSeen{Job: job.ID, Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch, Ended: owner.Ended}
-		}
-		done.Jobs = append(done.Jobs, seen)
-	}
-	x.Post(done)
-}
-
 func encode(v any) ([]byte, error) { return msgpack.Marshal(v) }
 
 func decode(value []byte, v any) error { return msgpack.Unmarshal(value, v) }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/route/match.go
+++ b/internal/route/match.go
@@ -59,10 +59,11 @@
 	if r.Model != "" {
 		return EnginePool(r.Model)
 	}
-	return ServicePool(serviceOf(r, draw))
+	return ServicePool(ServiceOf(r, draw))
 }
 
-func serviceOf(r config.Route, draw float64) string {
+// ServiceOf returns the plain service of a route; draw chooses as for PoolOf. It may be called concurrently.
+func ServiceOf(r config.Route, draw float64) string {
 	sum := 0
 	for _, s := range r.Shares {
 		sum += s.Weight
--- a/internal/swap/engines.go
+++ b/internal/swap/engines.go
@@ -11,6 +11,7 @@
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/retry"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -89,24 +90,13 @@
 		if err != nil || state.LastOrderState != accepted {
 			return state, err
 		}
-		if err := pause(ctx, wait); err != nil {
-			return state, err
+		if err := retry.Pause(ctx, wait); err != nil {
+			return state, kinds.New(kinds.DeadlineExceeded, "%v", err)
 		}
 		wait = min(lastPoll, time.Duration(float64(wait)*pollGrowth))
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return kinds.New(kinds.DeadlineExceeded, "%v", ctx.Err())
-	}
-}
-
 func (x *Engines) state(ctx context.Context, address string) (wire.EngineState, error) {
 	var state wire.EngineState
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
@@ -153,7 +143,7 @@
 		if kinds.From(err) != kinds.RateLimited {
 			return err
 		}
-		if err := pause(ctx, slotEvery); err != nil {
+		if retry.Pause(ctx, slotEvery) != nil {
 			return kinds.New(kinds.RateLimited, "no read slot in time")
 		}
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -152,19 +152,41 @@
 	return p.rank(f) < watchers
 }
 
-// rank returns this host's place among those that are heard, in an order of its own for each prefix.
+// rank returns this host's place among those that may watch a prefix: in a small fleet all that are heard, in an order
+// of its own for each prefix; in a larger one those of the zone, in the order by which the zone's hosts keep connections
+// to their watchers.
 func (p *Part) rank(f *feed) int {
-	return ranks.Of(f.prefix, append(p.group(), p.Host), p.Host)
+	if !p.large() {
+		return ranks.Of(f.prefix, append(slices.Sorted(maps.Keys(p.heard)), p.Host), p.Host)
+	}
+	zone := []string{p.Host}
+	for _, name := range slices.Sorted(maps.Keys(p.zones)) {
+		if p.zones[name] == p.Zone && name != p.Host {
+			zone = append(zone, name)
+		}
+	}
+	rank := 0
+	for _, name := range ranks.Order(p.Zone, zone) {
+		if name == p.Host {
+			break
+		}
+		if _, ok := p.heard[name]; ok {
+			rank++
+		}
+	}
+	return rank
 }
 
-// group returns the other hosts among which watchers are chosen: all that are heard of a small fleet, in a larger one
-// those of the own zone, which hear their zone's watchers.
-func (p *Part) group() []string {
-	heard := slices.Sorted(maps.Keys(p.heard))
-	if len(p.zones) <= smallFleet {
-		return heard
+// large reports whether the fleet is one in which not all hosts hear each other.
+func (p *Part) large() bool { return len(p.zones) > smallFleet }
+
+// checks reports whether it is this host's turn to read a prefix again. In a large fleet one host of each zone does.
+func (p *Part) checks(f *feed, turn int) bool {
+	rank := p.rank(f)
+	if p.large() {
+		return rank == 0 && turn%checkers == 0
 	}
-	return slices.DeleteFunc(heard, func(host string) bool { return p.zones[host] != p.Zone })
+	return rank < checkers && (len(p.heard) < checkers-1 || turn%checkers == rank)
 }
 
 // check reads a prefix again when it is this host's turn and pushes what no watch has told.
@@ -172,8 +194,8 @@
 	if !f.checked || !f.listed || f.checking != 0 || now < f.nextCheck {
 		return
 	}
-	rank, turn := p.rank(f), int(now/checkTurn)
-	if rank >= checkers || len(p.group()) >= checkers-1 && turn%checkers != rank {
+	turn := int(now / checkTurn)
+	if !p.checks(f, turn) {
 		f.nextCheck = time.Duration(turn+1) * checkTurn
 		return
 	}
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/ranks"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -166,6 +168,44 @@
 	}
 }
 
+// Answers the pattern: many hosts, few of which hear each other; the calls to the store grow with the zones.
+func TestWatchersOfALargeFleet(t *testing.T) {
+	const zones, perZone = 4, 10
+	var hosts []event.Host
+	for z := range zones {
+		for i := range perZone {
+			hosts = append(hosts, event.Host{Name: fmt.Sprintf("h%d-%d", z, i), Zone: fmt.Sprintf("z%d", z)})
+		}
+	}
+	watching, checking := map[string]int{}, map[string]int{}
+	for _, h := range hosts {
+		r := &rig{t: t, now: time.Second, p: &Part{Host: h.Name, Zone: h.Zone, Decode: plain{}, Keys: &keys.Table{}}}
+		r.step(event.HostsChanged{Hosts: hosts})
+		var zone []string
+		for _, other := range hosts {
+			if other.Zone == h.Zone && other.Name != h.Name {
+				zone = append(zone, other.Name)
+			}
+		}
+		for _, name := range ranks.Top(h.Zone, zone, 2) {
+			r.step(event.BeatSeen{Host: name})
+		}
+		f := r.p.feed(PrefixConfig)
+		if r.p.watches(f) {
+			watching[h.Zone]++
+		}
+		if r.p.checks(f, 0) {
+			checking[h.Zone]++
+		}
+	}
+	for z := range zones {
+		name := fmt.Sprintf("z%d", z)
+		if watching[name] != watchers || checking[name] != 1 {
+			t.Errorf("zone %s: %d hosts watch and %d check, want %d and 1", name, watching[name], checking[name], watchers)
+		}
+	}
+}
+
 // Answers the pattern: endpoints' entries lapse while the store is away. Those that come back within two seconds of its
 // return were never gone; the others are.
 func TestLapsedEntries(t *testing.T) {
