--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -97,6 +97,33 @@
 	}
 }
 
+// Answers the pattern: in a large fleet the end of a job, or its new owner, is told to hosts that this one does not hear.
+func TestOwnerInALargeFleetReadsTheRecord(t *testing.T) {
+	cases := map[string]wire.JobNews{
+		"ended":      {Job: "j1", Host: "h9", Incarnation: "1", Epoch: 1, Ended: true},
+		"taken over": {Job: "j1", Host: "h9", Incarnation: "1", Epoch: 1},
+	}
+	for name, news := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			r.submit("j1", testHead(1, 1, none))
+			r.tick(2 * checkOwnedEvery)
+			if got := take[event.CheckJob](r); len(got) > 0 {
+				t.Fatalf("a small fleet reads records: %v", got)
+			}
+			r.step(event.HostsChanged{Hosts: make([]event.Host, smallFleet+1)})
+			r.tick(2 * checkOwnedEvery)
+			if diff := cmp.Diff([]event.CheckJob{{Job: "j1"}}, take[event.CheckJob](r)); diff != "" {
+				t.Fatalf("checks (-want +got):\n%s", diff)
+			}
+			r.step(event.PeerReceived{Message: wire.Message{News: &news}})
+			if got := take[event.StopItem](r); len(got) != 1 {
+				t.Errorf("items stopped: %v, want the one that runs", got)
+			}
+		})
+	}
+}
+
 // Answers the pattern: two owners list at once. The positions of the one that was first hold, and no item stands twice.
 func TestChunkOfAnotherOwnerIsTaken(t *testing.T) {
 	r := newRig(t, testEngine("e1", 1))
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -51,6 +51,8 @@
 	ended  bool
 	unkept bool // its items run, though the store may not have it: nothing is listed yet
 	since  time.Duration
+	// checkedAt is when the store's record was last read.
+	checkedAt time.Duration
 	// copiesTo is the host that gets copies of the texts, "" for none.
 	copiesTo string
 }
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -26,6 +26,11 @@
 	closedFor = 400 * time.Millisecond
 	// flushFor bounds the wait for the last copies of a stopping host.
 	flushFor = 700 * time.Millisecond
+	// smallFleet is the number of hosts up to which all hear all.
+	smallFleet = 16
+	// checkOwnedEvery is the interval at which an owner in a larger fleet reads the record of its job; an end binds it
+	// within the platform's bound of seconds.
+	checkOwnedEvery = 1500 * time.Millisecond
 	// silentOwner is the time without a word from a job's owner after which it is asked.
 	silentOwner = 3 * time.Second
 	// rememberFor is the time for which a job is remembered after it was last heard of.
@@ -131,10 +136,21 @@
 
 // knowHosts hands the other hosts' addresses to the executors.
 func (p *Part) knowHosts(hosts []event.Host, out *event.Batch) {
+	p.large = len(hosts) > smallFleet
 	others := slices.DeleteFunc(slices.Clone(hosts), func(h event.Host) bool { return h.Name == p.Self.Name })
 	out.Emit(event.KnowHosts{Hosts: others})
 }
 
+// checkOwned reads the store's record of a job that this host runs: in a large fleet no news may tell of its end or of
+// another owner.
+func (p *Part) checkOwned(now time.Duration, j *job, out *event.Batch) {
+	if !p.large || j.ended || j.unkept || j.left == 0 || now-max(j.checkedAt, j.since) < checkOwnedEvery {
+		return
+	}
+	j.checkedAt = now
+	out.Emit(event.CheckJob{Job: j.head.ID})
+}
+
 // claims returns the jobs that this host runs, for its beats.
 func (p *Part) claims() []wire.JobNews {
 	var all []wire.JobNews
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -53,6 +53,7 @@
 	leaving  map[string]bool          // hosts that are stopping
 	down     map[string]time.Duration // since when a host's connection is closed
 	told     map[string]bool          // hosts that know the jobs of this one
+	large    bool                     // not all hosts hear each other
 	started  time.Duration
 	listed   bool // the jobs that were there at the start are known
 	listing  bool
@@ -179,6 +180,7 @@
 	p.askOwners(now, out)
 	for _, j := range p.sorted() {
 		p.copyTo(now, j, out)
+		p.checkOwned(now, j, out)
 		p.giveUp(now, j, out)
 		p.list(now, j, out)
 	}
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -153,6 +153,9 @@
 	Kind kinds.Kind
 }
 
+// CheckJob reads who runs a job by the store's own record; what it shows comes as a peer's news.
+type CheckJob struct{ Job string }
+
 // DropJob tells the executor to forget a job's texts and bodies.
 type DropJob struct{ Job string }
 
@@ -252,6 +255,7 @@
 func (EndJob) isEffect()       {}
 func (JobEnded) isEvent()      {}
 func (DropJob) isEffect()      {}
+func (CheckJob) isEffect()     {}
 func (RunItem) isEffect()      {}
 func (StopItem) isEffect()     {}
 func (ItemEnded) isEvent()     {}
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -107,6 +107,8 @@
 		if e.Seen.Host != x.Host {
 			x.keeper.setOwned(e.Seen.Job, false)
 		}
+	case event.CheckJob:
+		go x.check(x.ctx, e.Job)
 	case event.DropJob:
 		x.keeper.drop(e.Job)
 		x.copyJob(event.CopyJob{Job: e.Job})
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -190,3 +190,14 @@
 	}
 	x.Post(done)
 }
+
+// check reads the store's record of a job and passes it on as a peer's news. Without a record there is none.
+func (x *Executor) check(ctx context.Context, id string) {
+	owner, version, err := x.ownerOf(ctx, id)
+	if err != nil || version == 0 {
+		return
+	}
+	x.Post(event.PeerReceived{Message: wire.Message{News: &wire.JobNews{
+		Job: id, Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch, Ended: owner.Ended,
+	}}})
+}
