--- a/figbed/proofs/policy_control_test.go
+++ b/figbed/proofs/policy_control_test.go
@@ -20,7 +20,10 @@
 func TestPolicyControlByDaemons(t *testing.T) { checkControl(t, 2, 4, 8) }
 
 // TestPolicyControlOfManyDaemons goes on where the mesh is greatest and where it is no longer full.
-func TestPolicyControlOfManyDaemons(t *testing.T) { checkControl(t, 16, 24) }
+func TestPolicyControlOfManyDaemons(t *testing.T) {
+	t.Parallel()
+	checkControl(t, 16, 24)
+}
 
 func checkControl(t *testing.T, sizes ...int) {
 	t.Helper()
