proofs: the log test waits for the item it asks about

The job has two items; the test waited for any ScoreFailed line, no-score-1 came first (its Attempt=2 line precedes in the kept log), and the explanation of no-score-0 was read before its own score had failed. The daemon's lines were complete; the wait named the wrong line. Change: the test waits for the line of no-score-0. The refusal, which is logged apart from its answer, is awaited in the same way. What the test asserts is the same.

--- a/figbed/proofs/platform_test.go
+++ b/figbed/proofs/platform_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -499,11 +500,14 @@
 	}
 	slow.Break(100)
 	f.submit(1, "no-score", 1, 1)
-	proc.WaitUntil(t, 15*time.Second, "a score fails", func() bool { return strings.Contains(f.hosts[0].Output(), "Event=ScoreFailed") })
+	scoreFailed := regexp.MustCompile(`Event=ScoreFailed .*Item=no-score-0 `)
+	proc.WaitUntil(t, 15*time.Second, "the score of no-score-0 fails", func() bool { return scoreFailed.MatchString(f.hosts[0].Output()) })
 	f.Store.Refuse(true)
 	if status, _ := f.call(1, http.MethodPost, estate.Rollouts+"j9", "refused-job", "no-key", submission("j9", 1, 1)); status != http.StatusUnauthorized {
 		t.Errorf("job with an unknown key: status %d", status)
 	}
+	// Lines are written apart from the answer they tell of.
+	proc.WaitUntil(t, 15*time.Second, "the refusal is in the log", func() bool { return strings.Contains(f.hosts[0].Output(), "Event=JobRefused") })
 	cases := map[string]string{
 		"late-lookup": "RequestRetried Status at p1 2 times",
 		"refused-job": "JobRefused KeyUnknown 1 times",
