loop: a tick that is due comes before the next event

The status question and the tick were both ready after the pause, the loop took either, and the lease expires with a tick; since ticks are rare while idle this is likelier. Change: the loop steps the tick first when it is due.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -58,25 +58,38 @@
 	tick := time.NewTimer(l.TickEvery)
 	defer tick.Stop()
 	active := l.Now()
+	due := active + l.TickEvery
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case ev := <-l.events:
+			// After a pause of the process what has expired ends before an event is taken.
+			if l.Now() >= due {
+				due = l.tick(tick, active)
+			}
 			if !idles(ev) {
 				if l.idle(active) {
 					tick.Reset(l.TickEvery)
+					due = l.Now() + l.TickEvery
 				}
 				active = l.Now()
 			}
 			l.step(ev)
 		case <-tick.C:
-			l.step(event.Tick{})
-			tick.Reset(l.every(active))
+			due = l.tick(tick, active)
 		}
 	}
 }
 
+// tick steps a Tick, sets the timer for the next one and returns when that is due.
+func (l *Loop) tick(timer *time.Timer, active time.Duration) time.Duration {
+	l.step(event.Tick{})
+	every := l.every(active)
+	timer.Reset(every)
+	return l.Now() + every
+}
+
 // idleAfter is the time without work after which ticks become rarer.
 const idleAfter = time.Second
 
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -75,6 +75,65 @@
 	}
 }
 
+// pausing holds the loop in each Exit, as a pause of the process does, until it is let go on.
+type pausing struct{ held, goOn chan struct{} }
+
+func (p pausing) Do(e event.Effect) bool {
+	if _, ok := e.(event.Exit); ok {
+		p.held <- struct{}{}
+		<-p.goOn
+	}
+	return true
+}
+
+// order tells whether a tick came between the end of a pause and the next event.
+type order struct {
+	relay
+	ticked *bool
+	first  chan bool
+}
+
+func (p order) Step(now time.Duration, ev event.Event, out *event.Batch) {
+	switch ev.(type) {
+	case event.Tick:
+		*p.ticked = true
+	case event.StopAsked:
+		*p.ticked = false
+	case event.StatusAsked:
+		p.first <- *p.ticked
+	}
+	p.relay.Step(now, ev, out)
+}
+
+// A process that was paused for longer than a tick answers nothing from before: what has expired ends first.
+func TestTickComesFirstAfterAPause(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	part := order{ticked: new(bool), first: make(chan bool, 1)}
+	pause := pausing{held: make(chan struct{}), goOn: make(chan struct{})}
+	l := &Loop{
+		State: &reduce.State{Parts: []event.Part{part}}, Executors: []Executor{pause},
+		TickEvery: 5 * time.Millisecond, QueueSize: 4,
+	}
+	l.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	for i := range 20 {
+		l.Post(event.StopAsked{})
+		<-pause.held
+		l.Post(event.StatusAsked{})
+		time.Sleep(3 * l.TickEvery)
+		pause.goOn <- struct{}{}
+		if !<-part.first {
+			t.Errorf("pause %d: an event was taken before the tick that was due", i)
+		}
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestLoopCarriesEventsToExecutors(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	out := sink{effects: make(chan event.Effect, 4)}
