--- a/figctl/explain_test.go
+++ b/figctl/explain_test.go
@@ -9,7 +9,7 @@
 	"github.com/figshift/figshift/internal/kinds"
 )
 
-// The lines have the form of those that the daemons of a bench day wrote; hosts, ids and times are made up.
+// The lines have the form of those that daemons wrote on a simulated day; hosts, ids and times are made up.
 const explained = `
    4.1 host-b Time=2026-12-04T01:00:04.100Z Level=info Event=StoreWay Daemon=host-b Own=false Kind=StoreUnavailable
 Time=2026-12-04T01:00:05.000Z Level=info Event=RequestSent Daemon=host-a Request=r1 AgeMS=0 Endpoint=e1 Try=1
