serve, admit, view: one copy of the headers of answers and of taking objects

Cause: serve named the headers that wire names too; a read and a push took objects by the same loop; admit called an organisation's account in one class a tenant, which is the platform's word for an organisation. Change: wire's headers, feed.takeAll, accountKey. No decision changes.

--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -18,15 +18,16 @@
 	Weights map[string]int           // by organisation; 1 where there is none
 	Floors  map[config.Class]float64 // least part of the tokens while the class waits
 
-	flows   []*flow[T] // those with items
-	tenants map[tenant]*account
-	clock   map[config.Class]float64 // served tokens per weight before the last pop, of the flow that it took from
-	credit  map[config.Class]float64
-	count   map[string]int
-	all     int
+	flows    []*flow[T] // those with items
+	accounts map[accountKey]*account
+	clock    map[config.Class]float64 // served tokens per weight before the last pop, of the flow that it took from
+	credit   map[config.Class]float64
+	count    map[string]int
+	all      int
 }
 
-type tenant struct {
+// accountKey names what is charged together: an organisation in one class.
+type accountKey struct {
 	class        config.Class
 	organisation string
 }
@@ -37,7 +38,7 @@
 }
 
 type flow[T comparable] struct {
-	tenant
+	accountKey
 	pool   string
 	items  []Item[T]
 	tokens float64
@@ -58,13 +59,13 @@
 
 // flow returns the item's flow, new when there is none.
 func (q *Fair[T]) flow(item Item[T]) *flow[T] {
-	id := tenant{class: item.Class, organisation: item.Organisation}
+	id := accountKey{class: item.Class, organisation: item.Organisation}
 	for _, f := range q.flows {
-		if f.tenant == id && f.pool == item.Pool {
+		if f.accountKey == id && f.pool == item.Pool {
 			return f
 		}
 	}
-	f := &flow[T]{tenant: id, pool: item.Pool}
+	f := &flow[T]{accountKey: id, pool: item.Pool}
 	q.flows = append(q.flows, f)
 	q.activate(id)
 	return f
@@ -72,7 +73,7 @@
 
 // activate keeps an organisation that comes back from using the time in which it asked for nothing,
 // and from paying for long past work.
-func (q *Fair[T]) activate(id tenant) {
+func (q *Fair[T]) activate(id accountKey) {
 	a := q.account(id)
 	a.flows++
 	if a.flows == 1 {
@@ -80,17 +81,17 @@
 	}
 }
 
-func (q *Fair[T]) account(id tenant) *account {
-	if q.tenants == nil {
-		q.tenants = map[tenant]*account{}
+func (q *Fair[T]) account(id accountKey) *account {
+	if q.accounts == nil {
+		q.accounts = map[accountKey]*account{}
 		q.clock = map[config.Class]float64{}
 		q.credit = map[config.Class]float64{}
 		q.count = map[string]int{}
 	}
-	a, ok := q.tenants[id]
+	a, ok := q.accounts[id]
 	if !ok {
 		a = &account{}
-		q.tenants[id] = a
+		q.accounts[id] = a
 	}
 	return a
 }
@@ -113,7 +114,7 @@
 	order := slices.Clone(q.flows)
 	slices.SortFunc(order, func(a, b *flow[T]) int {
 		return cmp.Or(
-			cmp.Compare(q.tenants[a.tenant].served, q.tenants[b.tenant].served),
+			cmp.Compare(q.accounts[a.accountKey].served, q.accounts[b.accountKey].served),
 			cmp.Compare(a.organisation, b.organisation),
 			cmp.Compare(a.pool, b.pool),
 		)
@@ -142,8 +143,8 @@
 
 func (q *Fair[T]) take(f *flow[T]) Item[T] {
 	item := f.items[0]
-	q.clock[f.class] = max(q.clock[f.class], q.tenants[f.tenant].served)
-	q.charge(f.tenant, float64(item.Cost))
+	q.clock[f.class] = max(q.clock[f.class], q.accounts[f.accountKey].served)
+	q.charge(f.accountKey, float64(item.Cost))
 	q.grant(f.class, float64(item.Cost))
 	q.removeAt(f, 0)
 	return item
@@ -167,7 +168,7 @@
 	}
 }
 
-func (q *Fair[T]) charge(id tenant, tokens float64) {
+func (q *Fair[T]) charge(id accountKey, tokens float64) {
 	q.account(id).served += tokens / q.weight(id.organisation)
 }
 
@@ -185,7 +186,7 @@
 		delete(q.count, item.Organisation)
 	}
 	if len(f.items) == 0 {
-		q.tenants[f.tenant].flows--
+		q.accounts[f.accountKey].flows--
 		q.flows = slices.DeleteFunc(q.flows, func(g *flow[T]) bool { return g == f })
 	}
 }
@@ -250,15 +251,15 @@
 
 // Correct charges the difference between the true cost and the estimate.
 func (q *Fair[T]) Correct(item Item[T], cost int) {
-	id := tenant{class: item.Class, organisation: item.Organisation}
+	id := accountKey{class: item.Class, organisation: item.Organisation}
 	q.charge(id, float64(cost-item.Cost))
 }
 
 // ServedElsewhere charges tokens that other daemons served to an organisation.
 func (q *Fair[T]) ServedElsewhere(organisation string, class config.Class, tokens uint64) {
-	id := tenant{class: class, organisation: organisation}
+	id := accountKey{class: class, organisation: organisation}
 	q.charge(id, float64(tokens))
-	a := q.tenants[id]
+	a := q.accounts[id]
 	a.served = min(a.served, q.clock[class]+mostDebt)
 }
 
--- a/internal/admit/ledger.go
+++ b/internal/admit/ledger.go
@@ -17,22 +17,22 @@
 // Ledger counts the tokens served to each organisation, here and by the other daemons.
 // Its zero value is empty. It must not be used concurrently.
 type Ledger struct {
-	own   map[tenant]uint64
-	hosts map[string]map[tenant]uint64 // by host, as its last beat told
-	total map[string]uint64            // by organisation, all daemons
+	own   map[accountKey]uint64
+	hosts map[string]map[accountKey]uint64 // by host, as its last beat told
+	total map[string]uint64                // by organisation, all daemons
 	sum   uint64
 
-	told   map[tenant]uint64 // own counts in the last beats
-	toldAt time.Duration     // time of the last beat that carried all
-	newsAt time.Duration     // time of the last beat that carried any
+	told   map[accountKey]uint64 // own counts in the last beats
+	toldAt time.Duration         // time of the last beat that carried all
+	newsAt time.Duration         // time of the last beat that carried any
 }
 
 // Serve counts tokens that this daemon served.
 func (l *Ledger) Serve(organisation string, class config.Class, tokens uint64) {
 	if l.own == nil {
-		l.own = map[tenant]uint64{}
+		l.own = map[accountKey]uint64{}
 	}
-	l.own[tenant{class: class, organisation: organisation}] += tokens
+	l.own[accountKey{class: class, organisation: organisation}] += tokens
 	l.count(organisation, tokens)
 }
 
@@ -49,14 +49,14 @@
 func (l *Ledger) Seen(host string, served []wire.Served, charge func(organisation string, class config.Class, tokens uint64)) {
 	last, ok := l.hosts[host]
 	if !ok {
-		last = map[tenant]uint64{}
+		last = map[accountKey]uint64{}
 		if l.hosts == nil {
-			l.hosts = map[string]map[tenant]uint64{}
+			l.hosts = map[string]map[accountKey]uint64{}
 		}
 		l.hosts[host] = last
 	}
 	for _, s := range served {
-		id := tenant{class: config.Class(s.Class), organisation: s.Organisation}
+		id := accountKey{class: config.Class(s.Class), organisation: s.Organisation}
 		before, known := last[id]
 		last[id] = s.Tokens
 		if (!ok && !known) || s.Tokens <= before {
@@ -85,7 +85,7 @@
 	}
 	l.newsAt = now
 	if l.told == nil || now-l.toldAt >= refreshEvery {
-		l.told, l.toldAt = map[tenant]uint64{}, now
+		l.told, l.toldAt = map[accountKey]uint64{}, now
 	}
 	var all []wire.Served
 	for id, tokens := range l.own {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -67,7 +67,7 @@
 	ZonePrices map[string]float64 // by zone, of one endpoint for a second
 }
 
-// Organisation is a tenant and its part of the capacity.
+// Organisation is one that sends requests, and its part of the capacity.
 type Organisation struct {
 	Name   string
 	Weight int // 1 to 1000
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -12,13 +12,6 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// Headers of the answers that figshift makes itself.
-const (
-	HeaderKind    = "X-Figshift-Kind"
-	HeaderRun     = "X-Figshift-Run"
-	headerRequest = wire.HeaderRequest
-)
-
 // Refusal is the JSON body of an answer that figshift makes itself.
 type Refusal struct {
 	Kind         kinds.Kind
@@ -34,9 +27,9 @@
 	as := kinds.Of(answer.Kind)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderKind, string(answer.Kind))
-	h.Set(HeaderRun, string(as.Run))
-	h.Set(headerRequest, id)
+	h.Set(wire.HeaderKind, string(answer.Kind))
+	h.Set(wire.HeaderRun, string(as.Run))
+	h.Set(wire.HeaderRequest, id)
 	refusal := Refusal{Kind: answer.Kind, Run: as.Run, Detail: answer.Detail, Request: id}
 	if as.RetryAfter {
 		wait := max(answer.RetryAfter, time.Second)
--- a/internal/serve/rig_test.go
+++ b/internal/serve/rig_test.go
@@ -160,7 +160,7 @@
 	if err := json.Unmarshal([]byte(body), &refusal); err != nil {
 		tb.Fatalf("no refusal: %v: %s", err, body)
 	}
-	got := []string{resp.Header.Get(HeaderKind), resp.Header.Get(HeaderRun), string(refusal.Kind), string(refusal.Run)}
+	got := []string{resp.Header.Get(wire.HeaderKind), resp.Header.Get(wire.HeaderRun), string(refusal.Kind), string(refusal.Run)}
 	if diff := cmp.Diff([]string{kind, run, kind, run}, got); diff != "" {
 		tb.Error(diff, body)
 	}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -15,6 +15,7 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/route"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 const (
@@ -191,7 +192,7 @@
 	in.exchange.Request, in.exchange.Sink = request, sink
 	in.arrived.Request = request
 	if s.Protocol == nil {
-		w.Header().Set(headerRequest, id)
+		w.Header().Set(wire.HeaderRequest, id)
 	}
 	s.Executor.Open(in.exchange)
 	defer s.Executor.Close(in.exchange)
--- a/internal/view/feed.go
+++ b/internal/view/feed.go
@@ -163,16 +163,7 @@
 func (p *Part) merge(now time.Duration, f *feed, list wire.ObjectList, out *event.Batch) {
 	var changed []wire.Object
 	if f.listed {
-		for _, o := range list.Objects {
-			old := f.objects[o.Name]
-			if !f.take(o) {
-				continue
-			}
-			if o.Deleted {
-				o.Value = old.Value
-			}
-			changed = append(changed, o)
-		}
+		changed = f.takeAll(list.Objects)
 	} else {
 		if list.Revision < f.position {
 			f.next = now + firstRetry // an answer older than what is known
@@ -187,3 +178,19 @@
 	f.position = max(f.position, list.Revision)
 	p.apply(now, f, changed, out)
 }
+
+// takeAll takes the newer ones of objects and returns them; a deleted one carries its last value.
+func (f *feed) takeAll(objects []wire.Object) []wire.Object {
+	var changed []wire.Object
+	for _, o := range objects {
+		old := f.objects[o.Name]
+		if !f.take(o) {
+			continue
+		}
+		if o.Deleted {
+			o.Value = old.Value
+		}
+		changed = append(changed, o)
+	}
+	return changed
+}
--- a/internal/view/peers.go
+++ b/internal/view/peers.go
@@ -89,16 +89,5 @@
 	if push.Returned && !p.justReturned(now) {
 		p.returned = now
 	}
-	var changed []wire.Object
-	for _, o := range push.Objects {
-		old := f.objects[o.Name]
-		if !f.take(o) {
-			continue
-		}
-		if o.Deleted {
-			o.Value = old.Value
-		}
-		changed = append(changed, o)
-	}
-	p.apply(now, f, changed, out)
+	p.apply(now, f, f.takeAll(push.Objects), out)
 }
