proc: an address that is handed out is free at once

Address binds a port and closes it; a child process that another cluster forks at that moment holds the socket until its exec, so the next bind of the port fails. Ruled out: outgoing connections (the ports lie below the ephemeral range) and other test binaries (one at a time). Change: no fork happens between the bind and the close (syscall.ForkLock).

--- a/figbed/internal/proc/ports.go
+++ b/figbed/internal/proc/ports.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 )
 
 // The ports lie below the ephemeral range, so that no outgoing connection takes one.
@@ -32,12 +33,23 @@
 	for range span {
 		ports.next = (ports.next + 1) % span
 		address := fmt.Sprintf("%s:%d", ip, firstPort+ports.next)
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
+		if free(address) {
 			return address
 		}
 	}
 	t.Fatal("no free port")
 	return ""
 }
+
+// free reports whether the address can be bound. No process is forked meanwhile: a child would hold the socket from its
+// fork to its exec, and the address would still be in use after the close.
+func free(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = listener.Close()
+	return true
+}
--- /dev/null
+++ b/figbed/internal/proc/ports_test.go
@@ -0,0 +1,44 @@
+package proc_test
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/figbed/internal/proc"
+)
+
+// TestAddressIsFreeWhileProcessesStart is for clusters that start side by side: a child holds each descriptor of the
+// test process from its fork to its exec.
+func TestAddressIsFreeWhileProcessesStart(t *testing.T) {
+	const starters, addresses = 8, 3000
+	var done atomic.Bool
+	var group sync.WaitGroup
+	for range starters {
+		group.Go(func() {
+			for !done.Load() {
+				if err := exec.Command(os.Args[0], "-test.list", "^$").Run(); err != nil {
+					t.Errorf("starting a process: %v", err)
+					return
+				}
+			}
+		})
+	}
+	start := time.Now()
+	for range addresses {
+		address := proc.Address(t, "127.0.0.1")
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Errorf("%s is not free: %v", address, err)
+			continue
+		}
+		_ = listener.Close()
+	}
+	done.Store(true)
+	group.Wait()
+	t.Logf("%d addresses while processes start: %s", addresses, time.Since(start).Round(time.Millisecond))
+}
