clock, items, batch: hosts agree on the time of day; objects of ended jobs are deleted

Cause: usage windows and the times of a job that is taken over went by each host's own clock, which may jump by seconds: a host whose clock is ahead would give items up before the job's time. And Lots/, Chunks/ and Owners/ objects were never deleted. Change: beats carry the sender's reading; the median of what a host and its peers read is the time of day (clock.Part).

--- a/figbed/internal/estate/estate.go
+++ b/figbed/internal/estate/estate.go
@@ -154,6 +154,7 @@
 LeaseMS = 3000
 UsageWindowS = 2
 UsageLateS = 4
+KeepResultsS = 120
 LogLevel = info
 LogPerSecond = 60
 `, host, host, class, IP(host), e.Front(host), e.Ready(host), e.Port+4, e.Port+9, address, address, e.Port+6)
--- a/figd/main.go
+++ b/figd/main.go
@@ -123,6 +123,7 @@
 		return nil, err
 	}
 	d.addAuthority()
+	d.addClock()
 	d.addRollouts()
 	d.addRequests()
 	d.addUsage()
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -131,6 +131,7 @@
 		return d
 	}
 	d.addHosts()
+	d.addClock()
 	d.addCalls()
 	d.addJobs()
 	d.addDuties()
@@ -269,11 +270,11 @@
 	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz)))
 }
 
-// addDuties adds what one host does for all: weight versions and usage reports.
+// addDuties adds what one host does for all: weight versions, usage reports and the deletion of old jobs.
 func (d *onPlatform) addDuties() {
+	d.addPart(&batch.Sweep{Trust: d.trust, KeepResults: d.settings.KeepResults})
 	d.addPart(&update.Part{Host: d.self.Name, Trust: d.trust, Runs: d.batch})
 	d.addPart(&usage.Counter{Host: d.self.Name, Incarnation: d.incarnation, Requests: true})
 	d.addPart(&usage.Holder{Host: d.self.Name, Trust: d.trust})
 	d.addExecutor(&orders.Executor{Base: "http://" + d.settings.Cloud, Protocol: platform.Orders{}, Now: d.loop.Now, Post: d.loop.Post})
-	d.addActor(d.tellClock)
 }
--- a/figd/usage.go
+++ b/figd/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figshift/figshift/internal/clock"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/fleet"
 	"github.com/figshift/figshift/internal/orders"
@@ -19,6 +20,13 @@
 	d.addPart(&usage.Holder{Host: d.process.Host, Trust: d.trust})
 	d.addPart(&fleet.Part{Host: d.process.Host, Trust: d.trust})
 	d.addExecutor(&orders.Executor{Base: d.process.Platform, Now: d.loop.Now, Post: d.loop.Post})
+}
+
+// addClock adds the agreement on the time of day.
+func (d *daemon) addClock() {
+	part := &clock.Part{}
+	d.members.Contributors = append(d.members.Contributors, part)
+	d.addPart(part)
 	d.addActor(d.tellClock)
 }
 
@@ -26,7 +34,7 @@
 	tick := time.NewTicker(clockEvery)
 	defer tick.Stop()
 	for {
-		d.loop.Post(event.WallClock{Unix: time.Duration(time.Now().UnixNano())})
+		d.loop.Post(event.ClockRead{Unix: time.Duration(time.Now().UnixNano())})
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -156,6 +156,15 @@
 // CheckJob reads who runs a job by the store's own record; what it shows comes as a peer's news.
 type CheckJob struct{ Job string }
 
+// SweepJobs deletes the stored objects of jobs that ended longer ago than Keep; JobsSwept answers.
+type SweepJobs struct{ Keep time.Duration }
+
+// JobsSwept ends a SweepJobs. Jobs is the number of jobs whose objects are gone; Kind is "" when none was left over.
+type JobsSwept struct {
+	Kind kinds.Kind
+	Jobs int
+}
+
 // DropJob tells the executor to forget a job's texts and bodies.
 type DropJob struct{ Job string }
 
@@ -256,6 +265,8 @@
 func (JobEnded) isEvent()      {}
 func (DropJob) isEffect()      {}
 func (CheckJob) isEffect()     {}
+func (SweepJobs) isEffect()    {}
+func (JobsSwept) isEvent()     {}
 func (RunItem) isEffect()      {}
 func (StopItem) isEffect()     {}
 func (ItemEnded) isEvent()     {}
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -16,7 +16,7 @@
 		AskDuty{},
 		RequestArrived{},
 		AuthoriseCall{},
-		WallClock{},
+		ClockRead{},
 		UsageSent{},
 		OrderSent{},
 		CallerGone{},
@@ -36,6 +36,7 @@
 		JobTaken{},
 		JobsListed{},
 		JobEnded{},
+		JobsSwept{},
 		ItemEnded{},
 		EnginePace{},
 		CopiesFlushed{},
@@ -72,6 +73,7 @@
 		DrainEnded{},
 		DrainEndpoint{},
 		SampleSent{},
+		WallClock{},
 		VersionPublished{},
 	}
 }
--- a/internal/event/usage.go
+++ b/internal/event/usage.go
@@ -10,9 +10,15 @@
 // DutyUsage is the duty that folds the daemons' counts and reports the windows.
 const DutyUsage = "Usage"
 
-// WallClock tells the wall-clock time, as the time since the Unix epoch. Only usage windows depend on it.
+// ClockRead tells what this host's own clock reads as the time of day, as the time since the Unix epoch. It may jump.
+type ClockRead struct{ Unix time.Duration }
+
+// WallClock tells the time of day that the hosts agree on, as the time since the Unix epoch. Usage windows depend on it.
 type WallClock struct{ Unix time.Duration }
 
+// KnowClock tells the executors the agreed time of day at which the reducer's clock was 0.
+type KnowClock struct{ Epoch time.Duration }
+
 // SendUsage reports a frozen window to the platform. It is not sent after Before.
 type SendUsage struct {
 	Seq    uint64
@@ -28,6 +34,8 @@
 	Kind     kinds.Kind
 }
 
+func (ClockRead) isEvent()  {}
 func (WallClock) isEvent()  {}
+func (KnowClock) isEffect() {}
 func (SendUsage) isEffect() {}
 func (UsageSent) isEvent()  {}
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/figshift/figshift/internal/call"
@@ -41,6 +42,7 @@
 	runs     map[runKey]context.CancelFunc
 	seq      uint64
 	scores   uint64
+	epoch    atomic.Int64 // time of day at which Now was 0, in ns since the Unix epoch
 }
 
 // Names are the fields of a head by which daemons and engines understand each other about items.
@@ -77,6 +79,12 @@
 	x.runs = map[runKey]context.CancelFunc{}
 	x.copies = map[string]*copied{}
 	x.scores = FirstScore
+	x.epoch.Store(time.Now().UnixNano() - int64(x.Now())) // the own clock, until the hosts agree
+}
+
+// UnixMS returns the time of day that the hosts agree on, in ms since the Unix epoch. It may be called concurrently.
+func (x *Executor) UnixMS() int64 {
+	return (time.Duration(x.epoch.Load()) + x.Now()).Milliseconds()
 }
 
 // Run waits for ctx and then ends every run.
@@ -107,6 +115,10 @@
 		if e.Seen.Host != x.Host {
 			x.keeper.setOwned(e.Seen.Job, false)
 		}
+	case event.KnowClock:
+		x.epoch.Store(int64(e.Epoch))
+	case event.SweepJobs:
+		go x.sweep(x.ctx, e)
 	case event.CheckJob:
 		go x.check(x.ctx, e.Job)
 	case event.DropJob:
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,11 +17,28 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// memory is a store in this process.
+// memory is a store in this process. It fails the writes and deletions that its hooks refuse.
 type memory struct {
 	mu      sync.Mutex
 	objects map[string]wire.Object
 	puts    []string
+	lose    func() lost // outcome of each change, nil for none lost
+}
+
+// lost says what becomes of a change and its answer.
+type lost int
+
+const (
+	nothing lost = iota
+	answer       // the change is made
+	change       // it is not, and the caller can't tell
+)
+
+func (m *memory) loses() lost {
+	if m.lose == nil {
+		return nothing
+	}
+	return m.lose()
 }
 
 func (m *memory) Get(_ context.Context, name string) (wire.Object, error) {
@@ -35,21 +54,57 @@
 func (m *memory) Put(_ context.Context, put wire.ObjectPut) (wire.Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	fate := m.loses()
+	if fate == change {
+		return wire.Object{}, kinds.New(kinds.StoreUnavailable, "lost")
+	}
 	if m.objects[put.Name].Version != put.Version {
 		return wire.Object{}, kinds.New(kinds.Conflict, "%s", put.Name)
 	}
 	o := wire.Object{Name: put.Name, Version: put.Version + 1, Writer: put.Writer, Value: put.Value}
 	m.objects[put.Name] = o
 	m.puts = append(m.puts, put.Name)
+	if fate == answer {
+		return wire.Object{}, kinds.New(kinds.StoreUnavailable, "answer lost")
+	}
 	return o, nil
 }
 
-func (m *memory) Delete(context.Context, string, uint64) error { return nil }
+func (m *memory) Delete(_ context.Context, name string, version uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fate := m.loses()
+	o, ok := m.objects[name]
+	switch {
+	case fate == change:
+		return kinds.New(kinds.StoreUnavailable, "lost")
+	case !ok:
+		return kinds.New(kinds.NotFound, "%s", name)
+	case o.Version != version:
+		return kinds.New(kinds.Conflict, "%s", name)
+	}
+	delete(m.objects, name)
+	if fate == answer {
+		return kinds.New(kinds.StoreUnavailable, "answer lost")
+	}
+	return nil
+}
 
-func (m *memory) List(context.Context, string) (wire.ObjectList, error) {
-	return wire.ObjectList{}, nil
+func (m *memory) List(_ context.Context, prefix string) (wire.ObjectList, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all wire.ObjectList
+	for _, name := range m.names() {
+		if strings.HasPrefix(name, prefix) {
+			all.Objects = append(all.Objects, m.objects[name])
+		}
+	}
+	return all, nil
 }
 
+// names returns the names of the objects, sorted.
+func (m *memory) names() []string { return slices.Sorted(maps.Keys(m.objects)) }
+
 func (m *memory) Watch(context.Context, string, uint64, time.Duration) (wire.ObjectList, error) {
 	return wire.ObjectList{}, nil
 }
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -46,7 +46,7 @@
 		seen := x.keeper.owner(id)
 		owner = wire.JobOwner{Host: seen.Host, Incarnation: seen.Incarnation, Epoch: seen.Epoch}
 	}
-	owner.Ended = true
+	owner.Ended, owner.EndedMS = true, x.UnixMS()
 	kind := x.putOwner(ctx, id, owner, version)
 	if kind == "" {
 		x.tellEnd(ctx, id, owner)
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -256,7 +256,7 @@
 // head returns what the reducer knows of a job, its times on this daemon's clock.
 func (x *Executor) head(job wire.Job) event.JobHead {
 	head := HeadOf(job)
-	begun := x.Now() - time.Since(time.UnixMilli(job.Submitted))
+	begun := time.Duration(job.Submitted)*time.Millisecond - time.Duration(x.epoch.Load())
 	head.Due = begun + time.Duration(job.DueMS)*time.Millisecond
 	head.GiveUp = begun + time.Duration(job.GiveUpMS)*time.Millisecond
 	return head
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -108,7 +108,7 @@
 // idles reports whether an event comes also while there is no work.
 func idles(ev event.Event) bool {
 	switch ev.(type) {
-	case event.PeerReceived, event.WallClock, event.ObjectsDone, event.EndpointsDone, event.EndpointPolled:
+	case event.PeerReceived, event.ClockRead, event.ObjectsDone, event.EndpointsDone, event.EndpointPolled:
 		return true
 	}
 	return false
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -56,6 +56,7 @@
 	Incarnation string
 	Epoch       uint64
 	Ended       bool
+	EndedMS     int64 `json:",omitempty"` // agreed time of day of the end, in ms since the Unix epoch
 }
 
 // JobPage answers a read of a job's results. Next is the position after the last one.
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -90,6 +90,8 @@
 	Jobs []JobNews `json:",omitempty" msgpack:",omitempty"`
 	// Runs tells the items that run on engines by the sender's order.
 	Runs []EngineRuns `json:",omitempty" msgpack:",omitempty"`
+	// UnixMS is what the sender's own clock reads as the time of day, in ms since the Unix epoch; 0 when not read yet.
+	UnixMS int64 `json:",omitempty" msgpack:",omitempty"`
 }
 
 // EngineRuns is the number of items that one host runs on an engine.
