view, member: two hosts of a large fleet watch the store, by way of the zones' hubs

Cause: in fleets beyond 16 hosts each zone had two watchers and one that reads again. Change: the two hosts of each zone that its hosts keep connections to (hubs) are connected to those of the other zones; two of all hubs watch a prefix, three read it again in turn, and hubs pass on to their zone what they hear. A zone or host that hears no hub follows the store by itself. In a large fleet a watch begins 200 ms after the last answer.

--- a/internal/view/feed.go
+++ b/internal/view/feed.go
@@ -98,6 +98,9 @@
 	switch e.Kind {
 	case "":
 		p.contact(now, out)
+		if p.large() && f.listed {
+			f.next = now + watchPause
+		}
 		p.merge(now, f, e.List, out)
 	case kinds.HistoryGone:
 		p.contact(now, out)
--- a/internal/view/peers.go
+++ b/internal/view/peers.go
@@ -31,6 +31,24 @@
 
 // push sends changes that the store has told to the other hosts.
 func (p *Part) push(now time.Duration, f *feed, changed []wire.Object, out *event.Batch) {
+	p.pushTo(now, slices.Sorted(maps.Keys(p.heard)), f, changed, out)
+}
+
+// passOn sends what another hub told to the hosts of the own zone, which do not hear that hub.
+func (p *Part) passOn(now time.Duration, from string, f *feed, changed []wire.Object, out *event.Batch) {
+	if !p.large() || !p.isHub() {
+		return
+	}
+	var zone []string
+	for _, host := range slices.Sorted(maps.Keys(p.heard)) {
+		if p.zones[host] == p.Zone && host != from {
+			zone = append(zone, host)
+		}
+	}
+	p.pushTo(now, zone, f, changed, out)
+}
+
+func (p *Part) pushTo(now time.Duration, hosts []string, f *feed, changed []wire.Object, out *event.Batch) {
 	if len(changed) == 0 {
 		return
 	}
@@ -41,7 +59,7 @@
 		}
 		push.Objects = append(push.Objects, o)
 	}
-	for _, host := range slices.Sorted(maps.Keys(p.heard)) {
+	for _, host := range hosts {
 		out.Emit(event.SendPeer{Host: host, Message: wire.Message{Push: &push}})
 	}
 }
@@ -51,7 +69,7 @@
 	case e.Message.Pull != nil:
 		p.answerPull(e.Host, *e.Message.Pull, out)
 	case e.Message.Push != nil:
-		p.takePush(now, *e.Message.Push, out)
+		p.takePush(now, e.Host, *e.Message.Push, out)
 	}
 }
 
@@ -81,7 +99,7 @@
 }
 
 // takePush takes what a peer knows. The own watch goes on from its own position.
-func (p *Part) takePush(now time.Duration, push wire.Push, out *event.Batch) {
+func (p *Part) takePush(now time.Duration, from string, push wire.Push, out *event.Batch) {
 	f := p.feed(push.Prefix)
 	if f == nil {
 		return
@@ -89,5 +107,7 @@
 	if push.Returned && !p.justReturned(now) {
 		p.returned = now
 	}
-	p.apply(now, f, f.takeAll(push.Objects), out)
+	changed := f.takeAll(push.Objects)
+	p.passOn(now, from, f, changed, out)
+	p.apply(now, f, changed, out)
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +25,9 @@
 
 const (
 	owner = "view"
+	// watchPause is the pause between an answer and the next watch in a large fleet, whose endpoints change several
+	// times a second; a change is told that much later at most.
+	watchPause = 200 * time.Millisecond
 	// watchWait is the length of one watch.
 	watchWait = 10 * time.Second
 	// watchers is the number of hosts that watch one prefix; they push to the others.
@@ -70,6 +74,7 @@
 	pulled   map[string]time.Duration
 	heard    map[string]time.Duration // time of the last beat by host
 	zones    map[string]string        // of all known hosts
+	hubs     []string                 // of all zones, sorted
 	ready    event.Ready
 	stopping bool
 }
@@ -98,6 +103,7 @@
 		for _, h := range e.Hosts {
 			p.zones[h.Name] = h.Zone
 		}
+		p.hubs = ranks.Hubs(p.zones, config.Defaults().Trust.Watchers)
 	case event.PeerReceived:
 		p.receive(now, e, out)
 	case event.StopAsked:
@@ -152,40 +158,38 @@
 	return p.rank(f) < watchers
 }
 
-// rank returns this host's place among those that may watch a prefix: in a small fleet all that are heard, in an order
-// of its own for each prefix; in a larger one those of the zone, in the order by which the zone's hosts keep connections
-// to their watchers.
+// never is the rank of a host that leaves a prefix to others.
+const never = math.MaxInt
+
+// rank returns this host's place among those that may watch a prefix, in an order of its own for each prefix: in a
+// small fleet all that are heard, in a larger one the zones' hubs that are heard, which all hear each other. A host
+// that hears no hub of its zone counts itself as one.
 func (p *Part) rank(f *feed) int {
 	if !p.large() {
 		return ranks.Of(f.prefix, append(slices.Sorted(maps.Keys(p.heard)), p.Host), p.Host)
 	}
-	zone := []string{p.Host}
-	for _, name := range slices.Sorted(maps.Keys(p.zones)) {
-		if p.zones[name] == p.Zone && name != p.Host {
-			zone = append(zone, name)
-		}
-	}
-	rank := 0
-	for _, name := range ranks.Order(p.Zone, zone) {
-		if name == p.Host {
-			break
+	candidates := []string{p.Host}
+	for _, hub := range p.hubs {
+		if _, ok := p.heard[hub]; !ok || hub == p.Host {
+			continue
 		}
-		if _, ok := p.heard[name]; ok {
-			rank++
+		if !p.isHub() && p.zones[hub] == p.Zone {
+			return never
 		}
+		candidates = append(candidates, hub)
 	}
-	return rank
+	return ranks.Of(f.prefix, candidates, p.Host)
 }
 
+// isHub reports whether this host is one of those by which the zones of a large fleet hear of each other.
+func (p *Part) isHub() bool { return slices.Contains(p.hubs, p.Host) }
+
 // large reports whether the fleet is one in which not all hosts hear each other.
 func (p *Part) large() bool { return len(p.zones) > smallFleet }
 
-// checks reports whether it is this host's turn to read a prefix again. In a large fleet one host of each zone does.
+// checks reports whether it is this host's turn to read a prefix again.
 func (p *Part) checks(f *feed, turn int) bool {
 	rank := p.rank(f)
-	if p.large() {
-		return rank == 0 && turn%checkers == 0
-	}
 	return rank < checkers && (len(p.heard) < checkers-1 || turn%checkers == rank)
 }
 
