batch, items: fewer calls to the store for a job; its successor is told

Change: a host asks the owner before it reads anything of the store; hubs pass on who runs a job, so that any host knows whom to ask for results; only hosts that the owner itself tells take a job over, first the one that has the copies of the texts, which the news now names; a reader that finds no owner has the job taken over; hubs alone list all jobs in a large fleet; a job's chunks are read by one list; a chunk waits up to 1 s while the trainer lacks groups anyway, and holds as many results as fit into an object.

--- a/figbed/internal/estate/store.go
+++ b/figbed/internal/estate/store.go
@@ -151,7 +151,7 @@
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
 	case r.Method == http.MethodGet && name == "":
-		s.list(w, kind)
+		s.list(w, kind, r.URL.Query().Get("after"))
 	case r.Method == http.MethodGet:
 		s.get(w, kind, name)
 	default:
@@ -188,7 +188,10 @@
 	answer(w, http.StatusOK, e)
 }
 
-func (s *Store) list(w http.ResponseWriter, kind string) {
+// pageItems is the number of objects on a page of a list; small, so that lists of several pages come up.
+const pageItems = 8
+
+func (s *Store) list(w http.ResponseWriter, kind, after string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := struct {
@@ -197,6 +200,13 @@
 		AsOf    uint64   `json:"as_of"`
 	}{Items: []*entry{}, AsOf: s.revision}
 	for _, name := range sorted(s.objects[kind]) {
+		if name <= after {
+			continue
+		}
+		if len(all.Items) == pageItems {
+			all.HasMore = true
+			break
+		}
 		all.Items = append(all.Items, s.objects[kind][name])
 	}
 	answer(w, http.StatusOK, all)
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -66,7 +66,7 @@
 			r.alive = alive
 			r.tick(time.Second)
 			r.tick(time.Second)
-			if diff := cmp.Diff([]event.TakeJob{{Job: "j1"}}, take[event.TakeJob](r)); diff != "" {
+			if diff := cmp.Diff([]event.TakeJob{{Job: "j1", Host: "h2"}}, take[event.TakeJob](r)); diff != "" {
 				t.Fatalf("takes (-want +got):\n%s", diff)
 			}
 			head := testHead(1, 3, none)
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -84,10 +84,7 @@
 // need marks the groups that the trainer waits for: those that come first, which may be groups of an earlier job that
 // it insists on, and of the others those whose longest item is expected to be the shortest.
 func (j *job) need() {
-	target := j.head.Target
-	if target <= 0 || target >= len(j.groups) {
-		target = len(j.groups)
-	}
+	target := j.target()
 	first := target / 2
 	for i := range j.groups {
 		j.groups[i].needed = i < first
--- /dev/null
+++ b/internal/batch/large_test.go
@@ -0,0 +1,174 @@
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/ranks"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// largeFleet is a fleet of two zones, in which a host hears few others.
+type largeFleet struct {
+	hosts []event.Host
+	hubs  []string
+}
+
+func newLargeFleet() largeFleet {
+	var f largeFleet
+	zoneOf := map[string]string{}
+	for i := range 2 * smallFleet {
+		h := event.Host{Name: fmt.Sprintf("h%d", i), Zone: []string{"a", "b"}[i%2], Incarnation: "1"}
+		f.hosts = append(f.hosts, h)
+		zoneOf[h.Name] = h.Zone
+	}
+	f.hubs = ranks.Hubs(zoneOf, 2)
+	return f
+}
+
+// pick returns the first host that is a hub or not, of a zone.
+func (f largeFleet) pick(hub bool, zone string) event.Host {
+	i := slices.IndexFunc(f.hosts, func(h event.Host) bool { return h.Zone == zone && slices.Contains(f.hubs, h.Name) == hub })
+	return f.hosts[i]
+}
+
+// start returns the part of a host that hears some others, past the time in which it settles.
+func (f largeFleet) start(t *testing.T, self event.Host, heard ...event.Host) *rig {
+	t.Helper()
+	r := &rig{t: t, now: time.Second, alive: append([]event.Host{self}, heard...)}
+	r.p = &Part{Self: self, Holders: r, Roster: r}
+	r.step(event.ConfigInForce{Site: testSite()})
+	r.step(event.HostsChanged{Hosts: f.hosts})
+	r.tick(settle)
+	r.tick(50 * time.Millisecond)
+	return r
+}
+
+// Answers the pattern: the owner of a job dies in a large fleet. The host with the copies of its texts goes first, one
+// that only heard of the job by others leaves it alone.
+func TestSuccessorInALargeFleet(t *testing.T) {
+	f := newLargeFleet()
+	self, owner, other := f.hosts[0], f.hosts[1], f.hosts[2]
+	more := f.hosts[3]
+	cases := map[string]struct {
+		from   string // who tells of the job
+		next   string
+		within time.Duration // of the owner's end, 0 for never
+	}{
+		"has the copies":      {owner.Name, self.Name, 100 * time.Millisecond},
+		"another has them":    {owner.Name, other.Name, (lastPlace + 1) * rankDelay},
+		"nobody has them":     {owner.Name, "", (lastPlace + 1) * rankDelay},
+		"told by a third":     {other.Name, other.Name, 0},
+		"named, but by a hub": {other.Name, self.Name, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := f.start(t, self, owner, other, more)
+			news := wire.JobNews{Job: "j1", Host: owner.Name, Incarnation: "1", Next: c.next}
+			r.step(event.PeerReceived{Host: c.from, Message: wire.Message{News: &news}})
+			r.alive = []event.Host{self, other, more}
+			end, took := r.now, time.Duration(0)
+			for r.now < end+10*time.Second && took == 0 {
+				r.tick(50 * time.Millisecond)
+				if len(take[event.TakeJob](r)) > 0 {
+					took = r.now - end
+				}
+			}
+			if c.within == 0 && took != 0 || c.within != 0 && (took == 0 || took > c.within) {
+				t.Errorf("taken %s after the owner's end, want within %s (0 for never)", took, c.within)
+			}
+		})
+	}
+}
+
+// Answers the pattern: a host accepts a job and is gone for good before it has told anyone. A reader finds out.
+func TestSoughtJobIsTakenOver(t *testing.T) {
+	f := newLargeFleet()
+	self, owner := f.hosts[0], f.hosts[1]
+	cases := map[string]struct {
+		heard []event.Host
+		seen  event.JobSeen
+		taken bool
+	}{
+		"owner is gone":        {f.hosts[2:6], event.JobSeen{Job: "j1", Host: owner.Name, Incarnation: "1"}, true},
+		"owner started again":  {append([]event.Host{{Name: owner.Name, Incarnation: "2"}}, f.hosts[2:6]...), event.JobSeen{Job: "j1", Host: owner.Name, Incarnation: "1"}, true},
+		"owner lives":          {append([]event.Host{owner}, f.hosts[2:6]...), event.JobSeen{Job: "j1", Host: owner.Name, Incarnation: "1"}, false},
+		"job has ended":        {f.hosts[2:6], event.JobSeen{Job: "j1", Host: owner.Name, Incarnation: "1", Ended: true}, false},
+		"this host is cut off": {nil, event.JobSeen{Job: "j1", Host: owner.Name, Incarnation: "1"}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := f.start(t, self, c.heard...)
+			r.step(event.JobSought{Seen: c.seen})
+			for range 40 {
+				r.tick(50 * time.Millisecond)
+			}
+			if got := len(take[event.TakeJob](r)) > 0; got != c.taken {
+				t.Errorf("taken: %v, want %v", got, c.taken)
+			}
+		})
+	}
+}
+
+// Answers the pattern: a reader comes to a host that neither hears a job's owner nor knows the job. Hubs have told it.
+func TestHubsPassNewsOn(t *testing.T) {
+	f := newLargeFleet()
+	hub, plain, far := f.pick(true, "a"), f.pick(false, "a"), f.pick(true, "b")
+	news := wire.JobNews{Job: "j1", Host: plain.Name, Incarnation: "1"}
+	cases := map[string]struct {
+		self, from event.Host
+		want       []string
+	}{
+		"hub hears it from its zone": {hub, plain, []string{far.Name}},
+		"hub hears it from afar":     {hub, far, []string{plain.Name}},
+		"no hub":                     {plain, hub, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := f.start(t, c.self, hub, plain, far)
+			for range 2 { // the second time it tells nothing new
+				r.step(event.PeerReceived{Host: c.from.Name, Message: wire.Message{News: &news}})
+			}
+			var got []string
+			for _, s := range take[event.SendPeer](r) {
+				if s.Message.News != nil && s.Message.News.Job == "j1" {
+					got = append(got, s.Host)
+				}
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("told (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Answers the pattern: all hosts of a large fleet start at once, and a list holds every job whole.
+func TestHubsLookForJobs(t *testing.T) {
+	f := newLargeFleet()
+	hub, plain := f.pick(true, "a"), f.pick(false, "a")
+	cases := map[string]struct {
+		self  event.Host
+		heard []event.Host
+		lists bool
+	}{
+		"hub":                {hub, nil, true},
+		"other host":         {plain, []event.Host{hub}, false},
+		"hubs are not heard": {plain, []event.Host{f.hosts[9]}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := f.start(t, c.self, c.heard...)
+			for range 100 {
+				r.tick(50 * time.Millisecond)
+			}
+			if got := len(take[event.ListJobs](r)) > 0; got != c.lists {
+				t.Errorf("lists: %v, want %v", got, c.lists)
+			}
+		})
+	}
+}
--- a/internal/batch/list.go
+++ b/internal/batch/list.go
@@ -9,15 +9,19 @@
 )
 
 const (
-	// listWithin is the longest time that a result waits for others to be listed with.
-	listWithin = 150 * time.Millisecond
+	// listWithin is the longest time that a result waits for others to be listed with while the trainer waits for more
+	// groups all the same. A copy of its text is at another host meanwhile.
+	listWithin = time.Second
+	// listDue is the time before a job is due from which on a whole group is listed at once.
+	listDue = 2 * listWithin
 	// listAgain is the pause after a chunk could not be stored.
 	listAgain = 200 * time.Millisecond
-	// chunkItems bounds the results of one chunk, which stays below the store's greatest value.
-	chunkItems = 12
+	// chunkItems bounds the results that are offered for one chunk; the executor takes as many as fit into an object.
+	chunkItems = 64
 )
 
-// list stores the results that wait: a whole group at once, others after a short time.
+// list stores the results that wait: at once when the trainer has all the groups that it waits for, else after a while,
+// since each chunk is a call to the store.
 func (p *Part) list(now time.Duration, j *job, out *event.Batch) {
 	if j.busy || j.unkept || now < j.retry || !p.due(now, j) {
 		return
@@ -37,24 +41,35 @@
 
 // due reports whether results wait that should be listed now.
 func (p *Part) due(now time.Duration, j *job) bool {
-	ready := make([]int, len(j.groups))
+	finishedIn := make([]int, len(j.groups))
 	some, old := false, false
 	for _, it := range j.items {
 		if it.state == finished {
 			some = true
-			ready[it.Group]++
+			finishedIn[it.Group]++
 			old = old || now-it.since >= listWithin
 		}
 	}
 	if !some {
 		return false
 	}
+	whole, closing := 0, false
 	for i, g := range j.groups {
-		if ready[i] > 0 && ready[i] == g.left {
-			return true
+		if finishedIn[i] == g.left {
+			whole++
+			closing = closing || g.left > 0
 		}
 	}
-	return old || p.stopping || j.ended
+	enough := whole >= j.target() || now >= j.head.Due-listDue
+	return closing && enough || old || p.stopping || j.ended
+}
+
+// target returns the number of groups that the trainer waits for.
+func (j *job) target() int {
+	if j.head.Target <= 0 {
+		return len(j.groups)
+	}
+	return min(j.head.Target, len(j.groups))
 }
 
 // chunkStored takes the end of a chunk. One that another owner wrote tells what is listed already.
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -1,11 +1,13 @@
 package batch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/ranks"
 	"github.com/figshift/figshift/internal/wire"
@@ -19,6 +21,8 @@
 	// checkOwnedEvery is the interval at which an owner in a larger fleet reads the record of its job; an end binds it
 	// within the platform's bound of seconds.
 	checkOwnedEvery = 1500 * time.Millisecond
+	// hubsWithin is the time after the start in which a zone's hubs are heard, when there are any.
+	hubsWithin = 5 * time.Second
 	// silentOwner is the time without a word from a job's owner after which it is asked.
 	silentOwner = 3 * time.Second
 )
@@ -31,6 +35,8 @@
 	asked   time.Duration // when the owner was last asked
 	taking  bool
 	dropped bool // the executor holds nothing of it
+	near    bool // this host would take the job over: its owner tells it, or it found the job without an owner
+	sought  bool // found by a list or a reader, so that other hosts may not know of it
 	next    time.Duration
 }
 
@@ -58,9 +64,11 @@
 	}
 	k := p.see(taken.Job)
 	k.Host, k.Incarnation, k.Epoch, k.heardAt, k.orphan = p.Self.Name, p.Self.Incarnation, taken.Epoch, now, 0
-	k.Ended = j.left == 0 // nothing is left to run
-	p.tell(k.JobSeen, out)
+	k.Ended, k.Next = j.left == 0, "" // with nothing left to run it is as good as ended
 	p.copyTo(now, j, out)
+	if k.Next == "" {
+		p.tell(k.JobSeen, out)
+	}
 	p.dispatch(now, out)
 }
 
@@ -76,9 +84,14 @@
 	if j.left == 0 || j.ended {
 		to = ""
 	}
-	if to != j.copiesTo {
-		j.copiesTo = to
-		out.Emit(event.CopyJob{Job: j.head.ID, To: to})
+	if to == j.copiesTo {
+		return
+	}
+	j.copiesTo = to
+	out.Emit(event.CopyJob{Job: j.head.ID, To: to})
+	if k := p.see(j.head.ID); to != "" {
+		k.Next = to
+		p.tell(k.JobSeen, out)
 	}
 }
 
@@ -121,6 +134,11 @@
 // knowHosts hands the other hosts' addresses to the executors.
 func (p *Part) knowHosts(hosts []event.Host, out *event.Batch) {
 	p.large = len(hosts) > smallFleet
+	zoneOf := map[string]string{p.Self.Name: p.Self.Zone}
+	for _, h := range hosts {
+		zoneOf[h.Name] = h.Zone
+	}
+	p.hubs = ranks.Hubs(zoneOf, config.Defaults().Trust.Watchers)
 	others := slices.DeleteFunc(slices.Clone(hosts), func(h event.Host) bool { return h.Name == p.Self.Name })
 	out.Emit(event.KnowHosts{Hosts: others})
 }
@@ -140,7 +158,9 @@
 	var all []wire.JobNews
 	for _, j := range p.sorted() {
 		if j.left > 0 && !j.ended && !p.drained {
-			all = append(all, wire.JobNews{Job: j.head.ID, Host: p.Self.Name, Incarnation: p.Self.Incarnation, Epoch: j.epoch})
+			all = append(all, wire.JobNews{
+				Job: j.head.ID, Host: p.Self.Name, Incarnation: p.Self.Incarnation, Epoch: j.epoch, Next: j.copiesTo,
+			})
 		}
 	}
 	return all
@@ -163,13 +183,15 @@
 }
 
 // news takes what another host tells of a job. A higher epoch ends the own run of it.
-func (p *Part) news(now time.Duration, n wire.JobNews, out *event.Batch) {
+func (p *Part) news(now time.Duration, from string, n wire.JobNews, out *event.Batch) {
 	k := p.see(n.Job)
 	k.heardAt = now
+	k.near = k.near || n.Host == "" || n.Host == from
 	before := k.JobSeen
 	ended := k.Ended || n.Ended
 	if n.Epoch >= k.Epoch && n.Host != "" {
 		k.Host, k.Incarnation, k.Epoch, k.orphan = n.Host, n.Incarnation, n.Epoch, 0
+		k.Next = cmp.Or(n.Next, k.Next)
 	}
 	if n.Host == "" && n.Epoch >= k.Epoch && !ended && k.orphan == 0 {
 		k.Epoch, k.orphan = n.Epoch, now
@@ -177,6 +199,7 @@
 	k.Ended = ended
 	if k.JobSeen != before {
 		out.Emit(event.KnowJob{Seen: k.JobSeen})
+		p.passOn(from, k.JobSeen, out)
 	}
 	j := p.jobs[n.Job]
 	if j == nil {
@@ -194,11 +217,34 @@
 	}
 }
 
+// passOn tells the hosts that do not hear a job's owner who it is, in a large fleet: a hub tells its zone, and the other
+// hubs what it has from its zone.
+func (p *Part) passOn(from string, s event.JobSeen, out *event.Batch) {
+	if !p.large || !slices.Contains(p.hubs, p.Self.Name) {
+		return
+	}
+	alive := p.Roster.Alive(p.now)
+	own := slices.ContainsFunc(alive, func(h event.Host) bool { return h.Name == from && h.Zone == p.Self.Zone })
+	for _, h := range alive {
+		if h.Name != p.Self.Name && h.Name != from && (h.Zone == p.Self.Zone || own && slices.Contains(p.hubs, h.Name)) {
+			p.tellHost(h.Name, s, out)
+		}
+	}
+}
+
+// sought takes a job that a caller asks for and whose owner does not answer. That owner may have died before it told
+// anyone.
+func (p *Part) sought(now time.Duration, s event.JobSeen, out *event.Batch) {
+	p.noteOther(now, s, out)
+	k := p.see(s.Job)
+	k.near, k.sought = true, true
+}
+
 // noteOther remembers a job that another host has accepted.
 func (p *Part) noteOther(now time.Duration, s event.JobSeen, out *event.Batch) {
 	k := p.see(s.Job)
 	k.heardAt = now
-	if k.Host != "" && k.Epoch >= s.Epoch {
+	if k.Ended || k.Host != "" && k.Epoch >= s.Epoch {
 		return
 	}
 	k.JobSeen = s
@@ -207,13 +253,30 @@
 
 // lookForJobs reads once which jobs there are: those of an earlier process of this host and of others may be nobody's.
 func (p *Part) lookForJobs(now time.Duration, out *event.Batch) {
-	if p.listed || p.listing || now < p.nextList {
+	if p.listed || p.listing || now < p.nextList || p.leavesList(now) {
 		return
 	}
 	p.listing = true
 	out.Emit(event.ListJobs{})
 }
 
+// leavesList reports whether other hosts look for jobs in this one's place: in a large fleet the hubs do, since the list
+// holds every job whole.
+func (p *Part) leavesList(now time.Duration) bool {
+	if len(p.hubs) == 0 {
+		return now-p.started < settle // the other hosts are not known yet
+	}
+	if !p.large || slices.Contains(p.hubs, p.Self.Name) {
+		return false
+	}
+	for _, h := range p.Roster.Alive(now) {
+		if h.Name != p.Self.Name && slices.Contains(p.hubs, h.Name) {
+			return true
+		}
+	}
+	return now-p.started < hubsWithin
+}
+
 func (p *Part) jobsListed(now time.Duration, e event.JobsListed, out *event.Batch) {
 	p.listing = false
 	if e.Kind != "" {
@@ -222,7 +285,7 @@
 	}
 	p.listed = true
 	for _, s := range e.Jobs {
-		p.noteOther(now, s, out)
+		p.sought(now, s, out)
 	}
 	out.Emit(event.Log{Level: "info", Event: "JobsListed", Fields: []event.Field{{Key: "Jobs", Value: strconv.Itoa(len(e.Jobs))}}})
 }
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -54,6 +54,7 @@
 	down     map[string]time.Duration // since when a host's connection is closed
 	told     map[string]bool          // hosts that know the jobs of this one
 	large    bool                     // not all hosts hear each other
+	hubs     []string                 // hosts by which the zones of a large fleet hear of each other
 	started  time.Duration
 	listed   bool // the jobs that were there at the start are known
 	listing  bool
@@ -121,11 +122,13 @@
 	switch e := ev.(type) {
 	case event.JobsListed:
 		p.jobsListed(now, e, out)
+	case event.JobSought:
+		p.sought(now, e.Seen, out)
 	case event.JobTaken:
 		p.taken(now, e, out)
 	case event.PeerReceived:
 		if e.Message.News != nil {
-			p.news(now, *e.Message.News, out)
+			p.news(now, e.Host, *e.Message.News, out)
 		}
 	case event.PeerUp:
 		delete(p.down, e.Host)
@@ -143,7 +146,7 @@
 			p.tellAll(e.Host, out)
 		}
 		for _, n := range e.Beat.Jobs {
-			p.news(now, n, out)
+			p.news(now, e.Host, n, out)
 		}
 	case event.HostLost:
 		p.engines.others(now, e.Host, nil)
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -18,6 +18,11 @@
 	takeAgain = 500 * time.Millisecond
 	// rankDelay is what each host waits longer than the one before it in the order of preference.
 	rankDelay = 300 * time.Millisecond
+	// leastHeard is the number of hosts, this one among them, below which a host in a large fleet counts as cut off: each
+	// has several neighbours. It leaves the jobs that seem to be nobody's to others.
+	leastHeard = 3
+	// lastPlace is the last place in that order in a large fleet; two hosts that try at once cost a call each.
+	lastPlace = 3
 	// closedFor is the time for which a host may have no connection to this one before it counts as gone: a process that
 	// ends closes its connections, one that lives makes them again.
 	closedFor = 400 * time.Millisecond
@@ -50,6 +55,7 @@
 		}
 	}
 	names := p.stayingHosts(now)
+	cutOff := p.large && len(names) < leastHeard
 	for _, id := range slices.Sorted(maps.Keys(p.known)) {
 		k := p.known[id]
 		if k.Ended && now-k.heardAt > rememberFor {
@@ -60,13 +66,15 @@
 			k.dropped = true
 			out.Emit(event.DropJob{Job: id})
 		}
-		p.takeOrphan(now, k, incarnations, names, out)
+		if !cutOff {
+			p.takeOrphan(now, k, incarnations, names, out)
+		}
 	}
 	p.dropEnded(now, out)
 }
 
 func (p *Part) takeOrphan(now time.Duration, k *seen, incarnations map[string]string, names []string, out *event.Batch) {
-	if k.Ended || k.taking || p.jobs[k.Job] != nil || now < k.next {
+	if k.Ended || k.taking || p.jobs[k.Job] != nil || now < k.next || p.large && !k.near {
 		return
 	}
 	// A takeover whose answer was lost may have made this host the owner.
@@ -77,7 +85,7 @@
 	if k.orphan == 0 {
 		k.orphan = now
 	}
-	rank := ranks.Of(k.Job, names, p.Self.Name)
+	rank := p.rank(k, names)
 	if mine {
 		rank = 0
 	}
@@ -85,12 +93,30 @@
 		return
 	}
 	k.taking = true
-	out.Emit(event.TakeJob{Job: k.Job, Epoch: k.Epoch})
+	out.Emit(event.TakeJob{Job: k.Job, Host: k.Host, Epoch: k.Epoch})
 	out.Emit(event.Log{Level: "info", Event: "JobTaking", Fields: []event.Field{
 		{Key: "Job", Value: k.Job}, {Key: "From", Value: k.Host}, {Key: "Epoch", Value: strconv.FormatUint(k.Epoch, 10)},
 	}})
 }
 
+// rank returns this host's place among those that may take a job over, -1 when it may not: the host that has copies of
+// the texts goes first. In a large fleet the others may not know of the job, so that no place is far behind.
+func (p *Part) rank(k *seen, names []string) int {
+	rank := ranks.Of(k.Job, names, p.Self.Name)
+	switch {
+	case rank < 0:
+		return rank
+	case k.Next == p.Self.Name:
+		return 0
+	case slices.Contains(names, k.Next):
+		rank++
+	}
+	if p.large {
+		rank = min(rank, lastPlace)
+	}
+	return rank
+}
+
 func (p *Part) taken(now time.Duration, e event.JobTaken, out *event.Batch) {
 	k := p.see(e.Job)
 	k.taking, k.next = false, now+takeAgain
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -86,7 +86,8 @@
 // TakeJob takes a job over from a host that has gone and reads what it has listed; JobTaken answers.
 type TakeJob struct {
 	Job   string
-	Epoch uint64 // of the owner to replace
+	Host  string // the owner to replace, "" when not known
+	Epoch uint64 // of that owner
 }
 
 // JobTaken ends a TakeJob. Listed holds the items that are listed, in order. Kind is Conflict when another host has it.
@@ -136,8 +137,12 @@
 	Incarnation string
 	Epoch       uint64
 	Ended       bool
+	Next        string // host that has copies of the texts and takes the job over, "" when not known
 }
 
+// JobSought tells that a caller reads a job whose owner, as far as it is known, does not answer.
+type JobSought struct{ Seen JobSeen }
+
 // KnowJob tells the executor who runs a job, for reads.
 type KnowJob struct {
 	Seen    JobSeen
@@ -263,6 +268,7 @@
 func (KnowJob) isEffect()      {}
 func (EndJob) isEffect()       {}
 func (JobEnded) isEvent()      {}
+func (JobSought) isEvent()     {}
 func (DropJob) isEffect()      {}
 func (CheckJob) isEffect()     {}
 func (SweepJobs) isEffect()    {}
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -37,6 +37,7 @@
 		JobsListed{},
 		JobEnded{},
 		JobsSwept{},
+		JobSought{},
 		ItemEnded{},
 		EnginePace{},
 		CopiesFlushed{},
--- a/internal/items/api.go
+++ b/internal/items/api.go
@@ -89,10 +89,27 @@
 		if page, ok := x.Peers.Page(ctx, host, id, after, wait); ok {
 			return page, nil
 		}
+		x.seek(ctx, id, host)
 	}
 	return x.storedPage(ctx, id, after, wait)
 }
 
+// seek tells the reducer of a job whose owner did not answer, unless the job is known there to be ended.
+func (x *Executor) seek(ctx context.Context, id, host string) {
+	if ctx.Err() != nil || x.keeper.owner(id).Ended {
+		return
+	}
+	seen := x.keeper.owner(id)
+	if seen.Host == "" {
+		job, err := x.loadPast(ctx, id)
+		if err != nil {
+			return
+		}
+		seen = event.JobSeen{Job: id, Host: host, Incarnation: job.Incarnation}
+	}
+	x.Post(event.JobSought{Seen: seen})
+}
+
 // runner returns the host that runs a job as far as is known here: of a job that no news told of, its first owner.
 func (x *Executor) runner(ctx context.Context, id string) (string, error) {
 	if owner := x.keeper.owner(id); owner.Host != "" {
@@ -147,15 +164,13 @@
 		if len(page.Results) > 0 || page.Next >= page.Total {
 			return page, nil
 		}
-		number := x.past.next(id)
-		chunk, err := x.chunk(ctx, id, number)
-		switch {
-		case err == nil:
-			x.past.extend(id, number, chunk.Results)
-			continue
-		case kinds.From(err) != kinds.NotFound:
+		more, err := x.readOn(ctx, id)
+		if err != nil {
 			return wire.JobPage{}, err
 		}
+		if more {
+			continue
+		}
 		if time.Now().Add(pollEvery).After(until) || ctx.Err() != nil {
 			return page, nil
 		}
@@ -165,6 +180,28 @@
 	}
 }
 
+// readOn reads the stored chunks beyond those that are known and reports whether there were any: all of a job that was
+// not read here before, else the next one.
+func (x *Executor) readOn(ctx context.Context, id string) (bool, error) {
+	number := x.past.next(id)
+	if number == 0 {
+		chunks, err := x.chunks(ctx, id)
+		for n, chunk := range chunks {
+			x.past.extend(id, n, chunk.Results)
+		}
+		return len(chunks) > 0, err
+	}
+	chunk, err := x.chunk(ctx, id, number)
+	if kinds.From(err) == kinds.NotFound {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	x.past.extend(id, number, chunk.Results)
+	return true, nil
+}
+
 // Body returns the body of an item that is not listed yet. Its error has kind NotFound when there is none.
 func (x *Executor) Body(ctx context.Context, id, item string) ([]byte, string, error) {
 	job, err := x.loadPast(ctx, id)
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -58,6 +58,8 @@
 type Peers interface {
 	// Page returns a page of a job from the host of that name; false when it does not answer for the job.
 	Page(ctx context.Context, host, job string, after int, wait time.Duration) (wire.JobPage, bool)
+	// Runs asks the host of that name whether it runs a job, and whether the job has ended there.
+	Runs(ctx context.Context, host, job string) (runs, ended bool)
 	// Ended tells the host of that name that a job was ended.
 	Ended(ctx context.Context, host, job string)
 	// Copy sends copies to the host of that name and reports whether it has taken them.
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	objects map[string]wire.Object
 	puts    []string
+	gets    int
 	lose    func() lost // outcome of each change, nil for none lost
 }
 
@@ -44,6 +45,7 @@
 func (m *memory) Get(_ context.Context, name string) (wire.Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.gets++
 	o, ok := m.objects[name]
 	if !ok {
 		return o, kinds.New(kinds.NotFound, "%s", name)
@@ -93,6 +95,7 @@
 func (m *memory) List(_ context.Context, prefix string) (wire.ObjectList, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.gets++
 	var all wire.ObjectList
 	for _, name := range m.names() {
 		if strings.HasPrefix(name, prefix) {
@@ -116,6 +119,7 @@
 // owners are the other hosts, of which some answer for a job.
 type owners struct {
 	answers map[string]bool // by host
+	over    map[string]bool // hosts at which the job has ended
 	ended   []string
 	copies  []jobCopy
 }
@@ -124,6 +128,10 @@
 	return wire.JobPage{}, o.answers[host]
 }
 
+func (o *owners) Runs(_ context.Context, host, _ string) (runs, ended bool) {
+	return o.answers[host], o.over[host]
+}
+
 func (o *owners) Ended(_ context.Context, host, job string) { o.ended = append(o.ended, host+"/"+job) }
 
 func (o *owners) Copy(_ context.Context, _ string, all []jobCopy) bool {
@@ -173,26 +181,39 @@
 // Answers the pattern: in a large fleet a host that hears of a job by a repeated submission does not hear its owner.
 func TestTakeoverAsksTheOwner(t *testing.T) {
 	cases := map[string]struct {
+		known bool // the host that asks knows who the owner is
 		alive bool
+		over  bool
 		kind  kinds.Kind
 		puts  []string
+		gets  int // calls to the store that read
 	}{
-		"owner answers": {true, kinds.Conflict, nil},
-		"owner is gone": {false, "", []string{wire.PrefixOwners + "j1"}},
+		"owner answers":       {false, true, false, kinds.Conflict, nil, 2},
+		"owner is gone":       {false, false, false, "", []string{wire.PrefixOwners + "j1"}, 3},
+		"known owner answers": {true, true, false, kinds.Conflict, nil, 0},
+		"known owner is gone": {true, false, false, "", []string{wire.PrefixOwners + "j1"}, 3},
+		"job has ended there": {true, true, true, "", nil, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			x, store, peers := newExecutor(t)
 			store.keep(t, chunkName("j1", 0), chunkOf(2, 0))
-			peers.answers["h2"] = c.alive
+			peers.answers["h2"], peers.over = c.alive, map[string]bool{"h2": c.over}
+			take := event.TakeJob{Job: "j1"}
+			if c.known {
+				take.Host = "h2"
+			}
 			var done event.JobTaken
-			if kind := x.tryTake(context.Background(), event.TakeJob{Job: "j1"}, &done); kind != c.kind {
+			if kind := x.tryTake(context.Background(), take, &done); kind != c.kind {
 				t.Fatalf("kind %q, want %q", kind, c.kind)
 			}
+			if diff := cmp.Diff([]any{c.over, c.gets}, []any{done.Ended, store.gets}); diff != "" {
+				t.Errorf("ended and reads of the store (-want +got):\n%s", diff)
+			}
 			if diff := cmp.Diff(c.puts, store.puts); diff != "" {
 				t.Errorf("writes (-want +got):\n%s", diff)
 			}
-			if c.kind == "" {
+			if c.kind == "" && !c.over {
 				if diff := cmp.Diff([]int{2, 0}, done.Listed); diff != "" {
 					t.Errorf("listed (-want +got):\n%s", diff)
 				}
@@ -298,3 +319,70 @@
 		})
 	}
 }
+
+// Answers the pattern: all hosts lose power, and every job is read from its start at hosts that have not read it before.
+func TestStoredPageIsReadByOneCall(t *testing.T) {
+	const chunks = 12 // the names of ten and more come before those of two
+	cases := map[string]struct {
+		missing int // number of a chunk that the list lacks, -1 for none
+		want    int // results
+	}{
+		"whole": {-1, chunks},
+		"gap":   {5, 5},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x, store, _ := newExecutor(t)
+			job := testJob()
+			job.Items = make([]wire.JobItem, chunks)
+			store.keep(t, wire.PrefixJobs+"j1", job)
+			for n := range chunks {
+				if n != c.missing {
+					store.keep(t, chunkName("j1", n), chunkOf(n))
+				}
+			}
+			store.keep(t, chunkName("j10", 0), chunkOf(0))
+			page, err := x.storedPage(context.Background(), "j1", 0, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got []int
+			for _, r := range page.Results {
+				got = append(got, r.Item)
+			}
+			want := []int{}
+			for n := range c.want {
+				want = append(want, n)
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("results (-want +got):\n%s", diff)
+			}
+			if store.gets > 2 {
+				t.Errorf("%d calls, want the job and its chunks", store.gets)
+			}
+		})
+	}
+}
+
+// Answers the pattern: texts are long, and a chunk of all finished results would not fit into an object.
+func TestChunkFitsIntoAnObject(t *testing.T) {
+	x, store, _ := newExecutor(t)
+	x.keeper.add(testJob())
+	for i, size := range []int{chunkBytes / 2, chunkBytes / 3, chunkBytes / 2, 2 * chunkBytes} {
+		x.keeper.get("j1").texts[i].add("1", make([]byte, size), 1)
+	}
+	var got [][]int
+	x.Post = func(ev event.Event) bool {
+		got = append(got, ev.(event.ChunkStored).Items)
+		return true
+	}
+	for number, items := range [][]int{{0, 1, 2, 3}, {2, 3}, {3}} {
+		x.storeChunk(context.Background(), event.StoreChunk{Job: "j1", Number: number, Items: items, Down: make([]bool, len(items))})
+	}
+	if diff := cmp.Diff([][]int{{0, 1}, {2}, {3}}, got); diff != "" {
+		t.Errorf("items stored (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{chunkName("j1", 0), chunkName("j1", 1), chunkName("j1", 2)}, store.puts); diff != "" {
+		t.Errorf("chunks (-want +got):\n%s", diff)
+	}
+}
--- a/internal/items/keeper.go
+++ b/internal/items/keeper.go
@@ -16,6 +16,9 @@
 // cut off, for less.
 const sureFor = time.Second
 
+// chunkBytes bounds the texts of one chunk. Encoded they grow by a third, and an object may have 1 MB.
+const chunkBytes = 600 << 10
+
 // keeper holds the jobs that this host runs or has read. It may be used concurrently.
 type keeper struct {
 	mu     sync.Mutex
@@ -210,6 +213,21 @@
 	return j.job.Items[i].Body, true
 }
 
+// results returns as many of a chunk's results as fit into an object, at least one.
+func (j *kept) results(e event.StoreChunk) []wire.JobResult {
+	var all []wire.JobResult
+	size := 0
+	for n, i := range e.Items {
+		r := j.result(i, e.Down[n])
+		size += len(r.Text)
+		if size > chunkBytes && len(all) > 0 {
+			break
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
 // result returns an item's result as it is to be listed.
 func (j *kept) result(i int, down bool) wire.JobResult {
 	t := j.texts[i]
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -94,10 +94,13 @@
 	x.Post(done)
 }
 
+// tryTake goes from what costs the least to what costs the most: most jobs that seem to be nobody's have an owner that
+// only is not heard here, or have ended.
 func (x *Executor) tryTake(ctx context.Context, e event.TakeJob, done *event.JobTaken) kinds.Kind {
-	job, err := x.load(ctx, e.Job)
-	if err != nil {
-		return kinds.From(err)
+	done.Epoch = e.Epoch
+	if runs, ended := x.runsAt(ctx, e.Host, e.Job); runs {
+		done.Ended = ended
+		return conflictUnless(ended)
 	}
 	owner, version, err := x.ownerOf(ctx, e.Job)
 	if err != nil {
@@ -111,9 +114,15 @@
 	if owner.Epoch > e.Epoch && owner.Incarnation != x.Incarnation {
 		return kinds.Conflict
 	}
-	if x.answersFor(ctx, cmp.Or(owner.Host, job.Host), e.Job) {
-		done.Held = nil
-		return kinds.Conflict // it only is not heard here
+	job, err := x.load(ctx, e.Job)
+	if err != nil {
+		return kinds.From(err)
+	}
+	if host := cmp.Or(owner.Host, job.Host); host != e.Host {
+		if runs, ended := x.runsAt(ctx, host, e.Job); runs {
+			done.Ended = ended
+			return conflictUnless(ended)
+		}
 	}
 	if owner.Incarnation != x.Incarnation || owner.Epoch == 0 {
 		next := wire.JobOwner{Host: x.Host, Incarnation: x.Incarnation, Epoch: owner.Epoch + 1}
@@ -123,15 +132,12 @@
 		done.Epoch = next.Epoch
 	}
 	j := x.keeper.add(job)
-	for {
-		chunk, err := x.chunk(ctx, e.Job, j.chunks)
-		if kinds.From(err) == kinds.NotFound {
-			break
-		}
-		if err != nil {
-			return kinds.From(err)
-		}
-		x.keeper.extend(e.Job, j.chunks, chunk.Results)
+	chunks, err := x.chunks(ctx, e.Job)
+	if err != nil {
+		return kinds.From(err)
+	}
+	for n, chunk := range chunks {
+		x.keeper.extend(e.Job, n, chunk.Results) // those that are known already change nothing
 	}
 	for _, r := range j.listed {
 		done.Listed = append(done.Listed, r.Item)
@@ -143,16 +149,22 @@
 	return ""
 }
 
-// answersFor reports whether a host that counts as gone runs a job all the same: in a large fleet few hosts hear each
-// other.
-func (x *Executor) answersFor(ctx context.Context, host, id string) bool {
+// runsAt reports whether a host that counts as gone runs a job all the same, and whether the job has ended there: in a
+// large fleet few hosts hear each other.
+func (x *Executor) runsAt(ctx context.Context, host, id string) (runs, ended bool) {
 	if host == "" || host == x.Host {
-		return false
+		return false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askOwner)
 	defer cancel()
-	_, ok := x.Peers.Page(ctx, host, id, 0, 0)
-	return ok
+	return x.Peers.Runs(ctx, host, id)
+}
+
+func conflictUnless(ended bool) kinds.Kind {
+	if ended {
+		return ""
+	}
+	return kinds.Conflict
 }
 
 // listJobs reads which jobs there are and who runs them.
--- a/internal/items/pages.go
+++ b/internal/items/pages.go
@@ -16,6 +16,7 @@
 )
 
 const (
+	headerEnded = "Figshift-Job-Ended"
 	// PathPage is that of a read of a job at the host that runs it.
 	PathPage    = "/jobs"
 	pageTimeout = 800 * time.Millisecond // beyond the time that a read waits
@@ -58,22 +59,49 @@
 
 // Ended tells the host of that name that a job was ended. A host that is not reached learns it when it lists results.
 func (p *Pages) Ended(ctx context.Context, host, job string) {
+	p.call(ctx, http.MethodDelete, host, job)
+}
+
+// Runs asks the host of that name whether it runs a job, and whether the job has ended there.
+func (p *Pages) Runs(ctx context.Context, host, job string) (runs, ended bool) {
+	resp := p.call(ctx, http.MethodHead, host, job)
+	if resp == nil || resp.StatusCode != http.StatusOK {
+		return false, false
+	}
+	return true, resp.Header.Get(headerEnded) != ""
+}
+
+// call makes a call without bodies about a job; nil without an answer.
+func (p *Pages) call(ctx context.Context, method, host, job string) *http.Response {
 	address := p.Book.Address(host)
 	if address == "" {
-		return
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+PathPage+"?"+url.Values{"Job": {job}}.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+PathPage+"?"+url.Values{"Job": {job}}.Encode(), nil)
 	if err != nil {
-		return
+		return nil
 	}
 	req.Header.Set(relay.HeaderSecret, p.Secret)
 	resp, err := p.HTTP.RoundTrip(req)
 	if err != nil {
-		return
+		return nil
 	}
 	_ = resp.Body.Close()
+	return resp
+}
+
+// serveRuns tells whether this host runs a job.
+func (p *Pages) serveRuns(w http.ResponseWriter, job string) {
+	if !p.Jobs.keeper.owns(job) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if p.Jobs.keeper.owner(job).Ended {
+		w.Header().Set(headerEnded, "true")
+	}
+	w.WriteHeader(http.StatusOK)
 }
 
 // ServeHTTP answers one read of a job that this host runs. It may be called concurrently.
@@ -87,6 +115,10 @@
 		p.Jobs.Post(event.PeerReceived{Message: wire.Message{News: &wire.JobNews{Job: query.Get("Job"), Ended: true}}})
 		return
 	}
+	if r.Method == http.MethodHead {
+		p.serveRuns(w, query.Get("Job"))
+		return
+	}
 	after, err := strconv.Atoi(query.Get("After"))
 	ms, err2 := strconv.Atoi(query.Get("WaitMS"))
 	if err != nil || err2 != nil {
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -14,7 +15,8 @@
 )
 
 const (
-	callTimeout = time.Second // one call to the store
+	callTimeout = time.Second     // one call to the store
+	listTimeout = 2 * time.Second // one list of a job's chunks, up to a few MB
 	endBudget   = 3 * time.Second
 	storeRetry  = 150 * time.Millisecond
 	askOwner    = 500 * time.Millisecond // to ask a host whether it still runs a job
@@ -172,10 +174,8 @@
 		x.Post(done)
 		return
 	}
-	chunk := wire.JobChunk{}
-	for n, i := range e.Items {
-		chunk.Results = append(chunk.Results, j.result(i, e.Down[n]))
-	}
+	chunk := wire.JobChunk{Results: j.results(e)}
+	done.Items = indices(chunk)
 	value, err := encode(chunk)
 	if err != nil {
 		done.Kind = kinds.Internal
@@ -220,6 +220,36 @@
 	return chunk, decode(object.Value, &chunk)
 }
 
+// chunks returns the stored chunks of a job in order, by one call. A list may be read in parts, so that only those up to
+// the first gap count.
+func (x *Executor) chunks(ctx context.Context, job string) ([]wire.JobChunk, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	prefix := wire.PrefixChunks + job + "."
+	list, err := x.Store.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	byNumber := map[int]wire.Object{}
+	for _, o := range list.Objects {
+		if n, err := strconv.Atoi(strings.TrimPrefix(o.Name, prefix)); err == nil {
+			byNumber[n] = o
+		}
+	}
+	var all []wire.JobChunk
+	for {
+		o, ok := byNumber[len(all)]
+		if !ok {
+			return all, nil
+		}
+		var chunk wire.JobChunk
+		if err := decode(o.Value, &chunk); err != nil {
+			return nil, err
+		}
+		all = append(all, chunk)
+	}
+}
+
 func indices(chunk wire.JobChunk) []int {
 	var all []int
 	for _, r := range chunk.Results {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -108,6 +108,7 @@
 	Incarnation string
 	Epoch       uint64
 	Ended       bool
+	Next        string `json:",omitempty" msgpack:",omitempty"` // host that has copies of the texts and takes the job over
 }
 
 // LoadReport relays one endpoint's load and true version.
