orders: an order or report whose answer is lost is repeated after 1.5 s

Change: on the platform an answer may take 1.5 s beyond the last moment for sending. Shown: TestReportWithoutAnAnswerEndsInTime.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -58,6 +58,9 @@
 	idleConns      = 16
 	idleConnsFor   = 10 * time.Second
 	metricsTimeout = 2 * time.Second
+	// orderAnswer bounds the wait for an answer to an order or a report, so that one whose answer is lost is repeated
+	// before it is due; the platform takes a repeat as the same report, an engine tells whether it had the order.
+	orderAnswer = 1500 * time.Millisecond
 )
 
 // The ports of the project's own listeners, as indices of Settings.Ports.
@@ -276,5 +279,5 @@
 	d.addPart(&update.Part{Host: d.self.Name, Trust: d.trust, Runs: d.batch})
 	d.addPart(&usage.Counter{Host: d.self.Name, Incarnation: d.incarnation, Requests: true})
 	d.addPart(&usage.Holder{Host: d.self.Name, Trust: d.trust})
-	d.addExecutor(&orders.Executor{Base: "http://" + d.settings.Cloud, Protocol: platform.Orders{}, Now: d.loop.Now, Post: d.loop.Post})
+	d.addExecutor(&orders.Executor{Base: "http://" + d.settings.Cloud, Protocol: platform.Orders{}, Now: d.loop.Now, Post: d.loop.Post, AnswerWithin: orderAnswer})
 }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -20,7 +21,7 @@
 )
 
 const (
-	answerTimeout = 5 * time.Second
+	answerTimeout = 5 * time.Second // where no other time is set
 	maxAnswer     = 64 << 10
 )
 
@@ -34,6 +35,8 @@
 	Protocol Protocol // nil takes the project's own
 	Now      func() time.Duration
 	Post     func(event.Event) bool
+	// AnswerWithin is the time that an answer may take after the last moment for sending; 0 for the default.
+	AnswerWithin time.Duration
 }
 
 // Call is what is sent for an order or a report: a JSON body by POST. Target is a path at Base or a whole URL.
@@ -168,7 +171,7 @@
 	if err != nil {
 		return kinds.New(kinds.Internal, "%v", err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(before-x.Now(), 0)+answerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), max(before-x.Now(), 0)+cmp.Or(x.AnswerWithin, answerTimeout))
 	defer cancel()
 	target := call.Target
 	if strings.HasPrefix(target, "/") {
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -94,3 +94,27 @@
 		t.Error(diff)
 	}
 }
+
+// Answers the pattern: the platform carries calls out late and does not answer them. A report must be repeated well before
+// it is due.
+func TestReportWithoutAnAnswerEndsInTime(t *testing.T) {
+	held := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-held }))
+	defer server.Close()
+	defer close(held)
+	start := time.Now()
+	done := make(chan event.Event, 1)
+	x := &orders.Executor{
+		Base: server.URL, AnswerWithin: 100 * time.Millisecond,
+		Now:  func() time.Duration { return time.Since(start) },
+		Post: func(ev event.Event) bool { done <- ev; return true },
+	}
+	x.Do(event.SendUsage{Seq: 1, Report: wire.UsageReport{ReportID: "r"}, Before: 100 * time.Millisecond})
+	want := event.UsageSent{Seq: 1, ReportID: "r", Kind: kinds.OutcomeUnknown}
+	if diff := cmp.Diff(event.Event(want), <-done); diff != "" {
+		t.Error(diff)
+	}
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("ended after %s, want about 200 ms", took)
+	}
+}
