scale: the holder of Weights orders endpoints for the items of the open jobs

Change: a part of its own, with numbers per zone as the platform takes them: demand that has lasted is spread over the cheaper zones, what was ordered is given back after a minute without demand, a lost endpoint is replaced when its places are needed. The news of a job carry its route and number of items.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -35,6 +35,7 @@
 	"github.com/figshift/figshift/internal/peer"
 	"github.com/figshift/figshift/internal/reduce"
 	"github.com/figshift/figshift/internal/relay"
+	"github.com/figshift/figshift/internal/scale"
 	"github.com/figshift/figshift/internal/serve"
 	"github.com/figshift/figshift/internal/stats"
 	"github.com/figshift/figshift/internal/update"
@@ -273,10 +274,11 @@
 	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz)))
 }
 
-// addDuties adds what one host does for all: weight versions, usage reports and the deletion of old jobs.
+// addDuties adds what one host does for all: weight versions, numbers of endpoints, usage reports and the deletion of old jobs.
 func (d *onPlatform) addDuties() {
 	d.addPart(&batch.Sweep{Trust: d.trust, KeepResults: d.settings.KeepResults})
 	d.addPart(&update.Part{Host: d.self.Name, Trust: d.trust, Runs: d.batch})
+	d.addPart(&scale.Part{Host: d.self.Name, Trust: d.trust, Duty: update.Duty, Jobs: d.batch})
 	d.addPart(&usage.Counter{Host: d.self.Name, Incarnation: d.incarnation, Requests: true})
 	d.addPart(&usage.Holder{Host: d.self.Name, Trust: d.trust})
 	d.addExecutor(&orders.Executor{Base: "http://" + d.settings.Cloud, Protocol: platform.Orders{}, Now: d.loop.Now, Post: d.loop.Post, AnswerWithin: orderAnswer})
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -91,7 +91,7 @@
 	}
 	r.step(event.BeatSeen{Host: "h3", Anchored: true})
 	r.step(event.BeatSeen{Host: "h3", Anchored: true})
-	news := wire.JobNews{Job: "j1", Host: "h1", Incarnation: "1"}
+	news := wire.JobNews{Job: "j1", Host: "h1", Incarnation: "1", Route: "rollouts", Items: 1}
 	if diff := cmp.Diff([]event.SendPeer{{Host: "h3", Message: wire.Message{News: &news}}}, take[event.SendPeer](r)); diff != "" {
 		t.Errorf("news (-want +got):\n%s", diff)
 	}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -64,6 +64,7 @@
 	}
 	k := p.see(taken.Job)
 	k.Host, k.Incarnation, k.Epoch, k.heardAt, k.orphan = p.Self.Name, p.Self.Incarnation, taken.Epoch, now, 0
+	k.Route, k.Items = j.head.Route, len(j.items)
 	k.Ended, k.Next = j.left == 0, "" // with nothing left to run it is as good as ended
 	p.copyTo(now, j, out)
 	if k.Next == "" {
@@ -159,7 +160,8 @@
 	for _, j := range p.sorted() {
 		if j.left > 0 && !j.ended && !p.drained {
 			all = append(all, wire.JobNews{
-				Job: j.head.ID, Host: p.Self.Name, Incarnation: p.Self.Incarnation, Epoch: j.epoch, Next: j.copiesTo,
+				Job: j.head.ID, Host: p.Self.Name, Incarnation: p.Self.Incarnation, Epoch: j.epoch,
+				Route: j.head.Route, Items: len(j.items), Next: j.copiesTo,
 			})
 		}
 	}
@@ -191,7 +193,7 @@
 	ended := k.Ended || n.Ended
 	if n.Epoch >= k.Epoch && n.Host != "" {
 		k.Host, k.Incarnation, k.Epoch, k.orphan = n.Host, n.Incarnation, n.Epoch, 0
-		k.Next = cmp.Or(n.Next, k.Next)
+		k.Next, k.Route, k.Items = cmp.Or(n.Next, k.Next), cmp.Or(n.Route, k.Route), max(n.Items, k.Items)
 	}
 	if n.Host == "" && n.Epoch >= k.Epoch && !ended && k.orphan == 0 {
 		k.Epoch, k.orphan = n.Epoch, now
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -203,5 +203,19 @@
 	beat.Runs, beat.Jobs = p.Running(), p.claims()
 }
 
+// OpenItems returns the items of the open jobs that this host knows of, by service.
+func (p *Part) OpenItems() map[string]int {
+	items := map[string]int{}
+	if p.site == nil {
+		return items
+	}
+	for _, k := range p.known {
+		if r, ok := p.site.Routes[k.Route]; ok && !k.Ended {
+			items[route.ServiceOf(r, 0)] += k.Items
+		}
+	}
+	return items
+}
+
 // Running returns the items of this host by engine, sorted.
 func (p *Part) Running() []wire.EngineRuns { return p.engines.own() }
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -137,6 +137,8 @@
 	Incarnation string
 	Epoch       uint64
 	Ended       bool
+	Route       string // "" when not known
+	Items       int    // of the whole job, 0 when not known
 	Next        string // host that has copies of the texts and takes the job over, "" when not known
 }
 
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -194,9 +194,9 @@
 		if decode(o.Value, &job) != nil {
 			continue // another writer's object
 		}
-		seen := event.JobSeen{Job: job.ID, Host: job.Host, Incarnation: job.Incarnation}
+		seen := event.JobSeen{Job: job.ID, Host: job.Host, Incarnation: job.Incarnation, Route: job.Route, Items: len(job.Items)}
 		if owner, ok := taken[job.ID]; ok {
-			seen = event.JobSeen{Job: job.ID, Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch, Ended: owner.Ended}
+			seen.Host, seen.Incarnation, seen.Epoch, seen.Ended = owner.Host, owner.Incarnation, owner.Epoch, owner.Ended
 		}
 		done.Jobs = append(done.Jobs, seen)
 	}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -201,7 +201,7 @@
 	if err != nil {
 		return kinds.New(kinds.OutcomeUnknown, "%s: status %d, %v", path, response.StatusCode, err)
 	}
-	if answer == nil {
+	if answer == nil || len(text) == 0 {
 		return nil
 	}
 	if err := json.Unmarshal(text, answer); err != nil {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -108,6 +108,8 @@
 	Incarnation string
 	Epoch       uint64
 	Ended       bool
+	Route       string `json:",omitempty" msgpack:",omitempty"`
+	Items       int    `json:",omitempty" msgpack:",omitempty"`
 	Next        string `json:",omitempty" msgpack:",omitempty"` // host that has copies of the texts and takes the job over
 }
 
