scale: only lost endpoints are replaced

Change: no more endpoints than there were; one that is lost is replaced when the items need its places.

--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -1,5 +1,5 @@
-// Package scale orders the number of endpoints that a service has in each availability zone, on a platform that takes
-// such numbers: enough for the items of the open batch jobs to run at once.
+// Package scale replaces endpoints that were lost, on a platform that takes the number of endpoints that a service is to
+// have in each availability zone: as many as the items of the open batch jobs need, and never more than there were.
 package scale
 
 import (
@@ -22,9 +22,6 @@
 	// growAfter is the time that a demand must last before endpoints are ordered for it, so that one job that has been
 	// announced twice orders nothing.
 	growAfter = time.Second
-	// shrinkAfter is the time without a demand after which its endpoints are given back: a trainer that computes for a
-	// while comes back with its next step.
-	shrinkAfter = time.Minute
 	// settleAfter is the time beyond the start of an endpoint after which a number that does not show is ordered again:
 	// an earlier order may have been carried out late.
 	settleAfter = 6 * time.Second
@@ -64,7 +61,7 @@
 
 // zone is a service's part in an availability zone.
 type zone struct {
-	first   int // most endpoints that were there before any order of this process: the operator's own number
+	first   int // most endpoints that were there before any order of this process
 	live    int
 	ordered int           // last number that the platform has taken, 0 before
 	since   time.Duration // when it was
@@ -117,7 +114,7 @@
 func (p *Part) zone(name, in string) *zone {
 	s := p.services[name]
 	if s == nil {
-		s = &service{demand: spend.Range[int]{Keep: shrinkAfter + growAfter}, zones: map[string]*zone{}}
+		s = &service{demand: spend.Range[int]{Keep: 2 * growAfter}, zones: map[string]*zone{}}
 		p.services[name] = s
 	}
 	z := s.zones[in]
@@ -164,8 +161,8 @@
 	return cmp.Or(least, defaultSlots)
 }
 
-// wanted returns the number of endpoints for each zone: what there is, with more in the zones where an endpoint costs the
-// least when the demand has lasted, and with fewer of those that were ordered when it has been less for a while.
+// wanted returns the number of endpoints for each zone: what there is, and those that were lost as far as the demand has
+// lasted, in the cheaper zones first.
 func (s *service) wanted(now time.Duration, rule config.FleetRule) map[string]int {
 	wanted := map[string]int{}
 	total := 0
@@ -173,14 +170,19 @@
 		wanted[name] = z.has(now, rule)
 		total += wanted[name]
 	}
+	need, lasting := s.demand.Least(now, growAfter)
+	if !lasting {
+		return wanted
+	}
 	byPrice := slices.SortedFunc(maps.Keys(s.zones), func(a, b string) int {
 		return cmp.Or(cmp.Compare(rule.ZonePrices[a], rule.ZonePrices[b]), cmp.Compare(a, b))
 	})
-	if need, ok := s.demand.Least(now, growAfter); ok && need > total {
-		grow(wanted, byPrice, need-total, rule.Max)
-	}
-	if peak, ok := s.demand.Greatest(now, shrinkAfter); ok && peak < total {
-		s.shrink(wanted, byPrice, total-peak, rule.Min)
+	for _, name := range byPrice {
+		missing := min(s.zones[name].first, rule.Max) - wanted[name]
+		if add := min(missing, need-total); add > 0 {
+			wanted[name] += add
+			total += add
+		}
 	}
 	return wanted
 }
@@ -193,33 +195,6 @@
 	return z.live
 }
 
-// grow adds n endpoints, each to the zone that has the least, the cheaper one of two that have as many.
-func grow(wanted map[string]int, byPrice []string, n, most int) {
-	for ; n > 0; n-- {
-		best := ""
-		for _, name := range byPrice {
-			if wanted[name] < most && (best == "" || wanted[name] < wanted[best]) {
-				best = name
-			}
-		}
-		if best == "" {
-			return
-		}
-		wanted[best]++
-	}
-}
-
-// shrink takes away up to n endpoints that were ordered here, those of the dearest zones first.
-func (s *service) shrink(wanted map[string]int, byPrice []string, n, least int) {
-	for _, name := range slices.Backward(byPrice) {
-		extra := min(n, wanted[name]-max(s.zones[name].first, least))
-		if extra > 0 {
-			wanted[name] -= extra
-			n -= extra
-		}
-	}
-}
-
 // order sends a zone's number when it differs from what there is or will be.
 func (p *Part) order(now, until time.Duration, epoch uint64, name, in string, count int, rule config.FleetRule, out *event.Batch) {
 	z := p.services[name].zones[in]
