member, view, batch: hubs are the hosts with the most processor time, and found jobs are offered to others

Change: a host's record tells its processor time, hubs are those with the most; two hubs look for jobs and offer each to a host; a host that follows the store because it hears no hub sends nothing on; the own clock holds within 500 ms of the others, which are late at a busy host. Shown: TestFoundJobsAreOffered, TestOfferIsTaken, TestHubsLookForJobs.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -124,7 +124,7 @@
 	d.process = config.Process{Host: settings.Host, Zone: settings.Zone, BalancerDelay: balancerDelay, LogLevel: settings.LogLevel}
 	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, IdleEvery: idleEvery, QueueSize: eventQueueSize}
 	d.loop.Prepare()
-	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.own(peerPort), Incarnation: id.incarnation}
+	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.own(peerPort), Incarnation: id.incarnation, Power: int(settings.Cores * 100)}
 	d.secret = deploymentID(settings)
 	transport := conns.Transport(endpointDial, idleConns, idleConnsFor)
 	d.store = &platform.Store{Address: settings.Store, HTTP: &http.Client{Transport: transport}}
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -111,7 +111,7 @@
 			if got := take[event.CheckJob](r); len(got) > 0 {
 				t.Fatalf("a small fleet reads records: %v", got)
 			}
-			r.step(event.HostsChanged{Hosts: make([]event.Host, smallFleet+1)})
+			r.step(event.HostsChanged{Hosts: make([]event.Host, 32), Hubs: []string{"h8", "h9"}})
 			r.tick(2 * checkOwnedEvery)
 			if diff := cmp.Diff([]event.CheckJob{{Job: "j1"}}, take[event.CheckJob](r)); diff != "" {
 				t.Fatalf("checks (-want +got):\n%s", diff)
--- a/internal/batch/large_test.go
+++ b/internal/batch/large_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/internal/event"
-	"github.com/figshift/figshift/internal/ranks"
+	"github.com/figshift/figshift/internal/member"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -21,13 +21,10 @@
 
 func newLargeFleet() largeFleet {
 	var f largeFleet
-	zoneOf := map[string]string{}
-	for i := range 2 * smallFleet {
-		h := event.Host{Name: fmt.Sprintf("h%d", i), Zone: []string{"a", "b"}[i%2], Incarnation: "1"}
-		f.hosts = append(f.hosts, h)
-		zoneOf[h.Name] = h.Zone
+	for i := range 32 {
+		f.hosts = append(f.hosts, event.Host{Name: fmt.Sprintf("h%d", i), Zone: []string{"a", "b"}[i%2], Incarnation: "1"})
 	}
-	f.hubs = ranks.Hubs(zoneOf, 2)
+	f.hubs = member.Hubs(f.hosts, 2)
 	return f
 }
 
@@ -43,7 +40,7 @@
 	r := &rig{t: t, now: time.Second, alive: append([]event.Host{self}, heard...)}
 	r.p = &Part{Self: self, Holders: r, Roster: r}
 	r.step(event.ConfigInForce{Site: testSite()})
-	r.step(event.HostsChanged{Hosts: f.hosts})
+	r.step(event.HostsChanged{Hosts: f.hosts, Hubs: f.hubs})
 	r.tick(settle)
 	r.tick(50 * time.Millisecond)
 	return r
@@ -147,28 +144,74 @@
 	}
 }
 
+// Answers the pattern: all hosts of a large fleet lose power. Those that find the jobs offer them to others, in place of
+// running them all.
+func TestFoundJobsAreOffered(t *testing.T) {
+	const jobs = 40
+	f := newLargeFleet()
+	self := f.pick(true, "a")
+	r := f.start(t, self, f.hosts[3:9]...)
+	var list event.JobsListed
+	for i := range jobs {
+		list.Jobs = append(list.Jobs, event.JobSeen{Job: fmt.Sprintf("j%d", i), Host: self.Name, Incarnation: "0"})
+	}
+	r.step(list)
+	r.tick(50 * time.Millisecond)
+	offered := map[string]int{}
+	for _, s := range take[event.SendPeer](r) {
+		if n := s.Message.News; n != nil && n.Host == "" && n.Next == s.Host {
+			offered[s.Host]++
+		}
+	}
+	taken := len(take[event.TakeJob](r))
+	for host, n := range offered {
+		if n > jobs/3 {
+			t.Errorf("%s was offered %d of %d jobs", host, n, jobs)
+		}
+		taken += n
+	}
+	if taken != jobs || len(offered) != 6 {
+		t.Errorf("%d jobs taken or offered to %d hosts, want all %d, to 6", taken, len(offered), jobs)
+	}
+}
+
+// Answers the pattern: a host is offered a job that another has found.
+func TestOfferIsTaken(t *testing.T) {
+	f := newLargeFleet()
+	self, hub := f.pick(false, "a"), f.pick(true, "a")
+	r := f.start(t, self, hub, f.hosts[9], f.hosts[10])
+	r.step(event.PeerReceived{Host: hub.Name, Message: wire.Message{News: &wire.JobNews{Job: "j1", Epoch: 3, Next: self.Name}}})
+	r.tick(50 * time.Millisecond)
+	if diff := cmp.Diff([]event.TakeJob{{Job: "j1", Epoch: 3}}, take[event.TakeJob](r)); diff != "" {
+		t.Errorf("takes (-want +got):\n%s", diff)
+	}
+}
+
 // Answers the pattern: all hosts of a large fleet start at once, and a list holds every job whole.
 func TestHubsLookForJobs(t *testing.T) {
 	f := newLargeFleet()
-	hub, plain := f.pick(true, "a"), f.pick(false, "a")
-	cases := map[string]struct {
-		self  event.Host
-		heard []event.Host
-		lists bool
-	}{
-		"hub":                {hub, nil, true},
-		"other host":         {plain, []event.Host{hub}, false},
-		"hubs are not heard": {plain, []event.Host{f.hosts[9]}, true},
+	byName := map[string]event.Host{}
+	for _, h := range f.hosts {
+		byName[h.Name] = h
 	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			r := f.start(t, c.self, c.heard...)
-			for range 100 {
-				r.tick(50 * time.Millisecond)
-			}
-			if got := len(take[event.ListJobs](r)) > 0; got != c.lists {
-				t.Errorf("lists: %v, want %v", got, c.lists)
-			}
-		})
+	plain, hub := f.pick(false, "a"), f.pick(true, "a")
+	var hubs []event.Host
+	for _, name := range f.hubs {
+		hubs = append(hubs, byName[name])
+	}
+	lists := func(self event.Host, heard ...event.Host) int {
+		r := f.start(t, self, heard...)
+		for range 100 {
+			r.tick(50 * time.Millisecond)
+		}
+		return min(1, len(take[event.ListJobs](r)))
+	}
+	all := 0
+	for i, h := range hubs {
+		all += lists(h, slices.Delete(slices.Clone(hubs), i, i+1)...)
+	}
+	got := []int{all, lists(plain, hub), lists(plain, f.hosts[9]), lists(hub)}
+	if diff := cmp.Diff([]int{listers, 0, 1, 1}, got); diff != "" {
+		t.Errorf("hosts that list: of the hubs, another, one that hears no hub, a hub alone (-want +got):\n%s", diff)
 	}
 }
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/ranks"
 	"github.com/figshift/figshift/internal/wire"
@@ -16,8 +15,8 @@
 const (
 	// lookAgain is the pause after a failed look for jobs.
 	lookAgain = 500 * time.Millisecond
-	// smallFleet is the number of hosts up to which all hear all.
-	smallFleet = 16
+	// listers is the number of hubs of a large fleet that look for jobs after their start; two, since one may be lost.
+	listers = 2
 	// checkOwnedEvery is the interval at which an owner in a larger fleet reads the record of its job; an end binds it
 	// within the platform's bound of seconds.
 	checkOwnedEvery = 1500 * time.Millisecond
@@ -36,7 +35,7 @@
 	taking  bool
 	dropped bool // the executor holds nothing of it
 	near    bool // this host would take the job over: its owner tells it, or it found the job without an owner
-	sought  bool // found by a list or a reader, so that other hosts may not know of it
+	sought  bool // found by a list or a reader, so that other hosts may not know of it, and not yet offered to one
 	next    time.Duration
 }
 
@@ -133,13 +132,8 @@
 }
 
 // knowHosts hands the other hosts' addresses to the executors.
-func (p *Part) knowHosts(hosts []event.Host, out *event.Batch) {
-	p.large = len(hosts) > smallFleet
-	zoneOf := map[string]string{p.Self.Name: p.Self.Zone}
-	for _, h := range hosts {
-		zoneOf[h.Name] = h.Zone
-	}
-	p.hubs = ranks.Hubs(zoneOf, config.Defaults().Trust.Watchers)
+func (p *Part) knowHosts(hosts []event.Host, hubs []string, out *event.Batch) {
+	p.large, p.hubs, p.hosts = len(hubs) > 0, hubs, hosts
 	others := slices.DeleteFunc(slices.Clone(hosts), func(h event.Host) bool { return h.Name == p.Self.Name })
 	out.Emit(event.KnowHosts{Hosts: others})
 }
@@ -196,7 +190,7 @@
 		k.Next, k.Route, k.Items = cmp.Or(n.Next, k.Next), cmp.Or(n.Route, k.Route), max(n.Items, k.Items)
 	}
 	if n.Host == "" && n.Epoch >= k.Epoch && !ended && k.orphan == 0 {
-		k.Epoch, k.orphan = n.Epoch, now
+		k.Epoch, k.orphan, k.Next = n.Epoch, now, cmp.Or(n.Next, k.Next)
 	}
 	k.Ended = ended
 	if k.JobSeen != before {
@@ -262,21 +256,25 @@
 	out.Emit(event.ListJobs{})
 }
 
-// leavesList reports whether other hosts look for jobs in this one's place: in a large fleet the hubs do, since the list
-// holds every job whole.
+// leavesList reports whether other hosts look for jobs in this one's place: in a large fleet a few hubs do, since the
+// list holds every job whole.
 func (p *Part) leavesList(now time.Duration) bool {
-	if len(p.hubs) == 0 {
-		return now-p.started < settle // the other hosts are not known yet
+	if !p.large {
+		return len(p.hosts) == 0 && now-p.started < settle // the other hosts are not known yet
 	}
-	if !p.large || slices.Contains(p.hubs, p.Self.Name) {
-		return false
+	if now-p.started < settle {
+		return true
 	}
+	hubs := []string{p.Self.Name}
 	for _, h := range p.Roster.Alive(now) {
 		if h.Name != p.Self.Name && slices.Contains(p.hubs, h.Name) {
-			return true
+			hubs = append(hubs, h.Name)
 		}
 	}
-	return now-p.started < hubsWithin
+	if slices.Contains(p.hubs, p.Self.Name) {
+		return ranks.Of(drainOwner, hubs, p.Self.Name) >= listers
+	}
+	return len(hubs) > 1 || now-p.started < hubsWithin
 }
 
 func (p *Part) jobsListed(now time.Duration, e event.JobsListed, out *event.Batch) {
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -54,7 +54,8 @@
 	down     map[string]time.Duration // since when a host's connection is closed
 	told     map[string]bool          // hosts that know the jobs of this one
 	large    bool                     // not all hosts hear each other
-	hubs     []string                 // hosts by which the zones of a large fleet hear of each other
+	hosts    []event.Host
+	hubs     []string // hosts by which the zones of a large fleet hear of each other
 	started  time.Duration
 	listed   bool // the jobs that were there at the start are known
 	listing  bool
@@ -84,7 +85,7 @@
 		p.engines.list(now, e.List.Endpoints)
 		p.dispatch(now, out)
 	case event.HostsChanged:
-		p.knowHosts(e.Hosts, out)
+		p.knowHosts(e.Hosts, e.Hubs, out)
 	case event.EndpointLeaving:
 		p.engines.leave(e.Mark)
 	case event.JobCalled:
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -85,6 +85,7 @@
 	if k.orphan == 0 {
 		k.orphan = now
 	}
+	p.offer(k, names, out)
 	rank := p.rank(k, names)
 	if mine {
 		rank = 0
@@ -99,6 +100,19 @@
 	}})
 }
 
+// offer tells another host of a job that only this one has found, in a large fleet: the few that look for jobs would
+// run them all.
+func (p *Part) offer(k *seen, names []string, out *event.Batch) {
+	if !p.large || !k.sought || len(names) == 0 {
+		return
+	}
+	k.sought = false
+	if first := ranks.Order(k.Job, names)[0]; first != p.Self.Name {
+		k.Next = first
+		p.tellHost(first, event.JobSeen{Job: k.Job, Epoch: k.Epoch, Next: first}, out)
+	}
+}
+
 // rank returns this host's place among those that may take a job over, -1 when it may not: the host that has copies of
 // the texts goes first. In a large fleet the others may not know of the job, so that no place is far behind.
 func (p *Part) rank(k *seen, names []string) int {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -12,12 +12,13 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// toleratedSkew is the difference between this host's time of day and the agreed one from which on it is logged; hosts
-// with synchronised clocks differ by milliseconds.
-const toleratedSkew = 250 * time.Millisecond
+// toleratedSkew is the difference between this host's clock and the others' up to which its own reading holds: it is
+// not delayed, as the others' are on their way by up to some 100 ms at a busy host.
+const toleratedSkew = 500 * time.Millisecond
 
-// Part is the share of the reducer that agrees on the time of day: the median of what this host and those that it hears
-// read, so that a minority of clocks that have jumped changes nothing. Its fields are set by Step.
+// Part is the share of the reducer that agrees on the time of day: this host's own reading, unless it is far from the
+// median of what it and those that it hears read. So a minority of clocks that have jumped changes nothing. Its fields
+// are set by Step.
 type Part struct {
 	own    time.Duration            // epoch of this host's own clock
 	read   bool                     // own is known
@@ -58,18 +59,26 @@
 }
 
 func (p *Part) agree(now time.Duration, out *event.Batch) {
-	epoch := p.choose()
-	if !p.known || epoch != p.agreed {
+	if epoch := p.choose(); !p.known || (epoch-p.agreed).Abs() >= time.Millisecond {
 		p.agreed, p.known = epoch, true
 		out.Emit(event.KnowClock{Epoch: epoch})
 	}
 	p.noteSkew(out)
-	out.Raise(event.WallClock{Unix: now + epoch})
+	out.Raise(event.WallClock{Unix: now + p.agreed})
 }
 
-// choose returns the median of the epochs. Of two it takes the one that is nearer to what was agreed before: neither
-// is in a majority.
+// choose returns the own epoch, or the median when that is far from it.
 func (p *Part) choose() time.Duration {
+	median := p.median()
+	if (p.own - median).Abs() <= toleratedSkew {
+		return p.own
+	}
+	return median
+}
+
+// median returns the median of the epochs. Of two it takes the one that is nearer to what was agreed before: neither is
+// in a majority.
+func (p *Part) median() time.Duration {
 	all := append(slices.Collect(maps.Values(p.others)), p.own)
 	slices.Sort(all)
 	if len(all) == 2 && p.known {
--- a/internal/event/peer.go
+++ b/internal/event/peer.go
@@ -16,6 +16,7 @@
 	Address     string // of the peer listener, host:port
 	Incarnation string
 	Admitted    bool
+	Power       int `json:",omitempty"` // processor time in hundredths of a core, 0 when not known
 }
 
 // ConnectPeers gives the hosts to keep connections to; the others are closed.
@@ -48,8 +49,12 @@
 // KnowHosts gives the other known hosts to the executors that call them.
 type KnowHosts struct{ Hosts []Host }
 
-// HostsChanged is raised when the known hosts changed; Hosts are sorted by name and include this one.
-type HostsChanged struct{ Hosts []Host }
+// HostsChanged is raised when the known hosts changed; Hosts are sorted by name and include this one. Hubs are the names
+// of those by which the zones of a large fleet hear of each other, sorted; none in a fleet in which all hear each other.
+type HostsChanged struct {
+	Hosts []Host
+	Hubs  []string
+}
 
 // BeatSeen is raised for each beat that is newer than the last one of its sender. When Anchored is set, the
 // beat was built after Anchor on this daemon's clock: it answers a beat that was sent from here at that time.
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -167,7 +168,7 @@
 }
 
 // picks returns the hosts that this one connects to by itself: all of a small fleet; in a larger one
-// the neighbours by rendezvous hash and the zone's watchers, which are connected to those of the other zones. A host that is not admitted has to hear a majority first.
+// the neighbours by rendezvous hash and the zone's hubs, which are connected to those of the other zones. A host that is not admitted has to hear a majority first.
 // They stay the same until the hosts or the configuration change.
 func (p *Part) picks() []string {
 	if p.picked == nil {
@@ -177,24 +178,17 @@
 }
 
 func (p *Part) pick() []string {
-	var all, zone []string
-	zoneOf := map[string]string{p.Self.Name: p.Self.Zone}
-	for name, h := range p.hosts {
-		all = append(all, name)
-		zoneOf[name] = h.Zone
-		if h.Zone == p.Self.Zone {
-			zone = append(zone, name)
-		}
-	}
-	slices.Sort(all)
-	slices.Sort(zone)
+	all := slices.Sorted(maps.Keys(p.hosts))
 	if len(all) < p.trust.MeshUpTo || !p.Self.Admitted {
 		return all
 	}
 	picked := ranks.Top(p.Self.Name, all, p.trust.Neighbors)
-	picked = append(picked, ranks.Top(p.Self.Zone, zone, p.trust.Watchers)...)
-	if hubs := ranks.Hubs(zoneOf, p.trust.Watchers); slices.Contains(hubs, p.Self.Name) {
-		picked = append(picked, hubs...)
+	hubs := p.hubs()
+	isHub := slices.Contains(hubs, p.Self.Name)
+	for _, hub := range hubs {
+		if hub != p.Self.Name && (isHub || p.hosts[hub].Zone == p.Self.Zone) {
+			picked = append(picked, hub)
+		}
 	}
 	slices.Sort(picked)
 	return slices.Compact(picked)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -41,6 +41,7 @@
 	hosts    map[string]event.Host // by the Hosts objects
 	known    []event.Host          // all of them sorted, nil after a change
 	picked   []string              // hosts to connect to, nil after a change
+	hubNames []string              // nil after a change
 	peers    map[string]*peer      // by what was received
 	held     map[string]uint64     // epochs of this daemon's duties
 	lastHeld map[string]lastHeld   // by duty
@@ -80,7 +81,7 @@
 		p.tick(now, out)
 	case event.ConfigInForce:
 		p.trust = e.Site.Trust
-		p.picked = nil
+		p.picked, p.hubNames = nil, nil
 		p.connect(now, out)
 	case event.ObjectSeen:
 		p.see(now, e.Object, out)
@@ -125,7 +126,7 @@
 	p.silent = map[string]time.Duration{}
 	p.register.admit = p.Open
 	p.nextBeat = now
-	out.Raise(event.HostsChanged{Hosts: p.Known()})
+	out.Raise(event.HostsChanged{Hosts: p.Known(), Hubs: p.hubs()})
 }
 
 func (p *Part) tick(now time.Duration, out *event.Batch) {
@@ -160,7 +161,7 @@
 		return
 	}
 	host, ok := decodeHost(object)
-	p.known, p.picked = nil, nil
+	p.known, p.picked, p.hubNames = nil, nil, nil
 	switch {
 	case name == p.Self.Name:
 		p.seeSelf(object)
@@ -171,7 +172,7 @@
 		delete(p.hosts, name)
 	}
 	p.connect(now, out)
-	out.Raise(event.HostsChanged{Hosts: p.Known()})
+	out.Raise(event.HostsChanged{Hosts: p.Known(), Hubs: p.hubs()})
 }
 
 // Known returns all known hosts sorted by name, this one among them.
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -33,18 +33,3 @@
 func Of(key string, names []string, name string) int {
 	return slices.Index(Order(key, names), name)
 }
-
-// Hubs returns, sorted, the hosts by which the zones of a large fleet hear of each other: the n most preferred of each
-// zone. Hosts are given with their zones. It may be called concurrently.
-func Hubs(zoneOf map[string]string, n int) []string {
-	byZone := map[string][]string{}
-	for name, zone := range zoneOf {
-		byZone[zone] = append(byZone[zone], name)
-	}
-	var hubs []string
-	for zone, names := range byZone {
-		hubs = append(hubs, Top(zone, names, n)...)
-	}
-	slices.Sort(hubs)
-	return hubs
-}
--- a/internal/view/peers.go
+++ b/internal/view/peers.go
@@ -29,14 +29,18 @@
 	out.Emit(event.SendPeer{Host: e.Host, Message: wire.Message{Pull: &pull}})
 }
 
-// push sends changes that the store has told to the other hosts.
+// push sends changes that the store has told to the other hosts. In a large fleet the hubs do: a host that follows the
+// store because it hears none of them keeps what it learns, so that hubs that are late are not sent more.
 func (p *Part) push(now time.Duration, f *feed, changed []wire.Object, out *event.Batch) {
+	if p.large() && !p.isHub() {
+		return
+	}
 	p.pushTo(now, slices.Sorted(maps.Keys(p.heard)), f, changed, out)
 }
 
 // passOn sends what another hub told to the hosts of the own zone, which do not hear that hub.
 func (p *Part) passOn(now time.Duration, from string, f *feed, changed []wire.Object, out *event.Batch) {
-	if !p.large() || !p.isHub() {
+	if !p.isHub() {
 		return
 	}
 	var zone []string
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -34,10 +34,8 @@
 	watchers = 2
 	// checkers is the number of hosts that read a prefix again now and then, since a watch may be silent; each does in
 	// its turn. A host whose turn is not known bounds what a change may lag by checkers times checkTurn.
-	checkers  = 3
-	checkTurn = 500 * time.Millisecond
-	// smallFleet is the number of hosts up to which all hear all.
-	smallFleet = 16
+	checkers   = 3
+	checkTurn  = 500 * time.Millisecond
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = time.Second
 	pullEvery  = 300 * time.Millisecond
@@ -103,7 +101,7 @@
 		for _, h := range e.Hosts {
 			p.zones[h.Name] = h.Zone
 		}
-		p.hubs = ranks.Hubs(p.zones, config.Defaults().Trust.Watchers)
+		p.hubs = e.Hubs
 	case event.PeerReceived:
 		p.receive(now, e, out)
 	case event.StopAsked:
@@ -185,7 +183,7 @@
 func (p *Part) isHub() bool { return slices.Contains(p.hubs, p.Host) }
 
 // large reports whether the fleet is one in which not all hosts hear each other.
-func (p *Part) large() bool { return len(p.zones) > smallFleet }
+func (p *Part) large() bool { return len(p.hubs) > 0 }
 
 // checks reports whether it is this host's turn to read a prefix again.
 func (p *Part) checks(f *feed, turn int) bool {
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -14,7 +14,7 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
-	"github.com/figshift/figshift/internal/ranks"
+	"github.com/figshift/figshift/internal/member"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -184,7 +184,7 @@
 func newFleetRig(t *testing.T, self event.Host, hosts []event.Host, hears func(other event.Host) bool) *rig {
 	t.Helper()
 	r := &rig{t: t, now: time.Second, p: &Part{Host: self.Name, Zone: self.Zone, Decode: plain{}, Keys: &keys.Table{}}}
-	r.step(event.HostsChanged{Hosts: hosts})
+	r.step(event.HostsChanged{Hosts: hosts, Hubs: member.Hubs(hosts, 2)})
 	for _, other := range hosts {
 		if other.Name != self.Name && hears(other) {
 			r.step(event.BeatSeen{Host: other.Name})
@@ -198,11 +198,7 @@
 func TestWatchersOfALargeFleet(t *testing.T) {
 	const zones, perZone = 4, 10
 	hosts := fleetHosts(zones, perZone)
-	zoneOf := map[string]string{}
-	for _, h := range hosts {
-		zoneOf[h.Name] = h.Zone
-	}
-	hubs := ranks.Hubs(zoneOf, 2)
+	hubs := member.Hubs(hosts, 2)
 	isHub := func(h event.Host) bool { return slices.Contains(hubs, h.Name) }
 	cases := map[string]struct {
 		hears    func(self, other event.Host) bool
@@ -261,7 +257,7 @@
 	for _, h := range hosts {
 		zoneOf[h.Name] = h.Zone
 	}
-	hubs := ranks.Hubs(zoneOf, 2)
+	hubs := member.Hubs(hosts, 2)
 	for _, self := range hosts {
 		r := newFleetRig(t, self, hosts, func(event.Host) bool { return true })
 		var from string
