batch: news of a job that are passed on come to an end; logs, figd: settings are read again

A hub took any news of an equal epoch, so that two values of the successor that the owner named in turn went round between the hubs for ever. Change: of an equal epoch only the owner's own word or the store's counts, and only a new owner, epoch or end is passed on. Shown: TestNewsComeToAnEnd (before: more than 200 messages).

Time to the first event is a histogram and stands in the line ItemEnded.

--- a/figbed/proofs/platform_test.go
+++ b/figbed/proofs/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"syscall"
@@ -270,6 +271,29 @@
 	}
 }
 
+// Answers the pattern: the settings change, with a signal and without one; the host goes on serving.
+func TestPlatformSettingsChange(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1, plainServer("p1", "zone-1"))
+	files, err := filepath.Glob(filepath.Join(f.folder, "*.ini"))
+	if err != nil || len(files) != 1 {
+		t.Fatalf("settings files: %v, %v", files, err)
+	}
+	host := f.hosts[0]
+	proc.Replace(t, files[0], "GraceS = 8", "GraceS = 9")
+	host.Signal(syscall.SIGHUP)
+	proc.WaitUntil(t, 10*time.Second, "the signal is followed", func() bool {
+		return strings.Contains(host.Output(), "Event=SettingsRead Daemon=host-1 Reason=SIGHUP InForce= AtNextStart=Grace")
+	})
+	proc.Replace(t, files[0], "LogPerSecond = ", "LogPerSecond = 1")
+	proc.WaitUntil(t, 20*time.Second, "the change is seen", func() bool {
+		return strings.Contains(host.Output(), "Event=SettingsRead Daemon=host-1 Reason=Changed InForce=LogPerSecond AtNextStart=")
+	})
+	if status, body := f.call(1, http.MethodGet, estate.Lookup+"x", "after", estate.Key, nil); status != http.StatusOK {
+		t.Errorf("lookup after the changes: status %d (%s)", status, body)
+	}
+}
+
 // Answers the pattern: a lookup came late, a job was refused, a result lacks its score. The logs lead from the id to
 // the cause.
 func TestPlatformLogsExplain(t *testing.T) {
--- a/figd/operations.go
+++ b/figd/operations.go
@@ -62,6 +62,7 @@
 	d.addActor(server.Run)
 	d.addActor((&stats.Gauges{Scope: scope, Status: gather.Status, Ready: d.ready.Ready}).Run)
 	d.addActor(exit.run)
+	signal.Ignore(syscall.SIGHUP)
 	d.addActor(d.watchSignals)
 	d.addPart(&logs.Requests{Incarnation: d.incarnation, Debug: d.process.LogLevel == "debug"})
 	d.addPart(&drain.Part{Bound: d.process.BalancerDelay + drainBound})
@@ -79,7 +80,6 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	signal.Ignore(syscall.SIGHUP)
 	select {
 	case <-signals:
 	case <-ctx.Done():
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -73,7 +73,9 @@
 // onPlatform is the composition of one process on the platform.
 type onPlatform struct {
 	*daemon
+	file     string // of the settings
 	settings platform.Settings
+	logs     *logs.Settings
 	self     event.Host
 	secret   []byte
 	store    *platform.Store
@@ -113,14 +115,14 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryShare * (1 << 20)))
-	d := newOnPlatform(settings, newIdentity(), stdout)
+	d := newOnPlatform(file, settings, newIdentity(), stdout)
 	defer d.close()
 	return exitCode(d.group.Run())
 }
 
 // newOnPlatform composes the process of a host's class. The order fixes the order in which parts see an event.
-func newOnPlatform(settings platform.Settings, id identity, stdout io.Writer) *onPlatform {
-	d := &onPlatform{settings: settings, daemon: &daemon{identity: id, state: &reduce.State{}}}
+func newOnPlatform(file string, settings platform.Settings, id identity, stdout io.Writer) *onPlatform {
+	d := &onPlatform{file: file, settings: settings, daemon: &daemon{identity: id, state: &reduce.State{}}}
 	d.process = config.Process{Host: settings.Host, Zone: settings.Zone, BalancerDelay: balancerDelay, LogLevel: settings.LogLevel}
 	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, IdleEvery: idleEvery, QueueSize: eventQueueSize}
 	d.loop.Prepare()
@@ -157,7 +159,8 @@
 func (d *onPlatform) addLogs(stdout io.Writer) {
 	lines := &logs.Queue{Out: stdout, Dropped: func(n int) { d.metrics().Counter("LogLinesDropped").Inc(int64(n)) }}
 	lines.Prepare()
-	d.log = logs.New(d.settings.LogLevel, d.settings.Host, lines)
+	d.logs = logs.NewSettings(d.settings.LogLevel, uint64(d.settings.LogPerSecond))
+	d.log = logs.NewWith(d.logs, d.settings.Host, lines)
 	if _, err := zap.RedirectStdLogAt(d.log, zap.DebugLevel); err != nil {
 		d.log.Warn("LogNotRedirected", zap.Error(err)) // the HTTP library's own lines stay on standard error
 	}
@@ -166,7 +169,7 @@
 	d.closers = append(d.closers, closer)
 	d.ready = &readiness{}
 	exit := &exiter{asked: make(chan struct{})}
-	d.addExecutor(&logs.Executor{Log: d.log, PerSecond: d.settings.LogPerSecond, Held: func(name string) {
+	d.addExecutor(&logs.Executor{Log: d.log, Settings: d.logs, Held: func(name string) {
 		d.metrics().Tagged(map[string]string{"Event": name}).Counter("LogLinesHeld").Inc(1)
 	}})
 	d.addActor(lines.Run)
@@ -175,6 +178,7 @@
 	d.addExecutor(exit)
 	d.addActor(exit.run)
 	d.addActor(d.watchSignals)
+	d.addActor((&reload{file: d.file, settings: d.settings, logs: d.logs, log: d.log}).run)
 	d.addActor(d.listen(net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.MetricsPort)), metrics))
 	d.addPart(&drain.Part{Bound: d.settings.Grace, Within: d.settings.Grace - stopMargin})
 	d.log.Info("Started")
--- a/internal/batch/large_test.go
+++ b/internal/batch/large_test.go
@@ -215,3 +215,48 @@
 		t.Errorf("hosts that list: of the hubs, another, one that hears no hub, a hub alone (-want +got):\n%s", diff)
 	}
 }
+
+// Answers the pattern: the owner of a job names another successor while news of the first are still on their way between
+// hubs. What each passes on must come to an end.
+func TestNewsComeToAnEnd(t *testing.T) {
+	f := newLargeFleet()
+	owner := f.pick(false, "a")
+	var hosts []event.Host
+	for _, h := range f.hosts {
+		if slices.Contains(f.hubs, h.Name) {
+			hosts = append(hosts, h)
+		}
+	}
+	rigs := map[string]*rig{}
+	for _, h := range hosts {
+		rigs[h.Name] = f.start(t, h, append(slices.Clone(hosts), owner)...)
+	}
+	type sent struct {
+		to   string
+		news event.PeerReceived
+	}
+	var way []sent
+	for i, next := range []string{"x", "y", "x", "y"} { // one way to each hub, in another order
+		for j, h := range hosts {
+			n := wire.JobNews{Job: "j1", Host: owner.Name, Incarnation: "1", Next: next, Epoch: uint64((i + j) % 2)}
+			way = append(way, sent{h.Name, event.PeerReceived{Host: owner.Name, Message: wire.Message{News: &n}}})
+		}
+	}
+	messages := 0
+	for len(way) > 0 {
+		messages++
+		if messages > 200 {
+			t.Fatal("news go round without end")
+		}
+		s := way[0]
+		way = way[1:]
+		r := rigs[s.to]
+		r.effects = nil
+		r.step(s.news)
+		for _, e := range take[event.SendPeer](r) {
+			if _, hub := rigs[e.Host]; hub && e.Message.News != nil {
+				way = append(way, sent{e.Host, event.PeerReceived{Host: s.to, Message: e.Message}})
+			}
+		}
+	}
+}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -185,7 +185,7 @@
 	k.near = k.near || n.Host == "" || n.Host == from
 	before := k.JobSeen
 	ended := k.Ended || n.Ended
-	if n.Epoch >= k.Epoch && n.Host != "" {
+	if n.Host != "" && (n.Epoch > k.Epoch || k.Host == "" || n.Epoch == k.Epoch && isFirstHand(from, n)) {
 		k.Host, k.Incarnation, k.Epoch, k.orphan = n.Host, n.Incarnation, n.Epoch, 0
 		k.Next, k.Route, k.Items = cmp.Or(n.Next, k.Next), cmp.Or(n.Route, k.Route), max(n.Items, k.Items)
 	}
@@ -195,6 +195,8 @@
 	k.Ended = ended
 	if k.JobSeen != before {
 		out.Emit(event.KnowJob{Seen: k.JobSeen})
+	}
+	if k.Epoch != before.Epoch || k.Ended != before.Ended || before.Host == "" && k.Host != "" {
 		p.passOn(from, k.JobSeen, out)
 	}
 	j := p.jobs[n.Job]
@@ -213,6 +215,10 @@
 	}
 }
 
+// isFirstHand reports whether news come from the job's owner or from the store's record. What others pass on may be older
+// than what is known, unless its epoch is higher.
+func isFirstHand(from string, n wire.JobNews) bool { return from == n.Host || from == "" }
+
 // passOn tells the hosts that do not hear a job's owner who it is, in a large fleet: a hub tells its zone, and the other
 // hubs what it has from its zone.
 func (p *Part) passOn(from string, s event.JobSeen, out *event.Batch) {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -133,7 +133,10 @@
 	it.state, it.events, it.versions = waiting, e.Events, e.Versions
 	p.log(j, it, "ItemEnded", out, event.Field{Key: "Endpoint", Value: it.engine},
 		event.Field{Key: "Reason", Value: e.Reason}, event.Field{Key: "Status", Value: strconv.Itoa(e.Status)},
-		event.Field{Key: "Events", Value: strconv.Itoa(e.Events)}, event.Field{Key: "TookMS", Value: strconv.FormatInt(e.Took.Milliseconds(), 10)})
+		event.Field{Key: "Events", Value: strconv.Itoa(e.Events)}, event.Field{Key: "FirstMS", Value: strconv.FormatInt(e.First.Milliseconds(), 10)}, event.Field{Key: "TookMS", Value: strconv.FormatInt(e.Took.Milliseconds(), 10)})
+	if e.First > 0 {
+		out.Emit(event.Observe{Name: "FirstEventTime", Took: e.First})
+	}
 	out.Emit(event.Observe{Name: "ItemTime", Tags: []event.Field{{Key: "Reason", Value: e.Reason}}, Took: e.Took})
 	if e.Reason != "" {
 		out.Emit(event.Count{Name: "ItemRetries", Tags: []event.Field{{Key: "Reason", Value: e.Reason}}, N: 1})
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -205,7 +205,8 @@
 	Reason   string
 	Status   int
 	Events   int
-	New      int // events of this run
+	New      int           // events of this run
+	First    time.Duration // until its first event, 0 without one
 	Took     time.Duration
 	Versions []uint64
 }
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -47,6 +47,8 @@
 		now := x.Now()
 		if previous > 0 {
 			x.paces.add(engine, now-previous)
+		} else {
+			done.First = now - began
 		}
 		previous = now
 	})
--- a/internal/logs/budget.go
+++ b/internal/logs/budget.go
@@ -17,6 +17,20 @@
 // burstSeconds is the number of seconds' lines that may come at once.
 const burstSeconds = 2
 
+// setRate replaces the number of lines that an event may have in a second, 0 for any number.
+func (b *budget) setRate(perSecond float64) {
+	if perSecond == b.perSecond {
+		return
+	}
+	b.perSecond = perSecond
+	for _, e := range b.events {
+		e.limit.SetLimit(rate.Limit(perSecond))
+		e.limit.SetBurst(burst(perSecond))
+	}
+}
+
+func burst(perSecond float64) int { return max(1, int(perSecond*burstSeconds)) }
+
 // take reports whether a line may be written, and how many of its event were kept back before it.
 func (b *budget) take(event string) (held int, ok bool) {
 	if b.perSecond <= 0 {
@@ -27,7 +41,7 @@
 	}
 	e := b.events[event]
 	if e == nil {
-		e = &bucket{limit: rate.NewLimiter(rate.Limit(b.perSecond), max(1, int(b.perSecond*burstSeconds)))}
+		e = &bucket{limit: rate.NewLimiter(rate.Limit(b.perSecond), burst(b.perSecond))}
 		b.events[event] = e
 	}
 	if !e.limit.Allow() {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -14,29 +14,26 @@
 // New returns a logger that writes to w the lines of a level (debug, info, warn, error) and above,
 // info for any other level. It may be used concurrently.
 func New(level, host string, w io.Writer) *zap.Logger {
+	return NewWith(NewSettings(level, 0), host, w)
+}
+
+// NewWith returns a logger that follows settings. It may be used concurrently.
+func NewWith(settings *Settings, host string, w io.Writer) *zap.Logger {
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.TimeKey = "Time"
 	encoding.LevelKey = "Level"
 	encoding.MessageKey = "Event"
 	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
 	encoder := zaplogfmt.NewEncoder(encoding)
-	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), levelOf(level))
+	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), settings.level)
 	return zap.New(core).With(zap.String("Daemon", host))
 }
 
-func levelOf(level string) zapcore.Level {
-	l, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return zapcore.InfoLevel
-	}
-	return l
-}
-
 // Executor writes event.Log effects. Its exported fields are set before use.
 type Executor struct {
-	Log       *zap.Logger
-	PerSecond float64            // lines of one event, 0 for any number
-	Held      func(event string) // called for each line that the bound keeps back, nil for none
+	Log      *zap.Logger
+	Settings *Settings          // bounds the lines of each event, nil for any number
+	Held     func(event string) // called for each line that the bound keeps back, nil for none
 
 	budget budget
 }
@@ -50,7 +47,9 @@
 	if !x.Log.Core().Enabled(levelOf(e.Level)) {
 		return true
 	}
-	x.budget.perSecond = x.PerSecond
+	if x.Settings != nil {
+		x.budget.setRate(float64(x.Settings.perSecond.Load()))
+	}
 	held, ok := x.budget.take(e.Event)
 	if !ok {
 		if x.Held != nil {
--- a/internal/logs/queue_test.go
+++ b/internal/logs/queue_test.go
@@ -84,7 +84,7 @@
 func TestFloodIsBounded(t *testing.T) {
 	var out bytes.Buffer
 	held := map[string]int{}
-	x := &logs.Executor{Log: logs.New("info", "h1", &out), PerSecond: 10, Held: func(name string) { held[name]++ }}
+	x := &logs.Executor{Log: logs.New("info", "h1", &out), Settings: logs.NewSettings("info", 10), Held: func(name string) { held[name]++ }}
 	for range 500 {
 		x.Do(event.Log{Level: "info", Event: "Flood"})
 	}
