member, clock: hubs join zones on the platform alone; readings are told now and then

Cause: TestPolicyControlOfManyDaemons failed by 15,428 bytes a second at 24 daemons, 15,000 allowed: the beats carried the time of day always, and hubs were connected across zones on sites of figshift's own too, where nothing uses them. Change: four beats of some fourteen carry the time; hubs only where JoinZones is set.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -200,7 +200,7 @@
 // addHosts adds what follows the store and the other hosts.
 func (d *onPlatform) addHosts() {
 	d.keys = &keys.Table{}
-	d.members = &member.Part{Self: d.self, Open: true}
+	d.members = &member.Part{Self: d.self, Open: true, JoinZones: true}
 	d.view = &view.Part{Host: d.self.Name, Zone: d.self.Zone, Decode: platform.Decoder{Settings: d.settings}, Keys: d.keys}
 	d.leases = &lease.Part{Self: d.self, Roster: d.members}
 	d.members.Contributors = []member.Contributor{d.view, d.leases}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -16,6 +16,13 @@
 // not delayed, as the others' are on their way by up to some 100 ms at a busy host.
 const toleratedSkew = 500 * time.Millisecond
 
+// tellEvery is the interval at which the own reading is told, in tellBeats beats in a row: some hosts get only one of
+// several beats. Clocks drift by less than a millisecond meanwhile, and a jump is seen within that time.
+const (
+	tellEvery = 3 * time.Second
+	tellBeats = 4
+)
+
 // Part is the share of the reducer that agrees on the time of day: this host's own reading, unless it is far from the
 // median of what it and those that it hears read. So a minority of clocks that have jumped changes nothing. Its fields
 // are set by Step.
@@ -26,6 +33,9 @@
 	agreed time.Duration
 	known  bool // agreed is known
 	skewed bool // the own clock is off
+
+	nextTell time.Duration
+	told     int // beats in a row
 }
 
 // Step applies one event. It must not be called concurrently. An epoch is the time of day at which the reducer's clock
@@ -46,8 +56,13 @@
 
 // Contribute tells the own reading, not the agreed one, so that each host's clock counts once.
 func (p *Part) Contribute(now time.Duration, beat *wire.Beat) {
-	if p.read {
-		beat.UnixMS = (now + p.own).Milliseconds()
+	if !p.read || now < p.nextTell {
+		return
+	}
+	beat.UnixMS = (now + p.own).Milliseconds()
+	p.told++
+	if p.told == tellBeats {
+		p.told, p.nextTell = 0, now+tellEvery
 	}
 }
 
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// TestReadingIsToldNowAndThen is for the bytes of a host with many connections.
+func TestReadingIsToldNowAndThen(t *testing.T) {
+	p := &Part{}
+	var out event.Batch
+	p.Step(now, event.ClockRead{Unix: unix}, &out)
+	told := 0
+	const beats, every = 100, 300 * time.Millisecond
+	for i := range beats {
+		var b wire.Beat
+		p.Contribute(now+time.Duration(i)*every, &b)
+		if b.UnixMS != 0 {
+			told++
+		}
+	}
+	if told < 4*tellBeats || told > beats/3 {
+		t.Errorf("told in %d of %d beats", told, beats)
+	}
+}
+
 func TestSkewIsLoggedOnce(t *testing.T) {
 	p := &Part{}
 	var logged []string
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -168,7 +168,7 @@
 }
 
 // picks returns the hosts that this one connects to by itself: all of a small fleet; in a larger one
-// the neighbours by rendezvous hash and the zone's hubs, which are connected to those of the other zones. A host that is not admitted has to hear a majority first.
+// the neighbours by rendezvous hash and the zone's watchers, or its hubs. A host that is not admitted has to hear a majority first.
 // They stay the same until the hosts or the configuration change.
 func (p *Part) picks() []string {
 	if p.picked == nil {
@@ -183,13 +183,22 @@
 		return all
 	}
 	picked := ranks.Top(p.Self.Name, all, p.trust.Neighbors)
-	hubs := p.hubs()
-	isHub := slices.Contains(hubs, p.Self.Name)
-	for _, hub := range hubs {
-		if hub != p.Self.Name && (isHub || p.hosts[hub].Zone == p.Self.Zone) {
-			picked = append(picked, hub)
-		}
+	if p.JoinZones {
+		picked = append(picked, p.hubsToHear()...)
+	} else {
+		picked = append(picked, p.zoneWatchers()...)
 	}
 	slices.Sort(picked)
 	return slices.Compact(picked)
 }
+
+// zoneWatchers returns the hosts that watch the store for this one's zone.
+func (p *Part) zoneWatchers() []string {
+	var zone []string
+	for _, name := range slices.Sorted(maps.Keys(p.hosts)) {
+		if p.hosts[name].Zone == p.Self.Zone {
+			zone = append(zone, name)
+		}
+	}
+	return ranks.Top(p.Self.Zone, zone, p.trust.Watchers)
+}
--- a/internal/member/hubs.go
+++ b/internal/member/hubs.go
@@ -31,11 +31,24 @@
 	return all
 }
 
-// hubs returns the hubs of the known hosts, none in a fleet in which all hear each other. They stay the same until the
+// hubs returns the hubs of the known hosts, none in a fleet in which all hear each other or whose zones are not joined. They stay the same until the
 // hosts or the configuration change.
 func (p *Part) hubs() []string {
-	if p.hubNames == nil && len(p.hosts) >= p.trust.MeshUpTo {
+	if p.hubNames == nil && p.JoinZones && len(p.hosts) >= p.trust.MeshUpTo {
 		p.hubNames = Hubs(p.Known(), p.trust.Watchers)
 	}
 	return p.hubNames
 }
+
+// hubsToHear returns the hubs that this host keeps connections to: those of its zone, and as one of them all others.
+func (p *Part) hubsToHear() []string {
+	hubs := p.hubs()
+	isHub := slices.Contains(hubs, p.Self.Name)
+	var heard []string
+	for _, hub := range hubs {
+		if hub != p.Self.Name && (isHub || p.hosts[hub].Zone == p.Self.Zone) {
+			heard = append(heard, hub)
+		}
+	}
+	return heard
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -34,6 +34,7 @@
 	Contributors []Contributor
 	Store        Store
 	Open         bool // hosts count from their registration on; nothing depends on a majority
+	JoinZones    bool // in a large fleet the hubs of the zones are connected to each other
 
 	trust    config.Trust
 	register register
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -200,3 +202,42 @@
 		t.Errorf("calls of Contribute for one beat (-want +got):\n%s", diff)
 	}
 }
+
+// Answers the pattern: few hosts hear each other, and what one zone knows must reach the others by way of two hops.
+func TestHubsJoinZones(t *testing.T) {
+	const zones, perZone = 3, 12
+	var hosts []event.Host
+	for z := range zones {
+		for i := range perZone {
+			h := event.Host{Name: fmt.Sprintf("z%d-%02d", z, i), Zone: fmt.Sprintf("z%d", z), Admitted: true, Power: 20}
+			if i >= perZone-2 {
+				h.Power = 80
+			}
+			hosts = append(hosts, h)
+		}
+	}
+	hubs := Hubs(hosts, 2)
+	for _, hub := range hubs {
+		if !strings.HasSuffix(hub, "-10") && !strings.HasSuffix(hub, "-11") {
+			t.Errorf("%s is a hub, though others have more processor time", hub)
+		}
+	}
+	for _, self := range hosts {
+		p := &Part{Self: self, JoinZones: true}
+		var out event.Batch
+		p.start(0, &out)
+		for _, h := range hosts {
+			if h.Name != self.Name {
+				p.hosts[h.Name] = h
+			}
+		}
+		p.known, p.hubNames = nil, nil
+		picked := p.pick()
+		for _, hub := range hubs {
+			wanted := hub != self.Name && (slices.Contains(hubs, self.Name) || strings.HasPrefix(hub, self.Zone))
+			if wanted && !slices.Contains(picked, hub) {
+				t.Errorf("%s keeps no connection to %s", self.Name, hub)
+			}
+		}
+	}
+}
