items: long texts are stored, so that a loss of power on all hosts does not begin them again

Cause: the copies of running texts lie in the memory of one other host. After a closing fault that ends all processes each open step began its longest items anew, 5 to 7 s, and every later step waited as long. Change: every 1.5 s a job's owner writes the texts that are older than 1.5 s into one object, when they have grown; a host that takes the job over goes on from the longer of copy and object.

--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -31,8 +31,9 @@
 	keeper   keeper
 	past     past
 	paces    paces
-	copying  sync.Mutex         // held while copies are sent
-	copies   map[string]*copied // by job
+	copying  sync.Mutex              // held while copies are sent
+	copies   map[string]*copied      // by job
+	texts    map[string]*storedTexts // by job
 	ctx      context.Context
 	cancel   context.CancelFunc
 	mu       sync.Mutex
@@ -80,6 +81,7 @@
 	x.answers = map[uint64]chan event.JobAnswer{}
 	x.runs = map[runKey]context.CancelFunc{}
 	x.copies = map[string]*copied{}
+	x.texts = map[string]*storedTexts{}
 	x.scores = FirstScore
 	x.epoch.Store(time.Now().UnixNano() - int64(x.Now())) // the own clock, until the hosts agree
 }
@@ -126,6 +128,9 @@
 	case event.DropJob:
 		x.keeper.drop(e.Job)
 		x.copyJob(event.CopyJob{Job: e.Job})
+		x.mu.Lock()
+		delete(x.texts, e.Job)
+		x.mu.Unlock()
 	case event.CopyJob:
 		x.copyJob(e)
 	case event.FlushCopies:
@@ -155,6 +160,7 @@
 		select {
 		case <-tick.C:
 			x.sendCopies(ctx)
+			x.storeTexts(ctx)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -189,9 +189,9 @@
 		gets  int // calls to the store that read
 	}{
 		"owner answers":       {false, true, false, kinds.Conflict, nil, 2},
-		"owner is gone":       {false, false, false, "", []string{wire.PrefixOwners + "j1"}, 3},
+		"owner is gone":       {false, false, false, "", []string{wire.PrefixOwners + "j1"}, 4},
 		"known owner answers": {true, true, false, kinds.Conflict, nil, 0},
-		"known owner is gone": {true, false, false, "", []string{wire.PrefixOwners + "j1"}, 3},
+		"known owner is gone": {true, false, false, "", []string{wire.PrefixOwners + "j1"}, 4},
 		"job has ended there": {true, true, true, "", nil, 0},
 	}
 	for name, c := range cases {
--- a/internal/items/keeper.go
+++ b/internal/items/keeper.go
@@ -43,7 +43,8 @@
 	mu       sync.Mutex
 	data     []byte
 	events   int
-	last     string // id of the last event
+	last     string    // id of the last event
+	began    time.Time // when the first event came here
 	versions []uint64
 	score    string
 }
@@ -228,6 +229,11 @@
 	return all
 }
 
+// isListed reports whether an item's result is listed.
+func (j *kept) isListed(i int) bool {
+	return slices.ContainsFunc(j.listed, func(r wire.JobResult) bool { return r.Item == i })
+}
+
 // result returns an item's result as it is to be listed.
 func (j *kept) result(i int, down bool) wire.JobResult {
 	t := j.texts[i]
@@ -252,6 +258,8 @@
 	defer t.mu.Unlock()
 	if t.events > 0 {
 		t.data = append(t.data, '\n')
+	} else {
+		t.began = time.Now()
 	}
 	t.data = append(t.data, data...)
 	t.events++
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -139,6 +139,9 @@
 	for n, chunk := range chunks {
 		x.keeper.extend(e.Job, n, chunk.Results) // those that are known already change nothing
 	}
+	if len(j.listed) < len(job.Items) {
+		x.takeTexts(ctx, j)
+	}
 	for _, r := range j.listed {
 		done.Listed = append(done.Listed, r.Item)
 	}
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -103,10 +103,14 @@
 
 // put makes one conditional write.
 func (x *Executor) put(ctx context.Context, put wire.ObjectPut) kinds.Kind {
+	_, err := x.putObject(ctx, put)
+	return kinds.From(err)
+}
+
+func (x *Executor) putObject(ctx context.Context, put wire.ObjectPut) (wire.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := x.Store.Put(ctx, put)
-	return kinds.From(err)
+	return x.Store.Put(ctx, put)
 }
 
 // written tells after a conflict whether the stored object is this very write.
--- a/internal/items/sweep.go
+++ b/internal/items/sweep.go
@@ -55,12 +55,14 @@
 			return err
 		}
 	}
-	job, err := x.get(ctx, wire.PrefixJobs+id)
-	if err == nil {
-		err = x.delete(ctx, job)
-	}
-	if err != nil && kinds.From(err) != kinds.NotFound {
-		return err
+	for _, name := range []string{wire.PrefixTexts + id, wire.PrefixJobs + id} {
+		o, err := x.get(ctx, name)
+		if err == nil {
+			err = x.delete(ctx, o)
+		}
+		if err != nil && kinds.From(err) != kinds.NotFound {
+			return err
+		}
 	}
 	return x.delete(ctx, owner)
 }
--- a/internal/items/sweep_test.go
+++ b/internal/items/sweep_test.go
@@ -20,6 +20,7 @@
 	for n := range 3 {
 		store.keep(t, chunkName("j1", n), chunkOf(n))
 	}
+	store.keep(t, wire.PrefixTexts+"j1", []textCopy{})
 	value, err := json.Marshal(owner)
 	if err != nil {
 		t.Fatal(err)
@@ -36,7 +37,7 @@
 // TestSweep is for a store that runs for months: what belongs to ended jobs must not pile up.
 func TestSweep(t *testing.T) {
 	const keep = 10 * time.Minute
-	all := []string{"Chunks/j1.0", "Chunks/j1.1", "Chunks/j1.2", "Lots/j1", "Owners/j1"}
+	all := []string{"Chunks/j1.0", "Chunks/j1.1", "Chunks/j1.2", "Lots/j1", "Owners/j1", "Texts/j1"}
 	past := time.Now().Add(-keep - time.Minute).UnixMilli()
 	cases := map[string]struct {
 		owner wire.JobOwner
@@ -64,7 +65,7 @@
 
 // TestSweepThatWasCutShort is for a store that goes away in the middle of a sweep: the next one finds what is left.
 func TestSweepThatWasCutShort(t *testing.T) {
-	const changes = 5 // three chunks, the job and the record of its owner
+	const changes = 6 // three chunks, the texts, the job and the record of its owner
 	for _, fate := range []lost{answer, change} {
 		for cut := range changes {
 			x, store, swept := sweepRig(t, wire.JobOwner{Epoch: 1, Ended: true, EndedMS: 1})
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -72,5 +72,6 @@
 const (
 	PrefixJobs   = "Lots/"
 	PrefixChunks = "Chunks/"
+	PrefixTexts  = "Texts/" // long texts that are not listed yet, by job
 	PrefixOwners = "Owners/"
 )
