lease: a duty is looked for 0.4 s after the first configuration

Change: 0.4 s in place of 1 s between the first configuration and the first attempt; conditional writes decide in any case.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -19,7 +19,7 @@
 	candidates = 3 // hosts that compete for one duty
 	retryAfter = 250 * time.Millisecond
 	stagger    = 700 * time.Millisecond // between the attempts of the candidates of one duty
-	settle     = time.Second            // between the first configuration and the first attempt
+	settle     = 400 * time.Millisecond // between the first configuration and the first attempt: one beat of the others
 	handOver   = time.Second            // between StopAsked and the release of what the parts still hold
 )
 
