--- a/figd/platform.go
+++ b/figd/platform.go
@@ -237,7 +237,7 @@
 	d.trust = holds{Part: d.view, leases: d.leases}
 	d.flow = &flow.Part{
 		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Keys: d.keys,
-		Random: rand.New(rand.NewPCG(d.seed, 0)), Process: d.process, NoPolls: true, Lines: true,
+		Random: rand.New(rand.NewPCG(d.seed, 0)), Process: d.process, NoPolls: true, KeepsToOne: true, Lines: true,
 	}
 	d.members.Contributors = append(d.members.Contributors, d.flow)
 	d.addPart(d.flow)
--- a/internal/flow/part.go
+++ b/internal/flow/part.go
@@ -25,10 +25,12 @@
 	Keys    *keys.Table
 	Random  *rand.Rand
 	Process config.Process
-	NoPolls bool                // endpoints tell their load with their answers only
-	Lines   bool                // each decision about a request is logged
-	Queue   admit.Queue[uint64] // nil takes admit.Fair
-	Picker  route.Picker[*route.Endpoint]
+	NoPolls bool // endpoints tell their load with their answers only
+	// KeepsToOne says that plain calls go to one endpoint while it is idle, in place of the less busy of two.
+	KeepsToOne bool
+	Lines      bool                // each decision about a request is logged
+	Queue      admit.Queue[uint64] // nil takes admit.Fair
+	Picker     route.Picker[*route.Endpoint]
 
 	site     *config.Site
 	routes   route.Routes
@@ -131,6 +133,9 @@
 	}
 	if p.Picker == nil {
 		p.Picker = &route.Affine[*route.Endpoint]{Random: p.Random, Slack: affineSlack, Spare: affineSpare}
+		if p.KeepsToOne {
+			p.Picker = &route.Kept[*route.Endpoint]{Host: p.Host, Next: p.Picker}
+		}
 	}
 }
 
--- a/internal/items/texts.go
+++ b/internal/items/texts.go
@@ -22,7 +22,7 @@
 // storedTexts is what the store has of a job's unlisted texts. version and events belong to whoever has set busy.
 type storedTexts struct {
 	version uint64
-	events  int // of all texts
+	events  map[int]int // by item
 	next    time.Time
 	busy    bool
 }
@@ -36,12 +36,12 @@
 		if s == nil {
 			continue
 		}
-		texts, events := x.keeper.get(id).longTexts(now)
-		if events <= s.events {
+		texts := x.keeper.get(id).longTexts(now)
+		if !s.lacks(texts) {
 			x.endTexts(s, now)
 			continue
 		}
-		go x.putTexts(ctx, id, s, texts, events)
+		go x.putTexts(ctx, id, s, texts)
 	}
 }
 
@@ -67,7 +67,12 @@
 	s.next, s.busy = next, false
 }
 
-func (x *Executor) putTexts(ctx context.Context, id string, s *storedTexts, texts []textCopy, events int) {
+// lacks reports whether a text has grown since it was stored.
+func (s *storedTexts) lacks(texts []textCopy) bool {
+	return slices.ContainsFunc(texts, func(part textCopy) bool { return part.Events > s.events[part.Item] })
+}
+
+func (x *Executor) putTexts(ctx context.Context, id string, s *storedTexts, texts []textCopy) {
 	next := storeTextsEvery
 	defer func() { x.endTexts(s, time.Now().Add(next)) }()
 	value, err := encode(texts)
@@ -78,7 +83,10 @@
 	o, err := x.putObject(ctx, wire.ObjectPut{Name: name, Version: s.version, Writer: x.writer(0), Value: value})
 	switch kinds.From(err) {
 	case "":
-		s.version, s.events = o.Version, events
+		s.version, s.events = o.Version, map[int]int{}
+		for _, part := range texts {
+			s.events[part.Item] = part.Events
+		}
 	case kinds.Conflict: // an earlier write whose answer was lost, or another owner's
 		if o, err := x.get(ctx, name); err == nil {
 			s.version = o.Version
@@ -122,12 +130,12 @@
 	return ids
 }
 
-// longTexts returns the texts of a certain age, the longest first and as many as fit into an object, and the number of
-// their events.
-func (j *kept) longTexts(now time.Time) (texts []textCopy, events int) {
+// longTexts returns the texts of a certain age, the longest first and as many as fit into an object.
+func (j *kept) longTexts(now time.Time) []textCopy {
 	if j == nil {
-		return nil, 0
+		return nil
 	}
+	var texts []textCopy
 	for i, t := range j.texts {
 		if part, ok := t.whole(i, now); ok {
 			texts = append(texts, part)
@@ -138,12 +146,10 @@
 	for n, part := range texts {
 		size += len(part.Data)
 		if size > chunkBytes {
-			texts = texts[:n]
-			break
+			return texts[:n]
 		}
-		events += part.Events
 	}
-	return texts, events
+	return texts
 }
 
 // whole returns a text that began textAge ago or before.
--- a/internal/items/texts_test.go
+++ b/internal/items/texts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -77,6 +78,27 @@
 	}
 }
 
+// TestTextsGoOnWhenOthersAreListed is for the end of a step: most items are listed, and the few that the trainer waits for
+// must still be stored.
+func TestTextsGoOnWhenOthersAreListed(t *testing.T) {
+	x, store := textsRig(t)
+	j := x.keeper.get("j1")
+	for n := range 50 {
+		j.texts[1].add(strconv.Itoa(n+2), []byte("x"), 4)
+	}
+	x.pass(t)
+	j.texts[1].reset() // as it is listed
+	j.texts[0].add("3", []byte("e"), 5)
+	x.pass(t)
+	var texts []textCopy
+	if err := decode(store.objects[wire.PrefixTexts+"j1"].Value, &texts); err != nil {
+		t.Fatal(err)
+	}
+	if len(texts) != 1 || texts[0].Events != 3 {
+		t.Errorf("texts stored last: %+v, want the one of item 0 with 3 events", texts)
+	}
+}
+
 // TestNewerCopyStays is for an owner that dies alone: the copies at its successor are newer than the stored texts.
 func TestNewerCopyStays(t *testing.T) {
 	x, store := textsRig(t)
@@ -112,8 +134,8 @@
 			if err := decode(store.objects[wire.PrefixTexts+"j1"].Value, &texts); err != nil {
 				t.Fatal(err)
 			}
-			if len(texts) != 2 || x.texts["j1"].events != 3 {
-				t.Errorf("%d texts stored, %d events known to be; want 2 and 3", len(texts), x.texts["j1"].events)
+			if diff := cmp.Diff(map[int]int{0: 2, 1: 1}, x.texts["j1"].events); diff != "" || len(texts) != 2 {
+				t.Errorf("%d texts stored; events known to be, by item (-want +got):\n%s", len(texts), diff)
 			}
 		})
 	}
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -43,6 +43,9 @@
 	return float64(e.Tokens) + float64(e.load)*math.Exp2(-float64(age)/float64(loadHalfLife))
 }
 
+// Idle reports whether no attempt of this daemon runs there and its last one succeeded.
+func (e *Endpoint) Idle() bool { return e.Running == 0 && e.failures == 0 }
+
 // Ejected reports whether consecutive failures keep the endpoint from work at time now.
 func (e *Endpoint) Ejected(now time.Duration) bool {
 	return e.failures >= ejectAfter && (now < e.openAt || e.trial)
