batch: owners differ in the engines that they try first, and leave one that refuses alone for longer each time

Change: among engines that are alike each host has an order of its own; the pause after refusals in a row doubles up to 0.8 s and ends when a run of the host ends there.

--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -15,8 +17,10 @@
 	brokenFor = 500 * time.Millisecond
 	// brokenMost bounds that time after failures in a row.
 	brokenMost = 4 * time.Second
-	// fullFor is the time after an engine said that it is full.
-	fullFor = 100 * time.Millisecond
+	// fullFor is the time after an engine said that it is full, or loads a version; it doubles with each refusal in a row
+	// up to fullMost, which is about the time of a load.
+	fullFor  = 100 * time.Millisecond
+	fullMost = 800 * time.Millisecond
 	// lagFor is the time after an engine had another version than listed.
 	lagFor = 300 * time.Millisecond
 )
@@ -26,7 +30,9 @@
 	wire.Endpoint
 	running  int // items of this host
 	left     bool
+	rank     uint64 // this host's order among engines that are alike; hosts differ in it
 	failures int
+	refusals int           // in a row
 	until    time.Duration // no run before
 	gap      time.Duration // time between two events of an item, 0 when not known
 	gapAt    time.Duration // when it was measured
@@ -34,6 +40,7 @@
 
 // engines holds the endpoints by name and what the other hosts run on them.
 type engines struct {
+	host   string
 	byName map[string]*engine
 	marks  map[wire.LeaveMark]bool
 	remote map[string][]wire.EngineRuns // by host
@@ -45,7 +52,7 @@
 	for _, e := range endpoints {
 		known := old[e.Name]
 		if known == nil || known.Incarnation != e.Incarnation {
-			known = &engine{}
+			known = &engine{rank: xxhash.Sum64String(s.host + "\x00" + e.Name)}
 		}
 		known.Endpoint = e
 		known.left = known.left || e.State == wire.Leaving || s.marks[mark(&known.Endpoint)]
@@ -129,6 +136,7 @@
 			cmp.Compare(a.failures, b.failures),
 			cmp.Compare(a.load(busy), b.load(busy)),
 			first(a.Zone == w.zone, b.Zone == w.zone),
+			cmp.Compare(a.rank, b.rank),
 		)
 	})
 }
@@ -153,6 +161,20 @@
 	return float64(e.running+busy[e.Name]) / float64(e.slots())
 }
 
+// refused keeps the engine from new runs for a short while.
+func (e *engine) refused(now time.Duration) {
+	e.until = max(e.until, now+min(fullFor<<min(e.refusals, 8), fullMost))
+	e.refusals++
+}
+
+// served notes that a run of this host has ended well: a place is free again.
+func (e *engine) served(now time.Duration) {
+	e.failures = 0
+	if e.refusals > 0 {
+		e.refusals, e.until = 0, now
+	}
+}
+
 // failed keeps the engine from new runs for a while.
 func (e *engine) failed(now time.Duration) {
 	e.until = now + min(brokenFor<<min(e.failures, 8), brokenMost)
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -170,6 +170,7 @@
 	p.leaving = map[string]bool{}
 	p.down = map[string]time.Duration{}
 	p.told = map[string]bool{}
+	p.engines.host = p.Self.Name
 	p.started = now
 	p.listed = p.Fresh
 	if p.Order == nil {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -195,9 +195,9 @@
 	g.running = max(0, g.running-1)
 	switch e.Reason {
 	case "":
-		g.failures = 0
+		g.served(now)
 	case event.ReasonRefused:
-		g.until = max(g.until, now+fullFor)
+		g.refused(now)
 		if e.Status == statusMisdirected {
 			g.until = max(g.until, now+lagFor)
 		}
