lease: a host's own registration shows that the process that held a duty has ended

Change: a candidate also takes the word of the host's object: another incarnation, written at a later revision of the store than the duty's record.

--- a/internal/lease/compete.go
+++ b/internal/lease/compete.go
@@ -129,6 +129,7 @@
 		return
 	}
 	d.adopt(now, e.Object.Version, record)
+	d.revision = e.Object.Revision
 	if d.heard.version == d.version {
 		d.since = min(d.since, d.heard.since)
 	}
--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -30,21 +30,22 @@
 
 // duty is this daemon's view of one duty.
 type duty struct {
-	name    string
-	phase   phase
-	version uint64 // of the object as last known, 0 when it is absent
-	record  Record
-	known   bool          // version and record were read or written
-	since   time.Duration // time at which version was first known
-	readAt  time.Duration // time of the last read
-	until   time.Duration // the lease is trusted before this time
-	gainAt  time.Duration // end of the wait
-	renewAt time.Duration
-	next    time.Duration // earliest time of the next call
-	suspect bool          // a write's outcome is not known
-	heard   heard
-	rank    int  // this daemon's place among all known hosts
-	ranked  bool // rank is of the present hosts
+	name     string
+	phase    phase
+	version  uint64 // of the object as last known, 0 when it is absent
+	revision uint64 // store's revision at which it was written, 0 when not known
+	record   Record
+	known    bool          // version and record were read or written
+	since    time.Duration // time at which version was first known
+	readAt   time.Duration // time of the last read
+	until    time.Duration // the lease is trusted before this time
+	gainAt   time.Duration // end of the wait
+	renewAt  time.Duration
+	next     time.Duration // earliest time of the next call
+	suspect  bool          // a write's outcome is not known
+	heard    heard
+	rank     int  // this daemon's place among all known hosts
+	ranked   bool // rank is of the present hosts
 
 	ledger     []byte
 	ledgerSeq  uint64 // of ledger
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -2,8 +2,10 @@
 package lease
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/figshift/figshift/internal/config"
@@ -14,6 +16,9 @@
 // Prefix is the prefix of the objects that hold Record values as JSON.
 const Prefix = "Duty/"
 
+// hostsPrefix is the prefix of the objects by which hosts register themselves.
+const hostsPrefix = "Hosts/"
+
 const (
 	owner      = "lease"
 	candidates = 3 // hosts that compete for one duty
@@ -41,19 +46,20 @@
 	Self   event.Host
 	Roster Roster
 
-	timing   config.Lease
-	meshUpTo int                 // hosts up to which all hear all
-	wants    map[string][]string // by owner
-	duties   map[string]*duty
-	calls    map[uint64]string  // duty of each call under way
-	running  map[string]process // by host
-	seq      uint64
-	started  bool
-	readyAt  time.Duration // 0 before the first configuration
-	stopping bool
-	stopAt   time.Duration
-	drained  bool
-	exited   bool
+	timing     config.Lease
+	meshUpTo   int                 // hosts up to which all hear all
+	wants      map[string][]string // by owner
+	duties     map[string]*duty
+	calls      map[uint64]string       // duty of each call under way
+	running    map[string]process      // by host
+	registered map[string]registration // by host
+	seq        uint64
+	started    bool
+	readyAt    time.Duration // 0 before the first configuration
+	stopping   bool
+	stopAt     time.Duration
+	drained    bool
+	exited     bool
 }
 
 // Step applies one event.
@@ -66,6 +72,8 @@
 		p.rankAnew()
 	case event.PeerUp:
 		p.noteProcess(e)
+	case event.ObjectSeen:
+		p.noteRegistration(e.Object)
 	case event.ConfigInForce:
 		p.configure(now, e.Site)
 	case event.WantDuties:
@@ -90,16 +98,35 @@
 	}
 }
 
-// replaced reports whether the process that holds a duty has ended: another one was alive on its host after the record
-// was seen, and a host runs one at a time.
+// replaced reports whether the process that holds a duty has ended, since a host runs one at a time: another one was
+// alive on its host after the record was seen, or has registered itself after the record was written.
 func (p *Part) replaced(d *duty) bool {
 	if d.record.Holder == p.Self.Name {
 		return true
 	}
+	if r, ok := p.registered[d.record.Holder]; ok && r.incarnation != d.record.Incarnation && d.revision != 0 && r.revision > d.revision {
+		return true
+	}
 	now, ok := p.running[d.record.Holder]
 	return ok && now.incarnation != d.record.Incarnation && now.aliveAt > d.since
 }
 
+// noteRegistration remembers which process a host's object names. In a large fleet few hosts hear the holder's.
+func (p *Part) noteRegistration(object wire.Object) {
+	name, ok := strings.CutPrefix(object.Name, hostsPrefix)
+	var host event.Host
+	if !ok || object.Deleted || json.Unmarshal(object.Value, &host) != nil {
+		return
+	}
+	p.registered[name] = registration{incarnation: host.Incarnation, revision: object.Revision}
+}
+
+// registration is the process that a host's object names, and the store's revision at which it was written.
+type registration struct {
+	incarnation string
+	revision    uint64
+}
+
 // noteProcess remembers the process that a host runs.
 func (p *Part) noteProcess(e event.PeerUp) { p.running[e.Host] = process{incarnation: e.Incarnation} }
 
@@ -128,6 +155,7 @@
 	p.duties = map[string]*duty{}
 	p.calls = map[uint64]string{}
 	p.running = map[string]process{}
+	p.registered = map[string]registration{}
 }
 
 func (p *Part) configure(now time.Duration, site *config.Site) {
