--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -222,15 +222,8 @@
 // passOn tells the hosts that do not hear a job's owner who it is, in a large fleet: a hub tells its zone, and the other
 // hubs what it has from its zone.
 func (p *Part) passOn(from string, s event.JobSeen, out *event.Batch) {
-	if !p.large || !slices.Contains(p.hubs, p.Self.Name) {
-		return
-	}
-	alive := p.Roster.Alive(p.now)
-	own := slices.ContainsFunc(alive, func(h event.Host) bool { return h.Name == from && h.Zone == p.Self.Zone })
-	for _, h := range alive {
-		if h.Name != p.Self.Name && h.Name != from && (h.Zone == p.Self.Zone || own && slices.Contains(p.hubs, h.Name)) {
-			p.tellHost(h.Name, s, out)
-		}
+	for _, host := range ranks.PassOn(p.Self.Name, p.hubs, event.ZonesOf(p.Roster.Alive(p.now)), from) {
+		p.tellHost(host, s, out)
 	}
 }
 
--- a/internal/event/peer.go
+++ b/internal/event/peer.go
@@ -19,6 +19,15 @@
 	Power       int `json:",omitempty"` // processor time in hundredths of a core, 0 when not known
 }
 
+// ZonesOf returns the zones of hosts by their names. It may be called concurrently.
+func ZonesOf(hosts []Host) map[string]string {
+	zones := make(map[string]string, len(hosts))
+	for _, h := range hosts {
+		zones[h.Name] = h.Zone
+	}
+	return zones
+}
+
 // ConnectPeers gives the hosts to keep connections to; the others are closed.
 type ConnectPeers struct{ Hosts []Host }
 
--- a/internal/lease/keep.go
+++ b/internal/lease/keep.go
@@ -137,6 +137,7 @@
 		return // a renewal that came too late: the duty was given up
 	}
 	if w.record.Holder == "" {
+		p.tellFreed(now, d, out)
 		p.lose(d, "Released", out)
 		return
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -53,6 +53,8 @@
 	calls      map[uint64]string       // duty of each call under way
 	running    map[string]process      // by host
 	registered map[string]registration // by host
+	freed      map[string]uint64       // epoch of the last release that was heard, by duty
+	hubs       []string
 	seq        uint64
 	started    bool
 	readyAt    time.Duration // 0 before the first configuration
@@ -69,7 +71,12 @@
 	case event.Tick:
 		p.tick(now, out)
 	case event.HostsChanged:
+		p.hubs = e.Hubs
 		p.rankAnew()
+	case event.PeerReceived:
+		if e.Message.Freed != nil {
+			p.hearFreed(now, e.Host, *e.Message.Freed, out)
+		}
 	case event.PeerUp:
 		p.noteProcess(e)
 	case event.ObjectSeen:
@@ -156,6 +163,7 @@
 	p.calls = map[uint64]string{}
 	p.running = map[string]process{}
 	p.registered = map[string]registration{}
+	p.freed = map[string]uint64{}
 }
 
 func (p *Part) configure(now time.Duration, site *config.Site) {
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -33,3 +33,21 @@
 func Of(key string, names []string, name string) int {
 	return slices.Index(Order(key, names), name)
 }
+
+// PassOn returns, sorted, the hosts to which a hub passes on what it has from another host: those of its own zone, and
+// the other hubs when it came from there; none when self is no hub. zoneOf holds the hosts that are heard, with their
+// zones, and self. It may be called concurrently.
+func PassOn(self string, hubs []string, zoneOf map[string]string, from string) []string {
+	if !slices.Contains(hubs, self) {
+		return nil
+	}
+	own := zoneOf[from] == zoneOf[self]
+	var to []string
+	for name, zone := range zoneOf {
+		if name != self && name != from && (zone == zoneOf[self] || own && slices.Contains(hubs, name)) {
+			to = append(to, name)
+		}
+	}
+	slices.Sort(to)
+	return to
+}
--- a/internal/ranks/ranks_test.go
+++ b/internal/ranks/ranks_test.go
@@ -28,3 +28,24 @@
 		t.Errorf("order of those that stay (-want +got):\n%s", diff)
 	}
 }
+
+func TestPassOn(t *testing.T) {
+	zones := map[string]string{"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"}
+	hubs := []string{"a1", "b1"}
+	cases := map[string]struct {
+		self, from string
+		want       []string
+	}{
+		"HubFromItsZone":   {"a1", "a2", []string{"a3", "b1"}},
+		"HubFromAfar":      {"a1", "b1", []string{"a2", "a3"}},
+		"HubFromAStranger": {"a1", "x", []string{"a2", "a3"}},
+		"NoHub":            {"a2", "a1", nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, ranks.PassOn(c.self, hubs, zones, c.from)); diff != "" {
+				t.Errorf("hosts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -11,7 +11,8 @@
 	Reply     *Reply       `msgpack:",omitempty"`
 	Endpoints *EndpointSet `msgpack:",omitempty"`
 
-	News *JobNews `json:",omitempty" msgpack:",omitempty"`
+	News  *JobNews   `json:",omitempty" msgpack:",omitempty"`
+	Freed *DutyFreed `json:",omitempty" msgpack:",omitempty"`
 
 	Probe      *Probe      `msgpack:",omitempty"`
 	ProbeReply *ProbeReply `msgpack:",omitempty"`
@@ -101,6 +102,12 @@
 	GapMS    int `json:",omitempty" msgpack:",omitempty"` // mean time between two events of an item, 0 when not known
 }
 
+// DutyFreed tells the other hosts that a duty was released at an epoch.
+type DutyFreed struct {
+	Duty  string
+	Epoch uint64
+}
+
 // JobNews tells the other hosts who runs a batch job.
 type JobNews struct {
 	Job         string
