--- a/internal/batch/large_test.go
+++ b/internal/batch/large_test.go
@@ -40,6 +40,8 @@
 	r := &rig{t: t, now: time.Second, alive: append([]event.Host{self}, heard...)}
 	r.p = &Part{Self: self, Holders: r, Roster: r}
 	r.step(event.ConfigInForce{Site: testSite()})
+	r.step(event.HostsChanged{Hosts: []event.Host{self}}) // the others are read from the store later
+	r.tick(50 * time.Millisecond)
 	r.step(event.HostsChanged{Hosts: f.hosts, Hubs: f.hubs})
 	r.tick(settle)
 	r.tick(50 * time.Millisecond)
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -153,7 +153,7 @@
 // list holds every job whole.
 func (p *Part) leavesList(now time.Duration) bool {
 	if !p.large {
-		return len(p.hosts) == 0 && now-p.started < settle // the other hosts are not known yet
+		return len(p.hosts) <= 1 && now-p.started < settle // the other hosts are not known yet
 	}
 	if now-p.started < settle {
 		return true
