batch: the longest items of a job go to the faster engines

An item of 158 events took 7.8 s on the one kind and 10.1 s on the other; a step is due after 7.5 s and waits for nearly all its groups. Only engines at 1.8 times the median counted as slow. Change: each engine's pace is kept on average. Shown: TestLongItemsGoToBriskEngines, TestLongItemMovesToABriskEngine.

--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -36,6 +36,7 @@
 	until    time.Duration // no run before
 	gap      time.Duration // time between two events of an item, 0 when not known
 	gapAt    time.Duration // when it was measured
+	pace     time.Duration // gap on average over its life, 0 when not known
 }
 
 // engines holds the endpoints by name and what the other hosts run on them.
@@ -77,7 +78,7 @@
 func (s *engines) others(now time.Duration, host string, runs []wire.EngineRuns) {
 	for _, r := range runs {
 		if e := s.byName[r.Endpoint]; e != nil && r.GapMS > 0 && e.running == 0 {
-			e.gap, e.gapAt = time.Duration(r.GapMS)*time.Millisecond, now
+			e.measured(now, time.Duration(r.GapMS)*time.Millisecond)
 		}
 	}
 	if s.remote == nil {
@@ -108,6 +109,7 @@
 	least   uint64 // oldest version
 	exact   uint64 // the only version, 0 for any
 	notAt   string // only when there is no other
+	long    bool   // it is expected to be one of the longest of its job
 	zone    string
 }
 
@@ -129,11 +131,17 @@
 	if len(fits) == 0 {
 		return nil
 	}
+	brisk := s.briskPace(w.service)
 	return slices.MinFunc(fits, func(a, b *engine) int {
+		byPace := cmp.Compare(a.standing(brisk), b.standing(brisk))
+		if !w.long {
+			byPace = 0
+		}
 		return cmp.Or(
 			first(a.Name != w.notAt, b.Name != w.notAt),
 			first(!s.slow(now, a), !s.slow(now, b)),
 			cmp.Compare(a.failures, b.failures),
+			byPace,
 			cmp.Compare(a.load(busy), b.load(busy)),
 			first(a.Zone == w.zone, b.Zone == w.zone),
 			cmp.Compare(a.rank, b.rank),
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -23,6 +24,7 @@
 type item struct {
 	event.ItemHead
 	index    int
+	long     bool // expected to be one of the longest of the job
 	state    state
 	down     bool
 	attempt  uint64
@@ -78,9 +80,32 @@
 		g.hint = max(g.hint, h.Hint)
 	}
 	j.need()
+	j.markLong()
 	return j
 }
 
+// longShare is the part of a job's items that count as its longest: hints are rough, and the truly longest twelfth lies
+// within the fifth with the greatest hints.
+const longShare = 5
+
+// markLong marks the items with the greatest hints.
+func (j *job) markLong() {
+	var hints []int
+	for _, it := range j.items {
+		if it.Hint > 0 {
+			hints = append(hints, it.Hint)
+		}
+	}
+	if len(hints) == 0 {
+		return
+	}
+	slices.Sort(hints)
+	least := hints[len(hints)-1-len(hints)/longShare]
+	for _, it := range j.items {
+		it.long = it.Hint >= least
+	}
+}
+
 // need marks the groups that the trainer waits for: those that come first, which may be groups of an earlier job that
 // it insists on, and of the others those whose longest item is expected to be the shortest.
 func (j *job) need() {
--- a/internal/batch/pace_test.go
+++ b/internal/batch/pace_test.go
@@ -65,3 +65,69 @@
 		t.Errorf("runs (-want +got):\n%s", diff)
 	}
 }
+
+// twoKinds has engines of two kinds, of which the pace is known; e1 and e2 are the brisk ones.
+func twoKinds(t *testing.T) *rig {
+	t.Helper()
+	r := newRig(t, testEngine("e1", 1), testEngine("e2", 1), testEngine("e3", 1), testEngine("e4", 1))
+	for engine, gap := range map[string]time.Duration{"e1": 50, "e2": 49, "e3": 64, "e4": 65} {
+		r.step(event.EnginePace{Endpoint: engine, Incarnation: "1", Gap: gap * time.Millisecond, Events: 10})
+	}
+	return r
+}
+
+// Answers the pattern: the engines of a service are of two kinds, one a third slower. A step lasts as long as its longest
+// items, which belong on the faster ones.
+func TestLongItemsGoToBriskEngines(t *testing.T) {
+	r := twoKinds(t)
+	const items, long = 16, 4
+	r.submit("j1", testHead(items, 1, func(i int) int {
+		if i < long {
+			return 1000
+		}
+		return 10
+	}))
+	kinds := map[bool]map[string]int{true: {}, false: {}}
+	for _, e := range take[event.RunItem](r) {
+		kinds[e.Item < long][map[string]string{"e1": "brisk", "e2": "brisk", "e3": "sluggish", "e4": "sluggish"}[e.Endpoint]]++
+	}
+	want := map[bool]map[string]int{true: {"brisk": long}, false: {"brisk": 8 - long, "sluggish": 8}}
+	if diff := cmp.Diff(want, kinds); diff != "" {
+		t.Errorf("engines of the long items and the others (-want +got):\n%s", diff)
+	}
+}
+
+// Answers the pattern: a long item began on a slower engine since all others were taken, or before its pace was known.
+func TestLongItemMovesToABriskEngine(t *testing.T) {
+	cases := map[string]struct {
+		hint  func(i int) int
+		gaps  map[string]time.Duration
+		moved int
+	}{
+		"long item":         {func(i int) int { return 1000 - 990*min(i, 1) }, map[string]time.Duration{"e1": 64, "e2": 50, "e3": 50}, 1},
+		"no hints":          {none, map[string]time.Duration{"e1": 64, "e2": 50, "e3": 50}, 0},
+		"engines are alike": {func(i int) int { return 1000 - 990*min(i, 1) }, map[string]time.Duration{"e1": 53, "e2": 50, "e3": 50}, 0},
+		"no brisk one":      {func(i int) int { return 1000 - 990*min(i, 1) }, map[string]time.Duration{"e1": 64, "e2": 64, "e3": 64}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			r.submit("j1", testHead(4, 1, c.hint))
+			r.step(event.EndpointsListed{List: wire.EndpointList{Revision: 2, Endpoints: []wire.Endpoint{
+				testEngine("e1", 1), testEngine("e2", 1), testEngine("e3", 1),
+			}}})
+			for _, engine := range []string{"e2", "e3", "e1"} {
+				r.step(event.EnginePace{Endpoint: engine, Incarnation: "1", Gap: c.gaps[engine] * time.Millisecond, Events: 10})
+			}
+			stops := take[event.StopItem](r)
+			if len(stops) != c.moved {
+				t.Fatalf("%d items moved, want %d", len(stops), c.moved)
+			}
+			for _, s := range stops {
+				if s.Item != 0 {
+					t.Errorf("item %d moved, want the long one", s.Item)
+				}
+			}
+		})
+	}
+}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -78,6 +78,7 @@
 		model:   w.job.head.Model,
 		least:   w.job.head.MinVersion,
 		notAt:   it.notAt,
+		long:    it.long,
 		zone:    p.Self.Zone,
 	}
 	if w.job.head.Single && it.events > 0 && len(it.versions) > 0 {
