--- a/internal/apply/wait.go
+++ b/internal/apply/wait.go
@@ -13,7 +13,7 @@
 )
 
 // HostsPrefix is the prefix of the objects that tell of one host each.
-const HostsPrefix = "Hosts/"
+const HostsPrefix = wire.PrefixHosts
 
 // pollEvery is the interval at which hosts are asked for their revisions.
 const pollEvery = 200 * time.Millisecond
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/ranks"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 const (
@@ -165,7 +166,7 @@
 		}
 	}
 	if slices.Contains(p.hubs, p.Self.Name) {
-		return ranks.Of(drainOwner, hubs, p.Self.Name) >= listers
+		return ranks.Of(wire.PrefixJobs, hubs, p.Self.Name) >= listers
 	}
 	return len(hubs) > 1 || now-p.started < hubsWithin
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -14,9 +14,6 @@
 // Prefix is the prefix of the objects that hold Record values as JSON.
 const Prefix = "Duty/"
 
-// hostsPrefix is the prefix of the objects by which hosts register themselves.
-const hostsPrefix = "Hosts/"
-
 const (
 	owner      = "lease"
 	candidates = 3 // hosts that compete for one duty
--- a/internal/lease/replaced.go
+++ b/internal/lease/replaced.go
@@ -24,7 +24,7 @@
 
 // noteRegistration remembers which process a host's object names. In a large fleet few hosts hear the holder's.
 func (p *Part) noteRegistration(object wire.Object) {
-	name, ok := strings.CutPrefix(object.Name, hostsPrefix)
+	name, ok := strings.CutPrefix(object.Name, wire.PrefixHosts)
 	var host event.Host
 	if !ok || object.Deleted || json.Unmarshal(object.Value, &host) != nil {
 		return
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -14,7 +14,7 @@
 )
 
 // Prefix is the prefix of the objects that hold event.Host values as JSON.
-const Prefix = "Hosts/"
+const Prefix = wire.PrefixHosts
 
 // Contributor adds its fields to each beat. Contribute is called within a step, in the order of the list, and once
 // for each beat, so that it may add what is new since the last one.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -20,7 +20,7 @@
 	PrefixConfig    = "Config/"
 	PrefixEndpoints = "Endpoints/"
 	PrefixVersions  = "Versions/"
-	PrefixHosts     = "Hosts/"
+	PrefixHosts     = wire.PrefixHosts
 )
 
 const (
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -68,6 +68,9 @@
 	Items        []string // ids of the results' items
 }
 
+// PrefixHosts is the prefix of the objects by which hosts register themselves.
+const PrefixHosts = "Hosts/"
+
 // The prefixes of the objects that hold batch jobs.
 const (
 	PrefixJobs   = "Lots/"
