relay, member, usage: calls to the store are timed, and what comes back is told

Change: StoreCallTime by call and outcome; HostBack, UsageReportFailed, UsageReportTaken. No decision changes. Shown: TestCallsAreObserved, TestHostLost, TestLostPlatformIsLogged.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -26,6 +27,7 @@
 	"github.com/figshift/figshift/internal/flow"
 	"github.com/figshift/figshift/internal/items"
 	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/lease"
 	"github.com/figshift/figshift/internal/logs"
 	"github.com/figshift/figshift/internal/loop"
@@ -209,7 +211,7 @@
 	d.addPart(d.leases)
 	d.between = conns.Transport(endpointDial, idleConns, idleConnsFor)
 	d.book = &relay.Book{Port: d.settings.Ports[pagePort]}
-	d.relayed = &relay.Store{Own: d.store, Book: d.book, Secret: hex.EncodeToString(d.secret), HTTP: d.between, Log: d.log}
+	d.relayed = &relay.Store{Own: d.store, Book: d.book, Secret: hex.EncodeToString(d.secret), HTTP: d.between, Log: d.log, Observe: d.observeCall}
 	d.addExecutor(d.book)
 	objects := &objapi.Executor{Client: d.relayed, Post: d.loop.Post, Now: d.loop.Now, Scope: d.metrics(), Timeout: storeTimeout, ReadTimeout: storeRead}
 	objects.Prepare()
@@ -221,6 +223,12 @@
 	d.addActor(mesh.Run)
 }
 
+// observeCall adds a call to the store to its histogram.
+func (d *onPlatform) observeCall(call string, kind kinds.Kind, took time.Duration) {
+	tags := []event.Field{{Key: "Call", Value: call}, {Key: "Result", Value: cmp.Or(string(kind), "OK")}}
+	(&stats.Executor{Scope: d.metrics()}).Do(event.Observe{Name: "StoreCallTime", Tags: tags, Took: took})
+}
+
 // holds answers event.Trust from the two parts that know.
 type holds struct {
 	*view.Part
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -82,6 +83,11 @@
 		return
 	}
 	changed := q.beat.Picked != beat.Picked
+	if q.lost {
+		out.Emit(event.Log{Level: "info", Event: "HostBack", Fields: []event.Field{
+			{Key: "Host", Value: q.host.Name}, {Key: "SilentMS", Value: strconv.FormatInt((now - q.heardAt).Milliseconds(), 10)},
+		}})
+	}
 	q.seq = beat.Seq
 	q.heardAt = now
 	q.beat = beat
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -183,6 +183,16 @@
 	if diff := cmp.Diff([]string{"h0", "h1"}, alive); diff != "" {
 		t.Errorf("alive hosts (-want +got):\n%s", diff)
 	}
+	var back []event.Effect
+	for seq := uint64(2); seq < 4; seq++ {
+		var heard event.Batch
+		p.receiveBeat(4*time.Second, p.peers["h2"], wire.Beat{Seq: seq}, &heard)
+		back = append(back, heard.Effects...)
+	}
+	want := event.Log{Level: "info", Event: "HostBack", Fields: []event.Field{{Key: "Host", Value: "h2"}, {Key: "SilentMS", Value: "4000"}}}
+	if diff := cmp.Diff([]event.Effect{want}, back); diff != "" {
+		t.Errorf("lines when it is heard again (-want +got):\n%s", diff)
+	}
 }
 
 // newsContributor counts how often it was asked.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -167,3 +167,19 @@
 		t.Errorf("Address() = %q", got)
 	}
 }
+
+func TestCallsAreObserved(t *testing.T) {
+	seen := map[string]int{}
+	s := hosts(t, &stub{kind: kinds.NotFound})
+	s.Observe = func(call string, kind kinds.Kind, took time.Duration) {
+		if took <= 0 {
+			t.Errorf("call %s took %s", call, took)
+		}
+		seen[call+" "+string(kind)]++
+	}
+	_, _ = s.Get(context.Background(), "a")
+	_, _ = s.List(context.Background(), "b")
+	if diff := cmp.Diff(map[string]int{"Get NotFound": 1, "List NotFound": 1}, seen); diff != "" {
+		t.Errorf("calls observed (-want +got):\n%s", diff)
+	}
+}
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -66,6 +66,8 @@
 	Secret string
 	HTTP   http.RoundTripper
 	Log    *zap.Logger
+	// Observe is called with the name, outcome and time of each call, nil for none.
+	Observe func(call string, kind kinds.Kind, took time.Duration)
 
 	mu     sync.Mutex
 	away   bool      // the own way failed last
@@ -108,9 +110,19 @@
 	return s.Own.Endpoints(ctx)
 }
 
-// do makes a call by the own way while that works. A write whose outcome is not known is not repeated here: its caller
-// reads before it goes on.
+// do makes a call and tells how it went.
 func (s *Store) do(ctx context.Context, c call) (answer, error) {
+	began := time.Now()
+	a, err := s.carryOut(ctx, c)
+	if s.Observe != nil {
+		s.Observe(c.Op, kinds.From(err), time.Since(began))
+	}
+	return a, err
+}
+
+// carryOut makes a call by the own way while that works. A write whose outcome is not known is not repeated here: its caller
+// reads before it goes on.
+func (s *Store) carryOut(ctx context.Context, c call) (answer, error) {
 	if s.takesOwn() {
 		a, err := perform(ctx, s.Own, c)
 		kind := kinds.From(err)
--- a/internal/usage/parts_test.go
+++ b/internal/usage/parts_test.go
@@ -227,3 +227,20 @@
 		t.Error("a replaced incarnation is kept")
 	}
 }
+
+func TestLostPlatformIsLogged(t *testing.T) {
+	w := newWorld(t)
+	w.run(12500 * time.Millisecond)
+	w.answer(kinds.OutcomeUnknown)
+	w.run(4 * time.Second)
+	w.answer("")
+	var got []string
+	for _, name := range w.logs {
+		if name == "UsageReportFailed" || name == "UsageReportTaken" {
+			got = append(got, name)
+		}
+	}
+	if diff := cmp.Diff([]string{"UsageReportFailed", "UsageReportTaken"}, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -61,8 +61,18 @@
 	if e.Kind != "" {
 		out.Emit(event.Count{Name: "UsageReportRetried", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
 		t.report.retryAt = now + min(firstRetry<<min(t.report.tries, 10), lastRetry)
+		out.Emit(event.Log{Level: "warn", Event: "UsageReportFailed", Fields: []event.Field{
+			{Key: "ReportID", Value: e.ReportID},
+			{Key: "Kind", Value: string(e.Kind)},
+			{Key: "RetryMS", Value: strconv.FormatInt((t.report.retryAt - now).Milliseconds(), 10)},
+		}})
 		return
 	}
+	if t.report.tries > 1 {
+		out.Emit(event.Log{Level: "info", Event: "UsageReportTaken", Fields: []event.Field{
+			{Key: "ReportID", Value: e.ReportID}, {Key: "Tries", Value: strconv.Itoa(t.report.tries)},
+		}})
+	}
 	t.report.tries = 0
 	t.report.retryAt = now
 	t.ledger.Confirm(e.ReportID)
