view: what goes while the store turns a host away is gone there at once

Ruled out: slow pushes. Change: whether the store had just returned is told by the host that read the change; a host that follows a prefix no more forgets its failures there; a lapsed entry is kept for 1.7 s after the return, in place of 2 s, which is the time after which nothing may be sent. Shown, failed before: TestEntryGoesWhileTheStoreTurnsThisHostAway, TestFailureIsForgottenWithTheWatch.

--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -11,8 +11,8 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// apply puts changed objects into force.
-func (p *Part) apply(now time.Duration, f *feed, changed []wire.Object, out *event.Batch) {
+// apply puts changed objects into force. returned says that the store had just returned where they were read.
+func (p *Part) apply(now time.Duration, f *feed, changed []wire.Object, returned bool, out *event.Batch) {
 	if len(changed) == 0 {
 		return
 	}
@@ -22,7 +22,7 @@
 			p.takeSite(o, out)
 		}
 	case PrefixEndpoints:
-		p.takeEndpoints(now, f, changed, out)
+		p.takeEndpoints(now, f, changed, returned, out)
 	case PrefixVersions:
 		for _, o := range changed {
 			p.takeVersion(o, out)
@@ -75,8 +75,9 @@
 }
 
 // takeEndpoints raises the list of endpoints. An entry that went while the store was away is kept for a while, since
-// its endpoint may only have been unable to renew it.
-func (p *Part) takeEndpoints(now time.Duration, f *feed, changed []wire.Object, out *event.Batch) {
+// its endpoint may only have been unable to renew it. Whether it was away is known where the change was read: a host that
+// the store turns away hears of changes from others.
+func (p *Part) takeEndpoints(now time.Duration, f *feed, changed []wire.Object, returned bool, out *event.Batch) {
 	for _, o := range changed {
 		name := strings.TrimPrefix(o.Name, PrefixEndpoints)
 		if !o.Deleted {
@@ -84,13 +85,12 @@
 			continue
 		}
 		gone, err := p.Decode.Endpoint(name, o.Value)
-		late := p.away() || p.justReturned(now)
-		if late && err == nil && gone.State == wire.Live {
+		if returned && err == nil && gone.State == wire.Live {
 			p.lapsed[name] = lapse{endpoint: gone, since: now}
 		}
 		out.Emit(event.Log{Level: "info", Event: "EndpointGone", Fields: []event.Field{
 			{Key: "Endpoint", Value: name},
-			{Key: "Kept", Value: strconv.FormatBool(late)},
+			{Key: "Kept", Value: strconv.FormatBool(returned)},
 			{Key: "Revision", Value: strconv.FormatUint(o.Revision, 10)},
 		}})
 	}
--- a/internal/view/feed.go
+++ b/internal/view/feed.go
@@ -136,7 +136,7 @@
 		f.busy, f.seq = false, 0 // the watch is silent: its answer is not waited for
 	}
 	p.push(now, f, changed, out)
-	p.apply(now, f, changed, out)
+	p.apply(now, f, changed, p.justReturned(now), out)
 }
 
 // contact notes an answer of the store.
@@ -179,7 +179,7 @@
 	}
 	f.listed = true
 	f.position = max(f.position, list.Revision)
-	p.apply(now, f, changed, out)
+	p.apply(now, f, changed, p.justReturned(now), out)
 }
 
 // takeAll takes the newer ones of objects and returns them; a deleted one carries its last value.
--- a/internal/view/fleet_test.go
+++ b/internal/view/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
+	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/member"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -134,3 +135,43 @@
 		}
 	}
 }
+
+// Answers the pattern: the store turns some hosts away and serves the others. An endpoint that leaves meanwhile is gone
+// for all of them at once: those whose calls fail have it from a host whose calls do not.
+func TestEntryGoesWhileTheStoreTurnsThisHostAway(t *testing.T) {
+	r := newRig(t, "h1", "h2")
+	r.answer(PrefixEndpoints, "", list(5, object("Endpoints/e1", 3, "Live"), object("Endpoints/e2", 4, "Live")))
+	for range 20 {
+		r.tick(50 * time.Millisecond)
+		r.answer(PrefixEndpoints, kinds.StoreRefused, wire.ObjectList{})
+	}
+	push := wire.Push{Prefix: PrefixEndpoints, Revision: 7, Objects: []wire.Object{{Name: "Endpoints/e2", Revision: 7, Deleted: true}}}
+	r.step(event.PeerReceived{Host: "h2", Message: wire.Message{Push: &push}})
+	if diff := cmp.Diff([]string{"e1"}, r.endpoints()); diff != "" {
+		t.Errorf("endpoints (-want +got):\n%s", diff)
+	}
+}
+
+// Answers the pattern: a host's calls failed while it watched; others watch now, so that it makes no more calls. It must
+// not take the store for away for ever, and keep what has gone.
+func TestFailureIsForgottenWithTheWatch(t *testing.T) {
+	r := newRig(t, "h1", "h2", "h3", "h4", "h5")
+	for _, prefix := range []string{PrefixConfig, PrefixEndpoints, PrefixVersions, PrefixHosts} {
+		r.answer(prefix, "", list(5, object("Endpoints/e1", 3, "Live"), object("Endpoints/e2", 4, "Live")))
+	}
+	for _, f := range r.p.feeds {
+		f.failures, f.busy = 1, false
+	}
+	for i := range 40 { // so many that this host follows nothing
+		r.step(event.BeatSeen{Host: fmt.Sprintf("more%d", i)})
+	}
+	r.tick(50 * time.Millisecond)
+	for _, f := range r.p.feeds {
+		if r.p.rank(f) < checkers {
+			t.Fatalf("this host follows %s still", f.prefix)
+		}
+	}
+	if r.p.away() {
+		t.Error("the store counts as away at a host that makes no calls")
+	}
+}
--- a/internal/view/peers.go
+++ b/internal/view/peers.go
@@ -35,11 +35,11 @@
 	if p.large() && !p.isHub() {
 		return
 	}
-	p.pushTo(now, slices.Sorted(maps.Keys(p.heard)), f, changed, out)
+	p.pushTo(slices.Sorted(maps.Keys(p.heard)), f, changed, p.justReturned(now), out)
 }
 
 // passOn sends what another hub told to the hosts of the own zone, which do not hear that hub.
-func (p *Part) passOn(now time.Duration, from string, f *feed, changed []wire.Object, out *event.Batch) {
+func (p *Part) passOn(from string, f *feed, changed []wire.Object, returned bool, out *event.Batch) {
 	if !p.isHub() {
 		return
 	}
@@ -49,14 +49,14 @@
 			zone = append(zone, host)
 		}
 	}
-	p.pushTo(now, zone, f, changed, out)
+	p.pushTo(zone, f, changed, returned, out)
 }
 
-func (p *Part) pushTo(now time.Duration, hosts []string, f *feed, changed []wire.Object, out *event.Batch) {
+func (p *Part) pushTo(hosts []string, f *feed, changed []wire.Object, returned bool, out *event.Batch) {
 	if len(changed) == 0 {
 		return
 	}
-	push := wire.Push{Prefix: f.prefix, Revision: f.newest, Returned: p.justReturned(now)}
+	push := wire.Push{Prefix: f.prefix, Revision: f.newest, Returned: returned}
 	for _, o := range changed {
 		if o.Deleted {
 			o.Value = nil
@@ -71,14 +71,14 @@
 func (p *Part) receive(now time.Duration, e event.PeerReceived, out *event.Batch) {
 	switch {
 	case e.Message.Pull != nil:
-		p.answerPull(e.Host, *e.Message.Pull, out)
+		p.answerPull(now, e.Host, *e.Message.Pull, out)
 	case e.Message.Push != nil:
 		p.takePush(now, e.Host, *e.Message.Push, out)
 	}
 }
 
 // answerPull sends the objects that changed after a revision, removals among them.
-func (p *Part) answerPull(to string, pull wire.Pull, out *event.Batch) {
+func (p *Part) answerPull(now time.Duration, to string, pull wire.Pull, out *event.Batch) {
 	if len(pull.After) != len(pull.Prefixes) {
 		return
 	}
@@ -87,7 +87,7 @@
 		if f == nil {
 			continue
 		}
-		push := wire.Push{Prefix: prefix, After: pull.After[i], Revision: f.newest}
+		push := wire.Push{Prefix: prefix, After: pull.After[i], Revision: f.newest, Returned: p.justReturned(now)}
 		for _, o := range f.sorted() {
 			if o.Revision > push.After {
 				push.Objects = append(push.Objects, o)
@@ -112,6 +112,6 @@
 		p.returned = now
 	}
 	changed := f.takeAll(push.Objects)
-	p.passOn(now, from, f, changed, out)
-	p.apply(now, f, changed, out)
+	p.passOn(from, f, changed, push.Returned, out)
+	p.apply(now, f, changed, push.Returned, out)
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -39,8 +39,9 @@
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = time.Second
 	pullEvery  = 300 * time.Millisecond
-	// lapseGrace is the time after the store's return in which an endpoint's lapsed entry comes back.
-	lapseGrace = 2 * time.Second
+	// lapseGrace is the time after the store's return for which an endpoint whose entry has lapsed gets work: entries come
+	// back within about 2 s, and one that is gone must not be sent anything 2 s after its end.
+	lapseGrace = 1700 * time.Millisecond
 	// awayAfter is the time without an answer after which the store counts as away.
 	awayAfter = 1500 * time.Millisecond
 )
@@ -130,6 +131,9 @@
 	for _, f := range p.feeds {
 		p.call(now, f, out)
 		p.check(now, f, out)
+		if f.listed && !p.follows(f) {
+			f.failures = 0 // nothing is asked any more that could end them
+		}
 	}
 	p.dropLapsed(now, out)
 	p.report(out)
@@ -156,6 +160,12 @@
 	return p.rank(f) < watchers
 }
 
+// follows reports whether this host reads a prefix by itself, by watches or now and then.
+func (p *Part) follows(f *feed) bool {
+	rank := p.rank(f)
+	return rank < watchers || f.checked && rank < checkers
+}
+
 // never is the rank of a host that leaves a prefix to others.
 const never = math.MaxInt
 
