--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -58,7 +58,7 @@
 	sluggish
 )
 
-// standing returns the engine's speed by the pace of the brisk ones, 0 when that is not known.
+// standing compares the engine with the pace of the brisk ones, which is 0 while it is not known.
 func (e *engine) standing(pace time.Duration) standing {
 	switch {
 	case e.pace == 0 || pace == 0:
