proc: the first fork of package os comes before the first address

In 150 runs in processes of their own it failed 20 times or more (the first 20 lines were read), at the first addresses (0, 1 or 3): at its first use package os forks once without syscall.ForkLock, to see whether the kernel has pidfds. Change: that happens before the first address is tried.

--- a/figbed/internal/proc/ports.go
+++ b/figbed/internal/proc/ports.go
@@ -29,6 +29,7 @@
 	span := lastPort - firstPort
 	if ports.next == 0 {
 		ports.next = os.Getpid() * portStep % span
+		forkProbe()
 	}
 	for range span {
 		ports.next = (ports.next + 1) % span
@@ -41,6 +42,14 @@
 	return ""
 }
 
+// forkProbe has package os find out now what the kernel can do with processes: it forks once for that, without the lock
+// that free holds.
+func forkProbe() {
+	if p, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = p.Release()
+	}
+}
+
 // free reports whether the address can be bound. No process is forked meanwhile: a child would hold the socket from its
 // fork to its exec, and the address would still be in use after the close.
 func free(address string) bool {
--- a/figbed/internal/proc/ports_test.go
+++ b/figbed/internal/proc/ports_test.go
@@ -29,11 +29,11 @@
 		})
 	}
 	start := time.Now()
-	for range addresses {
+	for n := range addresses {
 		address := proc.Address(t, "127.0.0.1")
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Errorf("%s is not free: %v", address, err)
+			t.Errorf("%d: %s is not free: %v", n, address, err)
 			continue
 		}
 		_ = listener.Close()
