flow, lease, batch: the last line's status, duties gained, gaps in ms

Cause: three lines told less than an operator needs. RequestDone did not tell the endpoint's status, so that a request that four endpoints answered 500 read like a success (OPERATIONS.md said "the fourth answered"); duties gained were logged but not counted; GapMS of ItemMoved held "109.516106ms". Change: RequestDone and RequestFailed carry Status, the counter DutiesGained stands beside DutiesLost, GapMS is a number of milliseconds. Failed first: TestLastLineTellsTheStatus, TestDutyChangesAreCounted, TestItemsLeaveASlowEngine (GapMS).

--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -141,7 +142,7 @@
 		moved++
 		w.item.notAt = g.Name
 		p.log(w.job, w.item, "ItemMoved", out, event.Field{Key: "Endpoint", Value: g.Name},
-			event.Field{Key: "GapMS", Value: g.gap.String()})
+			event.Field{Key: "GapMS", Value: strconv.FormatInt(g.gap.Milliseconds(), 10)})
 		out.Emit(event.Count{Name: "ItemsMoved", N: 1})
 		p.stopItem(w.job, w.item, out)
 	}
--- a/internal/batch/pace_test.go
+++ b/internal/batch/pace_test.go
@@ -44,6 +44,9 @@
 			if len(moved) == 0 {
 				return
 			}
+			if diff := cmp.Diff([]string{"140"}, gapsTold(r)); diff != "" {
+				t.Errorf("GapMS of the lines (-want +got):\n%s", diff)
+			}
 			stop := take[event.StopItem](r)[0]
 			r.effects = nil
 			r.step(event.ItemEnded{Job: "j1", Item: stop.Item, Attempt: stop.Attempt, Reason: event.ReasonStopped, Events: 9, Versions: []uint64{1}})
@@ -55,6 +58,19 @@
 	}
 }
 
+// gapsTold returns the gaps that the lines of moved items tell.
+func gapsTold(r *rig) []string {
+	var gaps []string
+	for _, line := range take[event.Log](r) {
+		for _, f := range line.Fields {
+			if line.Event == "ItemMoved" && f.Key == "GapMS" {
+				gaps = append(gaps, f.Value)
+			}
+		}
+	}
+	return gaps
+}
+
 // A host without items on an engine goes by what the others tell.
 func TestPaceOfOtherHosts(t *testing.T) {
 	r := newRig(t, testEngine("e1", 1), testEngine("e2", 1))
--- a/internal/flow/line.go
+++ b/internal/flow/line.go
@@ -32,7 +32,7 @@
 	_, waits := p.Queue.Len(r.organisation)
 	p.line(now, r, name, out, event.Field{Key: "Kind", Value: string(kind)}, event.Field{Key: "Route", Value: r.route.Name},
 		event.Field{Key: "Organisation", Value: r.organisation}, event.Field{Key: "Endpoint", Value: r.endpoint},
-		event.Field{Key: "Tries", Value: strconv.Itoa(r.tries)}, event.Field{Key: "Waiting", Value: strconv.Itoa(waits)},
+		event.Field{Key: "Status", Value: strconv.Itoa(r.status)}, event.Field{Key: "Tries", Value: strconv.Itoa(r.tries)}, event.Field{Key: "Waiting", Value: strconv.Itoa(waits)},
 		event.Field{Key: "Config", Value: config})
 }
 
--- /dev/null
+++ b/internal/flow/line_test.go
@@ -0,0 +1,49 @@
+package flow
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+)
+
+// Answers the pattern: an endpoint's own failure is passed on to the caller. The request's last line tells its status.
+func TestLastLineTellsTheStatus(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		run    kinds.Run
+		reason string
+		event  string
+		want   string
+	}{
+		"answered":           {200, kinds.Ran, "", "RequestDone", "200"},
+		"failure, passed on": {500, kinds.Ran, "", "RequestDone", "500"},
+		"no answer":          {0, kinds.Unknown, event.ReasonBroken, "RequestFailed", "0"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newRig()
+			g.part.Lines = true
+			a := arrival(1, "Ledger", "/order")
+			a.ID = "r1"
+			d := done(g.run(t, a), c.run, c.reason)
+			d.Status = c.status
+			var got []string
+			for _, line := range pick[event.Log](g.step(d)) {
+				if line.Event != c.event {
+					continue
+				}
+				for _, f := range line.Fields {
+					if f.Key == "Status" {
+						got = append(got, f.Value)
+					}
+				}
+			}
+			if diff := cmp.Diff([]string{c.want}, got); diff != "" {
+				t.Errorf("statuses (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -52,6 +52,7 @@
 	cached   int
 	made     int
 	hasUsage bool
+	status   int // of the last answer of an endpoint, 0 without one
 }
 
 func (r *request) id() uint64 { return r.arrived.Request }
@@ -73,6 +74,7 @@
 	r.cached = max(r.cached, e.CachedTokens)
 	r.made += e.GeneratedTokens
 	r.hasUsage = r.hasUsage || e.HasUsage
+	r.status = e.Status
 }
 
 func (r *request) addVersion(v event.VersionRun) {
--- a/internal/lease/keep.go
+++ b/internal/lease/keep.go
@@ -48,6 +48,7 @@
 	if d.phase == waiting && now >= d.gainAt {
 		d.phase = holding
 		out.Raise(event.DutyGained{Duty: d.name, Epoch: d.record.Epoch, Ledger: d.record.Ledger})
+		out.Emit(event.Count{Name: "DutiesGained", N: 1})
 		p.log("DutyGained", d, "", out)
 	}
 	if d.busy || now < d.next {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -128,3 +129,29 @@
 		})
 	}
 }
+
+// Answers the pattern: the holder of a duty freezes, again and again. What each host gained is counted.
+func TestDutyChangesAreCounted(t *testing.T) {
+	w := newWorld(1, 0, []time.Duration{time.Hour, time.Second, time.Minute})
+	for round := range 1200 {
+		w.advance(round)
+		if round%200 != 199 {
+			continue
+		}
+		for _, h := range w.hosts {
+			if slices.Contains(w.holders(), h.part.Self.Name) {
+				h.frozen = w.now + 15*time.Second
+			}
+		}
+	}
+	gained := 0
+	for _, h := range w.hosts {
+		gained += len(h.gained)
+		if diff := cmp.Diff(len(h.gained), h.counted["DutiesGained"]); diff != "" {
+			t.Errorf("duties gained by %s (-want +got):\n%s", h.part.Self.Name, diff)
+		}
+	}
+	if gained < 3 {
+		t.Errorf("the duty was gained %d times, want 3 or more", gained)
+	}
+}
--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -54,6 +54,8 @@
 	world  *world
 	gained []uint64
 	ledger uint64 // last written here
+
+	counted map[string]int // by name of the counter
 }
 
 func (h *testHost) clock() time.Duration { return h.world.now + h.offset }
@@ -99,6 +101,10 @@
 			queue = append(queue, h.decide(raised)...)
 		}
 		for _, effect := range out.Effects {
+			if count, ok := effect.(event.Count); ok {
+				h.counted[count.Name] += int(count.N)
+				continue
+			}
 			h.world.call(h, effect)
 		}
 	}
@@ -244,7 +250,7 @@
 func newWorld(seed int64, faulty float64, offsets []time.Duration) *world {
 	w := &world{random: rand.New(rand.NewSource(seed)), faulty: faulty}
 	for i, offset := range offsets {
-		h := &testHost{world: w, offset: offset, heard: map[string]time.Duration{}, claims: map[string]uint64{}}
+		h := &testHost{world: w, offset: offset, heard: map[string]time.Duration{}, claims: map[string]uint64{}, counted: map[string]int{}}
 		h.part = &Part{Self: event.Host{Name: fmt.Sprintf("h%d", i), Incarnation: "i"}, Roster: h}
 		w.hosts = append(w.hosts, h)
 	}
