platform: optional Bind and Deployment

Cause: a host could only listen at the address under which the others reach it, and the hosts' shared secret came from the addresses of store and cloud. So neither an address translation nor a proxy for each host was possible. Change: [Host] Bind is the IP of the internal listeners, Deployment tells the deployments apart; both default to what was. A build with the tag skew reads an offset of the time of day from a file, for fault tests. Failed first: TestTemplateHasEveryKey with the two keys.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -128,7 +128,7 @@
 	d.process = config.Process{Host: settings.Host, Zone: settings.Zone, BalancerDelay: balancerDelay, LogLevel: settings.LogLevel}
 	d.loop = &loop.Loop{State: d.state, TickEvery: tickEvery, IdleEvery: idleEvery, QueueSize: eventQueueSize}
 	d.loop.Prepare()
-	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.own(peerPort), Incarnation: id.incarnation, Power: int(settings.Cores * 100)}
+	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.advertised(peerPort), Incarnation: id.incarnation, Power: int(settings.Cores * 100)}
 	d.secret = deploymentID(settings)
 	transport := conns.Transport(endpointDial, idleConns, idleConnsFor)
 	d.store = &platform.Store{Address: settings.Store, HTTP: &http.Client{Transport: transport}}
@@ -147,14 +147,19 @@
 	return d
 }
 
+// advertised returns the address at which the other hosts reach one of this host's listeners.
+func (d *onPlatform) advertised(port int) string {
+	return net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.Ports[port]))
+}
+
 // own returns the address of one of this host's own listeners.
 func (d *onPlatform) own(port int) string {
-	return net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.Ports[port]))
+	return net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.Ports[port]))
 }
 
 // deploymentID keeps hosts of different deployments apart. The platform gives its processes no secret.
 func deploymentID(s platform.Settings) []byte {
-	sum := sha256.Sum256([]byte(s.Store + "\x00" + s.Cloud))
+	sum := sha256.Sum256([]byte(s.Deployment))
 	return sum[:]
 }
 
@@ -181,7 +186,7 @@
 	d.addActor(exit.run)
 	d.addActor(d.watchSignals)
 	d.addActor((&reload{file: d.file, settings: d.settings, logs: d.logs, log: d.log}).run)
-	d.addActor(d.listen(net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.MetricsPort)), metrics))
+	d.addActor(d.listen(net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.MetricsPort)), metrics))
 	d.addPart(&drain.Part{Bound: d.settings.Grace, Within: d.settings.Grace - stopMargin})
 	d.log.Info("Started")
 }
@@ -217,7 +222,7 @@
 	objects.Prepare()
 	d.addExecutor(objects)
 	d.addActor(objects.Run)
-	mesh := &peer.Mesh{Self: d.self, Secret: d.secret, Listen: d.self.Address, Post: d.loop.Post, Scope: d.metrics(), Log: d.logger()}
+	mesh := &peer.Mesh{Self: d.self, Secret: d.secret, Listen: d.own(peerPort), Post: d.loop.Post, Scope: d.metrics(), Log: d.logger()}
 	mesh.Prepare()
 	d.addExecutor(mesh)
 	d.addActor(mesh.Run)
--- a/figd/usage.go
+++ b/figd/usage.go
@@ -34,7 +34,7 @@
 	tick := time.NewTicker(clockEvery)
 	defer tick.Stop()
 	for {
-		d.loop.Post(event.ClockRead{Unix: time.Duration(time.Now().UnixNano())})
+		d.loop.Post(event.ClockRead{Unix: time.Duration(timeOfDay().UnixNano())})
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
