estate, proc: unsafe calls, late and slow answers, what runs made

Cause: the stand-in lacked what a fault soak needs. Change: a route whose requests may run once at most, writes that take effect late, slow calls, fences of usage reports, times and versions of runs, servers behind a proxy. The demo's console is proc.Console, which no longer takes a panic of another kind for the demo's end.

--- a/figbed/internal/demo/demo.go
+++ b/figbed/internal/demo/demo.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/figshift/figshift/figbed/internal/loadr"
 	"github.com/figshift/figshift/figbed/internal/proc"
 	"github.com/figshift/figshift/figbed/internal/trnr"
@@ -46,31 +44,25 @@
 	Folder string // with the programs
 	Out    io.Writer
 
-	console *console
+	console *proc.Console
 	cluster *proc.Cluster
 	load    loadr.Report
 	trained trnr.Summary
 }
 
 // Run carries out the demo and returns an error when anything of it was untrue.
-func (d *Demo) Run() (err error) {
-	d.console = &console{out: d.Out, start: time.Now()}
-	defer d.console.finish()
-	defer func() {
-		if f, ok := recover().(fatal); ok {
-			err = errors.New(f.reason)
-		}
-	}()
+func (d *Demo) Run() error {
+	d.console = &proc.Console{Out: d.Out}
 	proc.UseFolder(d.Folder)
-	d.startSite()
-	d.serve()
-	d.withdrawKey()
-	d.summary()
-	if d.console.Failed() {
-		return errors.Errorf("%d statements were untrue", len(d.console.problems))
-	}
-	d.console.Logf("everything above was checked and is true")
-	return nil
+	return d.console.Run(func() {
+		d.startSite()
+		d.serve()
+		d.withdrawKey()
+		d.summary()
+		if !d.console.Failed() {
+			d.console.Logf("everything above was checked and is true")
+		}
+	})
 }
 
 func (d *Demo) startSite() {
--- a/figbed/internal/estate/estate.go
+++ b/figbed/internal/estate/estate.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
+	"time"
 )
 
 // Names of the estate's configuration.
@@ -17,6 +19,7 @@
 	Lookup   = "/lookup/"
 	Rollouts = "/rollout/"
 	Scores   = "/score/"
+	Writes   = "/write/" // may run once at most
 	Model    = "model-a"
 	Key      = "key-of-north"
 	Tenant   = "north"
@@ -27,7 +30,8 @@
 	Window uint64         `json:"window"`
 	Counts map[string]int `json:"counts"`
 	Holder string         `json:"-"`
-	Fence  string         `json:"-"`
+	Fence  uint64         `json:"-"`
+	At     time.Time      `json:"-"`
 }
 
 // Estate is a platform with its servers. Its exported fields are set before Start.
@@ -36,6 +40,11 @@
 	Servers []*Server
 	Port    int // the first of a range of ports that are free on each host's address
 
+	// StoreOf returns where a host reaches the platform, and Bind the IP of its internal listeners; when nil, that is the
+	// platform's address and IP.
+	StoreOf func(host int) string
+	Bind    func(host int) string
+
 	address string
 	stops   []func()
 	mu      sync.Mutex
@@ -84,7 +93,7 @@
 	e.Store.Put("config", "main", map[string]any{
 		"version": version,
 		"routes": []any{
-			route("lookup", Lookup, "safe", "plain", false), route("score", Scores, "safe", "plain", true),
+			route("lookup", Lookup, "safe", "plain", false), route("write", Writes, "unsafe", "plain", false), route("score", Scores, "safe", "plain", true),
 			route("rollout", Rollouts, "rollout", "engines", false),
 		},
 		"services": []any{
@@ -114,13 +123,25 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	report.Holder, report.Fence = r.Header.Get("Figshift-Duty-Holder"), r.Header.Get("Figshift-Fence-Token")
+	fence, err := strconv.ParseUint(r.Header.Get("Figshift-Fence-Token"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	report.Holder, report.Fence, report.At = r.Header.Get("Figshift-Duty-Holder"), fence, time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if n := len(e.reports); n > 0 && fence < e.reports[n-1].Fence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
 	e.reports = append(e.reports, report)
 	w.WriteHeader(http.StatusOK)
 }
 
+// Address returns the platform's address.
+func (e *Estate) Address() string { return e.address }
+
 // IP returns the address of a host, counted from 1.
 func IP(host int) string { return fmt.Sprintf("127.0.0.%d", 10+host) }
 
@@ -135,13 +156,21 @@
 
 // Settings writes the settings of a host and returns their file. Class is front or store.
 func (e *Estate) Settings(folder string, host int, class string) (string, error) {
-	address := cmp.Or(e.address, "127.0.0.1:1")
+	address, bind := cmp.Or(e.address, "127.0.0.1:1"), IP(host)
+	if e.StoreOf != nil {
+		address = e.StoreOf(host)
+	}
+	if e.Bind != nil {
+		bind = e.Bind(host)
+	}
 	file := filepath.Join(folder, fmt.Sprintf("host%d.ini", host))
 	text := fmt.Sprintf(`[Host]
 Host = host-%d
 Zone = zone-%d
 Class = %s
 IP = %s
+Bind = %s
+Deployment = estate
 Listen = %s
 Ready = %s
 Ports = %d,%d
@@ -159,6 +188,6 @@
 KeepResultsS = 120
 LogLevel = info
 LogPerSecond = 60
-`, host, host, class, IP(host), e.Front(host), e.Ready(host), e.Port+4, e.Port+9, address, address, e.Port+6)
+`, host, host, class, IP(host), bind, e.Front(host), e.Ready(host), e.Port+4, e.Port+9, address, address, e.Port+6)
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -29,6 +29,8 @@
 	Tenant string
 	From   string // id of the event behind which a stream goes on
 	Key    bool   // a credential came with it
+	At     time.Time
+	Made   []uint64 // versions of a stream's events, that of the first one after From first
 }
 
 // Server is one of the platform's servers: an engine when it has models, else a plain service. Its exported fields are
@@ -43,10 +45,15 @@
 	Gap     time.Duration // between two events
 	Work    time.Duration // of a plain request
 	Fail    int           // next requests that are answered 500
+	// EventsOf returns the events of an item's stream; when nil, Events.
+	EventsOf func(id string) int
+	// Reach returns the address that the server registers, given that of its listener; when nil, the latter.
+	Reach func(listen string) (string, error)
 
 	store    *Store
 	born     int64
 	listener net.Listener
+	address  string // registered
 
 	mu       sync.Mutex
 	versions map[string]uint64
@@ -74,6 +81,12 @@
 	if err != nil {
 		return nil, err
 	}
+	s.address = s.listener.Addr().String()
+	if s.Reach != nil {
+		if s.address, err = s.Reach(s.address); err != nil {
+			return nil, err
+		}
+	}
 	s.store, s.born, s.gap = store, time.Now().UnixMilli(), s.Gap
 	s.versions = map[string]uint64{}
 	for _, m := range s.Models {
@@ -98,15 +111,15 @@
 		models = append(models, map[string]any{"name": m, "version": s.versions[m]})
 	}
 	s.store.Put("servers", s.Name, map[string]any{
-		"service": s.Service, "address": s.listener.Addr().String(), "zone": s.Zone, "version": "v1", "slots": s.Slots,
+		"service": s.Service, "address": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots,
 		"state": state, "stage": "hybrid", "models": models, "sequence": 7, "born": s.born,
 	})
 }
 
-// Drain makes the server report that it leaves.
-func (s *Server) Drain() {
+// Drain makes the server report that it leaves, or no longer.
+func (s *Server) Drain(on bool) {
 	s.mu.Lock()
-	s.draining = true
+	s.draining = on
 	s.mu.Unlock()
 	s.register()
 }
@@ -122,7 +135,11 @@
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]Run(nil), s.runs...)
+	runs := append([]Run(nil), s.runs...)
+	for i := range runs {
+		runs[i].Made = append([]uint64(nil), runs[i].Made...)
+	}
+	return runs
 }
 
 // Orders returns the orders that the server accepted.
@@ -147,7 +164,8 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // a caller that breaks off is seen when it is answered
-	if !s.enter(r) {
+	run, ok := s.enter(r)
+	if !ok {
 		w.Header().Set(FieldNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -157,7 +175,7 @@
 	w.Header().Set(FieldStamp, s.Name+"."+r.Header.Get(FieldID))
 	w.Header().Set("Figshift-Server-Load", fmt.Sprintf("1,0,%d", s.Slots))
 	if len(s.Models) > 0 {
-		s.stream(w, r)
+		s.stream(w, r, run)
 		return
 	}
 	time.Sleep(s.Work)
@@ -185,19 +203,20 @@
 	return true
 }
 
-func (s *Server) enter(r *http.Request) bool {
+// enter returns the number of the run that begins.
+func (s *Server) enter(r *http.Request) (run int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running >= s.Slots {
 		s.rejects++
-		return false
+		return 0, false
 	}
 	s.running++
 	s.runs = append(s.runs, Run{
 		ID: r.Header.Get(FieldID), Path: r.URL.RequestURI(), Tenant: r.Header.Get(FieldTenant), From: r.Header.Get(FieldLast),
-		Key: r.Header.Get("Authorization") != "",
+		Key: r.Header.Get("Authorization") != "", At: time.Now(),
 	})
-	return true
+	return len(s.runs) - 1, true
 }
 
 func (s *Server) leave() {
@@ -209,19 +228,24 @@
 // Event returns the data of a stream's event.
 func Event(id string, n int) string { return id + "/" + strconv.Itoa(n) }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, run int) {
 	from, _ := strconv.Atoi(r.Header.Get(FieldLast)) // none is 0
 	model := r.Header.Get("Figshift-Model")
 	version := s.version(model)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(FieldVersions, strconv.FormatUint(version, 10))
-	for n := from + 1; n <= s.Events; n++ {
+	events := s.Events
+	if s.EventsOf != nil {
+		events = s.EventsOf(r.Header.Get(FieldID))
+	}
+	for n := from + 1; n <= events; n++ {
 		select {
 		case <-time.After(s.pause()):
 		case <-r.Context().Done():
 			return
 		}
-		if now := s.version(model); now != version {
+		now := s.made(run, model)
+		if now != version {
 			version = now
 			_, _ = fmt.Fprintf(w, "figshift-weight-versions: %d\n", version)
 		}
@@ -230,6 +254,14 @@
 	}
 }
 
+// made notes the version of the next event of a run.
+func (s *Server) made(run int, model string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[run].Made = append(s.runs[run].Made, s.versions[model])
+	return s.versions[model]
+}
+
 func (s *Server) pause() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/figbed/internal/estate/store.go
+++ b/figbed/internal/estate/store.go
@@ -23,6 +23,9 @@
 	refuse   bool   // every call is answered 503
 	silent   bool   // no call is answered
 	lose     int    // next writes whose answer is lost after their effect
+	late     int    // next writes that take effect late, without an answer
+	lateness time.Duration
+	delay    time.Duration // of each call
 	calls    int
 }
 
@@ -88,6 +91,14 @@
 // Lose makes the next writes take effect without an answer.
 func (s *Store) Lose(writes int) { s.set(func() { s.lose = writes }) }
 
+// Late makes the next writes take effect after a time, without an answer.
+func (s *Store) Late(writes int, after time.Duration) {
+	s.set(func() { s.late, s.lateness = writes, after })
+}
+
+// Slow sets the time that each call waits.
+func (s *Store) Slow(delay time.Duration) { s.set(func() { s.delay = delay }) }
+
 // Compact forgets the history of changes.
 func (s *Store) Compact() { s.set(func() { s.floor, s.changes = s.revision, nil }) }
 
@@ -164,8 +175,15 @@
 	s.mu.Lock()
 	s.prepare()
 	s.calls++
-	refuse, silent := s.refuse, s.silent
+	refuse, silent, delay := s.refuse, s.silent, s.delay
 	s.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-r.Context().Done():
+			return true
+		}
+	}
 	switch {
 	case silent:
 		<-r.Context().Done()
@@ -280,6 +298,10 @@
 	if revision := r.URL.Query().Get("revision"); revision != "" {
 		in.Metadata.Revision, _ = strconv.ParseUint(revision, 10, 64)
 	}
+	if s.isLate() {
+		time.AfterFunc(s.lateness, func() { s.apply(r.Method, kind, name, sub, in) })
+		panic(http.ErrAbortHandler)
+	}
 	status, out, lost := s.apply(r.Method, kind, name, sub, in)
 	if lost {
 		panic(http.ErrAbortHandler)
@@ -312,6 +334,16 @@
 	return http.StatusOK, e, s.loses()
 }
 
+func (s *Store) isLate() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.late == 0 {
+		return false
+	}
+	s.late--
+	return true
+}
+
 func (s *Store) loses() bool {
 	if s.lose == 0 {
 		return false
--- a/figbed/internal/proc/build.go
+++ b/figbed/internal/proc/build.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	args := []string{"build", "-o", built.folder + "/"}
+	args := []string{"build", "-tags", "skew", "-o", built.folder + "/"}
 	if RaceEnabled {
 		args = append(args, "-race")
 	}
--- a/figbed/internal/proc/console.go
+++ b/figbed/internal/proc/console.go
@@ -1,4 +1,4 @@
-package demo
+package proc
 
 import (
 	"fmt"
@@ -6,34 +6,56 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
-// console prints what happens and stands in for a test towards the harness.
-type console struct {
-	out   io.Writer
-	start time.Time
+// Console prints what happens and stands in for a test towards the harness. Out is set before use; its methods may be
+// called concurrently.
+type Console struct {
+	Out io.Writer
 
 	mu       sync.Mutex
+	start    time.Time // of the first line
 	cleanups []func()
 	problems []string
 }
 
-// fatal ends the demo by panic, so that the cleanups run.
+// fatal ends a run by panic, so that the cleanups run.
 type fatal struct{ reason string }
 
+// Run calls f, runs the cleanups and returns what ended f early, or an error when anything was untrue.
+func (c *Console) Run(f func()) (err error) {
+	defer c.finish()
+	defer func() {
+		switch end := recover().(type) {
+		case nil:
+		case fatal:
+			err = errors.New(end.reason)
+		default:
+			panic(end)
+		}
+	}()
+	f()
+	if c.Failed() {
+		return errors.Errorf("%d statements were untrue", len(c.problems))
+	}
+	return nil
+}
+
 // Helper does nothing.
-func (c *console) Helper() {}
+func (c *Console) Helper() {}
 
 // Cleanup has f called at the end, the last one first.
-func (c *console) Cleanup(f func()) {
+func (c *Console) Cleanup(f func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cleanups = append(c.cleanups, f)
 }
 
 // TempDir returns a folder that is removed at the end.
-func (c *console) TempDir() string {
-	folder, err := os.MkdirTemp("", "figbed-demo")
+func (c *Console) TempDir() string {
+	folder, err := os.MkdirTemp("", "figbed")
 	if err != nil {
 		c.Fatal(err)
 	}
@@ -42,20 +64,20 @@
 }
 
 // Failed reports whether anything untrue was found.
-func (c *console) Failed() bool {
+func (c *Console) Failed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.problems) > 0
 }
 
-// Fatal ends the demo.
-func (c *console) Fatal(args ...any) { panic(fatal{reason: fmt.Sprint(args...)}) }
+// Fatal ends the run.
+func (c *Console) Fatal(args ...any) { panic(fatal{reason: fmt.Sprint(args...)}) }
 
-// Fatalf ends the demo.
-func (c *console) Fatalf(format string, args ...any) { c.Fatal(fmt.Sprintf(format, args...)) }
+// Fatalf ends the run.
+func (c *Console) Fatalf(format string, args ...any) { c.Fatal(fmt.Sprintf(format, args...)) }
 
 // Errorf records something untrue.
-func (c *console) Errorf(format string, args ...any) {
+func (c *Console) Errorf(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	c.mu.Lock()
 	c.problems = append(c.problems, text)
@@ -64,14 +86,17 @@
 }
 
 // Logf prints a line with the time since the start.
-func (c *console) Logf(format string, args ...any) {
+func (c *Console) Logf(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	fmt.Fprintf(c.out, "%5.1fs  %s\n", time.Since(c.start).Seconds(), fmt.Sprintf(format, args...))
+	if c.start.IsZero() {
+		c.start = time.Now()
+	}
+	fmt.Fprintf(c.Out, "%5.1fs  %s\n", time.Since(c.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // finish runs the cleanups.
-func (c *console) finish() {
+func (c *Console) finish() {
 	for {
 		c.mu.Lock()
 		last := len(c.cleanups) - 1
--- a/figbed/internal/proc/process.go
+++ b/figbed/internal/proc/process.go
@@ -30,11 +30,17 @@
 // Start runs a program and ends it with the test. After a failure its output is logged; a data race that it
 // reports fails the test.
 func Start(t T, name, program string, args ...string) *Process {
+	t.Helper()
+	return StartWith(t, nil, name, program, args...)
+}
+
+// StartWith is Start with more variables of the environment, each NAME=VALUE.
+func StartWith(t T, env []string, name, program string, args ...string) *Process {
 	t.Helper()
 	p := &Process{Name: name, t: t, out: &output{}, done: make(chan struct{})}
 	p.cmd = exec.Command(Program(t, program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
-	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=0")
+	p.cmd.Env = append(append(os.Environ(), "GORACE=halt_on_error=0"), env...)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatalf("starting %s: %v", name, err)
--- a/figbed/proofs/platform_rig_test.go
+++ b/figbed/proofs/platform_rig_test.go
@@ -102,30 +102,10 @@
 	return resp.StatusCode, string(text)
 }
 
-// submission returns a batch job of groups of two items.
-func submission(id string, groups, least int) []byte {
-	job := map[string]any{"step": 1, "model": estate.Model, "min_version": least, "target_groups": groups}
-	var items []any
-	for i := range 2 * groups {
-		name := fmt.Sprintf("%s-%d", id, i)
-		items = append(items, map[string]any{
-			"id": name, "path": estate.Rollouts + "x/" + name, "headers": map[string]string{"Figshift-Model": estate.Model},
-			"body": []byte("body of " + name), "tokens": 10, "group": fmt.Sprintf("%s-g%d", id, i/2),
-			"scorer_url": map[string]any{"id": "score-" + name, "host": estate.Host, "path": estate.Scores + name, "body": []byte("s")},
-		})
-	}
-	job["items"] = items
-	text, err := json.Marshal(job)
-	if err != nil {
-		panic(err) // a test's own value
-	}
-	return text
-}
-
 func (f *onEstate) submit(host int, id string, groups, least int) {
 	f.t.Helper()
 	proc.WaitUntil(f.t, 10*time.Second, "job "+id+" is accepted", func() bool {
-		status, _ := f.call(host, http.MethodPost, estate.Rollouts+id, id, estate.Key, submission(id, groups, least))
+		status, _ := f.call(host, http.MethodPost, estate.Rollouts+id, id, estate.Key, estate.Submission(id, groups, least))
 		return status == http.StatusAccepted
 	})
 }
--- a/figbed/proofs/platform_test.go
+++ b/figbed/proofs/platform_test.go
@@ -30,7 +30,7 @@
 	if diff := cmp.Diff(whole.Results[4:], tail.Results); diff != "" {
 		t.Errorf("results from position 4 on, at another host (-want +got):\n%s", diff)
 	}
-	if status, _ := f.call(2, http.MethodPost, estate.Rollouts+"j1", "j1", estate.Key, submission("j1", 3, 1)); status != http.StatusAccepted {
+	if status, _ := f.call(2, http.MethodPost, estate.Rollouts+"j1", "j1", estate.Key, estate.Submission("j1", 3, 1)); status != http.StatusAccepted {
 		t.Errorf("the same job again, at another host: status %d", status)
 	}
 	if _, status := f.list(2, "no-such-job", 0); status != http.StatusNotFound {
@@ -189,7 +189,7 @@
 	f := startFleet(t, 1, plainServer("p1", "zone-1"), e1)
 	f.hosts[0].Signal(syscall.SIGTERM)
 	proc.WaitUntil(t, 5*time.Second, "the host is stopping", func() bool { return !f.isReady(1) })
-	status, _ := f.call(1, http.MethodPost, estate.Rollouts+"j1", "j1", estate.Key, submission("j1", 2, 1))
+	status, _ := f.call(1, http.MethodPost, estate.Rollouts+"j1", "j1", estate.Key, estate.Submission("j1", 2, 1))
 	if status != http.StatusServiceUnavailable {
 		t.Errorf("a stopping host answers %d to a job", status)
 	}
@@ -310,7 +310,7 @@
 	scoreFailed := regexp.MustCompile(`Event=ScoreFailed .*Item=no-score-0 `)
 	proc.WaitUntil(t, 15*time.Second, "the score of no-score-0 fails", func() bool { return scoreFailed.MatchString(f.hosts[0].Output()) })
 	f.Store.Refuse(true)
-	if status, _ := f.call(1, http.MethodPost, estate.Rollouts+"j9", "refused-job", "no-key", submission("j9", 1, 1)); status != http.StatusUnauthorized {
+	if status, _ := f.call(1, http.MethodPost, estate.Rollouts+"j9", "refused-job", "no-key", estate.Submission("j9", 1, 1)); status != http.StatusUnauthorized {
 		t.Errorf("job with an unknown key: status %d", status)
 	}
 	// Lines are written apart from the answer they tell of.
