soak, report: a fault soak of real processes, plots of what runs measured

Tests: 33 planted faults are each found and nothing else is told; links harm one source only; a seed draws the same faults.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 SKIPRED := $(if $(KNOWN_RED),^($(KNOWN_RED))$$|)
 
-.PHONY: all build format lint vet test race demo known-red
+.PHONY: all build format lint vet test race demo soak known-red
 
 all: test
 
@@ -41,3 +41,12 @@
 
 demo: build
 	bin/figbed demo --bin bin
+
+# Faults on real processes; SEED, SEEDS and MINUTES choose what is played.
+SEED ?= 1
+SEEDS ?= 1
+MINUTES ?= 1
+
+soak:
+	go build -tags skew -o bin/soak/ ./figd ./figctl ./figbed
+	bin/soak/figbed soak --bin bin/soak --seed $(SEED) --seeds $(SEEDS) --minutes $(MINUTES)
--- /dev/null
+++ b/figbed/internal/soak/check_test.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/figbed/internal/estate"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func at(seconds float64) time.Time { return t0.Add(time.Duration(seconds * float64(time.Second))) }
+
+func textOf(item string, events int) string {
+	var lines []string
+	for n := 1; n <= events; n++ {
+		lines = append(lines, estate.Event(item, n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// sound returns a history in which every promise is kept: two calls, a job of two items of which one was resumed, and two
+// windows of usage.
+func sound() History {
+	run := func(server, id, path string, made ...uint64) Run {
+		return Run{Server: server, Run: estate.Run{ID: id, Path: path, Tenant: estate.Tenant, At: at(1), Made: made}}
+	}
+	result := func(item string, versions ...uint64) Result {
+		return Result{ID: item, State: "completed", Text: textOf(item, 3), Versions: versions, Score: "plain-1.score-" + item}
+	}
+	return History{
+		Began: t0, Window: usageWindow, Events: func(string) int { return 3 },
+		Calls: []Call{
+			{ID: "c1", Path: estate.Lookup + "c1", Key: estate.Key, Host: 1, Sent: at(1), Ended: at(1.1), Status: 200, Body: "answer of plain-1 to /lookup/c1", Stamp: "plain-1.c1"},
+			{ID: "c2", Path: estate.Writes + "c2", Key: "key-1", Host: 2, Unsafe: true, Sent: at(1), Ended: at(1.1), Status: 200, Body: "answer of plain-2 to /write/c2", Stamp: "plain-2.c2"},
+			{ID: "c3", Path: estate.Writes + "c3", Key: estate.Key, Host: 2, Unsafe: true, Sent: at(1), Ended: at(1.1), Status: 503},
+		},
+		Jobs: []Job{
+			{ID: "j1", Items: []string{"j1-0", "j1-1"}, Least: 4, Tries: []int{503, 202}, Accepted: at(1)},
+			{ID: "j2", Items: []string{"j2-0"}, Least: 4, Tries: []int{503, 429}},
+		},
+		Reads: []Read{
+			{Job: "j1", Host: 1, At: at(3), Status: 200, Total: 2, Results: []Result{result("j1-0", 4), result("j1-1", 4, 5)}},
+			{Job: "j1", Host: 2, At: at(4), Status: 200, After: 1, Total: 2, Results: []Result{result("j1-1", 4, 5)}},
+		},
+		Runs: []Run{
+			run("plain-1", "c1", estate.Lookup+"c1"), run("plain-2", "c2", estate.Writes+"c2"),
+			run("engine-1", "j1-0", itemPath("j1-0"), 4, 4, 4), run("engine-1", "j1-1", itemPath("j1-1"), 4, 4), run("engine-2", "j1-1", itemPath("j1-1"), 5),
+			run("plain-1", "score-j1-0", estate.Scores+"j1-0"), run("plain-1", "score-j1-1", estate.Scores+"j1-1"),
+		},
+		Reports: []estate.Report{
+			{Window: 900_000_000, Counts: map[string]int{estate.Tenant: 2}, Holder: "host-1", Fence: 1, At: at(3)},
+			{Window: 900_000_001, Counts: map[string]int{estate.Tenant: 0}, Holder: "host-2", Fence: 2, At: at(5)},
+		},
+		Orders:  map[string][]estate.Order{"engine-1": {{Holder: "host-1", Fence: 1}, {Holder: "host-2", Fence: 2}}},
+		Gone:    map[string]time.Time{"key-1": at(2)},
+		Drained: []Drain{{Server: "engine-1", From: at(0), To: at(6)}},
+	}
+}
+
+// Each planted fault is found, and nothing else is told; the sound history breaks nothing.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	cases := map[string]struct {
+		plant func(h *History)
+		found []string // beginnings of the lines
+	}{
+		"none":                                    {func(*History) {}, nil},
+		"an unsafe request runs twice":            {func(h *History) { h.Runs = append(h.Runs, h.Runs[1]) }, []string{"TWICE: c2 ran 2 times"}},
+		"a refused request runs":                  {func(h *History) { h.Calls[1].Status = 503 }, []string{"REFUSED: c2 got status 503"}},
+		"an answer of another request":            {func(h *History) { h.Calls[0].Body = "answer of plain-1 to /lookup/c9" }, []string{"MIXED: c1 got body"}},
+		"an answer without its signature":         {func(h *History) { h.Calls[0].Stamp = "" }, []string{"MIXED: c1 got body"}},
+		"an answer that no server made":           {func(h *History) { h.Runs[0].Server = "plain-2" }, []string{"MIXED: c1 got body"}},
+		"a run that nobody asked for":             {func(h *History) { h.Runs[0].ID = "c9" }, []string{"MIXED: c1 got body", "UNASKED: plain-1 ran \"c9\"", "ONE: 2 requests were reported and 1 ran"}},
+		"a run under another path":                {func(h *History) { h.Runs[0].Path = "/lookup/x" }, []string{"UNASKED: plain-1 ran \"c1\""}},
+		"a key at a server":                       {func(h *History) { h.Runs[2].Key = true }, []string{"UNASKED: engine-1 got a key"}},
+		"another organisation":                    {func(h *History) { h.Runs[2].Tenant = "south" }, []string{"UNASKED: engine-1 ran j1-0 for"}},
+		"a withdrawn key is served":               {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1) }, []string{"CONFIG: c2 ran by host-2"}},
+		"the same beside a disruption":            {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1); h.Spans = cut(5, 7) }, nil},
+		"the same beside planned work":            {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1); h.Spans = stopped(5, 7) }, []string{"CONFIG: c2 ran by host-2"}},
+		"a graceful stop cuts a request":          {func(h *History) { h.Calls[1].Status = 0; h.Spans = stopped(0, 3) }, []string{"LOST: c2 ran and got no answer"}},
+		"an item of a refused job runs":           {func(h *History) { h.Runs[3].ID, h.Runs[3].Path = "j2-0", itemPath("j2-0") }, []string{"REFUSED: item j2-0", "VERSION: item j1-1 tells version 4", "VERSION: item j1-1 tells versions"}},
+		"an accepted job is not known":            {func(h *History) { h.Reads[1] = Read{Job: "j1", Host: 2, At: at(4), Status: 404} }, []string{"LOST: host-2 does not know"}},
+		"a wrong total":                           {func(h *History) { h.Reads[1].Total = 3 }, []string{"MIXED: job j1 has 2 items"}},
+		"a position changes":                      {func(h *History) { h.Reads[1].Results[0].Score = "plain-1.score-j1-0" }, []string{"TWICE: position 1 of job j1"}},
+		"an item stands at two positions":         {func(h *History) { h.Reads[1].After = 2 }, []string{"TWICE: item j1-1 stands at positions 1 and 2"}},
+		"an item of another job":                  {func(h *History) { h.Reads[0].Results[0].ID = "j2-0" }, []string{"MIXED: job j1 lists \"j2-0\""}},
+		"an event is missing":                     {func(h *History) { h.Reads[0].Results[0].Text = textOf("j1-0", 2) }, []string{"ORDER: the text of item j1-0"}},
+		"a version under which nothing was made":  {func(h *History) { h.Reads[0].Results[0].Versions = []uint64{4, 6} }, []string{"VERSION: item j1-0 tells version 6", "VERSION: item j1-0 tells versions"}},
+		"no version":                              {func(h *History) { h.Reads[0].Results[0].Versions = nil }, []string{"VERSION: item j1-0 tells versions"}},
+		"a version older than allowed":            {func(h *History) { h.Jobs[0].Least = 5 }, []string{"VERSION: item j1-0 tells version 4, the oldest", "VERSION: item j1-1 tells version 4, the oldest"}},
+		"a score of another item":                 {func(h *History) { h.Reads[0].Results[0].Score = "plain-1.score-j1-1" }, []string{"MIXED: the score"}},
+		"two figures for a window":                {func(h *History) { h.Reports[1].Window--; h.Reports[1].Counts = map[string]int{estate.Tenant: 1} }, []string{"ONE: window 900000000 was reported as"}},
+		"the same figure again":                   {func(h *History) { h.Reports = append(h.Reports, h.Reports[1]) }, nil},
+		"more reported than ran":                  {func(h *History) { h.Reports[1].Counts = map[string]int{estate.Tenant: 1} }, []string{"ONE: 3 requests were reported and 2 ran"}},
+		"a window is reported before its end":     {func(h *History) { h.Reports[1].At = at(3) }, []string{"ONE: window 900000001 was reported 1.0 s before"}},
+		"two holders of one token":                {func(h *History) { h.Reports[1].Fence = 1 }, []string{"ONE: host-1 and host-2 reported usage"}},
+		"two holders order with one token":        {func(h *History) { h.Orders["engine-1"][1].Fence = 1 }, []string{"ONE: host-1 and host-2 ordered engine-1"}},
+		"a token falls":                           {func(h *History) { h.Orders["engine-1"][1].Fence = 0 }, []string{"ONE: engine-1 was ordered with token 0"}},
+		"work reaches a server that leaves":       {func(h *History) { h.Runs[2].At = at(3.5) }, []string{"DRAIN: j1-0 reached engine-1 3.5 s"}},
+		"work reaches one that leaves, disrupted": {func(h *History) { h.Runs[2].At = at(3.5); h.Spans = cut(1, 2) }, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := sound()
+			c.plant(&h)
+			got := Check(h)
+			want := c.found
+			for i := range min(len(got), len(want)) {
+				if strings.HasPrefix(got[i], want[i]) {
+					got[i] = want[i]
+				}
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("broken promises (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func cut(from, to float64) []Span {
+	return []Span{{Fault: Fault{Kind: HostCut, Target: 2}, From: at(from), To: at(to)}}
+}
+
+func stopped(from, to float64) []Span {
+	return []Span{{Fault: Fault{Kind: HostStop, Target: 2}, From: at(from), To: at(to)}}
+}
+
+// What is missing at the end is found.
+func TestMissingItemsAreFound(t *testing.T) {
+	h := sound()
+	if diff := cmp.Diff([]string(nil), CheckEnd(h)); diff != "" {
+		t.Errorf("sound history (-want +got):\n%s", diff)
+	}
+	h.Reads[0].Results = h.Reads[0].Results[:1]
+	h.Reads = h.Reads[:1]
+	if diff := cmp.Diff([]string{"LOST: item j1-1 of the accepted job j1 is not listed"}, CheckEnd(h)); diff != "" {
+		t.Errorf("an item is missing (-want +got):\n%s", diff)
+	}
+	h.Calls = append(h.Calls, Call{ID: "last-1-1", Key: estate.Key, Host: 1, Status: 503})
+	if diff := cmp.Diff([]string{"RECOVER: last-1-1 got status 503 from host-1 after the faults"}, unserved(h)); diff != "" {
+		t.Errorf("a last call failed (-want +got):\n%s", diff)
+	}
+}
+
+// A seed draws the same faults each time, within what each kind allows; two seeds differ.
+func TestDraw(t *testing.T) {
+	const hosts, servers, span = 4, 6, 10 * time.Minute
+	faults := Draw(7, hosts, servers, span)
+	if diff := cmp.Diff(faults, Draw(7, hosts, servers, span)); diff != "" {
+		t.Errorf("the same seed again (-want +got):\n%s", diff)
+	}
+	if cmp.Equal(faults, Draw(8, hosts, servers, span)) {
+		t.Error("two seeds draw the same faults")
+	}
+	drawn := map[Kind]bool{}
+	last := time.Duration(0)
+	for _, f := range faults {
+		s := shapes[f.Kind]
+		drawn[f.Kind] = true
+		targets := hosts
+		if s.servers {
+			targets = servers
+		}
+		if f.Target < 1 || f.Target > targets || f.At < last || f.At >= span || f.For < s.least || f.For > s.most || f.Amount < s.fewest || f.Amount > s.greatest {
+			t.Errorf("%s is outside what its kind allows", f)
+		}
+		last = f.At
+	}
+	if len(drawn) != len(shapes) {
+		t.Errorf("%d of %d kinds were drawn in %v", len(drawn), len(shapes), span)
+	}
+}
--- a/figbed/main.go
+++ b/figbed/main.go
@@ -18,6 +18,8 @@
 	subcommands.Register(&trainerCommand{}, "stand-ins")
 	subcommands.Register(&estateCommand{}, "stand-ins")
 	subcommands.Register(&loadCommand{}, "measurement")
+	subcommands.Register(&soakCommand{}, "faults")
+	subcommands.Register(&reportCommand{}, "measurement")
 	subcommands.Register(&demoCommand{}, "demo")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/figbed/soak.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/figshift/figshift/figbed/internal/proc"
+	"github.com/figshift/figshift/figbed/internal/soak"
+)
+
+// soakCommand plays seeds one after the other.
+type soakCommand struct {
+	bin     string
+	seed    uint64
+	seeds   int
+	minutes float64
+	hosts   int
+	port    int
+	output  string
+}
+
+func (*soakCommand) Name() string { return "soak" }
+func (*soakCommand) Synopsis() string {
+	return "run hosts under faults that a seed draws and check what must always hold"
+}
+func (*soakCommand) Usage() string { return "soak --bin folder --seed n --minutes m [flags]\n" }
+
+func (c *soakCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.bin, "bin", "bin/soak", "`folder` of the programs, built with the tag skew (make soak)")
+	f.Uint64Var(&c.seed, "seed", 1, "first `seed`")
+	f.IntVar(&c.seeds, "seeds", 1, "`number` of seeds, one after the other")
+	f.Float64Var(&c.minutes, "minutes", 1, "`minutes` in which faults begin, for each seed")
+	f.IntVar(&c.hosts, "hosts", 4, "`number` of hosts")
+	f.IntVar(&c.port, "port", 9800, "first of twenty `ports` that are free on the hosts' loopback addresses")
+	f.StringVar(&c.output, "output", "", "`file` to which each seed's figures are added, for report")
+}
+
+func (c *soakCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	proc.UseFolder(c.bin)
+	failed := 0
+	for seed := c.seed; seed < c.seed+uint64(c.seeds); seed++ {
+		s := soak.Soak{Seed: seed, Span: time.Duration(c.minutes * float64(time.Minute)), Hosts: c.hosts, Port: c.port}
+		console := &proc.Console{Out: os.Stdout}
+		var h soak.History
+		err := console.Run(func() { h = s.Run(console) })
+		if err != nil {
+			failed++
+			fmt.Printf("Seed=%d Failed=%q\n", seed, err)
+		}
+		if err := soak.Append(c.output, s, h, err == nil); err != nil {
+			return finish(err)
+		}
+	}
+	fmt.Printf("Seeds=%d Failed=%d\n", c.seeds, failed)
+	if failed > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
