soak: planned work first, more calls under way, versions by event

Change: each seed begins with 7 s of planned work; calls take longer; resets go on for a while; a result must tell each version that alone made an event.

--- a/figbed/internal/soak/check.go
+++ b/figbed/internal/soak/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -201,30 +203,48 @@
 	if one.Text != strings.Join(want, "\n") {
 		broken = append(broken, fmt.Sprintf("ORDER: the text of item %s is %q", one.ID, one.Text))
 	}
-	made := versionsMade(runs[one.ID])
+	broken = append(broken, checkVersions(j, one, runs[one.ID])...)
+	if one.Score != "" && !slices.ContainsFunc(runs[scoreOf(one.ID)], func(r Run) bool { return one.Score == r.Server+"."+r.ID }) {
+		broken = append(broken, fmt.Sprintf("MIXED: the score %q of item %s was given by no run", one.Score, one.ID))
+	}
+	return broken
+}
+
+// checkVersions checks that a result tells the versions under which its events were made: each of them under which only
+// one version made the event, and none that made no event.
+func checkVersions(j Job, one Result, runs []Run) (broken []string) {
+	made := versionsMade(runs)
+	any, sure := map[uint64]bool{}, map[uint64]bool{}
+	for _, of := range made {
+		for _, v := range of {
+			any[v] = true
+			sure[v] = sure[v] || len(of) == 1
+		}
+	}
 	for _, v := range one.Versions {
-		if !slices.Contains(made, v) {
-			broken = append(broken, fmt.Sprintf("VERSION: item %s tells version %d, its events were made under %v", one.ID, v, made))
+		if !any[v] {
+			broken = append(broken, fmt.Sprintf("VERSION: item %s tells version %d, under which none of its events was made", one.ID, v))
 		}
 		if v < j.Least {
 			broken = append(broken, fmt.Sprintf("VERSION: item %s tells version %d, the oldest allowed is %d", one.ID, v, j.Least))
 		}
 	}
-	if len(one.Versions) == 0 || len(made) == 1 && !slices.Equal(made, one.Versions) {
-		broken = append(broken, fmt.Sprintf("VERSION: item %s tells versions %v, its events were made under %v", one.ID, one.Versions, made))
-	}
-	if one.Score != "" && !slices.ContainsFunc(runs[scoreOf(one.ID)], func(r Run) bool { return one.Score == r.Server+"."+r.ID }) {
-		broken = append(broken, fmt.Sprintf("MIXED: the score %q of item %s was given by no run", one.Score, one.ID))
+	for _, v := range slices.Sorted(maps.Keys(sure)) {
+		if sure[v] && !slices.Contains(one.Versions, v) {
+			broken = append(broken, fmt.Sprintf("VERSION: item %s does not tell version %d, under which an event was made", one.ID, v))
+		}
 	}
 	return broken
 }
 
-func versionsMade(runs []Run) []uint64 {
-	var made []uint64
+// versionsMade returns the versions under which each event of an item was made, by its number.
+func versionsMade(runs []Run) map[int][]uint64 {
+	made := map[int][]uint64{}
 	for _, r := range runs {
-		for _, v := range r.Made {
-			if !slices.Contains(made, v) {
-				made = append(made, v)
+		from, _ := strconv.Atoi(r.From) // none is 0
+		for i, v := range r.Made {
+			if n := from + 1 + i; !slices.Contains(made[n], v) {
+				made[n] = append(made[n], v)
 			}
 		}
 	}
--- a/figbed/internal/soak/check_test.go
+++ b/figbed/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +29,8 @@
 	run := func(server, id, path string, made ...uint64) Run {
 		return Run{Server: server, Run: estate.Run{ID: id, Path: path, Tenant: estate.Tenant, At: at(1), Made: made}}
 	}
+	resumed := run("engine-2", "j1-1", itemPath("j1-1"), 5)
+	resumed.From = "2"
 	result := func(item string, versions ...uint64) Result {
 		return Result{ID: item, State: "completed", Text: textOf(item, 3), Versions: versions, Score: "plain-1.score-" + item}
 	}
@@ -48,7 +51,7 @@
 		},
 		Runs: []Run{
 			run("plain-1", "c1", estate.Lookup+"c1"), run("plain-2", "c2", estate.Writes+"c2"),
-			run("engine-1", "j1-0", itemPath("j1-0"), 4, 4, 4), run("engine-1", "j1-1", itemPath("j1-1"), 4, 4), run("engine-2", "j1-1", itemPath("j1-1"), 5),
+			run("engine-1", "j1-0", itemPath("j1-0"), 4, 4, 4), run("engine-1", "j1-1", itemPath("j1-1"), 4, 4), resumed,
 			run("plain-1", "score-j1-0", estate.Scores+"j1-0"), run("plain-1", "score-j1-1", estate.Scores+"j1-1"),
 		},
 		Reports: []estate.Report{
@@ -67,29 +70,33 @@
 		plant func(h *History)
 		found []string // beginnings of the lines
 	}{
-		"none":                                    {func(*History) {}, nil},
-		"an unsafe request runs twice":            {func(h *History) { h.Runs = append(h.Runs, h.Runs[1]) }, []string{"TWICE: c2 ran 2 times"}},
-		"a refused request runs":                  {func(h *History) { h.Calls[1].Status = 503 }, []string{"REFUSED: c2 got status 503"}},
-		"an answer of another request":            {func(h *History) { h.Calls[0].Body = "answer of plain-1 to /lookup/c9" }, []string{"MIXED: c1 got body"}},
-		"an answer without its signature":         {func(h *History) { h.Calls[0].Stamp = "" }, []string{"MIXED: c1 got body"}},
-		"an answer that no server made":           {func(h *History) { h.Runs[0].Server = "plain-2" }, []string{"MIXED: c1 got body"}},
-		"a run that nobody asked for":             {func(h *History) { h.Runs[0].ID = "c9" }, []string{"MIXED: c1 got body", "UNASKED: plain-1 ran \"c9\"", "ONE: 2 requests were reported and 1 ran"}},
-		"a run under another path":                {func(h *History) { h.Runs[0].Path = "/lookup/x" }, []string{"UNASKED: plain-1 ran \"c1\""}},
-		"a key at a server":                       {func(h *History) { h.Runs[2].Key = true }, []string{"UNASKED: engine-1 got a key"}},
-		"another organisation":                    {func(h *History) { h.Runs[2].Tenant = "south" }, []string{"UNASKED: engine-1 ran j1-0 for"}},
-		"a withdrawn key is served":               {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1) }, []string{"CONFIG: c2 ran by host-2"}},
-		"the same beside a disruption":            {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1); h.Spans = cut(5, 7) }, nil},
-		"the same beside planned work":            {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1); h.Spans = stopped(5, 7) }, []string{"CONFIG: c2 ran by host-2"}},
-		"a graceful stop cuts a request":          {func(h *History) { h.Calls[1].Status = 0; h.Spans = stopped(0, 3) }, []string{"LOST: c2 ran and got no answer"}},
-		"an item of a refused job runs":           {func(h *History) { h.Runs[3].ID, h.Runs[3].Path = "j2-0", itemPath("j2-0") }, []string{"REFUSED: item j2-0", "VERSION: item j1-1 tells version 4", "VERSION: item j1-1 tells versions"}},
-		"an accepted job is not known":            {func(h *History) { h.Reads[1] = Read{Job: "j1", Host: 2, At: at(4), Status: 404} }, []string{"LOST: host-2 does not know"}},
-		"a wrong total":                           {func(h *History) { h.Reads[1].Total = 3 }, []string{"MIXED: job j1 has 2 items"}},
-		"a position changes":                      {func(h *History) { h.Reads[1].Results[0].Score = "plain-1.score-j1-0" }, []string{"TWICE: position 1 of job j1"}},
-		"an item stands at two positions":         {func(h *History) { h.Reads[1].After = 2 }, []string{"TWICE: item j1-1 stands at positions 1 and 2"}},
-		"an item of another job":                  {func(h *History) { h.Reads[0].Results[0].ID = "j2-0" }, []string{"MIXED: job j1 lists \"j2-0\""}},
-		"an event is missing":                     {func(h *History) { h.Reads[0].Results[0].Text = textOf("j1-0", 2) }, []string{"ORDER: the text of item j1-0"}},
-		"a version under which nothing was made":  {func(h *History) { h.Reads[0].Results[0].Versions = []uint64{4, 6} }, []string{"VERSION: item j1-0 tells version 6", "VERSION: item j1-0 tells versions"}},
-		"no version":                              {func(h *History) { h.Reads[0].Results[0].Versions = nil }, []string{"VERSION: item j1-0 tells versions"}},
+		"none":                                   {func(*History) {}, nil},
+		"an unsafe request runs twice":           {func(h *History) { h.Runs = append(h.Runs, h.Runs[1]) }, []string{"TWICE: c2 ran 2 times"}},
+		"a refused request runs":                 {func(h *History) { h.Calls[1].Status = 503 }, []string{"REFUSED: c2 got status 503"}},
+		"an answer of another request":           {func(h *History) { h.Calls[0].Body = "answer of plain-1 to /lookup/c9" }, []string{"MIXED: c1 got body"}},
+		"an answer without its signature":        {func(h *History) { h.Calls[0].Stamp = "" }, []string{"MIXED: c1 got body"}},
+		"an answer that no server made":          {func(h *History) { h.Runs[0].Server = "plain-2" }, []string{"MIXED: c1 got body"}},
+		"a run that nobody asked for":            {func(h *History) { h.Runs[0].ID = "c9" }, []string{"MIXED: c1 got body", "UNASKED: plain-1 ran \"c9\"", "ONE: 2 requests were reported and 1 ran"}},
+		"a run under another path":               {func(h *History) { h.Runs[0].Path = "/lookup/x" }, []string{"UNASKED: plain-1 ran \"c1\""}},
+		"a key at a server":                      {func(h *History) { h.Runs[2].Key = true }, []string{"UNASKED: engine-1 got a key"}},
+		"another organisation":                   {func(h *History) { h.Runs[2].Tenant = "south" }, []string{"UNASKED: engine-1 ran j1-0 for"}},
+		"a withdrawn key is served":              {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1) }, []string{"CONFIG: c2 ran by host-2"}},
+		"the same beside a disruption":           {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1); h.Spans = cut(5, 7) }, nil},
+		"the same beside planned work":           {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1); h.Spans = stopped(5, 7) }, []string{"CONFIG: c2 ran by host-2"}},
+		"a graceful stop cuts a request":         {func(h *History) { h.Calls[1].Status = 0; h.Spans = stopped(0, 3) }, []string{"LOST: c2 ran and got no answer"}},
+		"an item of a refused job runs":          {func(h *History) { h.Runs[3].ID, h.Runs[3].Path = "j2-0", itemPath("j2-0") }, []string{"REFUSED: item j2-0", "VERSION: item j1-1 tells version 4, under which none"}},
+		"an accepted job is not known":           {func(h *History) { h.Reads[1] = Read{Job: "j1", Host: 2, At: at(4), Status: 404} }, []string{"LOST: host-2 does not know"}},
+		"a wrong total":                          {func(h *History) { h.Reads[1].Total = 3 }, []string{"MIXED: job j1 has 2 items"}},
+		"a position changes":                     {func(h *History) { h.Reads[1].Results[0].Score = "plain-1.score-j1-0" }, []string{"TWICE: position 1 of job j1"}},
+		"an item stands at two positions":        {func(h *History) { h.Reads[1].After = 2 }, []string{"TWICE: item j1-1 stands at positions 1 and 2"}},
+		"an item of another job":                 {func(h *History) { h.Reads[0].Results[0].ID = "j2-0" }, []string{"MIXED: job j1 lists \"j2-0\""}},
+		"an event is missing":                    {func(h *History) { h.Reads[0].Results[0].Text = textOf("j1-0", 2) }, []string{"ORDER: the text of item j1-0"}},
+		"a version under which nothing was made": {func(h *History) { h.Reads[0].Results[0].Versions = []uint64{4, 6} }, []string{"VERSION: item j1-0 tells version 6"}},
+		"a version is not told": {func(h *History) {
+			h.Reads[0].Results[1].Versions = []uint64{4}
+			h.Reads[1].Results[0].Versions = []uint64{4}
+		}, []string{"VERSION: item j1-1 does not tell version 5"}},
+		"no version":                              {func(h *History) { h.Reads[0].Results[0].Versions = nil }, []string{"VERSION: item j1-0 does not tell version 4"}},
 		"a version older than allowed":            {func(h *History) { h.Jobs[0].Least = 5 }, []string{"VERSION: item j1-0 tells version 4, the oldest", "VERSION: item j1-1 tells version 4, the oldest"}},
 		"a score of another item":                 {func(h *History) { h.Reads[0].Results[0].Score = "plain-1.score-j1-1" }, []string{"MIXED: the score"}},
 		"two figures for a window":                {func(h *History) { h.Reports[1].Window--; h.Reports[1].Counts = map[string]int{estate.Tenant: 1} }, []string{"ONE: window 900000000 was reported as"}},
@@ -164,6 +171,12 @@
 		if s.servers {
 			targets = servers
 		}
+		if f.At < opening {
+			if !slices.Contains(planned, f.Kind) {
+				t.Errorf("%s lies in the opening", f)
+			}
+			continue
+		}
 		if f.Target < 1 || f.Target > targets || f.At < last || f.At >= span || f.For < s.least || f.For > s.most || f.Amount < s.fewest || f.Amount > s.greatest {
 			t.Errorf("%s is outside what its kind allows", f)
 		}
--- a/figbed/internal/soak/faults.go
+++ b/figbed/internal/soak/faults.go
@@ -36,9 +36,7 @@
 		time.Sleep(f.For)
 		p.Signal(syscall.SIGCONT)
 	case HostReset:
-		for _, l := range w.links[f.Target] {
-			l.Reset()
-		}
+		reset(f.For, w.links[f.Target]...)
 	case ClockJump:
 		r.jump(f)
 	case StoreRefuse:
@@ -57,7 +55,7 @@
 	case StoreForget:
 		store.Compact()
 	case ServerReset:
-		w.serving[f.Target-1].Reset()
+		reset(f.For, w.serving[f.Target-1])
 	case ServerGrey:
 		w.estate.Servers[(f.Target-1)%plainServers].Break(f.Amount)
 	case ServerDrain:
@@ -72,6 +70,21 @@
 	return ""
 }
 
+// resetEvery is the interval of the resets of one fault.
+const resetEvery = 150 * time.Millisecond
+
+// reset resets the connections of links for a time, once at least.
+func reset(span time.Duration, links ...*Link) {
+	for until := time.Now().Add(span); ; time.Sleep(resetEvery) {
+		for _, l := range links {
+			l.Reset()
+		}
+		if time.Now().After(until) {
+			return
+		}
+	}
+}
+
 // during sets a state of the store for the time of a fault. It ends with the last of the faults that overlap.
 func (r *runner) during(f Fault, set func(on bool)) {
 	r.change(f.Kind, 1, set)
--- a/figbed/internal/soak/load.go
+++ b/figbed/internal/soak/load.go
@@ -17,13 +17,13 @@
 const (
 	callDeadline = 4 * time.Second
 	callPause    = 60 * time.Millisecond // between two calls of a caller
-	jobGroups    = 6
-	jobPause     = 300 * time.Millisecond
+	jobGroups    = 4
+	jobPause     = 100 * time.Millisecond
 	jobPatience  = 12 * time.Second // of the trainer with one job
 	readWait     = 500 * time.Millisecond
 	retryPause   = 200 * time.Millisecond
 	versionEvery = 3 // jobs
-	writesOf     = 3 // one call in so many is unsafe
+	writesOf     = 2 // one call in so many is unsafe
 	extraOf      = 6 // one call in so many has the extra key
 )
 
--- a/figbed/internal/soak/plan.go
+++ b/figbed/internal/soak/plan.go
@@ -20,7 +20,7 @@
 	HostCutIn    Kind = "HostCutIn"    // what the others send to it is held back
 	HostCutOut   Kind = "HostCutOut"   // what it sends is held back
 	HostSlow     Kind = "HostSlow"     // what the others send to it, and it to the platform, is delayed
-	HostReset    Kind = "HostReset"    // its connections with the other hosts and the platform are reset
+	HostReset    Kind = "HostReset"    // its connections with the other hosts and the platform are reset, again and again
 	HostNoStore  Kind = "HostNoStore"  // the platform does not answer it
 	ClockJump    Kind = "ClockJump"    // its time of day is off
 	StoreRefuse  Kind = "StoreRefuse"  // the store answers 503
@@ -29,7 +29,7 @@
 	StoreLose    Kind = "StoreLose"    // writes take effect without an answer
 	StoreLate    Kind = "StoreLate"    // writes take effect late and without an answer
 	StoreForget  Kind = "StoreForget"  // the history of changes is gone
-	ServerReset  Kind = "ServerReset"  // connections to a server are reset
+	ServerReset  Kind = "ServerReset"  // connections to a server are reset, again and again
 	ServerSilent Kind = "ServerSilent" // a server's answers are held back
 	ServerSlow   Kind = "ServerSlow"   // a server's answers are delayed
 	ServerGrey   Kind = "ServerGrey"   // a plain server answers some requests 500
@@ -69,12 +69,12 @@
 var shapes = map[Kind]shape{
 	HostKill: {most: 3 * second}, HostStop: {most: second}, HostFreeze: {least: second / 2, most: 8 * second},
 	HostCut: {least: second, most: 8 * second}, HostCutIn: {least: second, most: 8 * second}, HostCutOut: {least: second, most: 8 * second},
-	HostSlow: {least: second, most: 6 * second, fewest: 20, greatest: 400}, HostReset: {}, HostNoStore: {least: second, most: 8 * second},
+	HostSlow: {least: second, most: 6 * second, fewest: 20, greatest: 400}, HostReset: {most: 3 * second}, HostNoStore: {least: second, most: 8 * second},
 	ClockJump:   {least: 2 * second, most: 10 * second, fewest: -20_000, greatest: 20_000},
 	StoreRefuse: {least: second, most: 6 * second}, StoreSilent: {least: second, most: 6 * second},
 	StoreSlow: {least: second, most: 6 * second, fewest: 50, greatest: 1500},
 	StoreLose: {fewest: 1, greatest: 6}, StoreLate: {least: second / 2, most: 5 * second, fewest: 1, greatest: 6}, StoreForget: {},
-	ServerReset: {servers: true}, ServerSilent: {servers: true, least: second, most: 6 * second},
+	ServerReset: {servers: true, most: 3 * second}, ServerSilent: {servers: true, least: second, most: 6 * second},
 	ServerSlow: {servers: true, least: second, most: 6 * second, fewest: 20, greatest: 300},
 	ServerGrey: {servers: true, fewest: 2, greatest: 20}, ServerDrain: {servers: true, least: 5 * second, most: 9 * second},
 	KeyChange: {},
@@ -86,7 +86,11 @@
 	mostGap  = 4 * time.Second
 )
 
-// Draw returns the faults of a seed that begin within span, in order of their times.
+// opening is the time of planned work without a disruption, since the bounds in time hold only then.
+const opening = 7 * time.Second
+
+// Draw returns the faults of a seed that begin within span, in order of their times: first the operator's work, then
+// disruptions and more of it.
 func Draw(seed uint64, hosts, servers int, span time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	kinds := make([]Kind, 0, len(shapes))
@@ -94,8 +98,12 @@
 		kinds = append(kinds, kind)
 	}
 	slices.Sort(kinds)
-	var faults []Fault
-	for at := leastGap; at < span; at += between(random, leastGap, mostGap) {
+	faults := []Fault{
+		{Kind: KeyChange, At: 300 * time.Millisecond},
+		{Kind: ServerDrain, Target: 1 + random.IntN(servers), At: 500 * time.Millisecond, For: 6 * second},
+		{Kind: HostStop, Target: 1 + random.IntN(hosts), At: second},
+	}
+	for at := opening; at < span; at += between(random, leastGap, mostGap) {
 		kind := kinds[random.IntN(len(kinds))]
 		s := shapes[kind]
 		targets := hosts
--- a/figbed/internal/soak/soak.go
+++ b/figbed/internal/soak/soak.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	callersOfHost = 3
-	trainers      = 2
+	callersOfHost = 5
+	trainers      = 4
 	checkEvery    = 3 * time.Second
 	// recovery is the time after the last fault in which the hosts must serve everything again.
 	recovery = 15 * time.Second
--- a/figbed/internal/soak/world.go
+++ b/figbed/internal/soak/world.go
@@ -30,8 +30,8 @@
 	plainServers = 2
 	engines      = 4
 	engineSlots  = 4
-	plainSlots   = 8
-	plainWork    = 15 * time.Millisecond
+	plainSlots   = 16
+	plainWork    = 60 * time.Millisecond // so that some calls are under way at any moment
 	eventGap     = 20 * time.Millisecond
 	shortEvents  = 15
 	longEvents   = 90
