batch, items: the steps of a route run on one hub of a large fleet

Change: a host hands a submission, as it came and without the key, to the hub of the job's route; the routes take the hubs in turn, and a route moves on for 3 s from a hub that does not answer, stops or is not ready. No answer says "not run" while the hub may have it. In a small fleet nothing changes.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -268,7 +268,7 @@
 	pages := &items.Pages{Book: d.book, Secret: hex.EncodeToString(d.secret), HTTP: d.between}
 	d.jobs = &items.Executor{
 		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayed, Calls: d.calls, Names: platform.ItemNames(),
-		HTTP: conns.Transport(endpointDial, idleConns, idleConnsFor), Peers: pages, Post: d.loop.Post, Now: d.loop.Now,
+		HTTP: conns.Transport(endpointDial, idleConns, idleConnsFor), Peers: pages, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
 	}
 	d.jobs.Prepare()
 	pages.Jobs = d.jobs
@@ -277,6 +277,7 @@
 	calls := http.NewServeMux()
 	calls.Handle(items.PathPage, pages)
 	calls.HandleFunc(items.PathCopies, pages.ServeCopies)
+	calls.HandleFunc(items.PathSubmit, pages.ServeSubmit)
 	calls.Handle(relay.Path, &relay.Server{Own: d.store, Secret: hex.EncodeToString(d.secret)})
 	d.addActor(d.listen(d.own(pagePort), calls))
 	lots := &platform.Lots{Jobs: d.jobs}
--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -32,6 +32,8 @@
 		return
 	}
 	switch e.Call {
+	case event.JobPlace:
+		p.place(now, e, organisation, out)
 	case event.JobSubmit:
 		p.submit(now, e, organisation, out)
 	case event.JobEnd:
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -52,6 +52,7 @@
 	flushing time.Duration            // since when the copies are flushed, 0 before
 	leaving  map[string]bool          // hosts that are stopping
 	down     map[string]time.Duration // since when a host's connection is closed
+	unplaced map[string]time.Duration // when a host last failed to take a submission
 	told     map[string]bool          // hosts that know the jobs of this one
 	large    bool                     // not all hosts hear each other
 	hosts    []event.Host
@@ -123,6 +124,8 @@
 	switch e := ev.(type) {
 	case event.JobsListed:
 		p.jobsListed(now, e, out)
+	case event.JobPlaced:
+		p.placed(now, e, out)
 	case event.JobSought:
 		p.sought(now, e.Seen, out)
 	case event.JobTaken:
@@ -169,6 +172,7 @@
 	p.ends = map[string][]uint64{}
 	p.leaving = map[string]bool{}
 	p.down = map[string]time.Duration{}
+	p.unplaced = map[string]time.Duration{}
 	p.told = map[string]bool{}
 	p.engines.host = p.Self.Name
 	p.started = now
--- /dev/null
+++ b/internal/batch/place.go
@@ -0,0 +1,92 @@
+package batch
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/ranks"
+)
+
+const (
+	// placeAgain is the time for which a host that did not answer for a submission is handed none.
+	placeAgain = 3 * time.Second
+	// placeKey orders the hubs that run jobs.
+	placeKey = "Jobs"
+)
+
+// place answers which host should run a job.
+func (p *Part) place(now time.Duration, e event.JobCalled, organisation string, out *event.Batch) {
+	r, ok := p.routes.Match(e.Host, e.Path)
+	switch {
+	case !ok:
+		p.answer(e.Seq, e.Job, kinds.RouteUnknown, "", out)
+	case r.Jobs == nil:
+		p.answer(e.Seq, e.Job, kinds.BadRequest, "", out)
+	default:
+		out.Emit(event.JobAnswer{Seq: e.Seq, Organisation: organisation, Host: p.placeOf(now, r.Name)})
+	}
+}
+
+// placeOf returns the host that runs the jobs of a route, "" for this one. In a large fleet all of a route's jobs run on
+// one of the hubs, so that it keeps its connections to the engines from one step of the trainer to the next; hubs have the
+// most processor time. The routes take the hubs in turn, and a route moves on while its hub does not take jobs.
+func (p *Part) placeOf(now time.Duration, name string) string {
+	if !p.large {
+		return ""
+	}
+	var routes []string
+	for _, r := range p.site.Routes {
+		if r.Jobs != nil {
+			routes = append(routes, r.Name)
+		}
+	}
+	slices.Sort(routes)
+	hubs := ranks.Order(placeKey, p.hubs)
+	first := slices.Index(routes, name)
+	for i := range hubs {
+		if hub := hubs[(first+i)%len(hubs)]; hub == p.Self.Name {
+			return ""
+		} else if p.takesJobs(now, hub) {
+			return hub
+		}
+	}
+	return ""
+}
+
+// takesJobs reports whether submissions may be handed to a host. Of one that is not heard here only its answers tell.
+func (p *Part) takesJobs(now time.Duration, host string) bool {
+	if p.leaving[host] {
+		return false
+	}
+	if since, down := p.down[host]; down && now-since >= closedFor {
+		return false
+	}
+	failed, ok := p.unplaced[host]
+	return !ok || now-failed >= placeAgain
+}
+
+// placed notes what came of a submission that was handed to another host.
+func (p *Part) placed(now time.Duration, e event.JobPlaced, out *event.Batch) {
+	result := "Taken"
+	switch {
+	case !e.Answered:
+		result = "Unreached"
+	case e.Kind != "":
+		result = "Refused"
+	}
+	delete(p.unplaced, e.Host)
+	if result == "Unreached" || e.Kind == kinds.Stopping || e.Kind == kinds.NotReady {
+		p.unplaced[e.Host] = now
+	}
+	out.Emit(event.Count{Name: "JobsPlaced", Tags: []event.Field{{Key: "Result", Value: result}}, N: 1})
+	out.Emit(event.Log{Level: "info", Event: "JobPlaced", Fields: []event.Field{
+		{Key: "Job", Value: e.Job},
+		{Key: "Host", Value: e.Host},
+		{Key: "Result", Value: result},
+		{Key: "Kind", Value: string(e.Kind)},
+		{Key: "TookMS", Value: strconv.FormatInt(e.Took.Milliseconds(), 10)},
+	}})
+}
--- /dev/null
+++ b/internal/batch/place_test.go
@@ -0,0 +1,124 @@
+package batch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+)
+
+// withRoutes puts a site with several routes for jobs into force.
+func withRoutes(r *rig, names ...string) {
+	site := testSite()
+	delete(site.Routes, "rollouts")
+	for _, name := range names {
+		site.Routes[name] = config.Route{Name: name, Prefix: "/" + name + "/", Service: "engines", Jobs: &config.JobRules{Due: 7 * time.Second, GiveUpAfter: 40 * time.Second}}
+	}
+	r.step(event.ConfigInForce{Site: site})
+}
+
+// placeOf asks where a job of a route should run.
+func placeOf(r *rig, route string) string {
+	r.effects = nil
+	r.step(event.JobCalled{Seq: 9, Call: event.JobPlace, Path: "/" + route + "/x", Job: "j"})
+	answers := take[event.JobAnswer](r)
+	if len(answers) != 1 || answers[0].Kind != "" {
+		r.t.Fatalf("answers %v", answers)
+	}
+	return answers[0].Host
+}
+
+// Answers the pattern: trainers submit each step to another host of a large fleet. All of a route's steps run on one hub,
+// as far as it takes them, and the routes on different hubs.
+func TestStepsOfARouteRunOnOneHub(t *testing.T) {
+	f := newLargeFleet()
+	routes := []string{"r1", "r2", "r3", "r4"}
+	want := map[string]string{}
+	for _, self := range []event.Host{f.pick(false, "a"), f.pick(false, "b"), f.pick(true, "a"), f.pick(true, "b")} {
+		r := f.start(t, self)
+		withRoutes(r, routes...)
+		for _, route := range routes {
+			host := placeOf(r, route)
+			if host == "" {
+				host = self.Name
+			}
+			if want[route] == "" {
+				want[route] = host
+			}
+			if diff := cmp.Diff(want[route], host); diff != "" {
+				t.Errorf("hub of %s at %s (-want +got):\n%s", route, self.Name, diff)
+			}
+			if !slices.Contains(f.hubs, host) {
+				t.Errorf("%s runs at %s, which is no hub", route, host)
+			}
+		}
+	}
+	used := map[string]bool{}
+	for _, host := range want {
+		used[host] = true
+	}
+	if diff := cmp.Diff(len(f.hubs), len(used)); diff != "" {
+		t.Errorf("hubs with a route (-want +got):\n%s", diff)
+	}
+}
+
+// Answers the pattern: the hub of a route dies, is cut off, freezes or stops. Its jobs go to the next hub, and back once
+// the time is over.
+func TestRouteLeavesAHub(t *testing.T) {
+	cases := map[string]struct {
+		placed event.JobPlaced
+		moves  bool
+	}{
+		"answered":        {event.JobPlaced{Answered: true}, false},
+		"store refused":   {event.JobPlaced{Answered: true, Kind: kinds.StoreRefused}, false},
+		"is stopping":     {event.JobPlaced{Answered: true, Kind: kinds.Stopping}, true},
+		"is not ready":    {event.JobPlaced{Answered: true, Kind: kinds.NotReady}, true},
+		"does not answer": {event.JobPlaced{}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newLargeFleet()
+			r := f.start(t, f.pick(false, "a"))
+			withRoutes(r, "r1")
+			first := placeOf(r, "r1")
+			c.placed.Host = first
+			r.step(c.placed)
+			if diff := cmp.Diff(c.moves, placeOf(r, "r1") != first); diff != "" {
+				t.Errorf("the next job goes elsewhere (-want +got):\n%s", diff)
+			}
+			r.now += placeAgain
+			if diff := cmp.Diff(first, placeOf(r, "r1")); diff != "" {
+				t.Errorf("hub after the pause (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// In a small fleet, or when no hub takes jobs, a host takes them itself; a call that names no route for jobs is refused.
+func TestPlaceHere(t *testing.T) {
+	small := newRig(t)
+	if diff := cmp.Diff("", placeOf(small, "r")); diff != "" {
+		t.Errorf("host in a small fleet (-want +got):\n%s", diff)
+	}
+	f := newLargeFleet()
+	r := f.start(t, f.pick(false, "a"))
+	withRoutes(r, "r1")
+	for _, hub := range f.hubs {
+		r.step(event.JobPlaced{Host: hub})
+	}
+	if diff := cmp.Diff("", placeOf(r, "r1")); diff != "" {
+		t.Errorf("host when no hub answers (-want +got):\n%s", diff)
+	}
+	for path, kind := range map[string]kinds.Kind{"/none/x": kinds.RouteUnknown, "/s/x": kinds.BadRequest} {
+		r.effects = nil
+		r.step(event.JobCalled{Seq: 9, Call: event.JobPlace, Path: path, Job: "j"})
+		if answers := take[event.JobAnswer](r); len(answers) != 1 || answers[0].Kind != kind {
+			t.Errorf("answers for %s: %v, want kind %s", path, answers, kind)
+		}
+	}
+}
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -33,6 +33,7 @@
 
 // The calls to batch jobs.
 const (
+	JobPlace  = "Place" // asks which host should run the job
 	JobSubmit = "Submit"
 	JobRead   = "Read"
 	JobEnd    = "End"
@@ -49,8 +50,10 @@
 	Head    JobHead
 }
 
-// JobAnswer ends a JobCalled. Kind is "" for success; for a read it says only that the key may be used.
+// JobAnswer ends a JobCalled. Kind is "" for success; for a read it says only that the key may be used. Host is that which
+// should run a job, "" for this one.
 type JobAnswer struct {
+	Host         string
 	Seq          uint64
 	Kind         kinds.Kind
 	Organisation string
@@ -142,6 +145,16 @@
 	Next        string // host that has copies of the texts and takes the job over, "" when not known
 }
 
+// JobPlaced tells what came of a submission that was handed to another host. Answered says that the host answered for it
+// with Kind.
+type JobPlaced struct {
+	Job      string
+	Host     string
+	Answered bool
+	Kind     kinds.Kind
+	Took     time.Duration
+}
+
 // JobSought tells that a caller reads a job whose owner, as far as it is known, does not answer.
 type JobSought struct{ Seen JobSeen }
 
@@ -271,6 +284,7 @@
 func (KnowJob) isEffect()      {}
 func (EndJob) isEffect()       {}
 func (JobEnded) isEvent()      {}
+func (JobPlaced) isEvent()     {}
 func (JobSought) isEvent()     {}
 func (DropJob) isEffect()      {}
 func (CheckJob) isEffect()     {}
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -37,6 +37,7 @@
 		JobsListed{},
 		JobEnded{},
 		JobsSwept{},
+		JobPlaced{},
 		JobSought{},
 		ItemEnded{},
 		EnginePace{},
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -27,6 +27,8 @@
 	Peers       Peers
 	Post        func(event.Event) bool
 	Now         func() time.Duration
+	// Decode reads a submission's body, which came at a time of day in ms since the Unix epoch. An error has a kind.
+	Decode func(c Call, body []byte, unixMS int64) (wire.Job, error)
 
 	keeper   keeper
 	past     past
@@ -63,6 +65,8 @@
 	Runs(ctx context.Context, host, job string) (runs, ended bool)
 	// Ended tells the host of that name that a job was ended.
 	Ended(ctx context.Context, host, job string)
+	// Submit hands a submission to the host of that name. With an error, sent tells whether the host may have taken it.
+	Submit(ctx context.Context, host string, c Call, body []byte) (a event.JobAnswer, sent bool, err error)
 	// Copy sends copies to the host of that name and reports whether it has taken them.
 	Copy(ctx context.Context, host string, all []jobCopy) bool
 }
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -122,6 +122,7 @@
 	over    map[string]bool // hosts at which the job has ended
 	ended   []string
 	copies  []jobCopy
+	taken   func() (event.JobAnswer, bool, error) // what comes of a submission
 }
 
 func (o *owners) Page(_ context.Context, host, _ string, _ int, _ time.Duration) (wire.JobPage, bool) {
@@ -134,6 +135,10 @@
 
 func (o *owners) Ended(_ context.Context, host, job string) { o.ended = append(o.ended, host+"/"+job) }
 
+func (o *owners) Submit(context.Context, string, Call, []byte) (event.JobAnswer, bool, error) {
+	return o.taken()
+}
+
 func (o *owners) Copy(_ context.Context, _ string, all []jobCopy) bool {
 	o.copies = append(o.copies, all...)
 	return true
