batch: an engine is picked in one pass

Cause: each pick of an engine sorted the names of all engines and added up what the other hosts run; a step of 96 items among 3,000 engines took 89 ms of a whole core, a fifth of which most hosts have. Change: engines are kept sorted and by service, others' items are kept as they are told, the pace of the service is found once for a pick. Measured: the same step 7 to 13 ms (beside other runs). Tests: the places that others take, against a recount.

--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +28,7 @@
 type engine struct {
 	wire.Endpoint
 	running  int // items of this host
+	others   int // items of the other hosts, as far as they are heard
 	left     bool
 	rank     uint64 // this host's order among engines that are alike; hosts differ in it
 	failures int
@@ -41,15 +41,18 @@
 
 // engines holds the endpoints by name and what the other hosts run on them.
 type engines struct {
-	host   string
-	byName map[string]*engine
-	marks  map[wire.LeaveMark]bool
-	remote map[string][]wire.EngineRuns // by host
+	host      string
+	byName    map[string]*engine
+	sorted    []*engine            // by name
+	byService map[string][]*engine // each by name
+	marks     map[wire.LeaveMark]bool
+	remote    map[string][]wire.EngineRuns // by host
 }
 
 func (s *engines) list(_ time.Duration, endpoints []wire.Endpoint) {
 	old := s.byName
 	s.byName = make(map[string]*engine, len(endpoints))
+	s.sorted, s.byService = make([]*engine, 0, len(endpoints)), map[string][]*engine{}
 	for _, e := range endpoints {
 		known := old[e.Name]
 		if known == nil || known.Incarnation != e.Incarnation {
@@ -57,8 +60,28 @@
 		}
 		known.Endpoint = e
 		known.left = known.left || e.State == wire.Leaving || s.marks[mark(&known.Endpoint)]
+		if s.byName[e.Name] == nil {
+			s.sorted = append(s.sorted, known)
+		}
 		s.byName[e.Name] = known
 	}
+	slices.SortFunc(s.sorted, func(a, b *engine) int { return cmp.Compare(a.Name, b.Name) })
+	for _, e := range s.sorted {
+		s.byService[e.Service] = append(s.byService[e.Service], e)
+		e.others = 0
+	}
+	for _, runs := range s.remote {
+		s.count(runs, 1)
+	}
+}
+
+// count adds what a host runs to the engines' items of others, or takes it off.
+func (s *engines) count(runs []wire.EngineRuns, by int) {
+	for _, r := range runs {
+		if e := s.byName[r.Endpoint]; e != nil {
+			e.others += by * r.Items
+		}
+	}
 }
 
 func mark(e *wire.Endpoint) wire.LeaveMark {
@@ -84,6 +107,8 @@
 	if s.remote == nil {
 		s.remote = map[string][]wire.EngineRuns{}
 	}
+	s.count(s.remote[host], -1)
+	s.count(runs, 1)
 	if runs == nil {
 		delete(s.remote, host)
 		return
@@ -94,9 +119,9 @@
 // own returns the items of this host by engine, sorted.
 func (s *engines) own() []wire.EngineRuns {
 	var all []wire.EngineRuns
-	for _, name := range slices.Sorted(maps.Keys(s.byName)) {
-		if e := s.byName[name]; e.running > 0 {
-			all = append(all, wire.EngineRuns{Endpoint: name, Items: e.running, GapMS: int(e.gap.Milliseconds())})
+	for _, e := range s.sorted {
+		if e.running > 0 {
+			all = append(all, wire.EngineRuns{Endpoint: e.Name, Items: e.running, GapMS: int(e.gap.Milliseconds())})
 		}
 	}
 	return all
@@ -113,40 +138,37 @@
 	zone    string
 }
 
-// pick returns the engine with the most free places, nil when all are taken.
+// pick returns the engine with the most free places, nil when all are taken. It looks at each engine of the service once: a
+// large fleet has thousands, and each item of a step is picked for.
 func (s *engines) pick(now time.Duration, w want) *engine {
-	busy := map[string]int{}
-	for _, runs := range s.remote {
-		for _, r := range runs {
-			busy[r.Endpoint] += r.Items
+	pace, slowFrom := s.briskPace(w.service), s.slowGap(now, w.service)
+	var best *engine
+	for _, e := range s.byService[w.service] {
+		if !e.serves(now, w) || e.running+e.others >= e.slots() {
+			continue
 		}
-	}
-	var fits []*engine
-	for _, name := range slices.Sorted(maps.Keys(s.byName)) {
-		e := s.byName[name]
-		if e.serves(now, w) && e.running+busy[name] < e.slots() {
-			fits = append(fits, e)
+		if best == nil || w.compare(now, e, best, pace, slowFrom) < 0 {
+			best = e
 		}
 	}
-	if len(fits) == 0 {
-		return nil
+	return best
+}
+
+// compare orders two engines that fit by how well they do.
+func (w want) compare(now time.Duration, a, b *engine, pace, slowFrom time.Duration) int {
+	byPace := 0
+	if w.long {
+		byPace = cmp.Compare(a.standing(pace), b.standing(pace))
 	}
-	brisk := s.briskPace(w.service)
-	return slices.MinFunc(fits, func(a, b *engine) int {
-		byPace := cmp.Compare(a.standing(brisk), b.standing(brisk))
-		if !w.long {
-			byPace = 0
-		}
-		return cmp.Or(
-			first(a.Name != w.notAt, b.Name != w.notAt),
-			first(!s.slow(now, a), !s.slow(now, b)),
-			cmp.Compare(a.failures, b.failures),
-			byPace,
-			cmp.Compare(a.load(busy), b.load(busy)),
-			first(a.Zone == w.zone, b.Zone == w.zone),
-			cmp.Compare(a.rank, b.rank),
-		)
-	})
+	return cmp.Or(
+		first(a.Name != w.notAt, b.Name != w.notAt),
+		first(!a.slow(now, slowFrom), !b.slow(now, slowFrom)),
+		cmp.Compare(a.failures, b.failures),
+		byPace,
+		cmp.Compare(a.load(), b.load()),
+		first(a.Zone == w.zone, b.Zone == w.zone),
+		cmp.Compare(a.rank, b.rank),
+	)
 }
 
 func (e *engine) serves(now time.Duration, w want) bool {
@@ -165,8 +187,8 @@
 }
 
 // load returns the taken part of the engine's places.
-func (e *engine) load(busy map[string]int) float64 {
-	return float64(e.running+busy[e.Name]) / float64(e.slots())
+func (e *engine) load() float64 {
+	return float64(e.running+e.others) / float64(e.slots())
 }
 
 // refused keeps the engine from new runs for a short while.
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -74,8 +74,8 @@
 // briskPace returns the pace that a quarter of a service's engines keep or better, 0 when few are known.
 func (s *engines) briskPace(service string) time.Duration {
 	var paces []time.Duration
-	for _, e := range s.byName {
-		if e.Service == service && e.pace > 0 {
+	for _, e := range s.byService[service] {
+		if e.pace > 0 {
 			paces = append(paces, e.pace)
 		}
 	}
@@ -86,23 +86,29 @@
 	return paces[len(paces)/4]
 }
 
-// slow reports whether an engine makes events far more slowly than the others of its service.
-func (s *engines) slow(now time.Duration, g *engine) bool {
-	if g.gap == 0 || now-g.gapAt > paceFor {
-		return false
-	}
+// slowGap returns the gap between two events above which an engine of a service counts as slow, 0 while few are known.
+func (s *engines) slowGap(now time.Duration, service string) time.Duration {
 	var gaps []time.Duration
-	for _, e := range s.byName {
-		if e.Service == g.Service && e.gap > 0 && now-e.gapAt <= paceFor {
+	for _, e := range s.byService[service] {
+		if e.gap > 0 && now-e.gapAt <= paceFor {
 			gaps = append(gaps, e.gap)
 		}
 	}
 	if len(gaps) < fewPaces {
-		return false
+		return 0
 	}
 	slices.Sort(gaps)
-	median := gaps[(len(gaps)-1)/2]
-	return float64(g.gap) > slowBy*float64(median)
+	return time.Duration(slowBy * float64(gaps[(len(gaps)-1)/2]))
+}
+
+// slow reports whether the engine was measured lately and is slower than a service's slowGap.
+func (e *engine) slow(now, slowFrom time.Duration) bool {
+	return e.gap > 0 && now-e.gapAt <= paceFor && slowFrom > 0 && e.gap > slowFrom
+}
+
+// slow reports whether an engine makes events far more slowly than the others of its service.
+func (s *engines) slow(now time.Duration, g *engine) bool {
+	return g.slow(now, s.slowGap(now, g.Service))
 }
 
 // moveFrom ends runs on a slow engine whose items can go on at another one at once, those with the most to come first.
