items: a submission whose caller leaves stays with the hub that has it

Change: when the caller leaves, the hub goes on alone; the caller's next try is handed to the same hub. Failed first: TestOffer, the caller leaves.

--- a/internal/items/offer.go
+++ b/internal/items/offer.go
@@ -32,7 +32,8 @@
 }
 
 // Offer takes a submission as a caller sent it: it is handed to the host that should run it, or taken here when that is
-// this one or does not take it. Two hosts may then have it; the store lets one of them run it. The answer's kind is "" once
+// this one or does not take it. Two hosts may then have it; the store lets one of them run it. When the caller leaves while the
+// other host waits for the store, that host goes on alone, and the caller's next try is handed to it too. The answer's kind is "" once
 // the job will be kept; no kind says that nothing runs while the other host may have taken it.
 func (x *Executor) Offer(ctx context.Context, c Call, body []byte) event.JobAnswer {
 	place := x.ask(ctx, event.JobCalled{Call: event.JobPlace, KeyHash: c.KeyHash, Host: c.Host, Path: c.Path, Job: c.Job}, nil)
@@ -43,6 +44,9 @@
 	if place.Host != "" {
 		began := x.Now()
 		a, sent, err := x.Peers.Submit(ctx, place.Host, c, body)
+		if err != nil && ctx.Err() != nil {
+			return event.JobAnswer{Kind: kinds.OutcomeUnknown} // the caller has left; the other host goes on
+		}
 		x.Post(event.JobPlaced{Job: c.Job, Host: place.Host, Answered: err == nil, Kind: a.Kind, Took: x.Now() - began})
 		if err == nil && a.Kind != kinds.Stopping && a.Kind != kinds.NotReady {
 			return a
--- a/internal/items/offer_test.go
+++ b/internal/items/offer_test.go
@@ -55,6 +55,7 @@
 		answer kinds.Kind // of the other host
 		sent   bool
 		err    bool
+		left   bool // the caller leaves before the answer
 		own    kinds.Kind
 		want   kinds.Kind
 		here   bool
@@ -71,19 +72,25 @@
 		"lost":                    {place: "h2", err: true, sent: true, here: true},
 		"lost and refused":        {place: "h2", err: true, sent: true, own: kinds.StoreRefused, here: true, want: kinds.OutcomeUnknown},
 		"lost and stopping":       {place: "h2", err: true, sent: true, own: kinds.Stopping, here: true, want: kinds.OutcomeUnknown},
+		"the caller leaves":       {place: "h2", err: true, sent: true, left: true, want: kinds.OutcomeUnknown},
 		"lost and unknown":        {place: "h2", err: true, sent: true, own: kinds.OutcomeUnknown, here: true, want: kinds.OutcomeUnknown},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			x, _, peers := newExecutor(t)
 			submitted, placed := answering(x, c.place, c.own)
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
 			peers.taken = func() (event.JobAnswer, bool, error) {
+				if c.left {
+					leave()
+				}
 				if c.err {
 					return event.JobAnswer{}, c.sent, errors.New("no answer")
 				}
 				return event.JobAnswer{Kind: c.answer}, true, nil
 			}
-			a := x.Offer(context.Background(), Call{Job: "j9", KeyHash: "k"}, []byte("m"))
+			a := x.Offer(ctx, Call{Job: "j9", KeyHash: "k"}, []byte("m"))
 			if diff := cmp.Diff(c.want, a.Kind); diff != "" {
 				t.Errorf("kind (-want +got):\n%s", diff)
 			}
@@ -91,7 +98,7 @@
 				t.Errorf("submitted here (-want +got):\n%s", diff)
 			}
 			var want []event.JobPlaced
-			if c.place != "" {
+			if c.place != "" && !c.left {
 				want = []event.JobPlaced{{Job: "j9", Host: c.place, Answered: !c.err, Kind: c.answer}}
 			}
 			if diff := cmp.Diff(want, append([]event.JobPlaced(nil), *placed...)); diff != "" {
