soak, proofs: the clock of the host that reports usage jumps

Change: two of three jumps do, and TestSoakClockJumps has one ahead and one back. With the bug planted it fails (windows reported up to 8.3 s before their ends), on this code it passes.

--- a/figbed/internal/soak/faults.go
+++ b/figbed/internal/soak/faults.go
@@ -130,10 +130,10 @@
 	return open > 1
 }
 
-// jump sets a host's time of day off, if no other is: most clocks are taken to be right. An even amount hits the host that
-// reports usage, whose clock matters most.
+// jump sets a host's time of day off, if no other is: most clocks are taken to be right. Two of three amounts hit
+// the host that reports usage, whose clock matters most.
 func (r *runner) jump(f Fault) {
-	if reports := r.world.estate.Reports(); f.Amount%2 == 0 && len(reports) > 0 {
+	if reports := r.world.estate.Reports(); f.Amount%3 != 0 && len(reports) > 0 {
 		if _, err := fmt.Sscanf(reports[len(reports)-1].Holder, "host-%d", &f.Target); err != nil {
 			r.t.Errorf("holder %q is no host of the soak", reports[len(reports)-1].Holder)
 			return
--- a/figbed/proofs/soak_test.go
+++ b/figbed/proofs/soak_test.go
@@ -29,3 +29,16 @@
 		})
 	}
 }
+
+// Answers the pattern: the clock of the host that reports usage jumps ahead, then back. No window is reported before its
+// end or twice.
+func TestSoakClockJumps(t *testing.T) {
+	t.Parallel()
+	s := soak.Soak{Seed: 1, Hosts: 3, Port: firstEstatePort + portsOfAnEstate*int(platformPorts.Add(1)), Faults: []soak.Fault{
+		{Kind: soak.ClockJump, Target: 1, At: 5 * time.Second, For: 5 * time.Second, Amount: 10_000},
+		{Kind: soak.ClockJump, Target: 1, At: 12 * time.Second, For: 5 * time.Second, Amount: -10_000},
+	}}
+	if h := s.Run(t); len(h.Reports) == 0 {
+		t.Error("no window was reported")
+	}
+}
