batch: a route follows its last job

Cause: a hub that is removed for good stays registered, so that each host of the fleet waits up to 0.5 s for it, again every 3 s, at each step of its route. Change: submissions go to the hub that ran the route's last job, as the news tell all hosts; a route whose hub fails tries first those hubs that no other route prefers. Failed first: TestRouteFollowsItsLastJob.

--- a/internal/batch/news.go
+++ b/internal/batch/news.go
@@ -81,6 +81,9 @@
 		k.Epoch, k.orphan, k.Next = n.Epoch, now, cmp.Or(n.Next, k.Next)
 	}
 	k.Ended = ended
+	if before.Host == "" && k.Host != "" {
+		p.ran(k.JobSeen)
+	}
 	if k.JobSeen != before {
 		out.Emit(event.KnowJob{Seen: k.JobSeen})
 	}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -63,6 +63,7 @@
 	k.Host, k.Incarnation, k.Epoch, k.heardAt, k.orphan = p.Self.Name, p.Self.Incarnation, taken.Epoch, now, 0
 	k.Route, k.Items = j.head.Route, len(j.items)
 	k.Ended, k.Next = j.left == 0, "" // with nothing left to run it is as good as ended
+	p.ran(k.JobSeen)
 	p.copyTo(now, j, out)
 	if k.Next == "" {
 		p.tell(k.JobSeen, out)
--- a/internal/batch/part.go
+++ b/internal/batch/part.go
@@ -53,6 +53,7 @@
 	leaving  map[string]bool          // hosts that are stopping
 	down     map[string]time.Duration // since when a host's connection is closed
 	unplaced map[string]time.Duration // when a host last failed to take a submission
+	ranAt    map[string]string        // host of the last job, by route
 	told     map[string]bool          // hosts that know the jobs of this one
 	large    bool                     // not all hosts hear each other
 	hosts    []event.Host
@@ -172,7 +173,7 @@
 	p.ends = map[string][]uint64{}
 	p.leaving = map[string]bool{}
 	p.down = map[string]time.Duration{}
-	p.unplaced = map[string]time.Duration{}
+	p.unplaced, p.ranAt = map[string]time.Duration{}, map[string]string{}
 	p.told = map[string]bool{}
 	p.engines.host = p.Self.Name
 	p.started = now
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -32,11 +32,33 @@
 
 // placeOf returns the host that runs the jobs of a route, "" for this one. In a large fleet all of a route's jobs run on
 // one of the hubs, so that it keeps its connections to the engines from one step of the trainer to the next; hubs have the
-// most processor time. The routes take the hubs in turn, and a route moves on while its hub does not take jobs.
+// most processor time. A route stays where its last job went, as the news tell, and moves on when that hub does not take
+// jobs: so only the first host that meets a hub that is gone waits for it.
 func (p *Part) placeOf(now time.Duration, name string) string {
 	if !p.large {
 		return ""
 	}
+	if last := p.ranAt[name]; last != p.Self.Name && slices.Contains(p.hubs, last) && p.takesJobs(now, last) {
+		return last
+	} else if last == p.Self.Name && p.isHub() {
+		return ""
+	}
+	for _, hub := range p.hubsOf(name) {
+		if hub == p.Self.Name {
+			return ""
+		}
+		if p.takesJobs(now, hub) {
+			return hub
+		}
+	}
+	return ""
+}
+
+func (p *Part) isHub() bool { return slices.Contains(p.hubs, p.Self.Name) }
+
+// hubsOf returns the hubs in the order in which a route tries them. The routes take them in turn, and a route tries first
+// those that no other route prefers.
+func (p *Part) hubsOf(name string) []string {
 	var routes []string
 	for _, r := range p.site.Routes {
 		if r.Jobs != nil {
@@ -44,16 +66,23 @@
 		}
 	}
 	slices.Sort(routes)
-	hubs := ranks.Order(placeKey, p.hubs)
-	first := slices.Index(routes, name)
-	for i := range hubs {
-		if hub := hubs[(first+i)%len(hubs)]; hub == p.Self.Name {
-			return ""
-		} else if p.takesJobs(now, hub) {
-			return hub
+	own := slices.Index(routes, name)
+	var first, others []string
+	for i, hub := range ranks.Order(placeKey, p.hubs) {
+		if i%len(routes) == own {
+			first = append(first, hub)
+		} else {
+			others = append(others, hub)
 		}
 	}
-	return ""
+	return append(first, others...)
+}
+
+// ran notes where a route's job runs that was not known before.
+func (p *Part) ran(s event.JobSeen) {
+	if s.Route != "" && !s.Ended {
+		p.ranAt[s.Route] = s.Host
+	}
 }
 
 // takesJobs reports whether submissions may be handed to a host. Of one that is not heard here only its answers tell.
--- a/internal/batch/place_test.go
+++ b/internal/batch/place_test.go
@@ -10,6 +10,7 @@
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 // withRoutes puts a site with several routes for jobs into force.
@@ -99,6 +100,46 @@
 	}
 }
 
+// Answers the pattern: a hub is removed for good. The first host that meets it hands the job to another hub, and the others
+// follow the news of that job; a route whose hub is sound stays where it is.
+func TestRouteFollowsItsLastJob(t *testing.T) {
+	f := newLargeFleet()
+	r := f.start(t, f.pick(false, "a"))
+	withRoutes(r, "r1", "r2")
+	first, second := placeOf(r, "r1"), placeOf(r, "r2")
+	var other string
+	for _, hub := range f.hubs {
+		if hub != first && hub != second {
+			other = hub
+		}
+	}
+	news := func(job, host, route string, ended bool) {
+		r.step(event.PeerReceived{Host: f.hubs[0], Message: wire.Message{News: &wire.JobNews{Job: job, Host: host, Incarnation: "1", Route: route, Ended: ended}}})
+	}
+	steps := []struct {
+		name           string
+		job, host      string
+		ended          bool
+		wantR1, wantR2 string
+	}{
+		{name: "moved", job: "j1", host: other, wantR1: other, wantR2: second},
+		{name: "news of an old job", job: "j0", host: first, ended: true, wantR1: other, wantR2: second},
+		{name: "the same job again", job: "j1", host: other, wantR1: other, wantR2: second},
+		{name: "a host that is no hub", job: "j2", host: f.pick(false, "b").Name, wantR1: first, wantR2: second},
+		{name: "moved again", job: "j3", host: other, wantR1: other, wantR2: second},
+	}
+	for _, s := range steps {
+		news(s.job, s.host, "r1", s.ended)
+		if diff := cmp.Diff([]string{s.wantR1, s.wantR2}, []string{placeOf(r, "r1"), placeOf(r, "r2")}); diff != "" {
+			t.Errorf("%s: hubs (-want +got):\n%s", s.name, diff)
+		}
+	}
+	r.step(event.JobPlaced{Host: other})
+	if diff := cmp.Diff(first, placeOf(r, "r1")); diff != "" {
+		t.Errorf("hub when the last one does not answer (-want +got):\n%s", diff)
+	}
+}
+
 // In a small fleet, or when no hub takes jobs, a host takes them itself; a call that names no route for jobs is refused.
 func TestPlaceHere(t *testing.T) {
 	small := newRig(t)
