items: a submission that a hub does not take goes to the next one

Change: a submission is handed to two hubs before it is taken here. Failed first: TestOffer, taken by the next.

--- a/internal/items/offer.go
+++ b/internal/items/offer.go
@@ -23,6 +23,9 @@
 	// answerWithin is the time for its answer, which waits for the store.
 	answerWithin = 4 * time.Second
 	submitMost   = 32 << 20 // bytes
+	// mostPlaces is the number of hosts that a submission is handed to before it is taken here; a host that is gone costs
+	// takenWithin, and callers wait some seconds.
+	mostPlaces = 2
 )
 
 // handed is a submission that is handed to another host. The caller's key does not travel.
@@ -31,17 +34,20 @@
 	Body []byte
 }
 
-// Offer takes a submission as a caller sent it: it is handed to the host that should run it, or taken here when that is
-// this one or does not take it. Two hosts may then have it; the store lets one of them run it. When the caller leaves while the
+// Offer takes a submission as a caller sent it: it is handed to the host that should run it, then to the next one, and
+// taken here when neither takes it or this host should run it. Several hosts may then have it; the store lets one of them run it. When the caller leaves while the
 // other host waits for the store, that host goes on alone, and the caller's next try is handed to it too. The answer's kind is "" once
 // the job will be kept; no kind says that nothing runs while the other host may have taken it.
 func (x *Executor) Offer(ctx context.Context, c Call, body []byte) event.JobAnswer {
-	place := x.ask(ctx, event.JobCalled{Call: event.JobPlace, KeyHash: c.KeyHash, Host: c.Host, Path: c.Path, Job: c.Job}, nil)
-	if place.Kind != "" {
-		return place
-	}
 	unsure := false
-	if place.Host != "" {
+	for range mostPlaces {
+		place := x.ask(ctx, event.JobCalled{Call: event.JobPlace, KeyHash: c.KeyHash, Host: c.Host, Path: c.Path, Job: c.Job}, nil)
+		if place.Kind != "" {
+			return truthful(place, unsure)
+		}
+		if place.Host == "" {
+			break
+		}
 		began := x.Now()
 		a, sent, err := x.Peers.Submit(ctx, place.Host, c, body)
 		if err != nil && ctx.Err() != nil {
@@ -49,11 +55,15 @@
 		}
 		x.Post(event.JobPlaced{Job: c.Job, Host: place.Host, Answered: err == nil, Kind: a.Kind, Took: x.Now() - began})
 		if err == nil && a.Kind != kinds.Stopping && a.Kind != kinds.NotReady {
-			return a
+			return truthful(a, unsure)
 		}
-		unsure = err != nil && sent
+		unsure = unsure || err != nil && sent
 	}
-	a := x.Take(ctx, c, body)
+	return truthful(x.Take(ctx, c, body), unsure)
+}
+
+// truthful returns an answer that does not say that nothing runs while a host that did not answer may have the job.
+func truthful(a event.JobAnswer, unsure bool) event.JobAnswer {
 	if unsure && a.Kind != "" && kinds.Of(a.Kind).Run == kinds.NotRun {
 		return event.JobAnswer{Kind: kinds.OutcomeUnknown}
 	}
--- a/internal/items/offer_test.go
+++ b/internal/items/offer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,14 +26,17 @@
 	return wire.Job{ID: c.Job, Model: string(body)}, nil
 }
 
-// answering has the reducer place jobs at a host and answer submissions; what was submitted and placed is kept.
-func answering(x *Executor, host string, own kinds.Kind) (submitted *[]string, placed *[]event.JobPlaced) {
+// answering has the reducer place jobs at hosts in turn, then here, and answer submissions; what was submitted and placed is kept.
+func answering(x *Executor, hosts string, own kinds.Kind) (submitted *[]string, placed *[]event.JobPlaced) {
 	submitted, placed = &[]string{}, &[]event.JobPlaced{}
 	x.Decode = decodeTest
 	x.Post = func(ev event.Event) bool {
 		switch e := ev.(type) {
 		case event.JobCalled:
-			a := event.JobAnswer{Seq: e.Seq, Host: host}
+			a := event.JobAnswer{Seq: e.Seq}
+			if e.Call == event.JobPlace {
+				a.Host, hosts, _ = strings.Cut(hosts, ",")
+			}
 			if e.Call == event.JobSubmit {
 				*submitted = append(*submitted, e.Job)
 				a = event.JobAnswer{Seq: e.Seq, Kind: own}
@@ -52,10 +56,11 @@
 func TestOffer(t *testing.T) {
 	cases := map[string]struct {
 		place  string
-		answer kinds.Kind // of the other host
+		answer kinds.Kind // of the other host, or the first of two
 		sent   bool
 		err    bool
-		left   bool // the caller leaves before the answer
+		next   kinds.Kind // answer of the second one
+		left   bool       // the caller leaves before the answer
 		own    kinds.Kind
 		want   kinds.Kind
 		here   bool
@@ -72,6 +77,11 @@
 		"lost":                    {place: "h2", err: true, sent: true, here: true},
 		"lost and refused":        {place: "h2", err: true, sent: true, own: kinds.StoreRefused, here: true, want: kinds.OutcomeUnknown},
 		"lost and stopping":       {place: "h2", err: true, sent: true, own: kinds.Stopping, here: true, want: kinds.OutcomeUnknown},
+		"taken by the next":       {place: "h2,h3", err: true, sent: true},
+		"refused by the next":     {place: "h2,h3", err: true, next: kinds.StoreRefused, want: kinds.StoreRefused},
+		"lost, next refuses":      {place: "h2,h3", err: true, sent: true, next: kinds.StoreRefused, want: kinds.OutcomeUnknown},
+		"stops, next stops":       {place: "h2,h3", answer: kinds.Stopping, next: kinds.Stopping, here: true},
+		"a third is not tried":    {place: "h2,h3,h4", answer: kinds.Stopping, next: kinds.Stopping, here: true},
 		"the caller leaves":       {place: "h2", err: true, sent: true, left: true, want: kinds.OutcomeUnknown},
 		"lost and unknown":        {place: "h2", err: true, sent: true, own: kinds.OutcomeUnknown, here: true, want: kinds.OutcomeUnknown},
 	}
@@ -85,6 +95,9 @@
 				if c.left {
 					leave()
 				}
+				if len(*placed) > 0 {
+					return event.JobAnswer{Kind: c.next}, true, nil
+				}
 				if c.err {
 					return event.JobAnswer{}, c.sent, errors.New("no answer")
 				}
@@ -98,8 +111,11 @@
 				t.Errorf("submitted here (-want +got):\n%s", diff)
 			}
 			var want []event.JobPlaced
-			if c.place != "" && !c.left {
-				want = []event.JobPlaced{{Job: "j9", Host: c.place, Answered: !c.err, Kind: c.answer}}
+			if first, rest, more := strings.Cut(c.place, ","); c.place != "" && !c.left {
+				want = append(want, event.JobPlaced{Job: "j9", Host: first, Answered: !c.err, Kind: c.answer})
+				if next, _, _ := strings.Cut(rest, ","); more {
+					want = append(want, event.JobPlaced{Job: "j9", Host: next, Answered: true, Kind: c.next})
+				}
 			}
 			if diff := cmp.Diff(want, append([]event.JobPlaced(nil), *placed...)); diff != "" {
 				t.Errorf("told (-want +got):\n%s", diff)
