--- a/figbed/internal/estate/estate.go
+++ b/figbed/internal/estate/estate.go
@@ -25,6 +25,9 @@
 	Tenant   = "north"
 )
 
+// zones is the number of zones that the hosts take in turn.
+const zones = 4
+
 // Report is a usage report that the estate accepted.
 type Report struct {
 	Window uint64         `json:"window"`
@@ -188,6 +191,6 @@
 KeepResultsS = 120
 LogLevel = info
 LogPerSecond = 60
-`, host, host, class, IP(host), bind, e.Front(host), e.Ready(host), e.Port+4, e.Port+9, address, address, e.Port+6)
+`, host, (host-1)%zones+1, class, IP(host), bind, e.Front(host), e.Ready(host), e.Port+4, e.Port+9, address, address, e.Port+6)
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/figbed/internal/soak/soak.go
+++ b/figbed/internal/soak/soak.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	callersOfHost = 5
+	callers       = 20 // of all hosts, one of each at least
 	trainers      = 4
 	checkEvery    = 3 * time.Second
 	// recovery is the time after the last fault in which the hosts must serve everything again.
@@ -80,8 +80,8 @@
 func (r *runner) load(ctx context.Context) *sync.WaitGroup {
 	var all sync.WaitGroup
 	for host := 1; host <= r.soak.Hosts; host++ {
-		for n := range callersOfHost {
-			c := &caller{r: r, name: fmt.Sprintf("c%d.%d", host, n), host: host, random: r.random(uint64(1 + host*callersOfHost + n)), client: newClient()}
+		for n := range max(1, callers/r.soak.Hosts) {
+			c := &caller{r: r, name: fmt.Sprintf("c%d.%d", host, n), host: host, random: r.random(uint64(1 + host*callers + n)), client: newClient()}
 			all.Go(func() { c.run(ctx) })
 		}
 	}
