--- a/figbed/internal/soak/check.go
+++ b/figbed/internal/soak/check.go
@@ -214,15 +214,15 @@
 // one version made the event, and none that made no event.
 func checkVersions(j Job, one Result, runs []Run) (broken []string) {
 	made := versionsMade(runs)
-	any, sure := map[uint64]bool{}, map[uint64]bool{}
+	ever, sure := map[uint64]bool{}, map[uint64]bool{}
 	for _, of := range made {
 		for _, v := range of {
-			any[v] = true
+			ever[v] = true
 			sure[v] = sure[v] || len(of) == 1
 		}
 	}
 	for _, v := range one.Versions {
-		if !any[v] {
+		if !ever[v] {
 			broken = append(broken, fmt.Sprintf("VERSION: item %s tells version %d, under which none of its events was made", one.ID, v))
 		}
 		if v < j.Least {
--- a/figbed/internal/soak/soak.go
+++ b/figbed/internal/soak/soak.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	callers       = 20 // of all hosts, one of each at least
-	trainers      = 4
-	checkEvery    = 3 * time.Second
+	callers    = 20 // of all hosts, one of each at least
+	trainers   = 4
+	checkEvery = 3 * time.Second
 	// recovery is the time after the last fault in which the hosts must serve everything again.
 	recovery = 15 * time.Second
 	// lastReads is the time that a job may take which was open when the load ended.
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -38,12 +38,11 @@
 	if !p.large {
 		return ""
 	}
-	if last := p.ranAt[name]; last != p.Self.Name && slices.Contains(p.hubs, last) && p.takesJobs(now, last) {
-		return last
-	} else if last == p.Self.Name && p.isHub() {
-		return ""
+	hubs := p.hubsOf(name)
+	if last := p.ranAt[name]; slices.Contains(hubs, last) {
+		hubs = append([]string{last}, hubs...)
 	}
-	for _, hub := range p.hubsOf(name) {
+	for _, hub := range hubs {
 		if hub == p.Self.Name {
 			return ""
 		}
@@ -54,8 +53,6 @@
 	return ""
 }
 
-func (p *Part) isHub() bool { return slices.Contains(p.hubs, p.Self.Name) }
-
 // hubsOf returns the hubs in the order in which a route tries them. The routes take them in turn, and a route tries first
 // those that no other route prefers.
 func (p *Part) hubsOf(name string) []string {
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -53,10 +53,10 @@
 // JobAnswer ends a JobCalled. Kind is "" for success; for a read it says only that the key may be used. Host is that which
 // should run a job, "" for this one.
 type JobAnswer struct {
-	Host         string
 	Seq          uint64
 	Kind         kinds.Kind
 	Organisation string
+	Host         string
 	RetryAfter   time.Duration
 }
 
--- a/internal/items/offer.go
+++ b/internal/items/offer.go
@@ -35,9 +35,10 @@
 }
 
 // Offer takes a submission as a caller sent it: it is handed to the host that should run it, then to the next one, and
-// taken here when neither takes it or this host should run it. Several hosts may then have it; the store lets one of them run it. When the caller leaves while the
-// other host waits for the store, that host goes on alone, and the caller's next try is handed to it too. The answer's kind is "" once
-// the job will be kept; no kind says that nothing runs while the other host may have taken it.
+// taken here when neither takes it or this host should run it. Several hosts may then have it; the store lets one of them
+// run it. When the caller leaves while the other host waits for the store, that host goes on alone, and the caller's next
+// try is handed to it too. The answer's kind is "" once the job will be kept; no kind says that nothing runs while another
+// host may have taken it.
 func (x *Executor) Offer(ctx context.Context, c Call, body []byte) event.JobAnswer {
 	unsure := false
 	for range mostPlaces {
