--- a/figbed/internal/report/plot.go
+++ b/figbed/internal/report/plot.go
@@ -160,7 +160,9 @@
 func (r Report) writeCurves(name string, c curves) (string, error) {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.title, "ms", "share"
-	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	if isWide(append(slices.Clone(c.before), c.after...)) {
+		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	}
 	for side, values := range [][]float64{c.before, c.after} {
 		if len(values) == 0 {
 			continue
@@ -176,9 +178,18 @@
 	return r.save(p, name)
 }
 
-// leastMS is the least time that is plotted, since the axis is logarithmic.
+// leastMS is the least time that is plotted, since the axis may be logarithmic.
 const leastMS = 1
 
+// wideFrom is the ratio of the greatest value to the least from which on an axis is logarithmic: below it an axis may have
+// no power of ten, and only those are labelled.
+const wideFrom = 100
+
+// isWide reports whether values need a logarithmic axis.
+func isWide(values []float64) bool {
+	return slices.Max(values) > wideFrom*max(leastMS, slices.Min(values))
+}
+
 // shares returns the share of the values up to each value, at most maxPoints of them.
 func shares(values []float64) plotter.XYs {
 	const maxPoints = 200
--- a/figbed/internal/report/report_test.go
+++ b/figbed/internal/report/report_test.go
@@ -127,3 +127,21 @@
 		})
 	}
 }
+
+// An axis is logarithmic only when its values span powers of ten, which are its labels.
+func TestAxis(t *testing.T) {
+	cases := map[string]struct {
+		values []float64
+		want   bool
+	}{
+		"narrow":         {[]float64{3000, 8000}, false},
+		"wide":           {[]float64{2, 1000}, true},
+		"wide, with 0":   {[]float64{0, 1000}, true},
+		"narrow, with 0": {[]float64{0, 50}, false},
+	}
+	for name, c := range cases {
+		if diff := cmp.Diff(c.want, isWide(c.values)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
