view: a host that starts watches the hosts at once

Hosts that start together heard of each other a second late; an owner that left 1.5 s after the start had sent no copies, and its items began again. After a loss of power on all hosts jobs were taken over that much later. Change: the prefix of the hosts is watched at once, as before.

--- a/internal/view/feed.go
+++ b/internal/view/feed.go
@@ -173,7 +173,7 @@
 			return
 		}
 		changed = f.replace(list)
-		if f.position == 0 { // the first list of this process
+		if f.position == 0 && f.prefix != PrefixHosts { // the first list of this process
 			f.next, f.nextCheck = now+settleIn, now+settleIn
 		}
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -47,8 +47,9 @@
 	// some ticks, is not waited.
 	raisePerEndpoint = 100 * time.Microsecond
 	leastRaiseWait   = 25 * time.Millisecond
-	// settleIn is the time after the first list in which nothing is watched or read again: a host that has just started does not
-	// hear yet those that do so for it, which takes some beats.
+	// settleIn is the time after the first list in which nothing but the hosts is watched or read again: a host that has just
+	// started does not hear yet those that do so for it, which takes some beats. The hosts that start with it are needed at
+	// once: they take copies and jobs over.
 	settleIn = time.Second
 	// awayAfter is the time without an answer after which the store counts as away.
 	awayAfter = 1500 * time.Millisecond
