proc: an address is given once, also across the end of the range

The ports of that run began near the end of the range (31961) and wrapped to 12000: at 0 the place to go on was taken for one that had not been chosen yet, so that the same ports were given again to processes that had not bound them yet. It depends on the process id only. Change: whether the place was chosen is kept apart. Failed first: TestAddressesDifferAcrossTheEndOfTheRange.

--- a/figbed/internal/proc/ports.go
+++ b/figbed/internal/proc/ports.go
@@ -16,8 +16,9 @@
 )
 
 var ports struct {
-	mu   sync.Mutex
-	next int
+	mu    sync.Mutex
+	begun bool
+	next  int
 }
 
 // Address returns a free address on a loopback IP. Test processes start at different places of the range, so that
@@ -27,7 +28,8 @@
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
 	span := lastPort - firstPort
-	if ports.next == 0 {
+	if !ports.begun { // a next of 0 may as well be the start of the range, reached from its end
+		ports.begun = true
 		ports.next = os.Getpid() * portStep % span
 		forkProbe()
 	}
--- a/figbed/internal/proc/ports_test.go
+++ b/figbed/internal/proc/ports_test.go
@@ -42,3 +42,17 @@
 	group.Wait()
 	t.Logf("%d addresses while processes start: %s", addresses, time.Since(start).Round(time.Millisecond))
 }
+
+// A test binary's ports go on at the start of the range when they reach its end: no address is given twice while others
+// are free, since a process may not have bound its own yet.
+func TestAddressesDifferAcrossTheEndOfTheRange(t *testing.T) {
+	const most = 19_000 // of the 20,000 of the range
+	given := map[string]bool{}
+	for range most {
+		address := proc.Address(t, "127.0.0.77")
+		if given[address] {
+			t.Fatalf("%s was given twice, after %d others", address, len(given))
+		}
+		given[address] = true
+	}
+}
