batch: the store's record decides whom a job belongs to

A host that is named as the owner of a job that it does not run now reads the store's record, which ends in a takeover when the owner is gone.

The simulation drew the same call number twice for one host, which the product never does; the draws stay, the numbers differ.

The tests of owner_test.go fail without the change.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -122,7 +122,8 @@
 		{Key: "TookMS", Value: strconv.FormatInt((now - s.since).Milliseconds(), 10)},
 	}})
 	if e.Kind == kinds.Conflict && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation {
-		e.Kind = "" // another host stored the job with this host as its owner
+		// This host or another one stored the job earlier, with this host as its owner.
+		e.Kind, s.request.Host, s.request.Incarnation = "", p.Self.Name, p.Self.Incarnation
 	}
 	out.Emit(event.Observe{Name: "JobKeepTime", Took: now - s.since})
 	p.finishStoring(now, e, s, out)
--- a/internal/batch/news.go
+++ b/internal/batch/news.go
@@ -93,6 +93,7 @@
 	}
 	j := p.jobs[n.Job]
 	if j == nil {
+		p.checkNamedOwner(now, k, n, out)
 		return
 	}
 	if ended {
@@ -107,6 +108,18 @@
 	}
 }
 
+// checkNamedOwner reads the store's record of a job that this host does not run although another host takes it for the
+// owner. Two hosts that started the job before it was stored may each take the other for its owner, and neither hears of
+// the owner that was stored when that one is gone.
+func (p *Component) checkNamedOwner(now time.Duration, k *knownJob, n wire.JobNews, out *event.Batch) {
+	named := n.Host == p.Self.Name && n.Incarnation == p.Self.Incarnation
+	if !named || k.Host == p.Self.Name || k.Ended || k.takingOver || k.checkedAt != 0 && now-k.checkedAt < ownerSilenceTimeout {
+		return
+	}
+	k.checkedAt, k.mayTakeOver = now, true
+	out.Emit(event.CheckJob{Job: n.Job})
+}
+
 // isAuthoritative reports whether news comes from the job's owner or from the store's record. News that another host
 // forwards may be older than what is known, unless their epoch is higher.
 func isAuthoritative(from string, n wire.JobNews) bool { return from == n.Host || from == "" }
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -31,6 +31,7 @@
 	newsAt       time.Duration
 	orphanedAt   time.Duration // since when it has no live owner, 0 while it has one
 	queriedAt    time.Duration // when the owner was last queried
+	checkedAt    time.Duration // when the store's record was last read because this host was taken for the owner
 	takingOver   bool
 	textsDropped bool          // the executor was told to drop its texts
 	mayTakeOver  bool          // this host may take it over: its owner announced it, or it was found without one
--- /dev/null
+++ b/internal/batch/owner_test.go
@@ -0,0 +1,93 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// The store fails while several hosts are asked to take the same step, and the host that it then names as the owner
+// crashes. Each of the others may take another one for the owner, so that nobody runs the step: the store's record must
+// decide.
+func TestOwnerByTheStoreRecord(t *testing.T) {
+	self := event.Host{Name: "h1", Incarnation: "1"}
+	other := event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"}
+	taken := func(r *rig) []event.TakeJob { return take[event.TakeJob](r) }
+	cases := map[string]struct {
+		events []event.Event
+		check  func(r *rig) any
+		want   any
+	}{
+		"another host takes this one for the owner": {
+			events: []event.Event{newsFrom("h2", other), newsFrom("h2", event.JobSeen{Job: "j1", Host: self.Name, Incarnation: self.Incarnation})},
+			check:  func(r *rig) any { return take[event.CheckJob](r) },
+			want:   []event.CheckJob{{Job: "j1"}},
+		},
+		"it asks again": {
+			events: []event.Event{
+				newsFrom("h2", other), newsFrom("h2", event.JobSeen{Job: "j1", Host: self.Name, Incarnation: self.Incarnation}),
+				newsFrom("h3", event.JobSeen{Job: "j1", Host: self.Name, Incarnation: self.Incarnation}),
+			},
+			check: func(r *rig) any { return take[event.CheckJob](r) },
+			want:  []event.CheckJob{{Job: "j1"}},
+		},
+		"the record names a host that is gone": {
+			events: []event.Event{newsFrom("h2", other), newsFrom("", event.JobSeen{Job: "j1", Host: "h9", Incarnation: "1"})},
+			check:  func(r *rig) any { return taken(r) },
+			want:   []event.TakeJob{{Job: "j1", Host: "h9"}},
+		},
+		"a job without a record is forgotten, and taken over once it has one": {
+			events: []event.Event{
+				newsFrom("h9", event.JobSeen{Job: "j1", Host: "h9", Incarnation: "1"}), event.Tick{}, // this host's turn comes after that of another one
+				event.JobTaken{Job: "j1", Kind: kinds.NotFound},
+				newsFrom("", event.JobSeen{Job: "j1", Host: "h9", Incarnation: "1"}),
+			},
+			check: func(r *rig) any { return taken(r) },
+			want:  []event.TakeJob{{Job: "j1", Host: "h9"}, {Job: "j1", Host: "h9"}},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.tick(startupGrace)
+			for _, ev := range c.events {
+				r.step(ev)
+				r.tick(rankDelay)
+			}
+			r.tick(rankDelay)
+			if diff := cmp.Diff(c.want, c.check(r)); diff != "" {
+				t.Errorf("effects (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A caller submits a step twice to its owner, whose first answer from the store was lost while another host announced
+// itself. The owner must list the results although the second submission names the other host.
+func TestSubmissionFindsItselfAsOwner(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	head := testHead(1, 1, noHints)
+	self := event.JobSeen{Job: "j1", Host: "h1", Incarnation: "1"}
+	r.step(event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: head})
+	r.step(event.JobKept{Seq: 1, Job: "j1", Kind: kinds.OutcomeUnknown})
+	r.step(newsFrom("h2", event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"}))
+	r.step(event.JobCalled{Seq: 2, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: head})
+	r.step(event.JobKept{Seq: 2, Job: "j1", Kind: kinds.Conflict, Owner: self})
+	run := take[event.RunItem](r)[0]
+	r.step(event.ItemEnded{Job: "j1", Item: run.Item, Attempt: run.Attempt, Events: 1, Versions: []uint64{1}})
+	r.tick(maxListDelay + 100*time.Millisecond)
+	if diff := cmp.Diff([]event.StoreChunk{{Job: "j1", Items: []int{0}, Down: []bool{false}}}, take[event.StoreChunk](r)); diff != "" {
+		t.Errorf("chunks (-want +got):\n%s", diff)
+	}
+}
+
+// newsFrom returns news of a job from a host, or from the store's record when the host is "".
+func newsFrom(host string, s event.JobSeen) event.PeerReceived {
+	news := wire.JobNews(s)
+	return event.PeerReceived{Host: host, Message: wire.Message{News: &news}}
+}
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -26,7 +26,9 @@
 	calls    []simCall
 	jobs     map[string]*simJob
 	jobCount int
-	noFaults bool // calls and messages no longer fail
+	// submissions is the number of submissions, by which their numbers differ.
+	submissions int
+	noFaults    bool // calls and messages no longer fail
 }
 
 type simHost struct {
@@ -120,7 +122,7 @@
 	case event.RunItem:
 		s.noteRun(e.Job)
 		s.calls = append(s.calls, simCall{h, h.starts, effect})
-	case event.KeepJob, event.TakeJob, event.ListJobs, event.EndJob, event.ScoreItem, event.StoreChunk, event.StopItem:
+	case event.KeepJob, event.TakeJob, event.CheckJob, event.ListJobs, event.EndJob, event.ScoreItem, event.StoreChunk, event.StopItem:
 		s.calls = append(s.calls, simCall{h, h.starts, effect})
 	}
 }
@@ -183,7 +185,10 @@
 func (s *simulation) submitAt(n int) {
 	h := s.hosts[rapid.IntRange(0, simHosts-1).Draw(s.t, "host")]
 	j := s.jobs[jobOf(uint64(n))]
-	seq := uint64(n) + 1000*uint64(rapid.IntRange(1, 1_000_000).Draw(s.t, "seq"))
+	s.submissions++
+	const maxDraw = 1_000_000
+	draw := rapid.IntRange(1, maxDraw).Draw(s.t, "seq")
+	seq := uint64(n) + 1000*uint64(draw+(maxDraw+1)*s.submissions) // a host never uses a number twice
 	h.step(event.JobCalled{Seq: seq, Call: event.JobSubmit, Path: "/r/x", Job: j.id, Head: j.head})
 }
 
@@ -214,6 +219,8 @@
 		return s.storeChunk(e, outcome)
 	case event.TakeJob:
 		return s.takeJob(c.host, c.starts, e, outcome)
+	case event.CheckJob:
+		return s.checkJob(e, outcome)
 	case event.ListJobs:
 		return s.listJobs(outcome)
 	case event.RunItem:
@@ -310,6 +317,15 @@
 	return done
 }
 
+func (s *simulation) checkJob(e event.CheckJob, outcome string) event.Event {
+	j := s.jobs[e.Job]
+	if outcome != "done" || !j.stored {
+		return nil
+	}
+	news := wire.JobNews(j.owner)
+	return event.PeerReceived{Message: wire.Message{News: &news}}
+}
+
 func (s *simulation) listJobs(outcome string) event.Event {
 	if outcome != "done" {
 		return event.JobsListed{Kind: kinds.StoreUnavailable}
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -148,7 +148,8 @@
 	out.Emit(event.Count{Name: "JobTakeovers", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
 	switch {
 	case e.Kind == kinds.NotFound:
-		k.Ended = true
+		// It may still be stored: by a submission under way, or when its caller submits it again.
+		delete(p.known, e.Job)
 	case e.Kind == kinds.Conflict:
 		// Another host owns the job, even if it is not connected to this one.
 		k.Epoch, k.nextTakeover, k.newsAt = max(k.Epoch, e.Epoch), now+ownerSilenceTimeout, now
