--- a/figctl/explain.go
+++ b/figctl/explain.go
@@ -34,13 +34,35 @@
 		example:  "figctl explain --id 9c41d07be2a35f68 --files host1.log,host2.log",
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&explain.id, "id", "", "the `id` of the request, job or item")
+			f.BoolVar(&explain.steps, "steps", false, "instead of an id: for each batch job, when parts of it were done and what its time was spent on")
 			f.StringVar(&explain.paths, "files", "", "log `files`, separated by commas; default standard input")
 		},
-		run: func(_ context.Context, _ []string) error { return explain.printTimeline(o.out, stdin) },
+		run: func(_ context.Context, _ []string) error { return explain.run(o, stdin) },
 	}
 }
 
-type explainFlags struct{ id, paths string }
+type explainFlags struct {
+	id, paths string
+	steps     bool
+}
+
+func (f *explainFlags) run(o output, stdin io.Reader) error {
+	if f.steps == (f.id != "") {
+		return kinds.New(kinds.BadRequest, "either --id or --steps is required")
+	}
+	if !f.steps {
+		return f.printTimeline(o.out, stdin)
+	}
+	lines, err := f.readLogs(stdin)
+	if err != nil {
+		return err
+	}
+	if len(collectSteps(lines)) == 0 {
+		return kinds.New(kinds.NotFound, "no log line tells of an item that was sent")
+	}
+	printSteps(o, lines)
+	return nil
+}
 
 func (f *explainFlags) printTimeline(out io.Writer, stdin io.Reader) error {
 	if f.id == "" {
--- /dev/null
+++ b/figctl/steps.go
@@ -0,0 +1,365 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// minPacedEvents is the number of events from which on a run tells how fast an engine generates.
+const minPacedEvents = 30
+
+// cause names a part of the time between a job's submission and its end.
+type cause string
+
+const (
+	causeStore    cause = "Store"    // until the job was stored
+	causeSlot     cause = "Slot"     // until the closing item was first sent to an engine
+	causeRun      cause = "Run"      // generation at the pace of the fastest engines
+	causeSlow     cause = "Slow"     // generation beyond that: slow or crowded engines, and prompts that were read again
+	causeRefused  cause = "Refused"  // from a run that an engine refused to the next one
+	causeMoved    cause = "Moved"    // from a run that was stopped, cut or silent to the next one
+	causeTakeover cause = "Takeover" // the same, while another host took the job over
+	causeList     cause = "List"     // until the closing result was scored and listed
+	causeRead     cause = "Read"     // until the caller ended the job
+)
+
+var causes = []cause{causeStore, causeSlot, causeRun, causeSlow, causeRefused, causeMoved, causeTakeover, causeList, causeRead}
+
+// stepRun is one run of an item on an engine.
+type stepRun struct {
+	sent, ended time.Time // ended is zero for a run whose end is not logged
+	engine      string
+	others      string // runs that the engine had besides this one, "" when not logged
+	from        int    // events held before the run
+	events      int    // events held after it
+	reason      string // "" for a whole text
+}
+
+type stepItem struct {
+	id    string
+	group string
+	runs  []stepRun
+	done  time.Time // when its text was whole, zero if it never was
+}
+
+// step is a batch job as the logs of all hosts show it.
+type step struct {
+	job       string
+	submitted time.Time
+	kept      time.Time
+	ended     time.Time
+	target    int // groups that the caller waits for, 0 when unknown
+	items     map[string]*stepItem
+	order     []*stepItem // in the order in which they were first sent
+	listed    []time.Time
+	taken     []time.Time
+}
+
+// collectSteps returns the jobs of which an item was sent, in the order of their submission.
+func collectSteps(lines []logLine) []*step {
+	sorted := slices.Clone(lines)
+	slices.SortStableFunc(sorted, func(a, b logLine) int { return a.timestamp.Compare(b.timestamp) })
+	byJob := map[string]*step{}
+	var steps []*step
+	for _, l := range sorted {
+		id := l.field("Job")
+		if id == "" {
+			continue
+		}
+		s := byJob[id]
+		if s == nil {
+			s = &step{job: id, items: map[string]*stepItem{}}
+			byJob[id] = s
+			steps = append(steps, s)
+		}
+		s.add(l)
+	}
+	return slices.DeleteFunc(steps, func(s *step) bool { return len(s.order) == 0 })
+}
+
+func (s *step) add(l logLine) {
+	switch l.event {
+	case "JobKept":
+		if s.kept.IsZero() && l.field("Kind") == "" {
+			s.kept = l.timestamp
+			s.submitted = l.timestamp.Add(-time.Duration(l.number("TookMS")) * time.Millisecond)
+			s.target = l.number("Target")
+		}
+	case "ItemSent":
+		it := s.item(l)
+		it.runs = append(it.runs, stepRun{sent: l.timestamp, engine: l.field("Endpoint"), others: l.field("Others"), from: l.number("From")})
+	case "ItemEnded":
+		s.endRun(l)
+	case "Listed":
+		s.listed = append(s.listed, l.timestamp)
+	case "JobTaken":
+		if l.field("Kind") == "" {
+			s.taken = append(s.taken, l.timestamp)
+		}
+	case "JobEnd":
+		if s.ended.IsZero() && l.field("Kind") == "" {
+			s.ended = l.timestamp
+		}
+	}
+}
+
+func (s *step) item(l logLine) *stepItem {
+	id := l.field("Item")
+	it := s.items[id]
+	if it == nil {
+		it = &stepItem{id: id, group: l.field("Group")}
+		s.items[id] = it
+		s.order = append(s.order, it)
+	}
+	return it
+}
+
+// endRun ends the last run of an item on the engine that the line names. Only the first whole text of an item counts.
+func (s *step) endRun(l logLine) {
+	it := s.items[l.field("Item")]
+	if it == nil || !it.done.IsZero() {
+		return
+	}
+	for i := len(it.runs) - 1; i >= 0; i-- {
+		r := &it.runs[i]
+		if !r.ended.IsZero() || r.engine != l.field("Endpoint") {
+			continue
+		}
+		r.ended, r.events, r.reason = l.timestamp, l.number("Events"), l.field("Reason")
+		if r.reason == "" {
+			it.done = l.timestamp
+		}
+		return
+	}
+}
+
+// start is when the job was submitted, or when its first item was sent if the logs do not tell.
+func (s *step) start() time.Time {
+	if s.submitted.IsZero() {
+		return s.order[0].runs[0].sent
+	}
+	return s.submitted
+}
+
+// closing returns the item that completed as many groups as the caller waits for, the last one to be whole when the logs
+// do not tell that number, and nil when too few were whole before the job ended.
+func (s *step) closing() *stepItem {
+	whole := s.itemsByEnd()
+	if s.target == 0 || len(whole) == 0 || whole[0].group == "" {
+		if len(whole) == 0 {
+			return nil
+		}
+		return whole[len(whole)-1]
+	}
+	open := map[string]int{}
+	for _, it := range s.order {
+		open[it.group]++
+	}
+	groups := 0
+	for _, it := range whole {
+		if open[it.group]--; open[it.group] > 0 {
+			continue
+		}
+		if groups++; groups == s.target {
+			return it
+		}
+	}
+	return nil
+}
+
+// itemsByEnd returns the items whose texts were whole before the job ended, in that order.
+func (s *step) itemsByEnd() []*stepItem {
+	var whole []*stepItem
+	for _, it := range s.order {
+		if !it.done.IsZero() && (s.ended.IsZero() || !it.done.After(s.ended)) {
+			whole = append(whole, it)
+		}
+	}
+	slices.SortStableFunc(whole, func(a, b *stepItem) int { return a.done.Compare(b.done) })
+	return whole
+}
+
+// chain divides the time from the job's submission to its end by cause, along the runs of its closing item. gap is the
+// time between two events on a fast engine, 0 when unknown.
+func (s *step) chain(it *stepItem, gap time.Duration) map[cause]time.Duration {
+	spent := map[cause]time.Duration{}
+	at := s.start()
+	pass := func(c cause, until time.Time) {
+		if until.After(at) {
+			spent[c] += until.Sub(at)
+			at = until
+		}
+	}
+	pass(causeStore, earlier(s.kept, it.runs[0].sent))
+	why := causeSlot
+	for _, r := range it.runs {
+		if s.takenBetween(at, r.sent) {
+			why = causeTakeover
+		}
+		pass(why, r.sent)
+		if r.ended.IsZero() {
+			why = causeMoved
+			continue
+		}
+		if r.reason == "Refused" {
+			why = causeRefused
+			pass(why, r.ended)
+			continue
+		}
+		pass(causeRun, earlier(r.ended, r.sent.Add(gap*time.Duration(max(0, r.events-r.from)))))
+		pass(causeSlow, r.ended)
+		why = causeMoved
+	}
+	for _, t := range s.listed {
+		if !t.Before(it.done) {
+			pass(causeList, t)
+			break
+		}
+	}
+	pass(causeRead, s.ended)
+	return spent
+}
+
+// earlier returns the earlier of two times, b when a is unknown.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (s *step) takenBetween(from, to time.Time) bool {
+	return slices.ContainsFunc(s.taken, func(t time.Time) bool { return t.After(from) && !t.After(to) })
+}
+
+// fastGap returns the time between two events that a twentieth of the runs do not exceed, 0 when no run is long enough.
+func fastGap(steps []*step) time.Duration {
+	var gaps []time.Duration
+	for _, s := range steps {
+		for _, it := range s.order {
+			for _, r := range it.runs {
+				if n := r.events - r.from; !r.ended.IsZero() && n >= minPacedEvents {
+					gaps = append(gaps, r.ended.Sub(r.sent)/time.Duration(n))
+				}
+			}
+		}
+	}
+	if len(gaps) == 0 {
+		return 0
+	}
+	slices.Sort(gaps)
+	return gaps[len(gaps)/20]
+}
+
+// printSteps prints a row for each job, the runs of the item that closed it, and the sum of the seconds by cause.
+func printSteps(o output, lines []logLine) {
+	steps := collectSteps(lines)
+	gap := fastGap(steps)
+	header := []string{"Job", "At", "Engines", "Half", "Most", "Whole", "Closed", "Ended"}
+	for _, c := range causes {
+		header = append(header, string(c))
+	}
+	rows := [][]string{header}
+	total := map[cause]time.Duration{}
+	closed := 0
+	for _, s := range steps {
+		it := s.closing()
+		row := s.summary(steps[0].start(), it)
+		if it != nil {
+			closed++
+			spent := s.chain(it, gap)
+			for _, c := range causes {
+				total[c] += spent[c]
+				row = append(row, seconds(spent[c]))
+			}
+		}
+		rows = append(rows, pad(row, len(header)))
+	}
+	sum := pad([]string{"Sum", "", "", "", "", "", "", ""}, len(header)-len(causes))
+	for _, c := range causes {
+		sum = append(sum, seconds(total[c]))
+	}
+	o.printTable(append(rows, sum))
+	for _, s := range steps {
+		if it := s.closing(); it != nil {
+			o.printf("%s closed by %s\n", s.job, it.id)
+			it.printRuns(o, s.start())
+		}
+	}
+	o.printf("%d of %d jobs closed; %s between two events of a fast run\n", closed, len(steps), gap.Round(100*time.Microsecond))
+}
+
+// summary returns the first columns of a job's row: its submission after that of the first job, the engines that took
+// items in the first 300 ms, and the seconds after its submission until shares of the items were whole.
+func (s *step) summary(first time.Time, closing *stepItem) []string {
+	const burst = 300 * time.Millisecond
+	start := s.start()
+	engines := map[string]bool{}
+	for _, it := range s.order {
+		for _, r := range it.runs {
+			if r.sent.Sub(s.order[0].runs[0].sent) <= burst {
+				engines[r.engine] = true
+			}
+		}
+	}
+	whole := s.itemsByEnd()
+	part := func(share float64) string {
+		n := int(math.Ceil(share * float64(len(s.order))))
+		if n > len(whole) {
+			return ""
+		}
+		return seconds(whole[n-1].done.Sub(start))
+	}
+	row := []string{s.job, seconds(start.Sub(first)), strconv.Itoa(len(engines)), part(0.5), part(0.9), part(1), "", ""}
+	if closing != nil {
+		row[6] = seconds(closing.done.Sub(start))
+	}
+	if !s.ended.IsZero() {
+		row[7] = seconds(s.ended.Sub(start))
+	}
+	return row
+}
+
+func (it *stepItem) printRuns(o output, start time.Time) {
+	for _, r := range it.runs {
+		if r.ended.IsZero() {
+			o.printf("  +%s on %s from event %d, others %s, end not logged\n", seconds(r.sent.Sub(start)), r.engine, r.from, orDash(r.others))
+			continue
+		}
+		took, pace := r.ended.Sub(r.sent), ""
+		if n := r.events - r.from; n > 0 {
+			pace = fmt.Sprintf(", %.1f ms an event", float64(took.Milliseconds())/float64(n))
+		}
+		o.printf("  +%s on %s for %s, events %d to %d%s, others %s, ended %s\n",
+			seconds(r.sent.Sub(start)), r.engine, seconds(took), r.from, r.events, pace, orDash(r.others), orDash(r.reason))
+	}
+}
+
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// pad appends empty cells until a row has n of them.
+func pad(row []string, n int) []string {
+	for len(row) < n {
+		row = append(row, "")
+	}
+	return row
+}
+
+// number returns a field as a number, 0 when it is missing or none.
+func (l *logLine) number(key string) int {
+	n, err := strconv.Atoi(l.field(key))
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -119,6 +119,7 @@
 		{Key: "Model", Value: s.head.Model},
 		{Key: "MinVersion", Value: strconv.FormatUint(s.head.MinVersion, 10)},
 		{Key: "Items", Value: strconv.Itoa(len(s.head.Items))},
+		{Key: "Target", Value: strconv.Itoa(s.head.Target)},
 		{Key: "TookMS", Value: strconv.FormatInt((now - s.since).Milliseconds(), 10)},
 	}})
 	if e.Kind == kinds.Conflict && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation {
@@ -210,6 +211,7 @@
 // endJob stops a job's runs on this host and has its end stored. Any host accepts the call, not only the owner.
 func (p *Component) endJob(e event.JobCalled, out *event.Batch) {
 	if k := p.known[e.Job]; k != nil && k.Ended {
+		p.logJobEnd(e.Job, "", out)
 		p.answer(e.Seq, e.Job, "", "", out)
 		return
 	}
@@ -229,7 +231,7 @@
 	for _, seq := range seqs {
 		p.answer(seq, e.Job, e.Kind, "", out)
 	}
-	out.Emit(event.Log{Level: "info", Event: "JobEnd", Fields: []event.Field{{Key: "Job", Value: e.Job}, {Key: "Kind", Value: string(e.Kind)}}})
+	p.logJobEnd(e.Job, e.Kind, out)
 	if e.Kind != "" {
 		return
 	}
@@ -238,6 +240,10 @@
 	p.announce(k.JobSeen, out)
 }
 
+func (p *Component) logJobEnd(job string, kind kinds.Kind, out *event.Batch) {
+	out.Emit(event.Log{Level: "info", Event: "JobEnd", Fields: []event.Field{{Key: "Job", Value: job}, {Key: "Kind", Value: string(kind)}}})
+}
+
 // stopJob stops all runs of a job and marks it as ended. Results that are already listed stay listed.
 func (p *Component) stopJob(j *job, out *event.Batch) {
 	if j.ended {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -116,7 +116,9 @@
 	out.Emit(started)
 	p.logItem(ji.job, it, "ItemSent", out, event.Field{Key: "Endpoint", Value: e.Name},
 		event.Field{Key: "Version", Value: strconv.FormatUint(e.VersionOf(ji.job.head.Model), 10)},
-		event.Field{Key: "From", Value: strconv.Itoa(it.heldEvents)})
+		event.Field{Key: "From", Value: strconv.Itoa(it.heldEvents)},
+		event.Field{Key: "Group", Value: strconv.Itoa(it.Group)},
+		event.Field{Key: "Others", Value: strconv.Itoa(e.ownRunning + e.remoteRunning - 1)})
 }
 
 func (p *Component) logItem(j *job, it *item, name string, out *event.Batch, fields ...event.Field) {
