batch: results are listed so that the last one meets a waiting reader

A trainer reads again half a second after the start of its last read; from two seconds before the due time on, and once as many groups as the target were whole, each whole group was listed by itself, so that the reader was away when the last one came.

Change: groups are listed early only when they let the trainer go on, which takes the groups that come again too, and at intervals in the last second before the due time.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -49,8 +49,9 @@
 	items        []*item
 	groups       []group
 	chunks       int
-	storingChunk bool // only one chunk is stored at a time
-	nextChunkAt  time.Duration
+	storingChunk bool          // only one chunk is stored at a time
+	nextChunkAt  time.Duration // earliest time of the next chunk after one could not be stored
+	lastChunkAt  time.Duration
 	unlisted     int // items that are not listed
 	ended        bool
 	// lengthsShared is whether the lengths of its items were remembered after its end.
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -12,8 +12,11 @@
 	// maxListDelay is the longest time that a result waits to be listed together with others, while the trainer still
 	// waits for more groups. Meanwhile another host holds a copy of its text.
 	maxListDelay = time.Second
-	// dueMargin is the time before a job is due from which on a whole group is listed at once.
-	dueMargin = 2 * maxListDelay
+	// dueMargin is the time before a job is due from which on whole groups no longer wait for maxListDelay.
+	dueMargin = time.Second
+	// listInterval is the time between two chunks of whole groups shortly before a job is due. A reader that got results
+	// calls again about this long after its last call, and results that are listed meanwhile reach it no earlier.
+	listInterval = 500 * time.Millisecond
 	// chunkRetryPause is the pause after a chunk could not be stored.
 	chunkRetryPause = 200 * time.Millisecond
 	// maxChunkItems is the maximum number of results that are offered for one chunk; the executor stores as many as fit
@@ -36,12 +39,14 @@
 		chunk.Items = append(chunk.Items, it.index)
 		chunk.Down = append(chunk.Down, it.givenUp)
 	}
-	j.storingChunk = true
+	j.storingChunk, j.lastChunkAt = true, now
 	out.Emit(chunk)
 }
 
 // listingDue reports whether results should be listed now: they complete the groups that the trainer waits for, complete
 // a group shortly before the job is due, or have waited for maxListDelay; or the job has ended or the host is stopping.
+// The result that lets the trainer go on is best listed while its reader waits; a reader that has just got other results
+// is away for listInterval. So nothing is listed early that doesn't let the trainer go on.
 func (p *Component) listingDue(now time.Duration, j *job) bool {
 	finishedIn := make([]int, len(j.groups))
 	anyFinished, overdue := false, false
@@ -55,15 +60,18 @@
 	if !anyFinished {
 		return false
 	}
-	wholeGroups, completesGroup := 0, false
+	wholeGroups, completesGroup, missing := 0, false, false
 	for i, g := range j.groups {
 		if finishedIn[i] == g.unlisted {
 			wholeGroups++
 			completesGroup = completesGroup || g.unlisted > 0
+		} else if g.again {
+			missing = true
 		}
 	}
-	enough := wholeGroups >= j.target() || now >= j.head.Due-dueMargin
-	return completesGroup && enough || overdue || p.stopping || j.ended
+	enough := wholeGroups >= j.target() && !missing
+	dueSoon := now >= j.head.Due-dueMargin && now < j.head.Due && now-j.lastChunkAt >= listInterval
+	return completesGroup && (enough || dueSoon) || overdue || p.stopping || j.ended
 }
 
 // target returns the number of groups that the trainer waits for.
--- a/internal/batch/results_test.go
+++ b/internal/batch/results_test.go
@@ -1,12 +1,14 @@
 package batch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 // Many trainers submit steps of many groups, and each chunk costs a call to the store. Whole groups must wait to be listed
@@ -28,6 +30,7 @@
 		"due soon":           {groups, []int{0, 1}, time.Second, []int{2}, []int{2}},
 		"no target":          {0, []int{0, 1, 2, 3}, time.Minute, nil, []int{4}},
 		"beyond the target":  {1, []int{0, 1, 2}, time.Minute, []int{2}, []int{2, 1}},
+		"past its due time":  {groups, []int{0, 1}, -time.Second, nil, []int{2}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -53,6 +56,48 @@
 	}
 }
 
+// A step whose groups become whole one by one shortly before it is due must list them at intervals: each chunk sends the
+// reader away for listInterval, and the last one would find it away.
+func TestListingBeforeTheDueTime(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1), testEngine("e2", 1))
+	head := testHead(4, 1, noHints)
+	r.submit("j1", head)
+	r.p.jobs["j1"].head.Due = r.now + dueMargin
+	for _, run := range take[event.RunItem](r) {
+		r.step(event.ItemEnded{Job: "j1", Item: run.Item, Attempt: run.Attempt, Events: 1, Versions: []uint64{1}})
+		r.chunks(100 * time.Millisecond)
+		if run.Item == 2 {
+			break
+		}
+	}
+	if diff := cmp.Diff([]int{1}, r.chunks(100*time.Millisecond)); diff != "" {
+		t.Errorf("chunks within listInterval (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]int{1, 2}, r.chunks(listInterval)); diff != "" {
+		t.Errorf("chunks after it (-want +got):\n%s", diff)
+	}
+}
+
+// The trainer waits for the groups that come again, however many others are whole: those must not be listed one by one
+// while it waits.
+func TestListingWaitsForGroupsThatComeAgain(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1), testEngine("e2", 1))
+	r.step(event.PeerReceived{Host: "h2", Message: wire.Message{Lengths: []wire.ItemLength{{Item: "s0", Tokens: 900}}}})
+	head := stepHead("s", 3)
+	head.Target = 1
+	r.submit("j1", head)
+	for _, run := range slices.Backward(take[event.RunItem](r)) {
+		r.step(event.ItemEnded{Job: "j1", Item: run.Item, Attempt: run.Attempt, Events: 1, Versions: []uint64{1}})
+		var want []int
+		if run.Item == 0 {
+			want = []int{6}
+		}
+		if diff := cmp.Diff(want, r.chunks(100*time.Millisecond)); diff != "" {
+			t.Errorf("chunks after item %d (-want +got):\n%s", run.Item, diff)
+		}
+	}
+}
+
 // chunks advances the clock, stores the chunks of job j1 meanwhile, and returns the sizes of all chunks since the start.
 func (r *rig) chunks(pass time.Duration) []int {
 	var sizes []int
