batch: a job is taken over at once when its owner's host has started again

The host list names the later process of the owner's host, which proves that the old one is gone.

Change: during that time a job is taken over when the host list has another process of its owner's host. The order of preference is that of the listed hosts, since few have been heard.

--- a/internal/batch/owner_test.go
+++ b/internal/batch/owner_test.go
@@ -86,6 +86,39 @@
 	}
 }
 
+// Power returns to all hosts at once, and no host has heard another one yet. A job whose owner's process is known to be
+// gone must be taken over at once; any other owner may be alive.
+func TestTakeoverAtAStart(t *testing.T) {
+	owner := event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"}
+	self := event.Host{Name: "h1", Zone: "a", Incarnation: "1"}
+	cases := map[string]struct {
+		hosts []event.Host
+		early bool
+	}{
+		"the owner's host has started again": {[]event.Host{self, {Name: "h2", Incarnation: "2"}}, true},
+		"the owner's process is listed":      {[]event.Host{self, {Name: "h2", Incarnation: "1"}}, false},
+		"the owner's host is not listed":     {[]event.Host{self}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.alive = r.alive[:1]
+			r.step(event.HostsChanged{Hosts: c.hosts})
+			r.step(event.JobsListed{Jobs: []event.JobSeen{owner}})
+			r.tick(10 * time.Millisecond)
+			r.tick(rankDelay)
+			if diff := cmp.Diff(c.early, len(take[event.TakeJob](r)) > 0); diff != "" {
+				t.Errorf("taken over before other hosts are heard (-want +got):\n%s", diff)
+			}
+			r.tick(startupGrace)
+			r.tick(2 * rankDelay)
+			if diff := cmp.Diff([]event.TakeJob{{Job: "j1", Host: "h2"}}, take[event.TakeJob](r)); diff != "" {
+				t.Errorf("takeovers in all (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // newsFrom returns news of a job from a host, or from the store's record when the host is "".
 func newsFrom(host string, s event.JobSeen) event.PeerReceived {
 	news := wire.JobNews(s)
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// startupGrace is the time after the start within which the first heartbeats of the other hosts arrive. No job is
-	// taken over during it.
+	// startupGrace is the time after the start within which the first heartbeats of the other hosts arrive. During it a
+	// job is taken over only when its owner's process is known to be gone.
 	startupGrace = 1200 * time.Millisecond
 	// takeoverRetry is the pause between two attempts to take a job over.
 	takeoverRetry = 500 * time.Millisecond
@@ -47,7 +47,7 @@
 
 // takeOrphans takes over the jobs without a live owner that fall to this host, and forgets jobs that ended long ago.
 func (p *Component) takeOrphans(now time.Duration, out *event.Batch) {
-	if p.stopping || now-p.startedAt < startupGrace {
+	if p.stopping {
 		return
 	}
 	incarnations := map[string]string{}
@@ -57,6 +57,10 @@
 		}
 	}
 	names := p.availableHosts(now)
+	starting := now-p.startedAt < startupGrace
+	if starting {
+		names = p.listedHosts() // most of which have not been heard yet
+	}
 	cutOff := p.largeFleet && len(names) < minConnectedHosts
 	for _, id := range slices.Sorted(maps.Keys(p.known)) {
 		k := p.known[id]
@@ -68,13 +72,29 @@
 			k.textsDropped = true
 			out.Emit(event.DropJob{Job: id})
 		}
-		if !cutOff {
+		if !cutOff && (!starting || p.ownerRestarted(k)) {
 			p.takeOrphan(now, k, incarnations, names, out)
 		}
 	}
 	p.dropEndedJobs(now, out)
 }
 
+// listedHosts returns the names of the hosts in the host list, sorted.
+func (p *Component) listedHosts() []string {
+	var names []string
+	for _, h := range p.hosts {
+		names = append(names, h.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// ownerRestarted reports whether the host list names a later process on the host of a job's owner, so that the owner's
+// process is gone although this host has heard of no other host yet.
+func (p *Component) ownerRestarted(k *knownJob) bool {
+	return slices.ContainsFunc(p.hosts, func(h event.Host) bool { return h.Name == k.Host && h.Incarnation != k.Incarnation })
+}
+
 // takeOrphan starts a takeover of a job without a live owner when it is this host's turn.
 func (p *Component) takeOrphan(now time.Duration, k *knownJob, incarnations map[string]string, names []string, out *event.Batch) {
 	if k.Ended || k.takingOver || p.jobs[k.Job] != nil || now < k.nextTakeover || p.largeFleet && !k.mayTakeOver {
