batch: items of the older step go first

Cause: after a slip the steps of a trainer come in pairs, about a second apart, and their items were sent in the order of their hints, whichever step they belonged to. Both then end together, and the next two come together again.

Change: among the items of needed groups, those of the job that is due first go first.

--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -19,17 +19,18 @@
 	Compare(a, b Candidate) int
 }
 
-// NeededFirst dispatches items of the groups that the trainer waits for before all others. Within each of the two, items
-// with held events go first and then the longest ones, since a group is complete only when its longest item is.
+// NeededFirst dispatches items of the groups that the trainer waits for before all others. Within each of the two, the job
+// that is due first goes first, since a trainer needs its steps one after the other; in a job, items with held events and
+// then the longest ones, since a group is complete only when its longest item is.
 type NeededFirst struct{}
 
 // Compare is negative when a goes before b and positive when b goes before a.
 func (NeededFirst) Compare(a, b Candidate) int {
 	return cmp.Or(
 		trueFirst(a.Needed, b.Needed),
+		cmp.Compare(a.DueAt, b.DueAt),
 		trueFirst(a.HasEvents, b.HasEvents),
 		cmp.Compare(b.Hint, a.Hint),
-		cmp.Compare(a.DueAt, b.DueAt),
 		cmp.Compare(a.Group, b.Group),
 		cmp.Compare(a.Index, b.Index),
 	)
