batch: the steps of a trainer stay with one host in small fleets too

Change: a host passes a submission to the owner of the route's last job while that one accepts jobs, as in large fleets.

--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -30,14 +30,14 @@
 	}
 }
 
-// hostForRoute returns the host that should run the jobs of a route, "" for this one. In a large fleet all jobs of a
-// route run on one hub, which keeps its connections to the engines from one training step to the next; hubs have the
-// most processor time. A route stays with the hub that was announced as the owner of its last job, and moves to
+// hostForRoute returns the host that should run the jobs of a route, "" for this one. All jobs of a route run on one host,
+// which keeps its connections to the engines from one training step to the next: in a small fleet on the owner of its
+// last job, in a large one on a hub, since hubs have the most processor time. There a route stays with the hub that was announced as the owner of its last job, and moves to
 // another one when that hub does not accept jobs. When a hub is gone, only the first host that forwards a submission to
 // it waits for it in vain.
 func (p *Component) hostForRoute(now time.Duration, name string) string {
 	if !p.largeFleet {
-		return ""
+		return p.lastOwner(now, name)
 	}
 	hubs := p.hubOrder(name)
 	if last := p.routeHost[name]; slices.Contains(hubs, last) {
@@ -54,6 +54,15 @@
 	return ""
 }
 
+// lastOwner returns the owner of a route's last job, "" for this host and while that host does not accept jobs.
+func (p *Component) lastOwner(now time.Duration, name string) string {
+	last := p.routeHost[name]
+	if last == p.Self.Name || !slices.Contains(p.availableHosts(now), last) || !p.acceptsJobs(now, last) {
+		return ""
+	}
+	return last
+}
+
 // hubOrder returns the hubs in the order in which a route tries them. The hubs are assigned to the routes in turn, and a
 // route tries those assigned to it first.
 func (p *Component) hubOrder(name string) []string {
--- a/internal/batch/placement_test.go
+++ b/internal/batch/placement_test.go
@@ -163,3 +163,34 @@
 		}
 	}
 }
+
+// A trainer's submissions arrive at any host of a small fleet. Its steps must stay with the host that ran the last one,
+// which keeps its connections to the engines, and leave it when it stops or loses its connection.
+func TestStepsStayInASmallFleet(t *testing.T) {
+	announced := newsFrom("h2", event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1", Route: "r1"})
+	cases := map[string]struct {
+		events []event.Event
+		want   string
+	}{
+		"no step yet":          {nil, ""},
+		"runs at another host": {[]event.Event{announced}, "h2"},
+		"another route":        {[]event.Event{newsFrom("h2", event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1", Route: "r2"})}, ""},
+		"that host stops":      {[]event.Event{announced, event.BeatSeen{Host: "h2", Beat: wire.Beat{Stopping: true}}}, ""},
+		"that host is gone":    {[]event.Event{announced, event.PeerDown{Host: "h2"}}, ""},
+		"that host refused":    {[]event.Event{announced, event.JobPlaced{Job: "j2", Host: "h2", Answered: true, Kind: kinds.NotReady}}, ""},
+		"unknown host":         {[]event.Event{newsFrom("h9", event.JobSeen{Job: "j1", Host: "h9", Incarnation: "1", Route: "r1"})}, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			setJobRoutes(r, "r1", "r2")
+			for _, ev := range c.events {
+				r.step(ev)
+			}
+			r.tick(2 * disconnectGrace)
+			if diff := cmp.Diff(c.want, placedHost(r, "r1")); diff != "" {
+				t.Errorf("host (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
