--- a/figctl/steps.go
+++ b/figctl/steps.go
@@ -144,15 +144,17 @@
 	return s.submitted
 }
 
-// closing returns the item that completed as many groups as the caller waits for, the last one to be whole when the logs
-// do not tell that number, and nil when too few were whole before the job ended.
+// closing returns the item that let the caller go on: the one that completed as many groups as the caller waits for. It
+// returns the last item that was whole before the job ended when the logs tell of fewer whole groups, since they lack
+// lines that a host suppressed, and nil when no item was whole.
 func (s *step) closing() *stepItem {
 	whole := s.itemsByEnd()
-	if s.target == 0 || len(whole) == 0 || whole[0].group == "" {
-		if len(whole) == 0 {
-			return nil
-		}
-		return whole[len(whole)-1]
+	if len(whole) == 0 {
+		return nil
+	}
+	last := whole[len(whole)-1]
+	if s.target == 0 || last.group == "" {
+		return last
 	}
 	open := map[string]int{}
 	for _, it := range s.order {
@@ -167,7 +169,7 @@
 			return it
 		}
 	}
-	return nil
+	return last
 }
 
 // itemsByEnd returns the items whose texts were whole before the job ended, in that order.
@@ -195,12 +197,15 @@
 	}
 	pass(causeStore, earlier(s.kept, it.runs[0].sent))
 	why := causeSlot
-	for _, r := range it.runs {
+	for i, r := range it.runs {
 		if s.takenBetween(at, r.sent) {
 			why = causeTakeover
 		}
 		pass(why, r.sent)
-		if r.ended.IsZero() {
+		if r.ended.IsZero() { // its host ended; the next run tells which events it had generated
+			if i+1 < len(it.runs) {
+				pass(causeRun, r.sent.Add(gap*time.Duration(max(0, it.runs[i+1].from-r.from))))
+			}
 			why = causeMoved
 			continue
 		}
