--- a/internal/batch/owner_test.go
+++ b/internal/batch/owner_test.go
@@ -43,7 +43,8 @@
 		},
 		"a job without a record is forgotten, and taken over once it has one": {
 			events: []event.Event{
-				newsFrom("h9", event.JobSeen{Job: "j1", Host: "h9", Incarnation: "1"}), event.Tick{}, // this host's turn comes after that of another one
+				newsFrom("h9", event.JobSeen{Job: "j1", Host: "h9", Incarnation: "1"}),
+				event.Tick{}, // this host's turn comes after that of another one
 				event.JobTaken{Job: "j1", Kind: kinds.NotFound},
 				newsFrom("", event.JobSeen{Job: "j1", Host: "h9", Incarnation: "1"}),
 			},
