update: unanswered orders hold no place; batch: a job is announced before its answer

An order whose answer is awaited (2.5 s until OutcomeUnknown) counted as a load, so both places were held by engines that did not load, and the step of 12 s found one engine. And an owner that is killed right after its answer to the caller had told no host of the job: its takeover began 1.35 s later, by ranks, and not by the host that has the copies.

Change: an order counts as a load for 300 ms, and from its acceptance on until it is done. The job's news leave before the caller's answer.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -142,8 +142,8 @@
 		p.answerOnce(s, "", out)
 		p.noteOwner(now, event.JobSeen{Job: e.Job, Host: s.request.Host, Incarnation: s.request.Incarnation}, out)
 	case e.Kind == "" && j == nil:
+		p.startOwning(now, event.JobTaken{Job: e.Job, Head: s.head}, out) // announces the job before its caller is answered
 		p.answerOnce(s, "", out)
-		p.startOwning(now, event.JobTaken{Job: e.Job, Head: s.head}, out)
 	case e.Kind == "":
 		p.answerOnce(s, "", out)
 		j.unstored = false
--- a/internal/update/component.go
+++ b/internal/update/component.go
@@ -32,6 +32,9 @@
 	stepStartDelay = 300 * time.Millisecond
 	// staleLag is the number of versions behind the newest from which on an engine cannot serve the next step.
 	staleLag = 2
+	// answerTimeout is the time after which an order that has no answer no longer counts against maxLoadShare. Engines
+	// answer within milliseconds, before they load.
+	answerTimeout = 300 * time.Millisecond
 	// retryDelay is the wait after an order that was refused or had no answer.
 	retryDelay = 500 * time.Millisecond
 )
@@ -70,6 +73,8 @@
 	version uint64
 	until   time.Duration // the engine gets no other order before this time
 	loading bool
+	// answerBy is until when the order counts as a load without an answer, 0 once the engine has accepted it.
+	answerBy time.Duration
 }
 
 // Step applies one event. It must not be called concurrently.
@@ -172,7 +177,7 @@
 	p.assignModels(liveEngines, models)
 	loads := 0
 	for _, e := range liveEngines {
-		if o := p.orders[engineKey(e)]; o != nil && o.loading && now < o.until {
+		if o := p.orders[engineKey(e)]; o != nil && o.counts(now) {
 			loads++
 		}
 	}
@@ -186,6 +191,11 @@
 	}
 }
 
+// counts reports whether the engine is probably loading.
+func (o *order) counts(now time.Duration) bool {
+	return o.loading && now < o.until && (o.answerBy == 0 || now < o.answerBy)
+}
+
 // liveEngines returns a service's live engines that report weights, sorted by name.
 func (p *Component) liveEngines(service string) []*wire.Endpoint {
 	var all []*wire.Endpoint
@@ -301,7 +311,7 @@
 func (p *Component) sendOrder(now, until time.Duration, e *wire.Endpoint, out *event.Batch) {
 	p.lastOrder++
 	model := p.assignedModel[engineKey(e)]
-	o := &order{id: p.Host + "-" + strconv.FormatUint(p.lastOrder, 10), model: model, version: p.newestVersion[model], until: now + loadTimeout, loading: true}
+	o := &order{id: p.Host + "-" + strconv.FormatUint(p.lastOrder, 10), model: model, version: p.newestVersion[model], until: now + loadTimeout, loading: true, answerBy: now + answerTimeout}
 	p.orders[engineKey(e)] = o
 	out.Emit(event.SwapEngine{
 		Duty: Duty, Epoch: p.epoch, OrderID: o.id, Endpoint: e.Name, Address: e.Address, Model: model, Version: o.version,
@@ -332,9 +342,14 @@
 		return
 	}
 	for _, o := range p.orders {
-		if o.id == e.OrderID && e.Kind != "" {
-			o.loading = e.Kind == kinds.OutcomeUnknown
-			o.until = now + retryDelay
+		if o.id != e.OrderID {
+			continue
+		}
+		if e.Kind == "" {
+			o.answerBy = 0
+			continue
 		}
+		o.loading = e.Kind == kinds.OutcomeUnknown
+		o.until = now + retryDelay
 	}
 }
--- a/internal/update/update_test.go
+++ b/internal/update/update_test.go
@@ -161,6 +161,36 @@
 	}
 }
 
+// Some engines leave orders unanswered for seconds and may carry them out late. They must not hold the places of those
+// that would load at once: a step would find one engine with the version that it needs.
+func TestUnansweredOrdersHoldNoPlace(t *testing.T) {
+	cases := map[string]struct {
+		answered bool
+		want     []string
+	}{
+		"no answer": {false, []string{"e1=3"}},
+		"accepted":  {true, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig([]string{"m"}, 5)
+			r.publish("m", 3)
+			if diff := cmp.Diff([]string{"e0=3"}, r.tickAfter(time.Second)); diff != "" {
+				t.Fatalf("first order (-want +got):\n%s", diff)
+			}
+			if c.answered {
+				r.step(event.EngineSwapped{Duty: Duty, Epoch: 1, OrderID: r.orders[0].OrderID, Endpoint: "e0"})
+			}
+			if got := r.tickAfter(answerTimeout / 2); len(got) > 0 {
+				t.Errorf("ordered within answerTimeout: %v", got)
+			}
+			if diff := cmp.Diff(c.want, r.tickAfter(answerTimeout)); diff != "" {
+				t.Errorf("orders after it (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestAnswersToOrders(t *testing.T) {
 	cases := map[string]struct {
 		kind     kinds.Kind
