items: copies of texts become whole again after a lost answer or a restart

When the answer to a copy is lost (0.6 s at a busy moment), the sender repeats the part from an event that the receiver is past, which the receiver dropped with 200, now and ever after. A receiver whose process had restarted dropped all parts the same way. And a text that began anew and grew as long between two copies left a mixed copy, which the next owner would have listed.

Change: a receiver answers 409 when copies do not follow what it holds, and the sender begins again with the whole job. A part begins at 0 when the text was reset since the last copy.

Result: TestCopiesBecomeWholeAgain fails without the change on the three faults.

--- a/internal/items/copies.go
+++ b/internal/items/copies.go
@@ -25,6 +25,15 @@
 	maxCopyBytes = 32 << 20 // of one message
 )
 
+// copyOutcome is what became of a message with copies.
+type copyOutcome int
+
+const (
+	copyUnknown   copyOutcome = iota // not sent, or the answer was lost
+	copyTaken                        // the host holds the copies
+	copyUnfitting                    // they do not follow what the host holds
+)
+
 // jobCopy is a message with the changes to a job since the last copy that the receiving host acknowledged.
 type jobCopy struct {
 	Job    string
@@ -42,6 +51,8 @@
 	Last     string // id of the last event
 	Versions []uint64
 	Data     []byte
+
+	resets int // of the text at the sender
 }
 
 // copyProgress is what the host that receives copies of a job has acknowledged.
@@ -51,6 +62,7 @@
 	chunks   int
 	events   []int // number of events, by item
 	bytes    []int // size of the text, by item
+	resets   []int // of the text, by item
 }
 
 // setCopyHost sets the host that receives copies of a job, or ends the copies when there is none.
@@ -66,7 +78,8 @@
 	}
 }
 
-// sendCopies sends each host, in one message, the changes that its copies lack.
+// sendCopies sends each host, in one message, the changes that its copies lack. A host that holds something else than it
+// has acknowledged, since an answer was lost or its process has restarted, gets the jobs in full the next time.
 func (x *Executor) sendCopies(ctx context.Context) {
 	x.copyMu.Lock()
 	defer x.copyMu.Unlock()
@@ -83,9 +96,13 @@
 		}
 	}
 	for host, updates := range byHost {
-		if x.Peers.Copy(ctx, host, updates) {
-			for _, update := range updates {
+		outcome := x.Peers.Copy(ctx, host, updates)
+		for _, update := range updates {
+			switch outcome {
+			case copyTaken:
 				progress[update.Job].acknowledge(update)
+			case copyUnfitting:
+				*progress[update.Job] = copyProgress{receiver: host}
 			}
 		}
 	}
@@ -99,11 +116,12 @@
 		for len(c.events) <= part.Item {
 			c.events = append(c.events, 0)
 			c.bytes = append(c.bytes, 0)
+			c.resets = append(c.resets, 0)
 		}
 		if part.From == 0 {
 			c.bytes[part.Item] = 0
 		}
-		c.events[part.Item] = part.Events
+		c.events[part.Item], c.resets[part.Item] = part.Events, part.resets
 		c.bytes[part.Item] += len(part.Data)
 	}
 }
@@ -147,8 +165,8 @@
 	return len(j.listed)
 }
 
-// since returns the part of an item's text that the copy lacks; false for none. A text that is shorter than the copy,
-// since it was restarted, is returned whole.
+// since returns the part of an item's text that the copy lacks; false for none. A text that was restarted is returned
+// whole.
 func (t *itemText) since(i int, progress *copyProgress) (textCopy, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -156,7 +174,7 @@
 	if i < len(progress.events) {
 		from, offset = progress.events[i], progress.bytes[i]
 	}
-	if t.events < from || len(t.data) < offset {
+	if i < len(progress.resets) && progress.resets[i] != t.resets {
 		from, offset = 0, 0
 	}
 	if t.events == from {
@@ -164,17 +182,24 @@
 	}
 	return textCopy{
 		Item: i, From: from, Events: t.events, Last: t.lastID, Versions: slices.Clone(t.versions), Data: slices.Clone(t.data[offset:]),
+		resets: t.resets,
 	}, true
 }
 
-// applyCopies adds the copies that another host sent to the jobs in memory. Jobs that this host runs are passed over.
-func (x *Executor) applyCopies(updates []jobCopy) {
+// applyCopies adds the copies that another host sent to the jobs in memory. Jobs that this host runs are passed over. It
+// reports whether all copies followed what this host holds; those that don't are dropped.
+func (x *Executor) applyCopies(updates []jobCopy) bool {
+	fits := true
 	for _, update := range updates {
 		if update.Body != nil {
 			x.jobTable.add(*update.Body)
 		}
 		j := x.jobTable.get(update.Job)
-		if j == nil || x.jobTable.owns(update.Job) {
+		if x.jobTable.owns(update.Job) {
+			continue
+		}
+		if j == nil || update.Chunk > x.jobTable.chunkCount(update.Job) {
+			fits = false
 			continue
 		}
 		for n, chunk := range update.Chunks {
@@ -182,26 +207,28 @@
 			x.releaseTexts(j, itemIndices(chunk))
 		}
 		for _, part := range update.Parts {
-			if part.Item < len(j.texts) {
-				j.texts[part.Item].appendPart(part)
+			if part.Item < len(j.texts) && !j.texts[part.Item].appendPart(part) {
+				fits = false
 			}
 		}
 	}
+	return fits
 }
 
-// appendPart appends a copied part, or replaces the text by a part from its start. A part that does not follow the held
-// events is dropped.
-func (t *itemText) appendPart(part textCopy) {
+// appendPart appends a copied part, or replaces the text by a part from its start. It drops a part that does not follow
+// the held events, and reports whether it did follow them.
+func (t *itemText) appendPart(part textCopy) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if part.From == 0 {
 		t.data, t.events = nil, 0
 	}
 	if part.From != t.events {
-		return
+		return false
 	}
 	t.data = append(t.data, part.Data...)
 	t.events, t.lastID, t.versions = part.Events, part.Last, part.Versions
+	return true
 }
 
 // heldItems returns the items of which a text is held. Listed items hold none.
@@ -215,29 +242,36 @@
 	return items
 }
 
-// Copy sends copies to a host and reports whether the host has taken them. It may be called concurrently.
-func (p *PeerClient) Copy(ctx context.Context, host string, updates []jobCopy) bool {
+// Copy sends copies to a host. It may be called concurrently.
+func (p *PeerClient) Copy(ctx context.Context, host string, updates []jobCopy) copyOutcome {
 	address := p.Hosts.Address(host)
 	if address == "" {
-		return false
+		return copyUnknown
 	}
 	body, err := msgpack.Marshal(updates)
 	if err != nil {
-		return false
+		return copyUnknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathCopies, bytes.NewReader(body))
 	if err != nil {
-		return false
+		return copyUnknown
 	}
 	req.Header.Set(relay.HeaderSecret, p.Secret)
 	resp, err := p.HTTP.RoundTrip(req)
 	if err != nil {
-		return false
+		return copyUnknown
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode == http.StatusOK
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return copyTaken
+	case http.StatusConflict:
+		return copyUnfitting
+	default:
+		return copyUnknown
+	}
 }
 
 // ServeCopies receives another host's copies. It may be called concurrently.
@@ -252,5 +286,7 @@
 		http.Error(w, "malformed or oversized copies", http.StatusBadRequest)
 		return
 	}
-	p.Executor.applyCopies(updates)
+	if !p.Executor.applyCopies(updates) {
+		http.Error(w, "copies do not follow what this host holds", http.StatusConflict)
+	}
 }
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -121,7 +121,9 @@
 	running  map[string]bool // hosts that answer that they run the job
 	jobEnded map[string]bool // hosts at which the job has ended
 	ends     []string        // calls of NotifyEnded, as host/job
-	copies   []jobCopy       // that were received
+	copies   []jobCopy       // that were sent
+	copyTo   *Executor       // applies them, nil for none
+	loses    bool            // the answers to copies are lost
 	submit   func() (event.JobAnswer, bool, error)
 }
 
@@ -141,9 +143,17 @@
 	return p.submit()
 }
 
-func (p *fakePeers) Copy(_ context.Context, _ string, updates []jobCopy) bool {
+func (p *fakePeers) Copy(_ context.Context, _ string, updates []jobCopy) copyOutcome {
 	p.copies = append(p.copies, updates...)
-	return true
+	fits := p.copyTo == nil || p.copyTo.applyCopies(updates)
+	switch {
+	case p.loses:
+		return copyUnknown
+	case !fits:
+		return copyUnfitting
+	default:
+		return copyTaken
+	}
 }
 
 func testJob() wire.Job {
@@ -293,6 +303,56 @@
 	}
 }
 
+// An owner's copies must become whole again after an answer to one was lost, after the receiver's process restarted, and
+// after a text was begun anew between two copies. Otherwise the items of a lost owner begin again at what was held before.
+func TestCopiesBecomeWholeAgain(t *testing.T) {
+	cases := map[string]func(peers *fakePeers, text *itemText, send func(), restart func()){
+		"no fault": func(_ *fakePeers, _ *itemText, send, _ func()) { send() },
+		"lost answer": func(peers *fakePeers, _ *itemText, send, _ func()) {
+			peers.loses = true
+			send()
+			peers.loses = false
+		},
+		"receiver restarts": func(_ *fakePeers, _ *itemText, send, restart func()) {
+			send()
+			restart()
+		},
+		"text begins anew and grows as long": func(_ *fakePeers, text *itemText, send, _ func()) {
+			send()
+			text.reset()
+			text.add("1", []byte("w"), 5)
+			text.add("2", []byte("x"), 5)
+		},
+	}
+	for name, disturb := range cases {
+		t.Run(name, func(t *testing.T) {
+			x, _, peers := newExecutor(t)
+			x.jobTable.add(testJob())
+			x.jobTable.setOwned("j1", true)
+			x.setCopyHost(event.CopyJob{Job: "j1", To: "h3"})
+			restart := func() { peers.copyTo, _, _ = newExecutor(t) }
+			restart()
+			send := func() { x.sendCopies(context.Background()) }
+			text := x.jobTable.get("j1").texts[0]
+			text.add("1", []byte("a"), 4)
+			send()
+			text.add("2", []byte("b"), 4)
+			disturb(peers, text, send, restart)
+			text.add("3", []byte("c"), 5)
+			for range 3 {
+				send()
+			}
+			copied := peers.copyTo.jobTable.get("j1")
+			if copied == nil {
+				t.Fatal("the receiver does not hold the job")
+			}
+			if diff := cmp.Diff(string(text.data), string(copied.texts[0].data)); diff != "" {
+				t.Errorf("copied text (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestReadEvents(t *testing.T) {
 	cases := map[string]struct {
 		lastID   string // id of the last event that was held before
--- a/internal/items/jobs.go
+++ b/internal/items/jobs.go
@@ -50,6 +50,7 @@
 	lastID    string    // id of the last event
 	startedAt time.Time // when a run here got the first event; not set for a copied text, which counts as long
 	versions  []uint64  // weight versions that generated the text
+	resets    int
 	score     string
 }
 
@@ -257,6 +258,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.data, t.events, t.lastID, t.versions, t.score = nil, 0, "", nil, ""
+	t.resets++
 }
 
 // add appends the data of one event, separated by a newline from the one before. Version 0 means not known.
