batch: the dispatch ends when no engine can take what is left

Items with the same service, model and versions find an engine or find none.

Change: a heap instead of the sort, and a need that no engine meets is not asked again. Dispatch has a file of its own. The field notBefore was never set and goes.

--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -133,15 +133,20 @@
 	return all
 }
 
-// requirements states which engine an item needs and which it prefers.
-type requirements struct {
+// need states which engines can take an item.
+type need struct {
 	service      string
 	model        string
 	minVersion   uint64 // oldest version allowed
 	exactVersion uint64 // only version allowed, 0 for any
-	avoid        string // name of an engine to use only when no other fits
-	long         bool   // the item is expected to be among the longest of its job
-	zone         string // preferred among engines of equal load
+}
+
+// requirements states which engine an item needs and which it prefers.
+type requirements struct {
+	need
+	avoid string // name of an engine to use only when no other fits
+	long  bool   // the item is expected to be among the longest of its job
+	zone  string // preferred among engines of equal load
 }
 
 // pick returns the best engine with a free slot, nil when there is none. It looks at each engine of the service only once,
@@ -150,7 +155,7 @@
 	fastGap, degradedFrom := s.fastMeanGap(req.service), s.degradedGap(now, req.service)
 	var best *engine
 	for _, e := range s.byService[req.service] {
-		if !e.canServe(now, req) || e.ownRunning+e.remoteRunning >= e.slots() {
+		if !e.canServe(now, req.need) || e.ownRunning+e.remoteRunning >= e.slots() {
 			continue
 		}
 		if best == nil || req.compare(now, e, best, fastGap, degradedFrom) < 0 {
@@ -177,7 +182,7 @@
 	)
 }
 
-func (e *engine) canServe(now time.Duration, req requirements) bool {
+func (e *engine) canServe(now time.Duration, req need) bool {
 	if e.Service != req.service || e.leaving || e.State != wire.Live || now < e.pausedUntil {
 		return false
 	}
--- a/internal/batch/engines_test.go
+++ b/internal/batch/engines_test.go
@@ -85,7 +85,7 @@
 			}
 			s.setRemoteRuns(0, "h2", runs)
 			got := ""
-			if e := s.pick(0, requirements{service: "engines", model: testModel, minVersion: 1}); e != nil {
+			if e := s.pick(0, requirements{need: need{service: "engines", model: testModel, minVersion: 1}}); e != nil {
 				got = e.Name
 			}
 			if diff := cmp.Diff(c.want, got); diff != "" {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -1,13 +1,10 @@
 package batch
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
-	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
-	"github.com/figshift/figshift/internal/route"
 )
 
 const (
@@ -25,102 +22,6 @@
 	defaultMaxFailures = 3
 )
 
-// jobItem is an item with its job.
-type jobItem struct {
-	job       *job
-	item      *item
-	candidate Candidate // set only for waiting items
-}
-
-// dispatch starts the waiting items for which an engine has a free slot.
-func (p *Component) dispatch(now time.Duration, out *event.Batch) {
-	if p.site == nil || p.stopping {
-		return
-	}
-	for _, ji := range p.waitingItems(now) {
-		r, ok := p.site.Routes[ji.job.head.Route]
-		if !ok {
-			continue
-		}
-		e := p.engines.pick(now, p.requirementsOf(ji, r))
-		if e == nil {
-			continue
-		}
-		p.startRun(ji, r, e, out)
-	}
-}
-
-// waitingItems returns the items that may start now, in the order of dispatch.
-func (p *Component) waitingItems(now time.Duration) []jobItem {
-	var all []jobItem
-	for _, j := range p.sortedJobs() {
-		if j.ended {
-			continue
-		}
-		rank := p.site.Routes[j.head.Route].Priority
-		for _, it := range j.items {
-			if it.state != waiting || now < it.notBefore {
-				continue
-			}
-			all = append(all, jobItem{job: j, item: it, candidate: Candidate{
-				Needed: j.groups[it.Group].needed, Priority: rank, DueAt: int64(j.head.Due), Hint: it.Hint,
-				HasEvents: it.heldEvents > 0, Group: it.Group, Index: it.index,
-			}})
-		}
-	}
-	slices.SortStableFunc(all, func(a, b jobItem) int { return p.Order.Compare(a.candidate, b.candidate) })
-	return all
-}
-
-// requirementsOf returns what an item needs of its engine. An item of a job that takes only one weight version continues
-// on the version that made its held events.
-func (p *Component) requirementsOf(ji jobItem, r config.Route) requirements {
-	it := ji.item
-	req := requirements{
-		service:    serviceOf(r, it),
-		model:      ji.job.head.Model,
-		minVersion: ji.job.head.MinVersion,
-		avoid:      it.avoidEngine,
-		long:       it.long,
-		zone:       p.Self.Zone,
-	}
-	if ji.job.head.Single && it.heldEvents > 0 && len(it.heldVersions) > 0 {
-		req.exactVersion = it.heldVersions[len(it.heldVersions)-1]
-	}
-	return req
-}
-
-// serviceOf returns the service for an item of a route. The items of a route that is split between services are spread
-// over them by their index.
-func serviceOf(r config.Route, it *item) string {
-	const stride, parts = 37, 100 // puts items with adjacent indices far apart
-	return route.ServiceOf(r, float64(it.index*stride%parts)/parts)
-}
-
-// startRun starts an item on an engine, as a new attempt that continues from the held events.
-func (p *Component) startRun(ji jobItem, r config.Route, e *engine, out *event.Batch) {
-	p.lastAttempt++
-	it := ji.item
-	it.attempt, it.state, it.engineName = p.lastAttempt, running, e.Name
-	e.ownRunning++
-	p.runEngines[it.attempt] = leaveMark(&e.Endpoint)
-	started := event.RunItem{
-		Job: ji.job.head.ID, Item: it.index, Attempt: it.attempt,
-		Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
-		Priority: r.Priority, Restart: it.restart, Silence: silenceTimeout, Deadline: ji.job.head.GiveUp,
-	}
-	if ji.job.head.Single && it.heldEvents > 0 && !it.restart && len(it.heldVersions) > 0 {
-		started.Version = it.heldVersions[len(it.heldVersions)-1]
-	}
-	it.restart = false
-	out.Emit(started)
-	p.logItem(ji.job, it, "ItemSent", out, event.Field{Key: "Endpoint", Value: e.Name},
-		event.Field{Key: "Version", Value: strconv.FormatUint(e.VersionOf(ji.job.head.Model), 10)},
-		event.Field{Key: "From", Value: strconv.Itoa(it.heldEvents)},
-		event.Field{Key: "Group", Value: strconv.Itoa(it.Group)},
-		event.Field{Key: "Others", Value: strconv.Itoa(e.ownRunning + e.remoteRunning - 1)})
-}
-
 func (p *Component) logItem(j *job, it *item, name string, out *event.Batch, fields ...event.Field) {
 	all := []event.Field{
 		{Key: "Job", Value: j.head.ID},
--- a/internal/items/copies.go
+++ b/internal/items/copies.go
@@ -25,13 +25,13 @@
 	maxCopyBytes = 32 << 20 // of one message
 )
 
-// copyOutcome is what became of a message with copies.
-type copyOutcome int
+// CopyOutcome is what became of a message with copies.
+type CopyOutcome int
 
 const (
-	copyUnknown   copyOutcome = iota // not sent, or the answer was lost
-	copyTaken                        // the host holds the copies
-	copyUnfitting                    // they do not follow what the host holds
+	CopyUnknown   CopyOutcome = iota // not sent, or the answer was lost
+	CopyTaken                        // the host holds the copies
+	CopyUnfitting                    // they do not follow what the host holds
 )
 
 // jobCopy is a message with the changes to a job since the last copy that the receiving host acknowledged.
@@ -99,9 +99,9 @@
 		outcome := x.Peers.Copy(ctx, host, updates)
 		for _, update := range updates {
 			switch outcome {
-			case copyTaken:
+			case CopyTaken:
 				progress[update.Job].acknowledge(update)
-			case copyUnfitting:
+			case CopyUnfitting:
 				*progress[update.Job] = copyProgress{receiver: host}
 			}
 		}
@@ -243,34 +243,34 @@
 }
 
 // Copy sends copies to a host. It may be called concurrently.
-func (p *PeerClient) Copy(ctx context.Context, host string, updates []jobCopy) copyOutcome {
+func (p *PeerClient) Copy(ctx context.Context, host string, updates []jobCopy) CopyOutcome {
 	address := p.Hosts.Address(host)
 	if address == "" {
-		return copyUnknown
+		return CopyUnknown
 	}
 	body, err := msgpack.Marshal(updates)
 	if err != nil {
-		return copyUnknown
+		return CopyUnknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathCopies, bytes.NewReader(body))
 	if err != nil {
-		return copyUnknown
+		return CopyUnknown
 	}
 	req.Header.Set(relay.HeaderSecret, p.Secret)
 	resp, err := p.HTTP.RoundTrip(req)
 	if err != nil {
-		return copyUnknown
+		return CopyUnknown
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return copyTaken
+		return CopyTaken
 	case http.StatusConflict:
-		return copyUnfitting
+		return CopyUnfitting
 	default:
-		return copyUnknown
+		return CopyUnknown
 	}
 }
 
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -72,7 +72,7 @@
 	// Submit forwards a submission to a host. With an error, sent tells whether the host may have taken it.
 	Submit(ctx context.Context, host string, c JobCall, body []byte) (answer event.JobAnswer, sent bool, err error)
 	// Copy sends copies to a host and reports whether the host has taken them.
-	Copy(ctx context.Context, host string, updates []jobCopy) copyOutcome
+	Copy(ctx context.Context, host string, updates []jobCopy) CopyOutcome
 }
 
 type runKey struct {
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -143,16 +143,16 @@
 	return p.submit()
 }
 
-func (p *fakePeers) Copy(_ context.Context, _ string, updates []jobCopy) copyOutcome {
+func (p *fakePeers) Copy(_ context.Context, _ string, updates []jobCopy) CopyOutcome {
 	p.copies = append(p.copies, updates...)
 	fits := p.copyTo == nil || p.copyTo.applyCopies(updates)
 	switch {
 	case p.loses:
-		return copyUnknown
+		return CopyUnknown
 	case !fits:
-		return copyUnfitting
+		return CopyUnfitting
 	default:
-		return copyTaken
+		return CopyTaken
 	}
 }
 
