--- a/internal/items/copies.go
+++ b/internal/items/copies.go
@@ -28,6 +28,7 @@
 // CopyOutcome is what became of a message with copies.
 type CopyOutcome int
 
+// What became of a message with copies.
 const (
 	CopyUnknown   CopyOutcome = iota // not sent, or the answer was lost
 	CopyTaken                        // the host holds the copies
