--- a/figctl/steps.go
+++ b/figctl/steps.go
@@ -51,7 +51,8 @@
 	submitted time.Time
 	kept      time.Time
 	ended     time.Time
-	target    int // groups that the caller waits for, 0 when unknown
+	target    int             // groups that the caller waits for, 0 when unknown
+	again     map[string]bool // groups with an item of an earlier job, which the caller waits for in any case
 	items     map[string]*stepItem
 	order     []*stepItem // in the order in which they were first sent
 	listed    []time.Time
@@ -63,6 +64,7 @@
 	sorted := slices.Clone(lines)
 	slices.SortStableFunc(sorted, func(a, b logLine) int { return a.timestamp.Compare(b.timestamp) })
 	byJob := map[string]*step{}
+	firstJob := map[string]string{} // of an item
 	var steps []*step
 	for _, l := range sorted {
 		id := l.field("Job")
@@ -71,11 +73,16 @@
 		}
 		s := byJob[id]
 		if s == nil {
-			s = &step{job: id, items: map[string]*stepItem{}}
+			s = &step{job: id, items: map[string]*stepItem{}, again: map[string]bool{}}
 			byJob[id] = s
 			steps = append(steps, s)
 		}
 		s.add(l)
+		if item := l.field("Item"); l.event == "ItemSent" && firstJob[item] == "" {
+			firstJob[item] = id
+		} else if l.event == "ItemSent" && firstJob[item] != id {
+			s.again[l.field("Group")] = true
+		}
 	}
 	return slices.DeleteFunc(steps, func(s *step) bool { return len(s.order) == 0 })
 }
@@ -144,8 +151,8 @@
 	return s.submitted
 }
 
-// closing returns the item that let the caller go on: the one that completed as many groups as the caller waits for. It
-// returns the last item that was whole before the job ended when the logs tell of fewer whole groups, since they lack
+// closing returns the item that let the caller go on: the one that completed as many groups as the caller waits for,
+// and all that come again. It returns the last item that was whole before the job ended when the logs tell of fewer whole groups, since they lack
 // lines that a host suppressed, and nil when no item was whole.
 func (s *step) closing() *stepItem {
 	whole := s.itemsByEnd()
@@ -160,12 +167,16 @@
 	for _, it := range s.order {
 		open[it.group]++
 	}
-	groups := 0
+	groups, againLeft := 0, len(s.again)
 	for _, it := range whole {
 		if open[it.group]--; open[it.group] > 0 {
 			continue
 		}
-		if groups++; groups == s.target {
+		groups++
+		if s.again[it.group] {
+			againLeft--
+		}
+		if groups >= s.target && againLeft == 0 {
 			return it
 		}
 	}
