--- a/figctl/steps_test.go
+++ b/figctl/steps_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -58,6 +59,39 @@
 	}
 }
 
+// A group of an earlier job comes again. The caller waits for it although as many others as the target are whole.
+func TestClosingItemOfAGroupThatComesAgain(t *testing.T) {
+	const format = `Time=2026-12-04T01:00:%s.000Z Level=info Event=%s Daemon=h1 Job=%s Item=%s Endpoint=e1 Group=%d Target=1 Events=9 From=0 Reason=` + "\n"
+	var log strings.Builder
+	for _, l := range []struct {
+		at, event, job, item string
+		group                int
+	}{
+		{"01", "JobKept", "j1", "", 0},
+		{"01", "ItemSent", "j1", "a", 0},
+		{"01", "ItemSent", "j1", "b", 1},
+		{"02", "ItemEnded", "j1", "b", 1},
+		{"03", "JobKept", "j2", "", 0},
+		{"03", "ItemSent", "j2", "a", 0},
+		{"03", "ItemSent", "j2", "c", 1},
+		{"04", "ItemEnded", "j2", "c", 1},
+		{"05", "ItemEnded", "j2", "a", 0},
+	} {
+		fmt.Fprintf(&log, format, l.at, l.event, l.job, l.item, l.group)
+	}
+	lines, err := readLines(strings.NewReader(log.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]string{}
+	for _, s := range collectSteps(lines) {
+		got[s.job] = s.closing().id
+	}
+	if diff := cmp.Diff(map[string]string{"j1": "b", "j2": "a"}, got); diff != "" {
+		t.Errorf("closing items (-want +got):\n%s", diff)
+	}
+}
+
 func TestExplainSteps(t *testing.T) {
 	cases := map[string]struct {
 		flags explainFlags
