batch: the end of a job whose results are all listed is stored

Cause: the caller's end of such a job was answered without a write, so the store's record never said that it had ended. Nor were the objects of such jobs ever swept.

Change: the owner has the end stored when it has listed the last result.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -228,6 +228,9 @@
 func (p *Component) handleJobEnded(_ time.Duration, e event.JobEnded, out *event.Batch) {
 	seqs := p.endCalls[e.Job]
 	delete(p.endCalls, e.Job)
+	if len(seqs) == 0 {
+		return // stored by the owner, since all results are listed
+	}
 	for _, seq := range seqs {
 		p.answer(seq, e.Job, e.Kind, "", out)
 	}
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -117,6 +117,8 @@
 	if k := p.ensureKnown(e.Job); j.unlisted == 0 && !k.Ended {
 		k.Ended = true // nothing is left to run
 		p.announce(k.JobSeen, out)
+		// Hosts that start without news of the job would take it over and read all its results.
+		out.Emit(event.EndJob{Job: e.Job})
 	}
 	p.listResults(now, j, out)
 }
--- a/internal/batch/results_test.go
+++ b/internal/batch/results_test.go
@@ -98,6 +98,26 @@
 	}
 }
 
+// Power fails on all hosts after steps whose results are all listed. The hosts that start must find those steps ended, and
+// not read all their results to take them over: the owner has the end stored, once, and answers no caller by it.
+func TestEndOfAListedJobIsStored(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	r.submit("j1", testHead(1, 2, noHints))
+	for _, run := range take[event.RunItem](r) {
+		r.step(event.ItemEnded{Job: "j1", Item: run.Item, Attempt: run.Attempt, Events: 1, Versions: []uint64{1}})
+	}
+	r.chunks(time.Second)
+	if diff := cmp.Diff([]event.EndJob{{Job: "j1"}}, take[event.EndJob](r)); diff != "" {
+		t.Errorf("ends (-want +got):\n%s", diff)
+	}
+	r.effects = nil
+	r.step(event.JobEnded{Job: "j1"})
+	r.tick(time.Second)
+	if len(r.effects) > 0 {
+		t.Errorf("effects of its outcome: %v", r.effects)
+	}
+}
+
 // chunks advances the clock, stores the chunks of job j1 meanwhile, and returns the sizes of all chunks since the start.
 func (r *rig) chunks(pass time.Duration) []int {
 	var sizes []int
