--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -51,7 +51,7 @@
 	storingChunk bool          // only one chunk is stored at a time
 	nextChunkAt  time.Duration // earliest time of the next chunk after one could not be stored
 	lastChunkAt  time.Duration // when the last chunk was offered to the executor
-	unlisted     int // items that are not listed
+	unlisted     int           // items that are not listed
 	ended        bool
 	// lengthsShared is whether the lengths of its items were remembered after its end.
 	lengthsShared bool
