batch: a takeover and a submission of the same job don't run its items twice

Both runs of an item added their events to one text.

Change: a conflict that names this host starts nothing when the job does not run here, since the takeover does. A takeover that ends when the job already runs here confirms it and begins no run.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -122,8 +122,9 @@
 		{Key: "Target", Value: strconv.Itoa(s.head.Target)},
 		{Key: "TookMS", Value: strconv.FormatInt((now - s.since).Milliseconds(), 10)},
 	}})
-	if e.Kind == kinds.Conflict && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation {
-		// This host or another one stored the job earlier, with this host as its owner.
+	if e.Kind == kinds.Conflict && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation && p.jobs[e.Job] != nil {
+		// This host or another one stored the job earlier, with this host as its owner. When the job does not run here, a
+		// takeover has made it the owner, and the job starts with what is listed when that ends.
 		e.Kind, s.request.Host, s.request.Incarnation = "", p.Self.Name, p.Self.Incarnation
 	}
 	out.Emit(event.Observe{Name: "JobKeepTime", Took: now - s.since})
--- a/internal/batch/owner_test.go
+++ b/internal/batch/owner_test.go
@@ -120,6 +120,46 @@
 	}
 }
 
+// A job's owner stops, and its caller submits the job again to the host that is taking it over. Each item must run once at a
+// time, whichever answer of the store comes first: two runs would add their events to one text.
+func TestSubmissionDuringATakeover(t *testing.T) {
+	const items = 4
+	self := event.JobSeen{Job: "j1", Host: "h1", Incarnation: "1", Epoch: 1}
+	head := testHead(1, items, noHints)
+	taken := event.JobTaken{Job: "j1", Epoch: 1, Head: head, Chunks: 1, Listed: []int{0}}
+	taken.Head.ID, taken.Head.Route, taken.Head.GiveUp = "j1", "rollouts", time.Hour
+	submitted := event.JobCalled{Seq: 7, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: head}
+	cases := map[string]struct {
+		events []event.Event
+		want   int // runs
+	}{
+		"the store names this host, then the takeover ends": {[]event.Event{submitted, event.JobKept{Seq: 7, Job: "j1", Kind: kinds.Conflict, Owner: self}, taken}, items - 1},
+		"the takeover ends first":                           {[]event.Event{submitted, taken, event.JobKept{Seq: 7, Job: "j1", Kind: kinds.Conflict, Owner: self}}, items - 1},
+		"the items ran before the store answered":           {[]event.Event{submitted, event.JobKept{Seq: 7, Job: "j1", Kind: kinds.OutcomeUnknown}, taken}, items},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1), testEngine("e2", 1))
+			r.tick(startupGrace)
+			r.step(newsFrom("h2", event.JobSeen{Job: "j1", Next: "h1"})) // its owner has released it
+			r.tick(10 * time.Millisecond)
+			if got := len(take[event.TakeJob](r)); got != 1 {
+				t.Fatalf("%d takeovers, want 1", got)
+			}
+			for _, ev := range c.events {
+				r.step(ev)
+			}
+			r.tick(100 * time.Millisecond)
+			if diff := cmp.Diff(c.want, len(take[event.RunItem](r))); diff != "" {
+				t.Errorf("runs (-want +got):\n%s", diff)
+			}
+			if j := r.p.jobs["j1"]; j == nil || j.unstored || j.chunks != 1 || j.unlisted != items-1 {
+				t.Errorf("job = %+v, want it stored with one listed item", j)
+			}
+		})
+	}
+}
+
 // newsFrom returns news of a job from a host, or from the store's record when the host is "".
 func newsFrom(host string, s event.JobSeen) event.PeerReceived {
 	news := wire.JobNews(s)
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -179,11 +179,27 @@
 		k.Ended = true
 		out.Emit(event.KnowJob{Seen: k.JobSeen})
 	case p.stopping:
+	case p.jobs[e.Job] != nil:
+		p.confirmOwner(now, p.jobs[e.Job], e, out)
 	default:
 		p.startOwning(now, e, out)
 	}
 }
 
+// confirmOwner records a takeover of a job that this host has started meanwhile, since the store had not accepted a
+// submission of it. Its runs go on: to begin them again would add two runs to one text.
+func (p *Component) confirmOwner(now time.Duration, j *job, e event.JobTaken, out *event.Batch) {
+	j.epoch, j.unstored, j.chunks = e.Epoch, false, e.Chunks
+	for _, i := range e.Listed {
+		p.stopListedRun(j, i, out)
+		j.markListed(i)
+	}
+	k := p.ensureKnown(e.Job)
+	k.Host, k.Incarnation, k.Epoch, k.newsAt, k.orphanedAt = p.Self.Name, p.Self.Incarnation, e.Epoch, now, 0
+	p.announce(k.JobSeen, out)
+	p.listResults(now, j, out)
+}
+
 // dropEndedJobs forgets owned jobs that have ended or are listed in full, and has their texts dropped, once this host
 // has owned them for textRetention, or for twice that while results are not listed.
 func (p *Component) dropEndedJobs(now time.Duration, out *event.Batch) {
