batch: lengths of earlier runs are no longer remembered

The long items of such groups stand among the first half of a job, which counts as needed anyway, and start with the others. With them go the message between the hosts and the listing that waited for them.

--- a/internal/batch/component.go
+++ b/internal/batch/component.go
@@ -43,7 +43,6 @@
 	jobs              map[string]*job // owned by this host, by id
 	known             map[string]*knownJob
 	engines           engines
-	lengths           lengths
 	lastAttempt       uint64
 	runEngines        map[uint64]wire.LeaveMark // engine of each run under way, by attempt
 	submissions       map[uint64]submission     // being stored, by Seq
@@ -137,7 +136,6 @@
 		if e.Message.News != nil {
 			p.handleNews(now, e.Host, *e.Message.News, out)
 		}
-		p.lengths.add(e.Message.Lengths)
 	case event.PeerUp:
 		delete(p.disconnectedAt, e.Host)
 		delete(p.informed, e.Host)
@@ -197,7 +195,6 @@
 		p.checkOwnership(now, j, out)
 		p.applyTimers(now, j, out)
 		p.listResults(now, j, out)
-		p.shareLengths(j, out)
 	}
 	p.dispatch(now, out)
 	p.continueDrain(out)
--- a/internal/batch/drain.go
+++ b/internal/batch/drain.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -61,11 +60,6 @@
 	out.Raise(event.DrainEnded{Owner: drainOwner})
 }
 
-// hasState reports whether an item is in a state.
-func (j *job) hasState(s itemState) bool {
-	return slices.ContainsFunc(j.items, func(it *item) bool { return it.state == s })
-}
-
 // hasPending reports whether a run has yet to stop or a result has yet to be scored or listed.
 func (j *job) hasPending() bool {
 	for _, it := range j.items {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -53,10 +53,8 @@
 	lastChunkAt  time.Duration // when the last chunk was offered to the executor
 	unlisted     int           // items that are not listed
 	ended        bool
-	// lengthsShared is whether the lengths of its items were remembered after its end.
-	lengthsShared bool
-	unstored      bool // its items run although it may not be stored; nothing is listed until it is
-	ownedSince    time.Duration
+	unstored     bool // its items run although it may not be stored; nothing is listed until it is
+	ownedSince   time.Duration
 	// checkedAt is when this host last asked for the store's record of the job.
 	checkedAt time.Duration
 	// copyHost is the host that gets copies of the texts, "" for none.
@@ -69,11 +67,9 @@
 	unlisted int  // items that are not listed
 	maxHint  int  // greatest expected output of an item, in tokens
 	needed   bool // the trainer is expected to wait for it
-	again    bool // it was not complete when an earlier job ended
 }
 
-// newJob returns a job of which nothing has run. known holds lengths of items of earlier jobs.
-func newJob(now time.Duration, head event.JobHead, epoch uint64, known *lengths) *job {
+func newJob(now time.Duration, head event.JobHead, epoch uint64) *job {
 	j := &job{head: head, epoch: epoch, unlisted: len(head.Items), ownedSince: now}
 	for i, h := range head.Items {
 		j.items = append(j.items, &item{ItemHead: h, index: i})
@@ -83,11 +79,7 @@
 		g := &j.groups[h.Group]
 		g.items = append(g.items, i)
 		g.unlisted++
-	}
-	known.applyTo(j)
-	for _, it := range j.items {
-		g := &j.groups[it.Group]
-		g.maxHint = max(g.maxHint, it.Hint)
+		g.maxHint = max(g.maxHint, h.Hint)
 	}
 	j.markNeeded()
 	j.markLong()
@@ -116,19 +108,16 @@
 	}
 }
 
-// markNeeded marks as many groups as the trainer waits for. Those that come again are among them, as the trainer insists
-// on them. When none is known, the first half are the first groups of the job, where such groups stand. The others are
-// those of the remaining groups whose longest item is expected to be the shortest.
+// markNeeded marks as many groups as the trainer waits for. The first half of them are the first groups of the job,
+// which may be groups of an earlier job that the trainer insists on. The other half are those of the remaining groups
+// whose longest item is expected to be the shortest.
 func (j *job) markNeeded() {
-	target, marked := j.target(), 0
-	known := slices.ContainsFunc(j.groups, func(g group) bool { return g.again })
+	target := j.target()
+	first := target / 2
 	for i := range j.groups {
-		if g := &j.groups[i]; known && g.again && marked < target || !known && i < target/2 {
-			g.needed = true
-			marked++
-		}
+		j.groups[i].needed = i < first
 	}
-	for range target - marked {
+	for n := first; n < target; n++ {
 		best := -1
 		for i := range j.groups {
 			if !j.groups[i].needed && (best < 0 || j.groups[i].maxHint < j.groups[best].maxHint) {
@@ -149,11 +138,6 @@
 	j.groups[j.items[i].Group].unlisted--
 }
 
-// whole reports whether the item's text is whole.
-func (it *item) whole() bool {
-	return !it.givenUp && it.heldEvents > 0 && (it.state == scoring || it.state == finished || it.state == listing || it.state == listed)
-}
-
 // findRun returns an item and its job, nil when this host does not own the job or the attempt is not the item's last
 // one. Attempt 0 stands for any.
 func (p *Component) findRun(id string, index int, attempt uint64) (*job, *item) {
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -51,7 +51,7 @@
 
 // startOwning starts to run a job, some items of which may already be listed, and announces this host as its owner.
 func (p *Component) startOwning(now time.Duration, taken event.JobTaken, out *event.Batch) {
-	j := newJob(now, taken.Head, taken.Epoch, &p.lengths)
+	j := newJob(now, taken.Head, taken.Epoch)
 	p.jobs[taken.Job] = j
 	j.chunks = taken.Chunks
 	for _, i := range taken.Listed {
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -60,16 +60,14 @@
 	if !anyFinished {
 		return false
 	}
-	wholeGroups, completesGroup, missing := 0, false, false
+	wholeGroups, completesGroup := 0, false
 	for i, g := range j.groups {
 		if finishedIn[i] == g.unlisted {
 			wholeGroups++
 			completesGroup = completesGroup || g.unlisted > 0
-		} else if g.again {
-			missing = true
 		}
 	}
-	enough := wholeGroups >= j.target() && !missing
+	enough := wholeGroups >= j.target()
 	dueSoon := now >= j.head.Due-dueMargin && now < j.head.Due && now-j.lastChunkAt >= listInterval
 	return completesGroup && (enough || dueSoon) || overdue || p.stopping || j.ended
 }
--- a/internal/batch/results_test.go
+++ b/internal/batch/results_test.go
@@ -1,14 +1,12 @@
 package batch
 
 import (
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/internal/event"
-	"github.com/figshift/figshift/internal/wire"
 )
 
 // Many trainers submit steps of many groups, and each chunk costs a call to the store. Whole groups must wait to be listed
@@ -78,26 +76,6 @@
 	}
 }
 
-// The trainer waits for the groups that come again, however many others are whole: those must not be listed one by one
-// while it waits.
-func TestListingWaitsForGroupsThatComeAgain(t *testing.T) {
-	r := newRig(t, testEngine("e1", 1), testEngine("e2", 1))
-	r.step(event.PeerReceived{Host: "h2", Message: wire.Message{Lengths: []wire.ItemLength{{Item: "s0", Tokens: 900}}}})
-	head := stepHead("s", 3)
-	head.Target = 1
-	r.submit("j1", head)
-	for _, run := range slices.Backward(take[event.RunItem](r)) {
-		r.step(event.ItemEnded{Job: "j1", Item: run.Item, Attempt: run.Attempt, Events: 1, Versions: []uint64{1}})
-		var want []int
-		if run.Item == 0 {
-			want = []int{6}
-		}
-		if diff := cmp.Diff(want, r.chunks(100*time.Millisecond)); diff != "" {
-			t.Errorf("chunks after item %d (-want +got):\n%s", run.Item, diff)
-		}
-	}
-}
-
 // Power fails on all hosts after steps whose results are all listed. The hosts that start must find those steps ended, and
 // not read all their results to take them over: the owner has the end stored, once, and answers no caller by it.
 func TestEndOfAListedJobIsStored(t *testing.T) {
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -189,7 +189,7 @@
 // confirmOwner records a takeover of a job that this host has started meanwhile, since the store had not accepted a
 // submission of it. Its runs go on: to begin them again would add two runs to one text.
 func (p *Component) confirmOwner(now time.Duration, j *job, e event.JobTaken, out *event.Batch) {
-	j.epoch, j.unstored, j.chunks = e.Epoch, false, e.Chunks
+	j.epoch, j.unstored, j.chunks = e.Epoch, false, max(j.chunks, e.Chunks)
 	for _, i := range e.Listed {
 		p.stopListedRun(j, i, out)
 		j.markListed(i)
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -13,8 +13,6 @@
 
 	News  *JobNews   `json:",omitempty" msgpack:",omitempty"`
 	Freed *DutyFreed `json:",omitempty" msgpack:",omitempty"`
-	// Lengths are those of items whose group was not complete when its job ended.
-	Lengths []ItemLength `json:",omitempty" msgpack:",omitempty"`
 
 	Probe      *Probe      `msgpack:",omitempty"`
 	ProbeReply *ProbeReply `msgpack:",omitempty"`
@@ -126,12 +124,6 @@
 	Next        string `json:",omitempty" msgpack:",omitempty"` // host that has copies of the texts and takes the job over
 }
 
-// ItemLength is the expected output of an item, in tokens, by an earlier run of it.
-type ItemLength struct {
-	Item   string
-	Tokens int
-}
-
 // LoadReport relays one endpoint's load and its actual version.
 type LoadReport struct {
 	Endpoint    string
