--- a/figd/platform.go
+++ b/figd/platform.go
@@ -29,6 +29,7 @@
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/lease"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/logs"
 	"github.com/figshift/figshift/internal/loop"
 	"github.com/figshift/figshift/internal/member"
@@ -90,6 +91,7 @@
 	leaseComponent *lease.Component
 	callExecutor   *call.Executor
 	jobExecutor    *items.Executor
+	limits         *limit.Component
 	flowComponent  *flow.Component
 	batchComponent *batch.Component
 }
@@ -254,8 +256,10 @@
 // addCalls adds the processing of callers' requests.
 func (d *platformDaemon) addCalls() {
 	d.trust = viewTrust{Component: d.viewComponent, leases: d.leaseComponent}
+	d.limits = &limit.Component{}
+	d.addComponent(d.limits)
 	d.flowComponent = &flow.Component{
-		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Keys: d.keys,
+		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Limits: d.limits, Keys: d.keys,
 		Random: rand.New(rand.NewPCG(d.seed, 0)), Process: d.process, DisablePolling: true, Sticky: true, LogRequests: true,
 	}
 	d.members.BeatFillers = append(d.members.BeatFillers, d.flowComponent)
@@ -268,7 +272,7 @@
 
 // addJobs adds batch jobs, the listener for other hosts and the callers' listener.
 func (d *platformDaemon) addJobs() {
-	d.batchComponent = &batch.Component{Self: d.self, KeyOwners: d.flowComponent, Membership: d.members, NewStore: d.settings.FirstStart}
+	d.batchComponent = &batch.Component{Self: d.self, KeyOwners: d.flowComponent, Membership: d.members, Limits: d.limits, NewStore: d.settings.FirstStart}
 	d.members.BeatFillers = append(d.members.BeatFillers, d.batchComponent)
 	d.addComponent(d.batchComponent)
 	hostAPI := &items.PeerClient{Hosts: d.hostAddresses, Secret: hex.EncodeToString(d.secret), HTTP: d.peerTransport}
@@ -302,9 +306,9 @@
 // deletion of old jobs.
 func (d *platformDaemon) addDuties() {
 	d.addComponent(&batch.Sweeper{Trust: d.trust, KeepResults: d.settings.KeepResults})
-	d.addComponent(&update.Component{Host: d.self.Name, Trust: d.trust, LocalRuns: d.batchComponent})
+	d.addComponent(&update.Component{Host: d.self.Name, Trust: d.trust, LocalRuns: d.batchComponent, Limits: d.limits})
 	d.addComponent(&scale.Component{Host: d.self.Name, Trust: d.trust, Duty: update.Duty, Jobs: d.batchComponent})
 	d.addComponent(&usage.Counter{Host: d.self.Name, Incarnation: d.incarnation, CountRequests: true})
 	d.addComponent(&usage.Holder{Host: d.self.Name, Trust: d.trust})
-	d.addExecutor(&orders.Executor{BaseURL: "http://" + d.settings.Cloud, Protocol: platform.OrderProtocol{}, Now: d.loop.Now, Post: d.loop.Post, AnswerTimeout: orderAnswerTimeout})
+	d.addExecutor(&orders.Executor{BaseURL: "http://" + d.settings.Cloud, Protocol: platform.OrderProtocol{}, Now: d.loop.Now, Post: d.loop.Post, AnswerTimeout: orderAnswerTimeout, LimitField: platform.CallNames().Limit})
 }
--- a/figd/requests.go
+++ b/figd/requests.go
@@ -5,15 +5,19 @@
 
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/flow"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/serve"
 )
 
 // addRequests adds the processing of callers' requests and the callers' listener.
 func (d *daemon) addRequests() {
+	limits := &limit.Component{}
+	d.addComponent(limits)
 	component := &flow.Component{
 		Host:    d.process.Host,
 		Zone:    d.process.Zone,
 		Trust:   d.trust,
+		Limits:  limits,
 		Keys:    d.keys,
 		Random:  rand.New(rand.NewPCG(d.seed, 0)),
 		Process: d.process,
--- a/internal/batch/component.go
+++ b/internal/batch/component.go
@@ -11,6 +11,7 @@
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/route"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -35,8 +36,9 @@
 	Self       event.Host
 	KeyOwners  KeyOwners
 	Membership Membership
-	Order      Order // the order in which items are dispatched; nil means NeededFirst
-	NewStore   bool  // the store is new, so that no jobs are listed at the start
+	Limits     limit.Gate // nil for limit.Unlimited
+	Order      Order      // the order in which items are dispatched; nil means NeededFirst
+	NewStore   bool       // the store is new, so that no jobs are listed at the start
 
 	site              *config.Site
 	routes            route.Routes
@@ -180,6 +182,9 @@
 	p.engines.self = p.Self.Name
 	p.startedAt = now
 	p.startupListed = p.NewStore
+	if p.Limits == nil {
+		p.Limits = limit.Unlimited{}
+	}
 	if p.Order == nil {
 		p.Order = NeededFirst{}
 	}
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/route"
 )
 
@@ -135,6 +136,7 @@
 	it.attempt, it.state, it.engineName = p.lastAttempt, running, e.Name
 	e.ownRunning++
 	p.runEngines[it.attempt] = leaveMark(&e.Endpoint)
+	p.Limits.Take(p.now, leaveMark(&e.Endpoint), limit.Items, 1)
 	started := event.RunItem{
 		Job: ji.job.head.ID, Item: it.index, Attempt: it.attempt,
 		Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -24,7 +24,8 @@
 	ctx             context.Context
 	cancel          context.CancelFunc
 	gate            writeGate
-	connectedPosted bool // AttemptConnected was posted
+	connectedPosted bool          // AttemptConnected was posted
+	sentAt          time.Duration // when the attempt was allowed to write, 0 before
 	sendDeadline    chan time.Duration
 	forwarding      atomic.Bool // the response is being forwarded
 	report          event.AttemptDone
@@ -186,6 +187,7 @@
 	a.executor.Post(event.AttemptConnected{Request: a.start.Request, Attempt: a.start.Attempt})
 	select {
 	case deadline := <-a.sendDeadline:
+		a.sentAt = a.executor.Now()
 		a.gate.deadline.Store(int64(deadline))
 	case <-a.ctx.Done():
 	}
--- a/internal/call/header.go
+++ b/internal/call/header.go
@@ -43,7 +43,7 @@
 func isInternalHeader(name string) bool {
 	normalized := strings.ReplaceAll(strings.ToLower(name), "_", "-")
 	switch normalized {
-	case strings.ToLower(wire.HeaderNotRun), strings.ToLower(wire.HeaderLoad), strings.ToLower(wire.HeaderLeaving):
+	case strings.ToLower(wire.HeaderNotRun), strings.ToLower(wire.HeaderLoad), strings.ToLower(wire.HeaderLeaving), strings.ToLower(wire.HeaderLimit):
 		return true
 	case "organisation", "organization", "x-organisation", "x-organization":
 		return true
--- a/internal/call/names.go
+++ b/internal/call/names.go
@@ -3,7 +3,10 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -17,6 +20,7 @@
 	NotRun       string // set when the endpoint refused the request without starting it
 	Load         string
 	Leaving      string // set on every response of an endpoint that accepts no new work
+	Limit        string // requests a second that the endpoint takes from all hosts together, while it is in need
 	Stamp        string // set on every response that an endpoint made itself; a 2xx response without it is rejected
 	Own          func(name string) bool
 	// ParseLoad returns the load in tokens from the value of a Load field, -1 for an invalid value.
@@ -32,6 +36,7 @@
 		NotRun:       wire.HeaderNotRun,
 		Load:         wire.HeaderLoad,
 		Leaving:      wire.HeaderLeaving,
+		Limit:        wire.HeaderLimit,
 		ParseLoad:    parseLoad,
 	}
 }
@@ -66,6 +71,15 @@
 	return resp.StatusCode/100 != 2 || resp.Header.Get(n.Stamp) != ""
 }
 
+// Answered returns the event for the head of an endpoint's answer to a request that was sent at the time sent. An answer
+// of another endpoint says nothing of this one, and ok is then false.
+func (n *HeaderNames) Answered(endpoint wire.LeaveMark, sent time.Duration, resp *http.Response) (answered event.EndpointAnswered, ok bool) {
+	if n.Limit == "" || n.Expect != "" && resp.StatusCode == http.StatusMisdirectedRequest {
+		return answered, false
+	}
+	return limit.Answered(endpoint, sent, resp.Header.Get(n.Limit)), true
+}
+
 func (n *HeaderNames) load(h http.Header) int {
 	if n.Load == "" || n.ParseLoad == nil {
 		return -1
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -26,6 +26,10 @@
 		a.fail(event.ReasonBroken)
 		return
 	}
+	endpoint := wire.LeaveMark{Endpoint: a.start.Endpoint, Incarnation: a.start.Incarnation}
+	if answered, ok := names.Answered(endpoint, a.sentAt, resp); ok {
+		a.executor.Post(answered)
+	}
 	leaving := names.Leaving != "" && resp.Header.Get(names.Leaving) == headerTrue
 	a.report.Status, a.report.Leaving = resp.StatusCode, leaving
 	a.executor.Post(event.AttemptHead{
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -24,6 +24,7 @@
 		AttemptHead{},
 		AttemptDone{},
 		EndpointPolled{},
+		EndpointAnswered{},
 		ListenerClosed{},
 		LotPacked{},
 		GroupScored{},
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/retry"
 	"github.com/figshift/figshift/internal/route"
 	"github.com/figshift/figshift/internal/wire"
@@ -72,6 +73,7 @@
 func (p *Component) startAttempt(now time.Duration, r *request, e *route.Endpoint, out *event.Batch) {
 	p.lastAttempt++
 	p.table.AttemptStarted(e, r.item.Cost)
+	p.Limits.Take(now, wire.LeaveMark{Endpoint: e.Name, Incarnation: e.Incarnation}, limit.Requests, 1)
 	r.attempt, r.phase = p.lastAttempt, connecting
 	if r.attempts == 0 {
 		out.Emit(event.Observe{Name: "QueueTime", Tags: r.classTags(), Took: now - r.arrivedAt})
--- a/internal/flow/component.go
+++ b/internal/flow/component.go
@@ -11,6 +11,7 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/retry"
 	"github.com/figshift/figshift/internal/route"
 	"github.com/figshift/figshift/internal/wire"
@@ -22,6 +23,7 @@
 	Host           string
 	Zone           string
 	Trust          event.Trust
+	Limits         limit.Gate // nil for limit.Unlimited
 	Keys           *keys.Table
 	Random         *rand.Rand
 	Process        config.Process
@@ -125,6 +127,9 @@
 	p.throughputs = map[string]*admit.Throughput{}
 	p.queuedByPool = map[string]int{}
 	p.refusals = map[string]map[kinds.Kind]uint64{}
+	if p.Limits == nil {
+		p.Limits = limit.Unlimited{}
+	}
 	p.poller.host, p.poller.lost = p.Host, map[string]bool{}
 	if p.Queue == nil {
 		p.Queue = &admit.Fair[uint64]{
@@ -167,7 +172,7 @@
 	p.checkTrust(now, out)
 	p.fireTimers(now, out)
 	if !p.DisablePolling {
-		p.poller.tick(now, &p.table, out)
+		p.poller.tick(now, &p.table, p.Limits, out)
 	}
 	p.demand.tick(now, p, out)
 	p.dispatch(now, out)
--- a/internal/flow/poller.go
+++ b/internal/flow/poller.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/route"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -54,7 +55,7 @@
 	slices.SortFunc(pl.ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
 }
 
-func (pl *poller) tick(now time.Duration, table *route.Table, out *event.Batch) {
+func (pl *poller) tick(now time.Duration, table *route.Table, limits limit.Gate, out *event.Batch) {
 	if now < pl.nextPoll {
 		return
 	}
@@ -62,6 +63,7 @@
 	pl.reports = slices.DeleteFunc(pl.reports, func(r report) bool { return now-r.at > reportRetention })
 	for _, e := range table.All() {
 		if pl.assigned(e.Name) {
+			limits.Take(now, wire.LeaveMark{Endpoint: e.Name, Incarnation: e.Incarnation}, limit.Polls, callsPerPoll(e))
 			out.Emit(event.PollEndpoint{
 				Endpoint:    e.Name,
 				Incarnation: e.Incarnation,
@@ -72,6 +74,14 @@
 	}
 }
 
+// callsPerPoll returns the number of calls that an endpoint gets for one poll: an engine's state is read too.
+func callsPerPoll(e *route.Endpoint) int {
+	if e.Kind == wire.Engine {
+		return 2
+	}
+	return 1
+}
+
 // assigned reports whether this daemon is among those that poll an endpoint: the hosts that follow the endpoint's hash
 // on the ring. This costs less than rendezvous hashing for each endpoint and reassigns as few endpoints when a host
 // leaves the fleet.
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -71,11 +71,15 @@
 	if err != nil {
 		return 0, event.ReasonBodyMissing
 	}
+	sent := x.Now()
 	resp, err := x.HTTP.RoundTrip(req)
 	if err != nil {
 		return 0, event.ReasonBroken
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if answered, ok := x.Names.Answered(wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}, sent, resp); ok {
+		x.Post(answered)
+	}
 	switch {
 	case resp.Header.Get(x.Names.NotRun) != "", resp.StatusCode == http.StatusMisdirectedRequest:
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, readBufferBytes)) // so that the connection can be reused
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -18,6 +18,7 @@
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -38,6 +39,7 @@
 	Post     func(event.Event) bool
 	// AnswerTimeout is the time that an answer may take after the deadline for sending, 0 for the default of 5 s.
 	AnswerTimeout time.Duration
+	LimitField    string // name of the header field in which an engine names its limit, "" without one
 }
 
 // Call is the request for an order or a report: a POST with a JSON body. Target is a path at BaseURL or a complete URL.
@@ -124,19 +126,32 @@
 // swapEngine reads an engine's state and sends an order for that state. The engine refuses the order if it has accepted
 // another one in between.
 func (x *Executor) swapEngine(e event.SwapEngine, stateCall Call) {
-	state, err := x.state(stateCall, e.Before)
+	state, err := x.state(e, stateCall)
 	if err == nil && state.Busy {
 		err = kinds.New(kinds.EndpointRefused, "%s is executing another order", e.Endpoint)
 	}
 	if err == nil {
-		err = x.send(x.protocol().Swap(e, state), nil, e.Before)
+		err = x.send(x.protocol().Swap(e, state), nil, e.Before, x.readLimit(e))
 	}
 	x.Post(event.EngineSwapped{Duty: e.Duty, Epoch: e.Epoch, OrderID: e.OrderID, Endpoint: e.Endpoint, Version: e.Version, Kind: kinds.KindOf(err)})
 }
 
+// readLimit returns a function that posts what the head of an engine's answer says of its limit.
+func (x *Executor) readLimit(e event.SwapEngine) func(*http.Response) {
+	sent := x.Now()
+	return func(response *http.Response) {
+		if x.LimitField == "" || response.StatusCode == http.StatusMisdirectedRequest {
+			return
+		}
+		engine := wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}
+		x.Post(limit.Answered(engine, sent, response.Header.Get(x.LimitField)))
+	}
+}
+
 // state reads an engine's state. A failed read has kind EndpointRefused, since no order was sent.
-func (x *Executor) state(stateCall Call, deadline time.Duration) (EngineState, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), max(deadline-x.Now(), 0))
+func (x *Executor) state(e event.SwapEngine, stateCall Call) (EngineState, error) {
+	readLimit := x.readLimit(e)
+	ctx, cancel := context.WithTimeout(context.Background(), max(e.Before-x.Now(), 0))
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, stateCall.Target, nil)
 	if err != nil {
@@ -149,6 +164,7 @@
 		return EngineState{}, kinds.New(kinds.EndpointRefused, "%s: %v", stateCall.Target, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	readLimit(response)
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize))
 	if err != nil || response.StatusCode != http.StatusOK {
 		return EngineState{}, kinds.New(kinds.EndpointRefused, "%s: status %d, %v", stateCall.Target, response.StatusCode, err)
@@ -162,18 +178,18 @@
 
 func (x *Executor) sendOrder(e event.SendOrder) {
 	var reply wire.OrderReply
-	err := x.send(x.protocol().Order(e.Order), &reply, e.Before)
+	err := x.send(x.protocol().Order(e.Order), &reply, e.Before, nil)
 	x.Post(event.OrderSent{Seq: e.Seq, Order: e.Order, Reply: reply, Kind: kinds.KindOf(err)})
 }
 
 func (x *Executor) sendUsage(e event.SendUsage) {
-	err := x.send(x.protocol().Usage(e.Report), nil, e.Before)
+	err := x.send(x.protocol().Usage(e.Report), nil, e.Before, nil)
 	x.Post(event.UsageSent{Seq: e.Seq, ReportID: e.Report.ReportID, Kind: kinds.KindOf(err)})
 }
 
-// send sends a call and decodes the answer into reply. Its error has kind DeadlineExceeded if no byte was written, and
+// send sends a call and decodes the answer into reply. It calls seen, if not nil, with the head of the answer. Its error has kind DeadlineExceeded if no byte was written, and
 // OutcomeUnknown if the call may have taken effect.
-func (x *Executor) send(call Call, reply any, deadline time.Duration) error {
+func (x *Executor) send(call Call, reply any, deadline time.Duration, seen func(*http.Response)) error {
 	body, err := json.Marshal(call.Body)
 	if err != nil {
 		return kinds.New(kinds.Internal, "%v", err)
@@ -197,6 +213,9 @@
 		return dialer.sendError(call.Target, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if seen != nil {
+		seen(response)
+	}
 	return x.decodeAnswer(call.Target, response, reply)
 }
 
--- a/internal/update/component.go
+++ b/internal/update/component.go
@@ -11,6 +11,7 @@
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -37,6 +38,8 @@
 	answerTimeout = 300 * time.Millisecond
 	// retryDelay is the wait after an order that was refused or had no answer.
 	retryDelay = 500 * time.Millisecond
+	// callsPerOrder is the number of calls that an engine gets for one order: its state is read first.
+	callsPerOrder = 2
 )
 
 // Component is the component of the reducer that orders engines to load versions. Its exported fields are set before the
@@ -45,6 +48,7 @@
 	Host      string
 	Trust     event.Trust
 	LocalRuns LocalRuns
+	Limits    limit.Gate // nil for limit.Unlimited
 
 	site          *config.Site
 	dutyDeclared  bool
@@ -85,6 +89,9 @@
 		p.remoteRuns = map[string][]wire.EngineRuns{}
 		p.assignedModel = map[wire.LeaveMark]string{}
 		p.orders = map[wire.LeaveMark]*order{}
+		if p.Limits == nil {
+			p.Limits = limit.Unlimited{}
+		}
 	}
 	switch e := ev.(type) {
 	case event.ConfigInForce:
@@ -313,6 +320,7 @@
 	model := p.assignedModel[engineKey(e)]
 	o := &order{id: p.Host + "-" + strconv.FormatUint(p.lastOrder, 10), model: model, version: p.newestVersion[model], until: now + loadTimeout, loading: true, answerBy: now + answerTimeout}
 	p.orders[engineKey(e)] = o
+	p.Limits.Take(now, engineKey(e), limit.Orders, callsPerOrder)
 	out.Emit(event.SwapEngine{
 		Duty: Duty, Epoch: p.epoch, OrderID: o.id, Endpoint: e.Name, Address: e.Address, Model: model, Version: o.version,
 		Before: min(until, now+orderTimeout), Timeout: orderTimeout, Holder: p.Host, Incarnation: e.Incarnation,
--- a/internal/wire/endpoint.go
+++ b/internal/wire/endpoint.go
@@ -20,6 +20,7 @@
 	HeaderNotRun       = "X-Not-Run"               // "true" when an endpoint refuses a request before doing any work
 	HeaderLoad         = "X-Endpoint-Load"         // queued and running tokens, on each answer
 	HeaderLeaving      = "X-Endpoint-Leaving"      // "true" on each answer of an endpoint that accepts no new work
+	HeaderLimit        = "X-Endpoint-Limit"        // requests and polls a second that the endpoint takes from all daemons together
 )
 
 // Generate is a generation request. Held are the tokens that a resumed answer has already delivered; the engine
