--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -20,6 +20,7 @@
 	HeaderNotRun         = "Figshift-Not-Run"
 	HeaderWeightVersions = "Figshift-Weight-Versions"
 	HeaderLastEventID    = "Last-Event-Id"
+	HeaderLimit          = "Server-Limit"
 )
 
 // Run is a request that a server started to process.
@@ -64,6 +65,8 @@
 	rejected      int
 	eventInterval time.Duration
 	draining      bool
+	limit         float64 // named in every answer, 0 for none
+	arrivals      []time.Time
 }
 
 // Order is an order to load a weight version of a model.
@@ -149,8 +152,33 @@
 	return append([]Order(nil), s.orders...)
 }
 
+// SetLimit sets the limit in requests a second that every answer names, 0 for none.
+func (s *Server) SetLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
+// Arrivals returns the times at which requests and calls of any kind arrived, in order.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
+// recordArrival records an arrival and names the limit in the answer.
+func (s *Server) recordArrival(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, time.Now())
+	if s.limit > 0 {
+		w.Header().Set(HeaderLimit, strconv.FormatFloat(s.limit, 'f', -1, 64))
+	}
+}
+
 // ServeHTTP handles a request for work and the platform's report and order calls.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.recordArrival(w)
 	if expected := r.Header.Get(HeaderExpectInstance); expected != "" && expected != s.Name {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
