--- a/figbed/proofs/limit_test.go
+++ b/figbed/proofs/limit_test.go
@@ -39,8 +39,9 @@
 	named := time.Now()
 	var clients sync.WaitGroup
 	for host := 1; host <= len(f.hosts); host++ {
-		clients.Go(func() { f.callInBursts(host, named.Add(12*time.Second)) })
+		clients.Go(func() { f.callInBursts(host, named.Add(limitGrace+3*limitWindow)) })
 	}
+	time.Sleep(time.Until(named.Add(limitGrace)))
 	for n := range 3 {
 		job := fmt.Sprintf("limited-%d", n)
 		f.submit(1+n, job, 6, 1)
