--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -92,6 +94,7 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		a.report.Closed = closedByEndpoint(err)
 		a.fail(a.roundTripReason())
 		return
 	}
@@ -99,6 +102,12 @@
 	a.handleResponse(resp)
 }
 
+// closedByEndpoint reports whether an error of a connection means that the endpoint, or its host, closed or reset it. A
+// connection that fails because nothing is heard any more has another error.
+func closedByEndpoint(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func (a *attempt) roundTripReason() string {
 	switch {
 	case a.gate.written.Load() > 0:
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -62,6 +62,7 @@
 func (a *attempt) forwardPlain(resp *http.Response) {
 	buffered, complete, err := a.readShortBody(resp)
 	if err != nil {
+		a.report.Closed = closedByEndpoint(err)
 		a.fail(event.ReasonCut)
 		return
 	}
@@ -119,6 +120,7 @@
 			return true
 		}
 		if err != nil {
+			a.report.Closed = closedByEndpoint(err)
 			a.fail(event.ReasonCut)
 			return false
 		}
@@ -152,6 +154,7 @@
 		}
 	}
 	a.exchange.earlierTokens += a.report.GeneratedTokens
+	a.report.Closed = closedByEndpoint(lines.Err())
 	a.fail(event.ReasonCut)
 }
 
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -39,6 +39,9 @@
 	Avoid        []string // endpoints to use only when there is no other
 	MinVersion   uint64   // use only engines whose actual version is known and at least this; 0 for any
 	Own          bool     // internal call of figshift, which needs no key
+	// Digest identifies the content of a caller's request, without its organisation: requests with the same method, host,
+	// target and body have the same one. It is "" for requests of figshift's own.
+	Digest string `json:",omitempty"`
 }
 
 // FirstSampleRequest is the lowest Request number of a sample; callers' requests have lower ones.
@@ -153,6 +156,7 @@
 	CachedTokens    int
 	GeneratedTokens int
 	HasUsage        bool
+	Closed          bool // the endpoint closed or reset the connection before its answer was whole
 }
 
 // Reasons why an attempt ended without a whole answer.
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -198,6 +198,9 @@
 		return
 	}
 	mark := wire.LeaveMark{Endpoint: r.endpoint, Incarnation: r.incarnation}
+	if e.Closed {
+		p.logClosed(now, r, mark, out)
+	}
 	p.table.AttemptEnded(now, mark, r.item.Cost, attemptResult(e))
 	if e.Leaving {
 		p.markLeaving(now, mark, out)
--- a/internal/flow/log.go
+++ b/internal/flow/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 // logRequest logs one decision about a request, when LogRequests is set and the request has an ID.
@@ -36,4 +37,16 @@
 		event.Field{Key: "Config", Value: config})
 }
 
+// logClosed logs that an endpoint closed the connection on which it ran a request: the request's content, how long it ran
+// and how many other requests of this host ran there.
+func (p *Component) logClosed(now time.Duration, r *request, endpoint wire.LeaveMark, out *event.Batch) {
+	p.logRequest(now, r, "ConnectionClosed", out,
+		event.Field{Key: "Endpoint", Value: r.endpoint},
+		event.Field{Key: "Organisation", Value: r.organisation},
+		event.Field{Key: "Digest", Value: r.arrived.Digest},
+		event.Field{Key: "RanMS", Value: formatMillis(now - r.sentAt)},
+		event.Field{Key: "Beside", Value: strconv.Itoa(p.table.Running(endpoint) - 1)},
+	)
+}
+
 func formatMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -145,6 +145,15 @@
 	}
 }
 
+// Running returns the number of active attempts of this daemon at an incarnation of an endpoint, 0 when it is not known.
+func (t *Table) Running(id wire.LeaveMark) int {
+	e, ok := t.endpoints[id.Endpoint]
+	if !ok || e.Incarnation != id.Incarnation {
+		return 0
+	}
+	return e.Running
+}
+
 // AttemptStarted counts the start of an attempt with the given estimated tokens at an endpoint.
 func (t *Table) AttemptStarted(e *Endpoint, tokens int) { e.start(tokens) }
 
--- a/internal/serve/request.go
+++ b/internal/serve/request.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -26,6 +29,7 @@
 	bytesPerToken       = 4
 	serviceCallTokens   = 50 // estimated cost, in tokens, of a request to a plain service
 	hashedPrefixBytes   = 256
+	digestBytes         = 16
 	maxGenerationTokens = 1 << 20 // greatest MaxTokens
 )
 
@@ -61,7 +65,9 @@
 		return nil, err
 	}
 	in := &incomingRequest{exchange: &call.Exchange{Method: r.Method, Target: head.target, Header: head.header, Body: body}}
-	in.arrived = event.RequestArrived{Path: r.URL.Path, Method: r.Method, Tokens: serviceCallTokens + len(body)/bytesPerToken}
+	in.arrived = event.RequestArrived{
+		Path: r.URL.Path, Method: r.Method, Tokens: serviceCallTokens + len(body)/bytesPerToken, Digest: digest(r, head.target, body),
+	}
 	if key != "" {
 		in.arrived.KeyHash = keys.Hash(key)
 	}
@@ -87,6 +93,7 @@
 	}}
 	in.arrived = event.RequestArrived{
 		ID: head.ID, KeyHash: head.KeyHash, Host: r.Host, Path: r.URL.Path, Method: r.Method, Tokens: serviceCallTokens + len(body)/bytesPerToken,
+		Digest: digest(r, head.Target, body),
 	}
 	if head.Timeout > 0 {
 		in.arrived.Deadline = now + head.Timeout
@@ -94,6 +101,14 @@
 	return in, nil
 }
 
+// digest returns the Digest of a request.
+func digest(r *http.Request, target string, body []byte) string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%q %q %q\n", r.Method, r.Host, target) // a hash takes any bytes without an error
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
+}
+
 // resolve checks the body for the API key and sets what follows from the timeout header and the route.
 func (in *incomingRequest) resolve(now time.Duration, r *http.Request, key string, active *activeSite) error {
 	if key != "" && bytes.Contains(in.exchange.Body, []byte(key)) {
