--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -46,6 +46,11 @@
 	EventInterval time.Duration // initial interval between two events
 	WorkTime      time.Duration // processing time of a plain request
 	FailNext      int           // number of upcoming plain requests that are answered with status 500
+	// CrashesUnder reports whether a request crashes the server that runs it, CrashDelay after it began to run. The server
+	// is back after RestartTime, at the same address, as another instance. When nil, no request does.
+	CrashesUnder func(path string, body []byte) bool
+	CrashDelay   time.Duration
+	RestartTime  time.Duration
 	// EventsOf returns the number of events in an item's stream. When nil, every stream has Events events.
 	EventsOf func(id string) int
 	// RegisterAddress maps the listener's address to the address that the server registers. When nil, both are the same.
@@ -67,6 +72,10 @@
 	draining      bool
 	limit         float64 // named in every answer, 0 for none
 	arrivals      []time.Time
+	instance      string // name of this start
+	server        *http.Server
+	crashes       []time.Time
+	stopped       bool
 }
 
 // Order is an order to load a weight version of a model.
@@ -90,15 +99,77 @@
 			return nil, err
 		}
 	}
-	s.store, s.startMS, s.eventInterval = store, time.Now().UnixMilli(), s.EventInterval
+	s.store, s.startMS, s.eventInterval, s.instance = store, time.Now().UnixMilli(), s.EventInterval, s.Name
 	s.versions = map[string]uint64{}
 	for _, m := range s.Models {
 		s.versions[m] = 1
 	}
 	s.register()
-	server := &http.Server{Handler: s}
-	go func() { _ = server.Serve(s.listener) }()
-	return func() { _ = server.Close() }, nil
+	s.serve()
+	return s.stop, nil
+}
+
+// serve starts to serve on the server's listener.
+func (s *Server) serve() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.server = &http.Server{Handler: s}
+	go func(server *http.Server, listener net.Listener) { _ = server.Serve(listener) }(s.server, s.listener)
+}
+
+func (s *Server) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	_ = s.server.Close()
+}
+
+// crash closes the server's connections and starts it again after RestartTime. Only the first call for an instance counts.
+func (s *Server) crash(instance string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped || s.instance != instance {
+		return
+	}
+	s.crashes = append(s.crashes, time.Now())
+	s.instance = fmt.Sprintf("%s.%d", s.Name, len(s.crashes))
+	s.running = 0
+	_ = s.server.Close()
+	time.AfterFunc(s.RestartTime, func() { s.restart(instance) })
+}
+
+// restart starts the next instance after a crash and replaces the entry of the one before.
+func (s *Server) restart(before string) {
+	s.mu.Lock()
+	address, stopped := s.listener.Addr().String(), s.stopped
+	s.mu.Unlock()
+	if stopped {
+		return
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		panic(err) // no other listener has the address
+	}
+	s.mu.Lock()
+	s.listener, s.startMS = listener, time.Now().UnixMilli()
+	s.mu.Unlock()
+	s.serve()
+	s.store.Put("servers", before, nil)
+	s.register()
+}
+
+// Crashes returns when the server crashed, in order.
+func (s *Server) Crashes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.crashes...)
+}
+
+// currentInstance returns the name of the running instance.
+func (s *Server) currentInstance() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instance
 }
 
 // register writes the server's object to the store.
@@ -113,7 +184,7 @@
 	for _, m := range s.Models {
 		models = append(models, map[string]any{"name": m, "version": s.versions[m]})
 	}
-	s.store.Put("servers", s.Name, map[string]any{
+	s.store.Put("servers", s.instance, map[string]any{
 		"service": s.Service, "address": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots,
 		"state": state, "stage": "hybrid", "models": models, "sequence": 7, "born": s.startMS,
 	})
@@ -179,7 +250,8 @@
 // ServeHTTP handles a request for work and the platform's report and order calls.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.recordArrival(w)
-	if expected := r.Header.Get(HeaderExpectInstance); expected != "" && expected != s.Name {
+	instance := s.currentInstance()
+	if expected := r.Header.Get(HeaderExpectInstance); expected != "" && expected != instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -191,16 +263,21 @@
 		s.handleOrder(w, r)
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // a disconnected caller is noticed when the response is written
+	body, _ := io.ReadAll(r.Body) // a disconnected caller is noticed when the response is written
 	runIndex, ok := s.beginRun(r)
 	if !ok {
 		w.Header().Set(HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer s.endRun()
+	defer s.endRun(instance)
+	if s.CrashesUnder != nil && s.CrashesUnder(r.URL.Path, body) {
+		time.Sleep(s.CrashDelay)
+		s.crash(instance)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(HeaderAttemptID, r.Header.Get(HeaderAttemptID))
-	w.Header().Set(HeaderResponseStamp, s.Name+"."+r.Header.Get(HeaderAttemptID))
+	w.Header().Set(HeaderResponseStamp, instance+"."+r.Header.Get(HeaderAttemptID))
 	w.Header().Set("Figshift-Server-Load", fmt.Sprintf("1,0,%d", s.Slots))
 	if len(s.Models) > 0 {
 		s.streamEvents(w, r, runIndex)
@@ -247,10 +324,13 @@
 	return len(s.runs) - 1, true
 }
 
-func (s *Server) endRun() {
+// endRun ends a run of an instance. A crash has ended the runs of earlier ones.
+func (s *Server) endRun(instance string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running--
+	if s.instance == instance {
+		s.running--
+	}
 }
 
 // EventData returns the data of event n of an item's stream.
