--- a/figd/platform.go
+++ b/figd/platform.go
@@ -22,6 +22,7 @@
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/conns"
+	"github.com/figshift/figshift/internal/crash"
 	"github.com/figshift/figshift/internal/drain"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/flow"
@@ -259,8 +260,11 @@
 	d.limits = &limit.Component{Self: d.self.Name}
 	d.members.BeatFillers = append(d.members.BeatFillers, d.limits)
 	d.addComponent(d.limits)
+	crashes := &crash.Component{Self: d.self.Name, Membership: d.members}
+	d.members.BeatFillers = append(d.members.BeatFillers, crashes)
+	d.addComponent(crashes)
 	d.flowComponent = &flow.Component{
-		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Limits: d.limits, Keys: d.keys,
+		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Limits: d.limits, Crashes: crashes, Keys: d.keys,
 		Random: rand.New(rand.NewPCG(d.seed, 0)), Process: d.process, DisablePolling: true, Sticky: true, LogRequests: true,
 	}
 	d.members.BeatFillers = append(d.members.BeatFillers, d.flowComponent)
--- a/figd/requests.go
+++ b/figd/requests.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"github.com/figshift/figshift/internal/call"
+	"github.com/figshift/figshift/internal/crash"
 	"github.com/figshift/figshift/internal/flow"
 	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/serve"
@@ -13,11 +14,14 @@
 func (d *daemon) addRequests() {
 	limits := &limit.Component{Self: d.process.Host}
 	d.addComponent(limits)
+	crashes := &crash.Component{Self: d.process.Host, Membership: d.members}
+	d.addComponent(crashes)
 	component := &flow.Component{
 		Host:    d.process.Host,
 		Zone:    d.process.Zone,
 		Trust:   d.trust,
 		Limits:  limits,
+		Crashes: crashes,
 		Keys:    d.keys,
 		Random:  rand.New(rand.NewPCG(d.seed, 0)),
 		Process: d.process,
@@ -25,7 +29,7 @@
 		Picker:  baselinePicker(d.process.PickPolicy),
 	}
 	limits.Backlogs = []limit.Backlog{component}
-	d.members.BeatFillers = append(d.members.BeatFillers, limits, component)
+	d.members.BeatFillers = append(d.members.BeatFillers, limits, crashes, component)
 	d.addComponent(component)
 	executor := &call.Executor{Incarnation: d.incarnation, Post: d.loop.Post, Now: d.loop.Now, Samples: d.samples}
 	executor.Prepare()
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -5,6 +5,7 @@
 
 	"github.com/figshift/figshift/internal/admit"
 	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/crash"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
@@ -26,7 +27,7 @@
 		p.finish(now, r, kind, out)
 		return
 	}
-	p.enqueue(r, false)
+	p.enqueue(now, r, false)
 	p.timers.add(r.deadline, r.id())
 	p.dispatch(now, out)
 }
@@ -148,6 +149,9 @@
 		Cost:         max(1, r.arrived.Tokens),
 		Value:        r.id(),
 	}
+	if p.givenUp(now, r) {
+		return kinds.EndpointsCrashed
+	}
 	if r.class == config.Interactive && !p.table.Serves(now, r.pool) {
 		p.demand.recordUnserved(now, r)
 		return kinds.NoEndpoint
@@ -181,9 +185,14 @@
 	return ""
 }
 
-func (p *Component) enqueue(r *request, front bool) {
+// enqueue queues a request for its first or next attempt.
+func (p *Component) enqueue(now time.Duration, r *request, front bool) {
 	r.phase = queued
 	r.item.Front = front
+	r.item.Pool = r.pool
+	if p.Crashes.Verdict(now, r.contentID()) == crash.Suspect {
+		r.item.Pool += suspectQueue
+	}
 	p.Queue.Push(r.item)
 	p.queuedByPool[r.pool]++
 }
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -24,7 +24,7 @@
 	fits := func(item admit.Item[uint64]) bool {
 		r := p.requests[item.Value]
 		endpoint = p.pickEndpoint(now, r)
-		return endpoint != nil || p.cannotFinishInTime(now, r)
+		return endpoint != nil || p.cannotFinishInTime(now, r) || p.givenUp(now, r)
 	}
 	for {
 		item, ok := p.Queue.Pop(fits)
@@ -33,6 +33,11 @@
 		}
 		r := p.requests[item.Value]
 		p.queuedByPool[r.pool]--
+		if p.givenUp(now, r) {
+			p.Queue.Correct(r.item, 0)
+			p.finish(now, r, kinds.EndpointsCrashed, out)
+			continue
+		}
 		if p.cannotFinishInTime(now, r) {
 			p.Queue.Correct(r.item, 0)
 			p.finish(now, r, kinds.DeadlineTooShort, out)
@@ -44,6 +49,18 @@
 
 // pickEndpoint returns an endpoint for the request, nil when none is free.
 func (p *Component) pickEndpoint(now time.Duration, r *request) *route.Endpoint {
+	isolated, required, ok := p.isolated(now, r)
+	if !ok {
+		return nil
+	}
+	if e := p.pickAmong(now, r, isolated); e != nil || required || len(p.isolation.endpoints) == 0 {
+		return e
+	}
+	return p.pickAmong(now, r, func(*route.Endpoint) bool { return true })
+}
+
+// pickAmong returns an endpoint that suits for the request, nil when none is free.
+func (p *Component) pickAmong(now time.Duration, r *request, suits func(e *route.Endpoint) bool) *route.Endpoint {
 	candidates := p.table.Candidates(now, route.Requirements{
 		Pool:       r.pool,
 		Zone:       p.Zone,
@@ -51,7 +68,9 @@
 		MinVersion: r.arrived.MinVersion,
 		Avoid:      append(slices.Clone(r.arrived.Avoid), r.triedEndpoints...),
 		MaxRunning: p.site.Limits.ConcurrencyPerNode,
-		Allows:     func(e *route.Endpoint) bool { return p.Limits.Allowance(now, markOf(e), limit.Requests).Allows() },
+		Allows: func(e *route.Endpoint) bool {
+			return suits(e) && p.Limits.Allowance(now, markOf(e), limit.Requests).Allows()
+		},
 	})
 	if len(candidates) == 0 {
 		return nil
@@ -75,6 +94,7 @@
 	p.lastAttempt++
 	p.table.AttemptStarted(e, r.item.Cost)
 	p.Limits.Take(now, markOf(e), limit.Requests, 1)
+	p.beginIsolation(now, r, markOf(e))
 	r.attempt, r.phase = p.lastAttempt, connecting
 	if r.attempts == 0 {
 		out.Emit(event.Observe{Name: "QueueTime", Tags: r.classTags(), Took: now - r.arrivedAt})
@@ -198,9 +218,7 @@
 		return
 	}
 	mark := wire.LeaveMark{Endpoint: r.endpoint, Incarnation: r.incarnation}
-	if e.Closed {
-		p.logClosed(now, r, mark, out)
-	}
+	p.observeEnd(now, r, mark, e, out)
 	p.table.AttemptEnded(now, mark, r.item.Cost, attemptResult(e))
 	if e.Leaving {
 		p.markLeaving(now, mark, out)
@@ -236,7 +254,7 @@
 
 // scheduleRetry starts the backoff before another attempt and reports whether one is allowed.
 func (p *Component) scheduleRetry(now time.Duration, r *request, e event.AttemptDone, out *event.Batch) bool {
-	if !safeToRetry(r, e) || r.attempts >= p.maxAttempts(r) {
+	if !safeToRetry(r, e) || r.attempts >= p.maxAttempts(r) || p.givenUp(now, r) {
 		return false
 	}
 	backoff := retry.Backoff(p.Random, p.site.Retry.Backoff, r.attempts)
--- a/internal/flow/component.go
+++ b/internal/flow/component.go
@@ -8,6 +8,7 @@
 
 	"github.com/figshift/figshift/internal/admit"
 	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/crash"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
@@ -23,7 +24,8 @@
 	Host           string
 	Zone           string
 	Trust          event.Trust
-	Limits         limit.Gate // nil for limit.Unlimited
+	Limits         limit.Gate  // nil for limit.Unlimited
+	Crashes        crash.Watch // nil for crash.Trusting
 	Keys           *keys.Table
 	Random         *rand.Rand
 	Process        config.Process
@@ -44,6 +46,7 @@
 	queuedByPool   map[string]int           // number of queued requests by pool
 	limitedByPool  map[string]*limit.Recent // requests that were refused because of limits, by pool
 	pendingRetries int                      // requests that wait for their next attempt; they count towards QueuePerDaemon
+	isolation      isolation
 	timers         timers
 	lastAttempt    uint64 // number of the last attempt started
 	poller         poller
@@ -128,6 +131,9 @@
 	p.throughputs = map[string]*admit.Throughput{}
 	p.queuedByPool = map[string]int{}
 	p.refusals = map[string]map[kinds.Kind]uint64{}
+	if p.Crashes == nil {
+		p.Crashes = crash.Trusting{}
+	}
 	if p.Limits == nil {
 		p.Limits = limit.Unlimited{}
 	}
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -167,7 +167,7 @@
 			p.endRequest(now, r, kinds.DeadlineExceeded, out)
 		case r.phase == backingOff:
 			p.pendingRetries--
-			p.enqueue(r, true)
+			p.enqueue(now, r, true)
 		}
 	}
 }
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -43,6 +43,7 @@
 	price          string
 	triedEndpoints []string
 
+	isolated        bool       // the running attempt is that of a suspected request
 	stopKind        kinds.Kind // why StopAttempt was emitted, "" when it was not
 	abandoned       bool       // the caller has disconnected, or the sample is no longer needed
 	mayHaveRun      bool       // an attempt wrote a request that an endpoint may have run
--- a/internal/kinds/kinds.go
+++ b/internal/kinds/kinds.go
@@ -38,6 +38,7 @@
 	CredentialInvalid Kind = "CredentialInvalid"
 	RateLimited       Kind = "RateLimited"
 	EndpointsLimited  Kind = "EndpointsLimited"
+	EndpointsCrashed  Kind = "EndpointsCrashed"
 	Internal          Kind = "Internal"
 )
 
@@ -89,6 +90,7 @@
 	CredentialInvalid: {http.StatusUnauthorized, NotRun, false},
 	RateLimited:       {http.StatusTooManyRequests, NotRun, true},
 	EndpointsLimited:  {http.StatusServiceUnavailable, NotRun, true},
+	EndpointsCrashed:  {http.StatusBadGateway, NotRun, false},
 	Internal:          {http.StatusInternalServerError, Unknown, false},
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -154,6 +154,12 @@
 	return e.Running
 }
 
+// Stays reports whether an incarnation of an endpoint is known and is not about to leave.
+func (t *Table) Stays(id wire.LeaveMark) bool {
+	e, ok := t.endpoints[id.Endpoint]
+	return ok && e.Incarnation == id.Incarnation && !e.hasLeaveMark && e.State != wire.Leaving
+}
+
 // AttemptStarted counts the start of an attempt with the given estimated tokens at an endpoint.
 func (t *Table) AttemptStarted(e *Endpoint, tokens int) { e.start(tokens) }
 
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -14,6 +14,9 @@
 	News  *JobNews   `json:",omitempty" msgpack:",omitempty"`
 	Freed *DutyFreed `json:",omitempty" msgpack:",omitempty"`
 
+	// Crashes tells of requests under which endpoints crashed.
+	Crashes []CrashNews `json:",omitempty" msgpack:",omitempty"`
+
 	Probe      *Probe      `msgpack:",omitempty"`
 	ProbeReply *ProbeReply `msgpack:",omitempty"`
 }
@@ -97,6 +100,8 @@
 	Runs []EngineRuns `json:",omitempty" msgpack:",omitempty"`
 	// Limits lists the limits of endpoints that the sender knows.
 	Limits []EndpointLimit `json:",omitempty" msgpack:",omitempty"`
+	// Crashes lists the last crashes of endpoints that the sender knows, with the requests under which they crashed.
+	Crashes []CrashNews `json:",omitempty" msgpack:",omitempty"`
 	// UnixMS is the time of day on the sender's own clock, in ms since the Unix epoch; 0 if not read yet.
 	UnixMS int64 `json:",omitempty" msgpack:",omitempty"`
 }
@@ -119,6 +124,18 @@
 	Overdraft   int     `json:",omitempty" msgpack:",omitempty"` // requests that the sender has sent beyond its share since its last heartbeat
 }
 
+// CrashNews tells that an endpoint crashed while it ran a request; with Answered, that the request was answered in full, or
+// without a Digest that the endpoint lives.
+type CrashNews struct {
+	Organisation string `json:",omitempty" msgpack:",omitempty"`
+	Digest       string `json:",omitempty" msgpack:",omitempty"` // of the request's content
+	Endpoint     string `json:",omitempty" msgpack:",omitempty"`
+	Incarnation  string `json:",omitempty" msgpack:",omitempty"`
+	RanMS        int64  `json:",omitempty" msgpack:",omitempty"` // from the sending of the request to the crash
+	AgeMS        int64  // since the crash or the answer
+	Answered     bool   `json:",omitempty" msgpack:",omitempty"`
+}
+
 // DutyFreed tells the other hosts that a duty was released at an epoch.
 type DutyFreed struct {
 	Duty  string
