--- a/internal/call/conn.go
+++ b/internal/call/conn.go
@@ -36,8 +36,9 @@
 	if err := g.admit(c); err != nil {
 		return 0, err
 	}
+	g.written.Add(int64(len(p))) // before the write, since the endpoint may answer before it returns
 	n, err := c.Conn.Write(p)
-	g.written.Add(int64(n))
+	g.written.Add(int64(n - len(p)))
 	return n, err
 }
 
