--- a/internal/call/conn.go
+++ b/internal/call/conn.go
@@ -16,7 +16,6 @@
 	dialTimeout        = time.Second
 	maxIdlePerEndpoint = 64
 	idleTimeout        = 20 * time.Second
-	maxHeaderBytes     = 64 << 10
 	readBufferBytes    = 16 << 10
 )
 
@@ -91,7 +90,7 @@
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: conns.MaxHeaderBytes,
 		ReadBufferSize:         readBufferBytes,
 	}
 }
--- a/internal/call/executor.go
+++ b/internal/call/executor.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 )
@@ -34,7 +35,7 @@
 	}
 	x.keepAlive = newTransport(true)
 	x.singleUse = newTransport(false)
-	x.polls = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}
+	x.polls = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
 	x.closing = make(chan struct{})
 	x.exchanges = map[uint64]*Exchange{}
 }
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -144,6 +144,9 @@
 		if json.Unmarshal(lines.Bytes(), &s) != nil || s.Error != "" {
 			break
 		}
+		if a.exceedsTokens(s) {
+			break
+		}
 		a.markBegun()
 		if s.Done {
 			a.forwardLastSegment(s)
@@ -158,6 +161,12 @@
 	a.fail(event.ReasonCut)
 }
 
+// exceedsTokens reports whether a segment brings the generation beyond what was asked for, so that a stream without end is
+// not kept until its deadline.
+func (a *attempt) exceedsTokens(s wire.Segment) bool {
+	return len(a.exchange.forwardedTokens)+len(s.Tokens) > a.exchange.Generate.MaxTokens
+}
+
 func (a *attempt) forwardSegment(s wire.Segment) bool {
 	a.countTokens(s)
 	if a.exchange.Sink.Segment(s) != nil {
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -21,6 +21,9 @@
 	userTimeout = 2500 * time.Millisecond
 )
 
+// MaxHeaderBytes is the maximum size of a response's head; an endpoint in trouble may send one without end.
+const MaxHeaderBytes = 64 << 10
+
 // Dialer returns a dialer whose connections fail within seconds after the peer stops responding.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
@@ -56,5 +59,7 @@
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      4 << 10,
 		WriteBufferSize:     4 << 10,
+
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}
 }
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -20,9 +20,15 @@
 const (
 	readBufferBytes = 4 << 10
 	maxLineBytes    = 1 << 20 // longest line of an event stream
+	maxEventBytes   = 1 << 20 // longest event, with whatever else comes before it
+	maxTextBytes    = 8 << 20 // longest stream
 )
 
-var errMissingEvent = errors.New("event ids are not consecutive")
+var (
+	errMissingEvent = errors.New("event ids are not consecutive")
+	errEndlessEvent = errors.New("an event is too long")
+	errEndlessText  = errors.New("the stream is too long")
+)
 
 // run runs an item once at an engine, which continues after the events that are held here. It cancels ctx when the
 // engine sends no event for e.Silence.
@@ -146,8 +152,17 @@
 	versionField := strings.ToLower(x.Names.GeneratedVersion) + ":"
 	var data []byte
 	id, pending := "", false
+	eventBytes, textBytes := 0, 0
 	for {
 		line, err := readLine(r)
+		eventBytes += len(line) + 1
+		textBytes += len(line) + 1
+		if eventBytes > maxEventBytes {
+			return errEndlessEvent
+		}
+		if textBytes > maxTextBytes {
+			return errEndlessText
+		}
 		if err == io.EOF && len(line) == 0 && !pending {
 			return nil
 		}
@@ -165,7 +180,7 @@
 			if lastID != id {
 				t.add(id, data, version)
 			}
-			lastID, data, id, pending = id, nil, "", false
+			lastID, data, id, pending, eventBytes = id, nil, "", false, 0
 			onEvent()
 		case bytes.HasPrefix(line, []byte(versionField)):
 			version, _ = strconv.ParseUint(string(bytes.TrimSpace(line[len(versionField):])), 10, 64)
--- a/internal/items/score.go
+++ b/internal/items/score.go
@@ -52,16 +52,25 @@
 	stamp  string // name of the header field that holds the score
 	status int
 	score  string
+	bytes  int // of the body so far
 }
 
+// maxScoreBytes is the longest body of a score call's answer, which is discarded.
+const maxScoreBytes = 1 << 20
+
 // Head records the status and the score.
 func (s *scoreSink) Head(status int, header http.Header) error {
 	s.status, s.score = status, header.Get(s.stamp)
 	return nil
 }
 
-// Body discards the answer's body.
-func (s *scoreSink) Body([]byte) error { return nil }
+// Body discards the answer's body. It returns an error for one that is too long to be an answer.
+func (s *scoreSink) Body(p []byte) error {
+	if s.bytes += len(p); s.bytes > maxScoreBytes {
+		return kinds.New(kinds.EndpointRefused, "the answer to the scoring call exceeds %d bytes", maxScoreBytes)
+	}
+	return nil
+}
 
 // Trailer discards the answer's trailer.
 func (s *scoreSink) Trailer(http.Header) {}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/limit"
@@ -158,7 +159,7 @@
 		return EngineState{}, kinds.New(kinds.Internal, "%v", err)
 	}
 	maps.Copy(request.Header, stateCall.Header)
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return EngineState{}, kinds.New(kinds.EndpointRefused, "%s: %v", stateCall.Target, err)
@@ -207,7 +208,7 @@
 	maps.Copy(request.Header, call.Header)
 	request.Header.Set("Content-Type", "application/json")
 	dialer := &dialer{now: x.Now, deadline: deadline}
-	transport := &http.Transport{DialContext: dialer.dial, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: dialer.dial, DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return dialer.sendError(call.Target, err)
--- a/internal/swap/executor.go
+++ b/internal/swap/executor.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/retry"
@@ -21,6 +23,7 @@
 	firstPollInterval  = 50 * time.Millisecond
 	maxPollInterval    = 400 * time.Millisecond
 	pollIntervalGrowth = 1.5
+	maxAnswerBytes     = 64 << 10
 	slotRetryInterval  = 100 * time.Millisecond
 	orderAccepted      = "Accepted" // wire.EngineState.LastOrderState of an order in progress
 )
@@ -121,7 +124,7 @@
 	if response.StatusCode != http.StatusOK {
 		return kinds.New(kinds.EndpointRefused, "%s: status %d", r.URL.Path, response.StatusCode)
 	}
-	if err := json.NewDecoder(response.Body).Decode(v); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(v); err != nil {
 		return kinds.New(kinds.OutcomeUnknown, "decode the answer: %v", err)
 	}
 	return nil
@@ -185,7 +188,7 @@
 		}
 		return &leasedConn{Conn: c, deadline: deadline, now: x.Now}, nil
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes}}
 }
 
 // leasedConn refuses writes from the lease's deadline on.
