--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -71,13 +71,25 @@
 	eventInterval time.Duration
 	draining      bool
 	limit         float64 // named in every answer, 0 for none
-	arrivals      []time.Time
+	arrivals      []Arrival
 	instance      string // name of this start
 	server        *http.Server
-	crashes       []time.Time
+	crashes       []Crash
 	stopped       bool
 }
 
+// Arrival is a request or call of any kind that reached a server.
+type Arrival struct {
+	At       time.Time
+	Instance string // of the server
+}
+
+// Crash is the end of a server's instance under a request.
+type Crash struct {
+	At   time.Time
+	Path string // of the request
+}
+
 // Order is an order to load a weight version of a model.
 type Order struct {
 	Model   string `json:"model"`
@@ -124,14 +136,15 @@
 	_ = s.server.Close()
 }
 
-// crash closes the server's connections and starts it again after RestartTime. Only the first call for an instance counts.
-func (s *Server) crash(instance string) {
+// crash closes the server's connections under a request and starts the server again after RestartTime. Only the first call
+// for an instance counts.
+func (s *Server) crash(instance, path string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped || s.instance != instance {
 		return
 	}
-	s.crashes = append(s.crashes, time.Now())
+	s.crashes = append(s.crashes, Crash{At: time.Now(), Path: path})
 	s.instance = fmt.Sprintf("%s.%d", s.Name, len(s.crashes))
 	s.running = 0
 	_ = s.server.Close()
@@ -158,11 +171,11 @@
 	s.register()
 }
 
-// Crashes returns when the server crashed, in order.
-func (s *Server) Crashes() []time.Time {
+// Crashes returns the crashes of the server, in order.
+func (s *Server) Crashes() []Crash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.crashes...)
+	return append([]Crash(nil), s.crashes...)
 }
 
 // currentInstance returns the name of the running instance.
@@ -230,18 +243,18 @@
 	s.limit = perSecond
 }
 
-// Arrivals returns the times at which requests and calls of any kind arrived, in order.
-func (s *Server) Arrivals() []time.Time {
+// Arrivals returns the requests and calls of any kind that arrived, in order.
+func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.arrivals...)
+	return append([]Arrival(nil), s.arrivals...)
 }
 
 // recordArrival records an arrival and names the limit in the answer.
 func (s *Server) recordArrival(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, time.Now())
+	s.arrivals = append(s.arrivals, Arrival{At: time.Now(), Instance: s.instance})
 	if s.limit > 0 {
 		w.Header().Set(HeaderLimit, strconv.FormatFloat(s.limit, 'f', -1, 64))
 	}
@@ -273,11 +286,11 @@
 	defer s.endRun(instance)
 	if s.CrashesUnder != nil && s.CrashesUnder(r.URL.Path, body) {
 		time.Sleep(s.CrashDelay)
-		s.crash(instance)
+		s.crash(instance, r.URL.Path)
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(HeaderAttemptID, r.Header.Get(HeaderAttemptID))
-	w.Header().Set(HeaderResponseStamp, instance+"."+r.Header.Get(HeaderAttemptID))
+	w.Header().Set(HeaderResponseStamp, s.Name+"."+r.Header.Get(HeaderAttemptID))
 	w.Header().Set("Figshift-Server-Load", fmt.Sprintf("1,0,%d", s.Slots))
 	if len(s.Models) > 0 {
 		s.streamEvents(w, r, runIndex)
--- a/figbed/internal/soak/check_test.go
+++ b/figbed/internal/soak/check_test.go
@@ -61,6 +61,29 @@
 		Orders:        map[string][]estate.Order{"engine-1": {{Holder: "host-1", Fence: 1}, {Holder: "host-2", Fence: 2}}},
 		WithdrawnKeys: map[string]time.Time{"key-1": at(2)},
 		Drains:        []Drain{{Server: "engine-1", From: at(0), To: at(6)}},
+		Limits:        []Limit{{Server: "plain-1", PerSecond: 2, From: at(0), To: at(20)}},
+		Arrivals:      map[string][]estate.Arrival{"plain-1": arrivals("plain-1", 17, 10)},
+	}
+}
+
+// arrivals returns a number of arrivals at an instance of a server within a second, after one at the start.
+func arrivals(instance string, n int, seconds float64) []estate.Arrival {
+	all := []estate.Arrival{{At: at(0.5), Instance: instance}}
+	for i := range n {
+		all = append(all, estate.Arrival{At: at(seconds + float64(i)/float64(n)), Instance: instance})
+	}
+	return all
+}
+
+// addHarmfulRuns adds the crashes of three servers under a call at second 1, and further runs of the call.
+func addHarmfulRuns(h *History, runs int, seconds float64) {
+	const path = harmfulPath + "1"
+	h.Calls = append(h.Calls, Call{ID: "harmful", Path: path, Key: estate.Key, Host: 1, Sent: at(1), Ended: at(1.1), Status: 502})
+	for i := range crashLimit {
+		h.Crashes = append(h.Crashes, estate.Crash{At: at(1 + float64(i)/10), Path: path})
+	}
+	for range runs {
+		h.Runs = append(h.Runs, Run{Server: "plain-1", Run: estate.Run{ID: "harmful", Path: path, Tenant: estate.Tenant, At: at(seconds)}})
 	}
 }
 
@@ -70,7 +93,20 @@
 		mutate func(h *History)
 		want   []string // prefixes of the violations
 	}{
-		"none":                                   {func(*History) {}, nil},
+		"none":                            {func(*History) {}, nil},
+		"requests beyond a limit":         {func(h *History) { h.Arrivals["plain-1"] = arrivals("plain-1", 18, 10) }, []string{"LIMIT: plain-1 names 2 requests"}},
+		"requests before the limit binds": {func(h *History) { h.Arrivals["plain-1"] = arrivals("plain-1", 40, 2) }, nil},
+		"requests after the limit":        {func(h *History) { h.Arrivals["plain-1"] = arrivals("plain-1", 40, 20) }, nil},
+		"requests to a new instance": {func(h *History) {
+			h.Arrivals["plain-1"] = append(arrivals("plain-1", 10, 10), arrivals("plain-1.1", 40, 0.6)...)
+		}, nil},
+		"requests beyond a limit while a host is cut off": {func(h *History) {
+			h.Arrivals["plain-1"] = arrivals("plain-1", 40, 10)
+			h.Spans = []Span{{Fault: Fault{Kind: HostCut}, From: at(9), To: at(11)}}
+		}, nil},
+		"a harmful request goes on":              {func(h *History) { addHarmfulRuns(h, 4, 5) }, []string{"BUDGET: /lookup/harmful-1 ran more than 3 times"}},
+		"a harmful request goes on three times":  {func(h *History) { addHarmfulRuns(h, 3, 5) }, nil},
+		"a harmful request goes on for a while":  {func(h *History) { addHarmfulRuns(h, 9, 3) }, nil},
 		"an unsafe request runs twice":           {func(h *History) { h.Runs = append(h.Runs, h.Runs[1]) }, []string{"TWICE: c2 ran 2 times"}},
 		"a refused request runs":                 {func(h *History) { h.Calls[1].Status = 503 }, []string{"REFUSED: c2 got status 503"}},
 		"a response of another request":          {func(h *History) { h.Calls[0].Body = "answer of plain-1 to /lookup/c9" }, []string{"MIXED: c1 got body"}},
--- a/figbed/internal/soak/draw.go
+++ b/figbed/internal/soak/draw.go
@@ -34,11 +34,14 @@
 	ServerSlow   FaultKind = "ServerSlow"   // connections to a server are delayed
 	ServerGrey   FaultKind = "ServerGrey"   // a plain server answers some requests with status 500
 	ServerDrain  FaultKind = "ServerDrain"  // a server registers itself as draining, and later as ready
+	ServerLimit  FaultKind = "ServerLimit"  // a server names a limit of requests
+	ServerCrash  FaultKind = "ServerCrash"  // a caller sends a request that crashes each plain server that runs it, again and again
 	KeyChange    FaultKind = "KeyChange"    // an API key is replaced by a new one
 )
 
-// plannedKinds are the kinds that are planned work of the operator rather than disruptions.
-var plannedKinds = []FaultKind{HostStop, ServerDrain, KeyChange}
+// plannedKinds are the kinds during which every time limit holds: planned work of the operator, and what servers and callers
+// do that harms neither hosts nor connections.
+var plannedKinds = []FaultKind{HostStop, ServerDrain, ServerLimit, ServerCrash, KeyChange}
 
 // Fault is one disruption or piece of planned work.
 type Fault struct {
@@ -46,7 +49,7 @@
 	Target   int           // number of the host or server, from 1
 	Start    time.Duration // relative to the start of the run
 	Duration time.Duration
-	Amount   int // number of writes or requests, or milliseconds, depending on Kind
+	Amount   int // number of writes or requests, milliseconds, or tenths of a request per second, depending on Kind
 }
 
 // String returns the fault as one line of key=value pairs, with times in seconds.
@@ -77,7 +80,9 @@
 	ServerReset: {targetsServer: true, maxDuration: 3 * second}, ServerSilent: {targetsServer: true, minDuration: second, maxDuration: 6 * second},
 	ServerSlow: {targetsServer: true, minDuration: second, maxDuration: 6 * second, minAmount: 20, maxAmount: 300},
 	ServerGrey: {targetsServer: true, minAmount: 2, maxAmount: 20}, ServerDrain: {targetsServer: true, minDuration: 5 * second, maxDuration: 9 * second},
-	KeyChange: {},
+	ServerLimit: {targetsServer: true, minDuration: 5 * second, maxDuration: 9 * second, minAmount: 10, maxAmount: 100},
+	ServerCrash: {minDuration: 2 * second, maxDuration: 6 * second},
+	KeyChange:   {},
 }
 
 // Limits of the time between the starts of two faults. As faults last up to 10 s, some of them overlap.
@@ -88,7 +93,7 @@
 
 // plannedOnlyTime is the initial period with planned work but no disruptions. The time limits are guaranteed, and thus
 // checked, only while there is no disruption.
-const plannedOnlyTime = 7 * time.Second
+const plannedOnlyTime = 10 * time.Second
 
 // DrawFaults returns the faults of a seed that start within span, ordered by their start: first planned work only, then
 // faults of all kinds. The same arguments always give the same faults.
@@ -103,6 +108,8 @@
 		{Kind: KeyChange, Start: 300 * time.Millisecond},
 		{Kind: ServerDrain, Target: 1 + random.IntN(servers), Start: 500 * time.Millisecond, Duration: 6 * second},
 		{Kind: HostStop, Target: 1 + random.IntN(hosts), Start: second},
+		{Kind: ServerLimit, Target: 1 + random.IntN(plainServerCount), Start: second / 2, Duration: 9 * second, Amount: 50},
+		{Kind: ServerCrash, Start: 2 * second, Duration: 7 * second},
 	}
 	for at := plannedOnlyTime; at < span; at += randomDuration(random, minGap, maxGap) {
 		kind := kinds[random.IntN(len(kinds))]
--- a/figbed/internal/soak/history.go
+++ b/figbed/internal/soak/history.go
@@ -78,6 +78,17 @@
 	Spans         []Span
 	WithdrawnKeys map[string]time.Time // withdrawn keys and when the store acknowledged their withdrawal
 	Drains        []Drain
+	Limits        []Limit
+	Arrivals      map[string][]estate.Arrival // by server
+	Crashes       []estate.Crash              // of all servers, in order
+}
+
+// Limit is the period in which a server named a limit.
+type Limit struct {
+	Server    string
+	PerSecond float64
+	From      time.Time
+	To        time.Time
 }
 
 // Drain is the period in which a server was registered as draining.
@@ -112,7 +123,7 @@
 	defer r.mu.Unlock()
 	h := r.history
 	h.Calls, h.Reads = slices.Clone(h.Calls), slices.Clone(h.Reads)
-	h.Spans, h.Drains = slices.Clone(h.Spans), slices.Clone(h.Drains)
+	h.Spans, h.Drains, h.Limits = slices.Clone(h.Spans), slices.Clone(h.Drains), slices.Clone(h.Limits)
 	h.Jobs = slices.Clone(h.Jobs)
 	for i := range h.Jobs {
 		h.Jobs[i].Statuses = slices.Clone(h.Jobs[i].Statuses)
--- a/figbed/internal/soak/inject.go
+++ b/figbed/internal/soak/inject.go
@@ -60,6 +60,10 @@
 		b.platform.Servers[(f.Target-1)%plainServerCount].FailRequests(f.Amount)
 	case ServerDrain:
 		r.drainServer(f)
+	case ServerLimit:
+		r.limitServer(f)
+	case ServerCrash:
+		r.sendHarmfulCalls(f)
 	case KeyChange:
 		r.rotateKey()
 	default: // proxies look up the active faults
@@ -173,6 +177,45 @@
 	server.SetDraining(false)
 }
 
+// limitServer makes a server name a limit for the duration of the fault, unless it names one already.
+func (r *runner) limitServer(f Fault) {
+	server, perSecond := r.testbed.platform.Servers[f.Target-1], float64(f.Amount)/10
+	r.mu.Lock()
+	limited := r.limited[server.Name]
+	r.limited[server.Name] = true
+	r.mu.Unlock()
+	if limited {
+		return
+	}
+	server.SetLimit(perSecond)
+	index := 0
+	r.recorder.update(func(h *History) {
+		index = len(h.Limits)
+		now := time.Now()
+		h.Limits = append(h.Limits, Limit{Server: server.Name, PerSecond: perSecond, From: now, To: now.Add(f.Duration)})
+	})
+	time.Sleep(f.Duration)
+	r.recorder.update(func(h *History) { h.Limits[index].To = time.Now() })
+	server.SetLimit(0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.limited, server.Name)
+}
+
+// harmfulInterval is the time between two calls that crash servers.
+const harmfulInterval = 250 * time.Millisecond
+
+// sendHarmfulCalls calls all hosts in turn, always with the same request, which crashes the servers that run it.
+func (r *runner) sendHarmfulCalls(f Fault) {
+	path := fmt.Sprintf("%s%d", harmfulPath, f.Start.Milliseconds())
+	client := newClient()
+	for n, end := 0, time.Now().Add(f.Duration); time.Now().Before(end); n++ {
+		c := &caller{runner: r, host: 1 + n%r.soak.Hosts, client: client}
+		c.record(Call{ID: fmt.Sprintf("harmful-%d-%d", f.Start.Milliseconds(), n), Path: path, Key: estate.Key, Host: c.host})
+		time.Sleep(harmfulInterval)
+	}
+}
+
 // rotateKey withdraws the rotating key and adds the next one.
 func (r *runner) rotateKey() {
 	r.mu.Lock()
--- a/figbed/internal/soak/load.go
+++ b/figbed/internal/soak/load.go
@@ -55,13 +55,19 @@
 }
 
 func (c *caller) call(id string) {
-	call := Call{ID: id, Path: estate.Lookup + id, Key: estate.Key, Host: c.host, Unsafe: c.random.IntN(unsafeOneIn) == 0, Sent: time.Now()}
+	call := Call{ID: id, Path: estate.Lookup + id, Key: estate.Key, Host: c.host, Unsafe: c.random.IntN(unsafeOneIn) == 0}
 	if call.Unsafe {
 		call.Path = estate.Writes + id
 	}
 	if c.random.IntN(rotatingKeyOneIn) == 0 {
 		call.Key = c.runner.pickRotatingKey(c.random)
 	}
+	c.record(call)
+}
+
+// record makes a call and records it with its outcome.
+func (c *caller) record(call Call) {
+	call.Sent = time.Now()
 	index := 0
 	c.runner.recorder.update(func(h *History) { index, h.Calls = len(h.Calls), append(h.Calls, call) })
 	status, header, body := send(c.client, c.runner.testbed.platform.ClientAddress(c.host), http.MethodPost, call.Path, call.ID, call.Key, []byte("b"))
--- a/figbed/internal/soak/soak.go
+++ b/figbed/internal/soak/soak.go
@@ -47,12 +47,13 @@
 	configVersion int               // of the platform's configuration
 	weightVersion int               // newest target weight version of the model
 	reported      []string          // violations reported so far
+	limited       map[string]bool   // servers that name a limit
 }
 
 // Run performs the soak, fails t for each violated guarantee, and returns the history.
 func (s Soak) Run(t proc.T) History {
 	rec := &recorder{history: History{Started: time.Now(), Events: streamEvents, Window: usageWindow, WithdrawnKeys: map[string]time.Time{}}}
-	r := &runner{t: t, soak: s, recorder: rec, testbed: newTestbed(t, s.Hosts, s.Port, rec), faultCounts: map[FaultKind]int{}, configVersion: initialVersion, weightVersion: initialVersion}
+	r := &runner{t: t, soak: s, recorder: rec, testbed: newTestbed(t, s.Hosts, s.Port, rec), faultCounts: map[FaultKind]int{}, limited: map[string]bool{}, configVersion: initialVersion, weightVersion: initialVersion}
 	r.testbed.start()
 	r.mu.Lock()
 	r.testbed.platform.Configure(initialVersion, estate.Key, r.rotatingKey())
@@ -136,16 +137,20 @@
 func (r *runner) snapshot() History {
 	platform := r.testbed.platform
 	reports, orders := platform.Reports(), map[string][]estate.Order{}
+	arrivals := map[string][]estate.Arrival{}
 	var runs []Run
+	var crashes []estate.Crash
 	now := time.Now()
 	for _, s := range platform.Servers {
-		orders[s.Name] = s.Orders()
+		orders[s.Name], arrivals[s.Name] = s.Orders(), s.Arrivals()
+		crashes = append(crashes, s.Crashes()...)
 		for _, run := range s.Runs() {
 			runs = append(runs, Run{Run: run, Server: s.Name})
 		}
 	}
 	h := r.recorder.clone()
-	h.Reports, h.Orders, h.Runs = reports, orders, runs
+	slices.SortFunc(crashes, func(a, b estate.Crash) int { return a.At.Compare(b.At) })
+	h.Reports, h.Orders, h.Runs, h.Arrivals, h.Crashes = reports, orders, runs, arrivals, crashes
 	for i := range h.Calls {
 		if h.Calls[i].Ended.After(now) {
 			h.Calls[i].Ended, h.Calls[i].Status = time.Time{}, 0
--- a/figbed/internal/soak/testbed.go
+++ b/figbed/internal/soak/testbed.go
@@ -37,8 +37,14 @@
 	shortStreamEvents = 15
 	longStreamEvents  = 90
 	usageWindow       = 2 * time.Second // UsageWindowS in the hosts' settings
+	harmfulPath       = estate.Lookup + "harmful-"
+	crashDelay        = 40 * time.Millisecond
+	restartTime       = 1200 * time.Millisecond
 )
 
+// isHarmful reports whether a request crashes the server that runs it.
+func isHarmful(path string, _ []byte) bool { return strings.HasPrefix(path, harmfulPath) }
+
 // testbed is the environment of a run: the platform, the proxies and the hosts' processes.
 type testbed struct {
 	t             proc.T
@@ -76,6 +82,7 @@
 	for n := range plainServerCount {
 		b.platform.Servers = append(b.platform.Servers, &estate.Server{
 			Name: fmt.Sprintf("plain-%d", n+1), Service: "plain", Zone: fmt.Sprintf("zone-%d", n+1), Slots: plainSlots, WorkTime: plainWorkTime, RegisterAddress: b.startServerProxy,
+			CrashesUnder: isHarmful, CrashDelay: crashDelay, RestartTime: restartTime,
 		})
 	}
 	for n := range engineCount {
--- a/figbed/proofs/crash_test.go
+++ b/figbed/proofs/crash_test.go
@@ -83,7 +83,9 @@
 func sortedCrashes(servers []*estate.Server) []time.Time {
 	var all []time.Time
 	for _, s := range servers {
-		all = append(all, s.Crashes()...)
+		for _, c := range s.Crashes() {
+			all = append(all, c.At)
+		}
 	}
 	slices.SortFunc(all, time.Time.Compare)
 	return all
--- a/figbed/proofs/limit_test.go
+++ b/figbed/proofs/limit_test.go
@@ -80,12 +80,12 @@
 	arrivals := s.Arrivals()
 	first := 0
 	worst := 0
-	for i, at := range arrivals {
-		if at.Before(named.Add(limitGrace)) {
+	for i, a := range arrivals {
+		if a.At.Before(named.Add(limitGrace)) {
 			first = i + 1
 			continue
 		}
-		for at.Sub(arrivals[first]) >= limitWindow {
+		for a.At.Sub(arrivals[first].At) >= limitWindow {
 			first++
 		}
 		worst = max(worst, i-first+1)
