--- a/internal/flow/limit.go
+++ b/internal/flow/limit.go
@@ -36,7 +36,10 @@
 			continue
 		}
 		if accepting[pool] == 0 {
-			accepting[pool] = max(1, len(p.table.Accepting(now, pool)))
+			for range p.table.Accepting(now, pool) {
+				accepting[pool]++
+			}
+			accepting[pool] = max(1, accepting[pool])
 		}
 		want := float64(p.queuedByPool[pool])
 		if limited := p.limitedByPool[pool]; limited != nil {
@@ -60,22 +63,19 @@
 // limitWait estimates how long a new request would wait because all endpoints of its pool limit their requests. It is 0
 // while one of them does not, and math.MaxInt64 when this host has no share of any limit.
 func (p *Component) limitWait(now time.Duration, r *request) time.Duration {
-	endpoints := p.table.Accepting(now, r.pool)
-	if len(endpoints) == 0 {
-		return 0
-	}
-	left, perSecond := 0.0, 0.0
-	for _, e := range endpoints {
+	left, perSecond, limited := 0.0, 0.0, false
+	for e := range p.table.Accepting(now, r.pool) {
 		a := p.Limits.Allowance(now, markOf(e), limit.Requests)
 		if !a.Limited {
 			return 0
 		}
+		limited = true
 		left += math.Floor(max(a.Left, 0))
 		perSecond += a.PerSecond
 	}
 	missing := float64(p.queuedByPool[r.pool]+1) - left
 	switch {
-	case missing <= 0:
+	case !limited, missing <= 0:
 		return 0
 	case perSecond == 0:
 		return math.MaxInt64
--- a/internal/route/candidates.go
+++ b/internal/route/candidates.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -59,15 +60,15 @@
 	return e.Running < r.MaxRunning && e.Version >= r.MinVersion && e.acceptsRequests(now) && (r.Allows == nil || r.Allows(e))
 }
 
-// Accepting returns the endpoints of a pool that are neither leaving nor ejected at time now.
-func (t *Table) Accepting(now time.Duration, pool string) []*Endpoint {
-	var all []*Endpoint
-	for _, e := range t.pools[pool] {
-		if e.acceptsRequests(now) {
-			all = append(all, e)
+// Accepting yields the endpoints of a pool that are neither leaving nor ejected at time now.
+func (t *Table) Accepting(now time.Duration, pool string) iter.Seq[*Endpoint] {
+	return func(yield func(*Endpoint) bool) {
+		for _, e := range t.pools[pool] {
+			if e.acceptsRequests(now) && !yield(e) {
+				return
+			}
 		}
 	}
-	return all
 }
 
 // prefer returns the candidates that match, or all if none does.
