--- a/figbed/proofs/requests_leave_test.go
+++ b/figbed/proofs/requests_leave_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -94,6 +95,7 @@
 	waitServices(t, c)
 	h := c.Hosts[0]
 	var load sync.WaitGroup
+	var stopped atomic.Int64 // Unix time of SIGTERM in ns
 	failures := make(chan string, 10000)
 	for i := range callers {
 		g := wire.Generate{Prompt: fmt.Sprint("stop", i), MaxTokens: tokens, Seed: int64(i)}
@@ -113,18 +115,19 @@
 		load.Go(func() {
 			// Like the balancer, this load stops once the daemon is unready.
 			for n := 0; h.Ready(); n++ {
-				id := fmt.Sprint("load", i, "-", n)
+				id, sent := fmt.Sprint("load", i, "-", n), time.Now()
 				if a := h.Post("/write?Id="+id, c.Key("South"), "x"); a.Echo().ID != id {
-					failures <- fmt.Sprintf("call under load: status %d, error %v: %s", a.Status, a.Err, a.Body)
+					failures <- fmt.Sprintf("call under load, begun %v and ended %v after SIGTERM: status %d, error %v: %s",
+						sent.Sub(time.Unix(0, stopped.Load())), time.Since(time.Unix(0, stopped.Load())), a.Status, a.Err, a.Body)
 				}
 			}
 		})
 	}
 	time.Sleep(loadLeadTime) // lets the load start; no check depends on it
-	stopped := time.Now()
+	stopped.Store(time.Now().UnixNano())
 	h.Signal(syscall.SIGTERM)
 	proc.WaitUntil(t, shortTimeout, "unready", func() bool { return !h.Ready() })
-	if a := h.Post("/write?Id=late", c.Key("North"), "x"); time.Since(stopped) < balancerDelay && a.Echo().ID != "late" {
+	if a := h.Post("/write?Id=late", c.Key("North"), "x"); time.Since(time.Unix(0, stopped.Load())) < balancerDelay && a.Echo().ID != "late" {
 		t.Errorf("a call within the balancer delay: status %d, error %v", a.Status, a.Err)
 	}
 	load.Wait()
