--- a/figbed/proofs/authority_keys_test.go
+++ b/figbed/proofs/authority_keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"syscall"
@@ -135,12 +136,21 @@
 	})
 	ended := make(chan time.Time, 1)
 	complete := make(chan bool, 1)
+	outcome := make(chan string, 1)
 	go func() {
 		response := c.Hosts[2].Generate(key, wire.Generate{Prompt: "long", MaxTokens: 600})
+		outcome <- fmt.Sprintf("status %d, error %v: %s", response.Status, response.Err, response.Body)
 		ended <- time.Now()
 		complete <- response.Complete()
 	}()
-	proc.WaitUntil(t, propagationTimeout, "the stream runs", func() bool { return len(c.Endpoints["e1"].Received().Runs) > 1 })
+	if !proc.Poll(propagationTimeout, func() bool { return len(c.Endpoints["e1"].Received().Runs) > 1 }) {
+		select {
+		case o := <-outcome:
+			t.Fatalf("the generation ended before it ran: %s", o)
+		default:
+			t.Fatalf("not within %v: the stream runs", propagationTimeout)
+		}
+	}
 	accepted := withdrawKey(t, c, key)
 	select {
 	case at := <-ended:
--- a/internal/crash/component.go
+++ b/internal/crash/component.go
@@ -17,7 +17,7 @@
 	// maxRecords is the number of requests that are remembered. Beyond it, the one whose last crash is the longest ago is
 	// forgotten, and first one that is not given up.
 	maxRecords = 1024
-	// maxNews is the number of crashes in one heartbeat, the last ones.
+	// maxNews is the number of crashes in one heartbeat.
 	maxNews = 64
 	// tombstoneTime is the time for which it is remembered that a request was answered or that an endpoint lives, since
 	// news of an older crash may still arrive.
@@ -252,21 +252,23 @@
 	}
 }
 
-// FillBeat adds the last crashes to a heartbeat, for hosts that missed the news of them or have started since.
+// FillBeat adds crashes to a heartbeat, for hosts that missed the news of them or have started since: first those of requests
+// that are given up, then the last ones.
 func (p *Component) FillBeat(now time.Duration, heartbeat *wire.Beat) {
 	type entry struct {
-		id ID
+		id      ID
+		verdict Verdict
 		crashed
 	}
 	var all []entry
 	for id, r := range p.records {
 		for _, c := range r.crashes {
-			all = append(all, entry{id, c})
+			all = append(all, entry{id, r.verdict(), c})
 		}
 	}
 	slices.SortFunc(all, func(a, b entry) int {
 		return cmp.Or(
-			cmp.Compare(b.at, a.at), cmp.Compare(a.id.Digest, b.id.Digest), cmp.Compare(a.id.Organisation, b.id.Organisation),
+			cmp.Compare(b.verdict, a.verdict), cmp.Compare(b.at, a.at), cmp.Compare(a.id.Digest, b.id.Digest), cmp.Compare(a.id.Organisation, b.id.Organisation),
 			cmp.Compare(a.endpoint.Endpoint, b.endpoint.Endpoint),
 		)
 	})
--- a/internal/crash/component_test.go
+++ b/internal/crash/component_test.go
@@ -183,6 +183,23 @@
 	return aged
 }
 
+// A host that started while many connections broke did not hear of the request that had been given up, and sent it on.
+func TestHeartbeatsTellOfGivenUpRequestsFirst(t *testing.T) {
+	r, joiner := newRig(), newRig()
+	r.run(id, "e1")
+	r.run(id, "e2")
+	r.run(id, "e3")
+	for n := range 500 {
+		r.run(crash.ID{Organisation: "North", Digest: fmt.Sprint(n)}, "e4")
+	}
+	var heartbeat wire.Beat
+	r.watch.FillBeat(r.now, &heartbeat)
+	joiner.step(event.BeatSeen{Host: "h2", Beat: heartbeat})
+	if got := joiner.watch.Verdict(joiner.now, id); got != crash.GivenUp {
+		t.Errorf("verdict %v at a host that has started since", got)
+	}
+}
+
 // The memory of crashes must be bounded, and a request that is given up must be the last to be forgotten.
 func TestMemoryOfCrashesIsBounded(t *testing.T) {
 	r := newRig()
