--- a/figbed/internal/soak/draw.go
+++ b/figbed/internal/soak/draw.go
@@ -108,8 +108,8 @@
 		{Kind: KeyChange, Start: 300 * time.Millisecond},
 		{Kind: ServerDrain, Target: 1 + random.IntN(servers), Start: 500 * time.Millisecond, Duration: 6 * second},
 		{Kind: HostStop, Target: 1 + random.IntN(hosts), Start: second},
-		{Kind: ServerLimit, Target: plainServerCount + 1 + random.IntN(engineCount), Start: second / 2, Duration: 9 * second, Amount: 8},
-		{Kind: ServerCrash, Start: 800 * time.Millisecond, Duration: 7 * second},
+		{Kind: ServerLimit, Target: plainServerCount + 1 + random.IntN(engineCount), Start: second / 2, Duration: 9 * second, Amount: 5},
+		{Kind: ServerCrash, Start: 800 * time.Millisecond, Duration: 9 * second},
 		{Kind: ServerLimit, Target: 1 + random.IntN(plainServerCount), Start: 4500 * time.Millisecond, Duration: 5500 * time.Millisecond, Amount: 50},
 	}
 	for at := plannedOnlyTime; at < span; at += randomDuration(random, minGap, maxGap) {
