--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -19,12 +18,13 @@
 )
 
 const (
-	headerReadTimeout = 5 * time.Second
-	bodyReadTimeout   = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
-	errorWriteTimeout = 5 * time.Second // for writing an error response
-	maxHeadBytes      = 256 << 10       // bytes of a request head; the limit of the site configuration applies afterwards
-	maxTotalBodyBytes = 64 << 20        // of all request bodies in memory
+	headerReadTimeout   = 5 * time.Second
+	bodyReadTimeout     = 30 * time.Second
+	idleTimeout         = 2 * time.Minute
+	unusedCheckInterval = 50 * time.Millisecond
+	errorWriteTimeout   = 5 * time.Second // for writing an error response
+	maxHeadBytes        = 256 << 10       // bytes of a request head; the limit of the site configuration applies afterwards
+	maxTotalBodyBytes   = 64 << 20        // of all request bodies in memory
 )
 
 // Server serves callers' requests. Its exported fields are set before Run.
@@ -92,7 +92,7 @@
 // Run serves until ctx ends. After StopListening it closes the listener, waits for the open requests and posts
 // ListenerClosed. It returns an error when it can't listen or serve.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.Address)
+	listener, err := newStopListener(s.Address)
 	if err != nil {
 		return errors.Wrap(err, "listening for callers")
 	}
@@ -101,6 +101,7 @@
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
+		ConnState:         listener.track,
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
@@ -112,13 +113,33 @@
 		return errors.Wrap(err, "serving callers")
 	case <-s.closing:
 	}
-	if server.Shutdown(ctx) == nil {
+	if s.stop(ctx, server, listener) {
 		s.Post(event.ListenerClosed{})
 	}
 	<-ctx.Done()
 	return nil
 }
 
+// stop closes the listener and waits until all connections are closed. It returns false when ctx ends first. It doesn't use
+// Server.Shutdown, which closes a connection whose request is read after Shutdown has begun, without an answer.
+func (s *Server) stop(ctx context.Context, server *http.Server, listener *stopListener) bool {
+	if err := listener.Close(); err != nil {
+		return false // the listener has failed before
+	}
+	server.SetKeepAlivesEnabled(false)
+	done := listener.allClosed()
+	for {
+		select {
+		case <-done:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-time.After(unusedCheckInterval):
+			listener.closeUnused()
+		}
+	}
+}
+
 // ServeHTTP answers one request. It may be called concurrently.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.draining.Load() {
