--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -113,18 +113,24 @@
 		return
 	}
 	waitingItems := map[need]int{}
-	for _, j := range p.jobs {
+	var needs []need // in a fixed order, since sums of fractions depend on it
+	for _, j := range p.sortedJobs() {
 		r, ok := p.site.Routes[j.head.Route]
 		if j.ended || !ok {
 			continue
 		}
 		for _, it := range j.items {
-			if it.state == waiting {
-				waitingItems[j.needOf(it, r)]++
+			if it.state != waiting {
+				continue
+			}
+			n := j.needOf(it, r)
+			if waitingItems[n] == 0 {
+				needs = append(needs, n)
 			}
+			waitingItems[n]++
 		}
 	}
-	for n, count := range waitingItems {
+	for _, n := range needs {
 		var fitting []*engine
 		for _, e := range p.engines.byService[n.service] {
 			if e.canServe(now, n) {
@@ -134,7 +140,7 @@
 		for _, e := range fitting {
 			id := leaveMark(&e.Endpoint)
 			if _, ok := wants[id]; ok {
-				wants[id] += float64(count) / float64(len(fitting))
+				wants[id] += float64(waitingItems[n]) / float64(len(fitting))
 			}
 		}
 	}
--- a/internal/crash/component.go
+++ b/internal/crash/component.go
@@ -58,7 +58,7 @@
 	case event.BeatSeen:
 		p.handleNews(now, e.Host, e.Beat.Crashes, out)
 	case event.Tick:
-		p.prune(now, out)
+		p.prune(now)
 	}
 }
 
@@ -85,7 +85,7 @@
 	if id.Digest == "" || !p.addCrash(now, id, crashed{endpoint: endpoint, sent: sent, at: now}, out) {
 		return
 	}
-	p.send(now, p.others(now), []wire.CrashNews{crashNews(now, id, p.records[id].crashes[len(p.records[id].crashes)-1])}, out)
+	p.send(p.others(now), []wire.CrashNews{crashNews(now, id, p.records[id].crashes[len(p.records[id].crashes)-1])}, out)
 }
 
 // addCrash adds a crash to the record of a request, logs what follows and reports whether the crash is new.
@@ -169,7 +169,7 @@
 		return
 	}
 	p.clear(id, now, out)
-	p.send(now, p.others(now), []wire.CrashNews{{Organisation: id.Organisation, Digest: id.Digest, Answered: true}}, out)
+	p.send(p.others(now), []wire.CrashNews{{Organisation: id.Organisation, Digest: id.Digest, Answered: true}}, out)
 }
 
 // clear drops the crashes of a request up to the time at, when it was answered, and reports whether there were any.
@@ -193,7 +193,7 @@
 	endpoint := wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}
 	if p.endpoints[endpoint] > 0 && p.markAlive(endpoint, e.Sent) {
 		news := wire.CrashNews{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Answered: true, AgeMS: (now - e.Sent).Milliseconds()}
-		p.send(now, p.others(now), []wire.CrashNews{news}, out)
+		p.send(p.others(now), []wire.CrashNews{news}, out)
 	}
 }
 
@@ -208,7 +208,7 @@
 }
 
 // prune forgets what is too old.
-func (p *Component) prune(now time.Duration, _ *event.Batch) {
+func (p *Component) prune(now time.Duration) {
 	if now < p.nextPrune {
 		return
 	}
@@ -239,7 +239,7 @@
 	return names
 }
 
-func (p *Component) send(_ time.Duration, hosts []string, news []wire.CrashNews, out *event.Batch) {
+func (p *Component) send(hosts []string, news []wire.CrashNews, out *event.Batch) {
 	for _, h := range hosts {
 		out.Emit(event.SendPeer{Host: h, Message: wire.Message{Crashes: news}})
 	}
@@ -286,7 +286,7 @@
 		}
 	}
 	if len(fresh) > 0 && len(p.hubs) > 0 {
-		p.send(now, ranks.ForwardTargets(p.Self, p.hubs, event.ZonesOf(p.Membership.Alive(now)), from), fresh, out)
+		p.send(ranks.ForwardTargets(p.Self, p.hubs, event.ZonesOf(p.Membership.Alive(now)), from), fresh, out)
 	}
 }
 
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -13,8 +13,8 @@
 	maxRounds = 3
 	// maxCrashes is the number of crashes after which two such rounds are enough. Several hosts can send the repeats of a
 	// request at the same time, and endpoints that crash together for another reason are one round.
-	maxCrashes    = 3
-	minRoundsLeft = 2
+	maxCrashes = 3
+	minRounds  = 2
 )
 
 // crashed is an endpoint that crashed, as far as is known, while it ran a request.
@@ -53,7 +53,7 @@
 func (r *record) verdict() Verdict {
 	rounds := r.rounds()
 	switch {
-	case rounds >= maxRounds, rounds >= minRoundsLeft && len(r.crashes) >= maxCrashes:
+	case rounds >= maxRounds, rounds >= minRounds && len(r.crashes) >= maxCrashes:
 		return GivenUp
 	case rounds > 0:
 		return Suspect
