--- a/internal/crash/component_test.go
+++ b/internal/crash/component_test.go
@@ -17,16 +17,18 @@
 	now   time.Duration
 	watch *crash.Component
 	sent  []wire.CrashNews
+	to    []string // hosts that were sent news
+	alive []event.Host
 }
 
 func newRig() *rig {
-	r := &rig{now: time.Minute}
+	r := &rig{now: time.Minute, alive: []event.Host{{Name: "h1"}, {Name: "h2"}}}
 	r.watch = &crash.Component{Self: "h1", Membership: r}
 	return r
 }
 
 // Alive implements crash.Membership.
-func (r *rig) Alive(time.Duration) []event.Host { return []event.Host{{Name: "h1"}, {Name: "h2"}} }
+func (r *rig) Alive(time.Duration) []event.Host { return r.alive }
 
 func (r *rig) do(f func(out *event.Batch)) {
 	var out event.Batch
@@ -34,6 +36,7 @@
 	for _, effect := range out.Effects {
 		if e, ok := effect.(event.SendPeer); ok {
 			r.sent = append(r.sent, e.Message.Crashes...)
+			r.to = append(r.to, e.Host)
 		}
 	}
 }
@@ -200,6 +203,23 @@
 	}
 }
 
+// In a large fleet hosts of other zones did not hear of a crash until heartbeats had passed it on from hub to hub.
+func TestHubsForwardCrashNews(t *testing.T) {
+	seer, hub := newRig(), newRig()
+	seer.run(id, "e1")
+	news := event.PeerReceived{Host: "h2", Message: wire.Message{Crashes: seer.sent}}
+	hub.alive = []event.Host{{Name: "h1", Zone: "a"}, {Name: "h2", Zone: "a"}, {Name: "h3", Zone: "a"}, {Name: "h4", Zone: "b"}, {Name: "h5", Zone: "b"}}
+	hub.step(event.HostsChanged{Hosts: hub.alive, Hubs: []string{"h1", "h4"}})
+	hub.step(news)
+	if diff := cmp.Diff([]string{"h3", "h4"}, hub.to); diff != "" {
+		t.Errorf("forwarded to (-want +got):\n%s", diff)
+	}
+	hub.step(news)
+	if len(hub.to) > 2 {
+		t.Errorf("known news was forwarded: %v", hub.to)
+	}
+}
+
 // The memory of crashes must be bounded, and a request that is given up must be the last to be forgotten.
 func TestMemoryOfCrashesIsBounded(t *testing.T) {
 	r := newRig()
