--- a/internal/crash/component.go
+++ b/internal/crash/component.go
@@ -17,8 +17,10 @@
 	// maxRecords is the number of requests that are remembered. Beyond it, the one whose last crash is the longest ago is
 	// forgotten, and first one that is not given up.
 	maxRecords = 1024
-	// maxNews is the number of crashes in one heartbeat.
-	maxNews = 64
+	// maxNews is the number of crashes in one heartbeat, and newsTime the time for which heartbeats tell of a crash whose
+	// request is not given up.
+	maxNews  = 16
+	newsTime = 10 * time.Second
 	// tombstoneTime is the time for which it is remembered that a request was answered or that an endpoint lives, since
 	// news of an older crash may still arrive.
 	tombstoneTime = time.Minute
@@ -263,7 +265,9 @@
 	var all []entry
 	for id, r := range p.records {
 		for _, c := range r.crashes {
-			all = append(all, entry{id, r.verdict(), c})
+			if verdict := r.verdict(); verdict == GivenUp || now-c.at <= newsTime {
+				all = append(all, entry{id, verdict, c})
+			}
 		}
 	}
 	slices.SortFunc(all, func(a, b entry) int {
--- a/internal/crash/component_test.go
+++ b/internal/crash/component_test.go
@@ -241,7 +241,7 @@
 	}
 	var heartbeat wire.Beat
 	r.watch.FillBeat(r.now, &heartbeat)
-	if len(heartbeat.Crashes) > 64 {
+	if len(heartbeat.Crashes) > 16 {
 		t.Errorf("a heartbeat has %d crashes", len(heartbeat.Crashes))
 	}
 }
