--- /dev/null
+++ b/figbed/internal/estate/trouble.go
@@ -0,0 +1,94 @@
+package estate
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Arrival is a request or call of any kind that reached a server.
+type Arrival struct {
+	At       time.Time
+	Instance string // of the server
+}
+
+// Crash is the end of a server's instance under a request.
+type Crash struct {
+	At   time.Time
+	Path string // of the request
+}
+
+// crash closes the server's connections under a request and starts the server again after RestartTime. Only the first call
+// for an instance counts.
+func (s *Server) crash(instance, path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped || s.instance != instance {
+		return
+	}
+	s.crashes = append(s.crashes, Crash{At: time.Now(), Path: path})
+	s.instance = fmt.Sprintf("%s.%d", s.Name, len(s.crashes))
+	s.running = 0
+	_ = s.server.Close()
+	time.AfterFunc(s.RestartTime, func() { s.restart(instance) })
+}
+
+// restart starts the next instance after a crash and replaces the entry of the one before.
+func (s *Server) restart(before string) {
+	s.mu.Lock()
+	address, stopped := s.listener.Addr().String(), s.stopped
+	s.mu.Unlock()
+	if stopped {
+		return
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		panic(err) // no other listener has the address
+	}
+	s.mu.Lock()
+	s.listener, s.startMS = listener, time.Now().UnixMilli()
+	s.mu.Unlock()
+	s.serve()
+	s.store.Put("servers", before, nil)
+	s.register()
+}
+
+// Crashes returns the crashes of the server, in order.
+func (s *Server) Crashes() []Crash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Crash(nil), s.crashes...)
+}
+
+// currentInstance returns the name of the running instance.
+func (s *Server) currentInstance() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instance
+}
+
+// SetLimit sets the limit in requests a second that every answer names, 0 for none.
+func (s *Server) SetLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
+// Arrivals returns the requests and calls of any kind that arrived, in order.
+func (s *Server) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.arrivals...)
+}
+
+// recordArrival records an arrival and names the limit in the answer.
+func (s *Server) recordArrival(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, Arrival{At: time.Now(), Instance: s.instance})
+	if s.limit > 0 {
+		w.Header().Set(HeaderLimit, strconv.FormatFloat(s.limit, 'f', -1, 64))
+	}
+}
