--- a/internal/items/endless_test.go
+++ b/internal/items/endless_test.go
@@ -16,8 +16,8 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// maxEndlessBytes bounds what is read of bytes that are no answer: the buffers of the connection, and twice the longest event.
-const maxEndlessBytes = 12 << 20
+// maxEndlessBytes bounds what is read of bytes that are no answer: the longest stream, and what the reader buffers.
+const maxEndlessBytes = maxTextBytes + 64<<10
 
 // An engine sent bytes that were no answer without end, in a head, a line, an event or between events. They filled the memory
 // of the host until the run was silent for too long, or until the job was given up.
@@ -36,8 +36,13 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			address, sent := endlessEngine(t, c.first, c.repeated)
-			x := &Executor{HTTP: conns.Transport(time.Second, 1, time.Second), Now: func() time.Duration { return 0 }, Names: HeaderNames{
+			address := endlessEngine(t, c.first, c.repeated)
+			transport, read := conns.Transport(time.Second, 1, time.Second), &atomic.Int64{}
+			transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return &countedConn{Conn: conn, read: read}, err
+			}
+			x := &Executor{HTTP: transport, Now: func() time.Duration { return 0 }, Names: HeaderNames{
 				HeaderNames: call.HeaderNames{Request: "Id"}, LastEvent: "Last-Event-Id",
 			}}
 			x.jobTable.prepare()
@@ -52,18 +57,30 @@
 			if took := time.Since(started); took > 10*time.Second {
 				t.Errorf("the run ended after %v", took)
 			}
-			if n := sent.Load(); n > maxEndlessBytes {
-				t.Errorf("%d MiB were read of an answer without end", n>>20)
+			if n := read.Load(); n > maxEndlessBytes {
+				t.Errorf("%d bytes were read of an answer without end, at most %d are allowed", n, maxEndlessBytes)
 			}
 		})
 	}
 }
 
+// countedConn counts the bytes that are read from a connection.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
 // endlessEngine accepts connections and answers with first and then repeated, or consecutive events when that is "", until
-// the caller closes. sent counts the bytes.
-func endlessEngine(t *testing.T, first, repeated string) (address string, sent *atomic.Int64) {
+// the caller closes.
+func endlessEngine(t *testing.T, first, repeated string) (address string) {
 	t.Helper()
-	sent = &atomic.Int64{}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -84,12 +101,10 @@
 					if part == "" {
 						part = fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("d", 1000))
 					}
-					var written int
-					written, err = io.WriteString(conn, part)
-					sent.Add(int64(written))
+					_, err = io.WriteString(conn, part)
 				}
 			}()
 		}
 	}()
-	return listener.Addr().String(), sent
+	return listener.Addr().String()
 }
