platform, flow, batch: sends name the endpoint's software version

The logs could not tell the hypotheses of docs/incidents/order.md apart: no line named a software version. RequestSent and ItemSent now do, and RequestSent tells which stream a caller takes up again, and from where.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -188,6 +188,7 @@
 	it.restart = false
 	out.Emit(started)
 	p.logItem(ji.job, it, "ItemSent", out, event.Field{Key: "Endpoint", Value: e.Name},
+		event.Field{Key: "Software", Value: e.Software},
 		event.Field{Key: "Version", Value: strconv.FormatUint(e.VersionOf(ji.job.head.Model), 10)},
 		event.Field{Key: "From", Value: strconv.Itoa(it.heldEvents)},
 		event.Field{Key: "Group", Value: strconv.Itoa(it.Group)},
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -42,6 +42,10 @@
 	// Digest identifies the content of a caller's request, without its organisation: requests with the same method, host,
 	// target and body have the same one. It is "" for requests of figshift's own.
 	Digest string `json:",omitempty"`
+	// LastEvent is the id of the last event that the caller holds of a stream that it takes up again, "" for none, and
+	// Resumes is the id of its attempt that brought the first event, "" when it does not say.
+	LastEvent string `json:",omitempty"`
+	Resumes   string `json:",omitempty"`
 }
 
 // FirstSampleRequest is the lowest Request number of a sample; callers' requests have lower ones.
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -102,8 +102,9 @@
 	r.attempts++
 	r.sentAt, r.charged = now, true
 	r.endpoint, r.incarnation, r.price = e.Name, e.Incarnation, string(e.Price)
-	p.logRequest(now, r, "RequestSent", out, event.Field{Key: "Endpoint", Value: e.Name}, event.Field{Key: "Try", Value: strconv.Itoa(r.attempts)},
-		event.Field{Key: "LeftMS", Value: formatMillis(r.deadline - now)}, event.Field{Key: "Work", Value: strconv.Itoa(int(e.Work(now)))})
+	p.logRequest(now, r, "RequestSent", out, event.Field{Key: "Endpoint", Value: e.Name}, event.Field{Key: "Software", Value: e.Software}, event.Field{Key: "Try", Value: strconv.Itoa(r.attempts)},
+		event.Field{Key: "LeftMS", Value: formatMillis(r.deadline - now)}, event.Field{Key: "Work", Value: strconv.Itoa(int(e.Work(now)))},
+		event.Field{Key: "LastEvent", Value: r.arrived.LastEvent}, event.Field{Key: "Resumes", Value: r.arrived.Resumes})
 	out.Emit(event.StartAttempt{
 		Request:      r.id(),
 		Attempt:      r.attempt,
--- a/internal/serve/request.go
+++ b/internal/serve/request.go
@@ -93,7 +93,7 @@
 	}}
 	in.arrived = event.RequestArrived{
 		ID: head.ID, KeyHash: head.KeyHash, Host: r.Host, Path: r.URL.Path, Method: r.Method, Tokens: serviceCallTokens + len(body)/bytesPerToken,
-		Digest: digest(r, head.Target, body),
+		Digest: digest(r, head.Target, body), LastEvent: head.LastEvent, Resumes: head.Resumes,
 	}
 	if head.Timeout > 0 {
 		in.arrived.Deadline = now + head.Timeout
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -61,6 +61,10 @@
 	Target  string // path and query as received
 	Header  http.Header
 	Timeout time.Duration // the caller's timeout, 0 when the request sets none
+	// LastEvent is the id of the last event that the caller holds of a stream that it takes up again, "" for none, and
+	// Resumes is the id of its attempt that brought the first event.
+	LastEvent string
+	Resumes   string
 }
 
 // activeSite is the configuration in force with its routes.
--- a/internal/wire/platform.go
+++ b/internal/wire/platform.go
@@ -50,6 +50,7 @@
 	State         EndpointState
 	Model         string
 	Service       string // name of the service, for Kind Service
+	Software      string `json:",omitempty" msgpack:",omitempty"` // version of its software, which has no order; "" if not reported
 	ChecksFencing bool
 	Slots         int            `json:",omitempty" msgpack:",omitempty"` // requests that run at once, 0 if not reported
 	Weights       []ModelVersion `json:",omitempty" msgpack:",omitempty"` // models held, for engines with several
