--- a/figbed/internal/estate/estate.go
+++ b/figbed/internal/estate/estate.go
@@ -20,6 +20,7 @@
 	Rollouts = "/rollout/"
 	Scores   = "/score/"
 	Writes   = "/write/" // not idempotent: each request may run at most once
+	Streams  = "/stream/"
 	Model    = "model-a"
 	Key      = "key-of-north"
 	Tenant   = "north"
@@ -94,11 +95,13 @@
 			"timeout_ms": 5000, "max_attempts": 3, "priority": 1, "run_deadline_ms": 7500, "max_queue_s": 40,
 		}
 	}
+	streams := route("stream", Streams, "streaming", "engines", false)
+	streams["resumable"] = true
 	p.Store.Put("config", "main", map[string]any{
 		"version": version,
 		"routes": []any{
 			route("lookup", Lookup, "safe", "plain", false), route("write", Writes, "unsafe", "plain", false), route("score", Scores, "safe", "plain", true),
-			route("rollout", Rollouts, "rollout", "engines", false),
+			route("rollout", Rollouts, "rollout", "engines", false), streams,
 		},
 		"services": []any{
 			map[string]any{"name": "plain"},
--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -1,6 +1,7 @@
 package estate
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -20,6 +21,7 @@
 	HeaderNotRun         = "Figshift-Not-Run"
 	HeaderWeightVersions = "Figshift-Weight-Versions"
 	HeaderLastEventID    = "Last-Event-Id"
+	HeaderResumes        = "Resumes"
 	HeaderLimit          = "Server-Limit"
 )
 
@@ -29,6 +31,7 @@
 	Path          string
 	Tenant        string
 	LastEventID   string // id of the last event that the caller already has; empty for a new stream
+	Software      string // version of the server's software
 	HasCredential bool   // whether the request carried a credential
 	At            time.Time
 	EventVersions []uint64 // weight version of each streamed event, starting with the first one after LastEventID
@@ -40,6 +43,7 @@
 	Name          string
 	Service       string
 	Zone          string
+	Software      string // version of the server's software; "v1" when empty
 	Models        []string
 	Slots         int
 	Events        int           // events per stream
@@ -51,6 +55,8 @@
 	CrashesUnder func(path string, body []byte) bool
 	CrashDelay   time.Duration
 	RestartTime  time.Duration
+	// RegisterDelay is the time from a restart until the store has the new start's entry.
+	RegisterDelay time.Duration
 	// EventsOf returns the number of events in an item's stream. When nil, every stream has Events events.
 	EventsOf func(id string) int
 	// RegisterAddress maps the listener's address to the address that the server registers. When nil, both are the same.
@@ -100,6 +106,7 @@
 		}
 	}
 	s.store, s.startMS, s.eventInterval, s.instance = store, time.Now().UnixMilli(), s.EventInterval, s.Name
+	s.Software = cmp.Or(s.Software, "v1")
 	s.versions = map[string]uint64{}
 	for _, m := range s.Models {
 		s.versions[m] = 1
@@ -137,7 +144,7 @@
 		models = append(models, map[string]any{"name": m, "version": s.versions[m]})
 	}
 	s.store.Put("servers", s.instance, map[string]any{
-		"service": s.Service, "address": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots,
+		"service": s.Service, "address": s.address, "zone": s.Zone, "version": s.Software, "slots": s.Slots,
 		"state": state, "stage": "hybrid", "models": models, "sequence": 7, "born": s.startMS,
 	})
 }
@@ -247,6 +254,7 @@
 	s.running++
 	s.runs = append(s.runs, Run{
 		ID: r.Header.Get(HeaderAttemptID), Path: r.URL.RequestURI(), Tenant: r.Header.Get(HeaderTenant), LastEventID: r.Header.Get(HeaderLastEventID),
+		Software:      s.Software,
 		HasCredential: r.Header.Get("Authorization") != "", At: time.Now(),
 	})
 	return len(s.runs) - 1, true
@@ -313,7 +321,7 @@
 func (s *Server) handleReport(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"stage": "hybrid", "busy": false, "sequence": len(s.orders), "running": s.running})
+	writeJSON(w, http.StatusOK, map[string]any{"stage": "hybrid", "busy": false, "sequence": len(s.orders), "running": s.running, "born": s.startMS})
 }
 
 func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
--- a/figbed/internal/estate/trouble.go
+++ b/figbed/internal/estate/trouble.go
@@ -29,10 +29,25 @@
 		return
 	}
 	s.crashes = append(s.crashes, Crash{At: time.Now(), Path: path})
-	s.instance = fmt.Sprintf("%s.%d", s.Name, len(s.crashes))
+	s.end(fmt.Sprintf("%s.%d", s.Name, len(s.crashes)))
+}
+
+// end closes the server's connections and starts it again after RestartTime as another instance. The caller holds s.mu.
+func (s *Server) end(next string) {
+	before := s.instance
+	s.instance = next
 	s.running = 0
 	_ = s.server.Close()
-	time.AfterFunc(s.RestartTime, func() { s.restart(instance) })
+	time.AfterFunc(s.RestartTime, func() { s.restart(before) })
+}
+
+// Restart closes the server's connections and starts it again after RestartTime, under the same name and with another
+// version of its software. The store has the new entry RegisterDelay later.
+func (s *Server) Restart(software string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Software = software
+	s.end(s.instance)
 }
 
 // restart starts the next instance after a crash and replaces the entry of the one before.
@@ -51,7 +66,10 @@
 	s.listener, s.startMS = listener, time.Now().UnixMilli()
 	s.mu.Unlock()
 	s.serve()
-	s.store.Put("servers", before, nil)
+	time.Sleep(s.RegisterDelay)
+	if before != s.currentInstance() {
+		s.store.Put("servers", before, nil)
+	}
 	s.register()
 }
 
