origin, flow, batch, items: a stream goes on at its software version

Callers got streams, and trainers texts, with events of two software versions of a service. Cause: each path that goes on elsewhere took the endpoints of a service for interchangeable, and nothing read the version from an endpoint's entry.

A stream is bound by its first event. An item's text carries the version, in copies, stored texts and takeovers too, and a generation that a host resumes within one answer is bound as well. What no endpoint of the version can take is refused at once (StreamUnresumable, 503, not run); an item begins anew when none is left, or when it has waited as long as making its events again takes. New streams prefer the version with the most endpoints, which leaves room at the others.

Without the checks in route, batch or items the unit tests fail.

--- a/figbed/proofs/streams_test.go
+++ b/figbed/proofs/streams_test.go
@@ -44,14 +44,15 @@
 // A stream that no endpoint can take up was kept waiting, or went on at another version.
 func TestStreamWithoutItsSoftwareIsRefused(t *testing.T) {
 	t.Parallel()
-	servers := softwareEngines(1, 2)
+	servers := softwareEngines(2, 1)
 	f := startPlatformFleet(t, 3, servers...)
 	ids := f.beginStreams(1)
-	leaving := slices.DeleteFunc(ids, func(id string) bool { return !began(servers[0], id) })
+	leaving := slices.DeleteFunc(ids, func(id string) bool { return !began(servers[0], id) && !began(servers[1], id) })
 	if len(leaving) == 0 {
 		t.Fatal("no stream began at the version that leaves: the case shows nothing")
 	}
 	servers[0].SetDraining(true)
+	servers[1].SetDraining(true)
 	proc.WaitUntil(t, 10*time.Second, "streams of the version that leaves don't go on", func() bool {
 		return f.resumeStreams(leaving[:1], 2) == 0 || len(estate.MixedStreams(servers)) > 0
 	})
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -36,6 +36,7 @@
 	"github.com/figshift/figshift/internal/member"
 	"github.com/figshift/figshift/internal/objapi"
 	"github.com/figshift/figshift/internal/orders"
+	"github.com/figshift/figshift/internal/origin"
 	"github.com/figshift/figshift/internal/peer"
 	"github.com/figshift/figshift/internal/reduce"
 	"github.com/figshift/figshift/internal/relay"
@@ -263,8 +264,10 @@
 	crashes := &crash.Component{Self: d.self.Name, Membership: d.members}
 	d.members.BeatFillers = append(d.members.BeatFillers, crashes)
 	d.addComponent(crashes)
+	origins := &origin.Component{Self: d.self, Membership: d.members}
+	d.addComponent(origins)
 	d.flowComponent = &flow.Component{
-		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Limits: d.limits, Crashes: crashes, Keys: d.keys,
+		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Limits: d.limits, Crashes: crashes, Origins: origins, Keys: d.keys,
 		Random: rand.New(rand.NewPCG(d.seed, 0)), Process: d.process, DisablePolling: true, Sticky: true, LogRequests: true,
 	}
 	d.members.BeatFillers = append(d.members.BeatFillers, d.flowComponent)
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"container/heap"
 	"strconv"
 	"time"
@@ -24,7 +25,7 @@
 	if p.site == nil || p.stopping {
 		return
 	}
-	queue := p.waitingItems()
+	queue := p.waitingItems(now, out)
 	for len(queue.left) > 0 {
 		w := heap.Pop(queue).(waitingItem)
 		if queue.left[w.need] == 0 {
@@ -84,7 +85,7 @@
 }
 
 // waitingItems returns the items that may start now.
-func (p *Component) waitingItems() *waitingQueue {
+func (p *Component) waitingItems(now time.Duration, out *event.Batch) *waitingQueue {
 	q := &waitingQueue{order: p.Order, left: map[need]int{}}
 	for _, j := range p.sortedJobs() {
 		r, ok := p.site.Routes[j.head.Route]
@@ -95,6 +96,7 @@
 			if it.state != waiting {
 				continue
 			}
+			p.giveUpHeldEvents(now, j, it, r, out)
 			w := waitingItem{jobItem: jobItem{j, it}, route: &r, need: j.needOf(it, r), position: len(q.items), candidate: Candidate{
 				Needed: j.groups[it.Group].needed, Priority: r.Priority, DueAt: int64(j.head.Due), Hint: it.Hint,
 				HasEvents: it.heldEvents > 0, Group: it.Group, Index: it.index,
@@ -146,16 +148,46 @@
 	}
 }
 
-// needOf returns what an item needs. An item of a job that takes only one weight version continues on the version that made
-// its held events.
+// needOf returns what an item needs. Its held events go on only at the software version that made them and, in a job that
+// takes only one weight version, at that weight version.
 func (j *job) needOf(it *item, r config.Route) need {
 	n := need{service: serviceOf(r, it), model: j.head.Model, minVersion: j.head.MinVersion}
-	if j.head.Single && it.heldEvents > 0 && len(it.heldVersions) > 0 {
+	if it.heldEvents == 0 {
+		return n
+	}
+	n.goesOn, n.software = true, it.heldSoftware
+	if j.head.Single && len(it.heldVersions) > 0 {
 		n.exactVersion = it.heldVersions[len(it.heldVersions)-1]
 	}
 	return n
 }
 
+// defaultGap is the time between two events of an item while no engine's is measured.
+const defaultGap = 50 * time.Millisecond
+
+// giveUpHeldEvents has an item begin anew when no engine can go on with its held events, or when it has waited for one as
+// long as it takes to make them again and another engine is free.
+func (p *Component) giveUpHeldEvents(now time.Duration, j *job, it *item, r config.Route, out *event.Batch) {
+	if it.heldEvents == 0 || !p.shouldBeginAnew(now, j, it, r) {
+		return
+	}
+	p.logItem(j, it, "ItemBegunAnew", out, event.Field{Key: "Software", Value: it.heldSoftware},
+		event.Field{Key: "Events", Value: strconv.Itoa(it.heldEvents)}, event.Field{Key: "WaitedMS", Value: strconv.FormatInt((now - it.stateTime).Milliseconds(), 10)})
+	out.Emit(event.Count{Name: "ItemsBegunAnew", N: 1})
+	it.beginAnew()
+}
+
+func (p *Component) shouldBeginAnew(now time.Duration, j *job, it *item, r config.Route) bool {
+	goingOn := p.requirementsOf(jobItem{j, it}, r)
+	anew := goingOn
+	anew.goesOn, anew.exactVersion = false, 0
+	if !p.engines.serves(goingOn.need) {
+		return p.engines.serves(anew.need)
+	}
+	timeToRepeat := time.Duration(it.heldEvents) * cmp.Or(p.engines.fastMeanGap(goingOn.service), defaultGap)
+	return now-it.stateTime >= timeToRepeat && p.engines.pick(now, goingOn) == nil && p.engines.pick(now, anew) != nil
+}
+
 // requirementsOf returns what an item needs of its engine and prefers.
 func (p *Component) requirementsOf(ji jobItem, r config.Route) requirements {
 	it := ji.item
@@ -180,7 +212,7 @@
 	started := event.RunItem{
 		Job: ji.job.head.ID, Item: it.index, Attempt: it.attempt,
 		Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
-		Priority: r.Priority, Restart: it.restart, Silence: silenceTimeout, Deadline: ji.job.head.GiveUp,
+		Software: e.Software, Priority: r.Priority, Restart: it.restart, Silence: silenceTimeout, Deadline: ji.job.head.GiveUp,
 	}
 	if ji.job.head.Single && it.heldEvents > 0 && !it.restart && len(it.heldVersions) > 0 {
 		started.Version = it.heldVersions[len(it.heldVersions)-1]
--- a/internal/batch/dispatch_test.go
+++ b/internal/batch/dispatch_test.go
@@ -44,7 +44,7 @@
 
 // dispatchSorted is the baseline of dispatch.
 func dispatchSorted(p *Component, now time.Duration, out *event.Batch) {
-	all := p.waitingItems().items
+	all := p.waitingItems(now, out).items
 	slices.SortFunc(all, func(a, b waitingItem) int {
 		return cmp.Or(p.Order.Compare(a.candidate, b.candidate), a.position-b.position)
 	})
--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -141,6 +141,8 @@
 	model        string
 	minVersion   uint64 // oldest version allowed
 	exactVersion uint64 // only version allowed, 0 for any
+	goesOn       bool   // held events go on, which only engines with the software version can do
+	software     string
 }
 
 // requirements states which engine an item needs and which it prefers.
@@ -167,6 +169,11 @@
 	return best
 }
 
+// serves reports whether an engine meets a need, free or not.
+func (s *engines) serves(n need) bool {
+	return slices.ContainsFunc(s.byService[n.service], func(e *engine) bool { return e.suits(n) })
+}
+
 // allows reports whether the engine's limit, if it names one, allows another run from this host now.
 func (s *engines) allows(now time.Duration, e *engine) bool {
 	return s.limits == nil || s.limits.Allowance(now, leaveMark(&e.Endpoint), limit.Items).Allows()
@@ -190,7 +197,12 @@
 }
 
 func (e *engine) canServe(now time.Duration, req need) bool {
-	if e.Service != req.service || e.leaving || e.State != wire.Live || now < e.pausedUntil {
+	return now >= e.pausedUntil && e.suits(req)
+}
+
+// suits reports whether the engine meets a need, apart from a pause.
+func (e *engine) suits(req need) bool {
+	if e.Service != req.service || e.leaving || e.State != wire.Live || req.goesOn && e.Software != req.software {
 		return false
 	}
 	version := e.VersionOf(req.model)
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -59,7 +59,7 @@
 	}
 	for _, h := range taken.Held {
 		if it := j.items[h.Item]; it.state == waiting {
-			it.heldEvents, it.heldVersions = h.Events, h.Versions
+			it.heldEvents, it.heldVersions, it.heldSoftware, it.stateTime = h.Events, h.Versions, h.Software, now
 		}
 	}
 	k := p.ensureKnown(taken.Job)
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -39,7 +39,7 @@
 		return
 	}
 	stopped := it.state == stopping
-	it.state, it.heldEvents, it.heldVersions = waiting, e.Events, e.Versions
+	it.state, it.heldEvents, it.heldVersions, it.heldSoftware, it.stateTime = waiting, e.Events, e.Versions, e.Software, now
 	p.logItem(j, it, "ItemEnded", out, event.Field{Key: "Endpoint", Value: it.engineName},
 		event.Field{Key: "Reason", Value: e.Reason}, event.Field{Key: "Status", Value: strconv.Itoa(e.Status)},
 		event.Field{Key: "Events", Value: strconv.Itoa(e.Events)}, event.Field{Key: "FirstMS", Value: strconv.FormatInt(e.First.Milliseconds(), 10)}, event.Field{Key: "TookMS", Value: strconv.FormatInt(e.Took.Milliseconds(), 10)})
@@ -53,7 +53,7 @@
 	switch {
 	case j.ended || stopped:
 	case !j.acceptsHeldVersions(it):
-		it.restart, it.heldEvents, it.heldVersions = true, 0, nil
+		it.beginAnew()
 	case e.Reason == "":
 		p.handleWholeText(now, j, it, out)
 	case e.Reason == event.ReasonUnprocessable:
@@ -72,6 +72,11 @@
 	p.dispatch(now, out)
 }
 
+// beginAnew drops the held events at the next run.
+func (it *item) beginAnew() {
+	it.restart, it.heldEvents, it.heldVersions, it.heldSoftware = true, 0, nil, ""
+}
+
 // acceptsHeldVersions reports whether the job allows the weight versions that made an item's held events.
 func (j *job) acceptsHeldVersions(it *item) bool {
 	if j.head.Single && len(it.heldVersions) > 1 {
--- a/internal/batch/speed.go
+++ b/internal/batch/speed.go
@@ -145,7 +145,7 @@
 			return
 		}
 		req := p.requirementsOf(ji, r)
-		req.avoid = eng.Name
+		req.avoid, req.goesOn, req.software = eng.Name, true, eng.Software
 		if !fits(req) {
 			return
 		}
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
@@ -17,6 +18,7 @@
 	maxBufferedBody = 64 << 10 // bytes; up to this length, an idempotent response is read completely before its head is forwarded
 	maxSegmentBytes = 1 << 20  // of one encoded segment
 	headerTrue      = "true"
+	eventStreamType = "text/event-stream"
 )
 
 // handleResponse checks the head of an endpoint's response, posts AttemptHead and forwards or reports the response.
@@ -71,11 +73,14 @@
 		a.fail(event.ReasonCallerWrite)
 		return
 	}
-	if len(buffered) > 0 && a.exchange.Sink.Body(buffered) != nil {
-		a.fail(event.ReasonCallerWrite)
-		return
+	if len(buffered) > 0 {
+		a.postBegan(resp)
+		if a.exchange.Sink.Body(buffered) != nil {
+			a.fail(event.ReasonCallerWrite)
+			return
+		}
 	}
-	if !complete && !a.forwardBody(resp.Body) {
+	if !complete && !a.forwardBody(resp) {
 		return
 	}
 	a.exchange.Sink.Trailer(ForwardableHeader(resp.Trailer))
@@ -107,11 +112,22 @@
 	a.exchange.begun = true
 }
 
+// postBegan posts StreamBegan for a stream of events.
+func (a *attempt) postBegan(resp *http.Response) {
+	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
+		a.executor.Post(event.StreamBegan{Request: a.start.Request, Attempt: a.start.Attempt})
+	}
+}
+
 // forwardBody forwards the body as it arrives and reports whether it was complete.
-func (a *attempt) forwardBody(body io.Reader) bool {
+func (a *attempt) forwardBody(resp *http.Response) bool {
 	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := body.Read(buffer)
+	for begun := false; ; {
+		n, err := resp.Body.Read(buffer)
+		if n > 0 && !begun {
+			begun = true
+			a.postBegan(resp)
+		}
 		if n > 0 && a.exchange.Sink.Body(buffer[:n]) != nil {
 			a.fail(event.ReasonCallerWrite)
 			return false
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -92,6 +92,7 @@
 	Priority    int           `json:",omitempty"` // 0 is the most urgent
 	Target      time.Duration `json:",omitempty"` // time within which an answer is wanted, 0 if it is not known
 	Jobs        *JobRules     `json:",omitempty"` // set if the route accepts batch jobs
+	Streaming   bool          `json:",omitempty"` // answers are streams of events, which callers may take up again
 }
 
 // Share is the share of one service in a split route's calls: Weight out of the sum of all weights.
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -112,6 +112,7 @@
 	Item     int
 	Events   int
 	Versions []uint64
+	Software string // version that made the events
 }
 
 // CopyJob names the host that receives copies of a job's texts, so that it could continue them; "" stops copying.
@@ -200,6 +201,7 @@
 	Incarnation string
 	Address     string
 	Priority    int
+	Software    string        // version of the endpoint's software; events of another one are discarded first
 	Version     uint64        // version that the endpoint must have, 0 for any
 	Restart     bool          // discard the held events first
 	Silence     time.Duration // longest time without an event before the run ends with ReasonSilent
@@ -225,6 +227,7 @@
 	First    time.Duration // time until the first event of this run, 0 if there was none
 	Took     time.Duration
 	Versions []uint64
+	Software string // software version that made the held events
 }
 
 // ReasonUnprocessable means that the endpoint answered that the item can never be processed, ReasonSilent that it sent
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -143,6 +143,19 @@
 	Leaving bool
 }
 
+// StreamBegan reports that the first bytes of an event stream's events are about to be passed on to the caller.
+type StreamBegan struct {
+	Request uint64
+	Attempt uint64
+}
+
+// StreamSought is raised when the search for the origin of a caller's stream on other hosts has ended. ID is that of the
+// caller's attempt that brought its first event.
+type StreamSought struct {
+	Organisation string
+	ID           string
+}
+
 // AttemptDone ends an attempt. Run says whether the endpoint ran this attempt. Whole reports whether its answer was
 // forwarded in full.
 type AttemptDone struct {
@@ -224,6 +237,8 @@
 func (UseSite) isEffect()         {}
 func (AttemptConnected) isEvent() {}
 func (AttemptHead) isEvent()      {}
+func (StreamBegan) isEvent()      {}
+func (StreamSought) isEvent()     {}
 func (AttemptDone) isEvent()      {}
 func (PollEndpoint) isEffect()    {}
 func (EndpointPolled) isEvent()   {}
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -23,6 +23,22 @@
 		p.finish(now, r, kind, out)
 		return
 	}
+	if p.resumesStream(r) {
+		kind, ok := p.bindResumed(now, r, out)
+		if kind != "" {
+			p.finish(now, r, kind, out)
+			return
+		}
+		if !ok {
+			p.timers.add(r.deadline, r.id())
+			return
+		}
+	}
+	p.admitAndDispatch(now, r, out)
+}
+
+// admitAndDispatch queues a request, or refuses it at once.
+func (p *Component) admitAndDispatch(now time.Duration, r *request, out *event.Batch) {
 	if kind := p.admit(now, r, out); kind != "" {
 		p.finish(now, r, kind, out)
 		return
@@ -30,6 +46,9 @@
 	p.enqueue(now, r, false)
 	p.timers.add(r.deadline, r.id())
 	p.dispatch(now, out)
+	if _, open := p.requests[r.id()]; open && r.phase == queued && r.software != nil {
+		p.endRequest(now, r, kinds.StreamUnresumable, out)
+	}
 }
 
 // identify sets the request's organisation, route, pool and deadline, or returns why it is refused.
@@ -156,6 +175,9 @@
 		p.demand.recordUnserved(now, r)
 		return kinds.NoEndpoint
 	}
+	if r.software != nil && !p.table.ServesSoftware(now, r.pool, *r.software) {
+		return kinds.StreamUnresumable
+	}
 	if p.limitWait(now, r) > p.maxLimitWait(now, r) {
 		p.countLimited(now, r.pool)
 		return kinds.EndpointsLimited
@@ -193,6 +215,9 @@
 	if p.Crashes.Verdict(now, r.contentID()) == crash.Suspect {
 		r.item.Pool += suspectQueue
 	}
+	if r.software != nil {
+		r.item.Pool += softwareQueue + *r.software
+	}
 	p.Queue.Push(r.item)
 	p.queuedByPool[r.pool]++
 }
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -24,7 +24,7 @@
 	fits := func(item admit.Item[uint64]) bool {
 		r := p.requests[item.Value]
 		endpoint = p.pickEndpoint(now, r)
-		return endpoint != nil || p.cannotFinishInTime(now, r) || p.givenUp(now, r)
+		return endpoint != nil || p.cannotFinishInTime(now, r) || p.givenUp(now, r) || p.unplaceable(now, r)
 	}
 	for {
 		item, ok := p.Queue.Pop(fits)
@@ -43,6 +43,11 @@
 			p.finish(now, r, kinds.DeadlineTooShort, out)
 			continue
 		}
+		if endpoint == nil {
+			p.Queue.Correct(r.item, 0)
+			p.finish(now, r, kinds.StreamUnresumable, out)
+			continue
+		}
 		p.startAttempt(now, r, endpoint, out)
 	}
 }
@@ -68,6 +73,8 @@
 		MinVersion: r.arrived.MinVersion,
 		Avoid:      append(slices.Clone(r.arrived.Avoid), r.triedEndpoints...),
 		MaxRunning: p.site.Limits.ConcurrencyPerNode,
+		Software:   r.software,
+		LeaveRoom:  r.route.Streaming && r.software == nil,
 		Allows: func(e *route.Endpoint) bool {
 			return suits(e) && p.Limits.Allowance(now, markOf(e), limit.Requests).Allows()
 		},
@@ -101,7 +108,7 @@
 	}
 	r.attempts++
 	r.sentAt, r.charged = now, true
-	r.endpoint, r.incarnation, r.price = e.Name, e.Incarnation, string(e.Price)
+	r.endpoint, r.incarnation, r.price, r.sentTo = e.Name, e.Incarnation, string(e.Price), e.Endpoint
 	p.logRequest(now, r, "RequestSent", out, event.Field{Key: "Endpoint", Value: e.Name}, event.Field{Key: "Software", Value: e.Software}, event.Field{Key: "Try", Value: strconv.Itoa(r.attempts)},
 		event.Field{Key: "LeftMS", Value: formatMillis(r.deadline - now)}, event.Field{Key: "Work", Value: strconv.Itoa(int(e.Work(now)))},
 		event.Field{Key: "LastEvent", Value: r.arrived.LastEvent}, event.Field{Key: "Resumes", Value: r.arrived.Resumes})
@@ -215,7 +222,7 @@
 // handleAttemptDone finishes the request or schedules a retry. The ends of earlier attempts are ignored.
 func (p *Component) handleAttemptDone(now time.Duration, e event.AttemptDone, out *event.Batch) {
 	r, ok := p.requests[e.Request]
-	if !ok || r.attempt != e.Attempt || r.phase == queued || r.phase == backingOff {
+	if !ok || r.attempt != e.Attempt || r.waits() {
 		return
 	}
 	mark := wire.LeaveMark{Endpoint: r.endpoint, Incarnation: r.incarnation}
@@ -225,6 +232,9 @@
 		p.markLeaving(now, mark, out)
 	}
 	r.addResult(e)
+	if e.Begun && r.generation && r.software == nil {
+		r.bind(r.sentTo.Software)
+	}
 	if e.Run == kinds.Ran || e.Run == kinds.Unknown && e.Status != 0 {
 		r.workStartedAt = r.sentAt
 	}
@@ -258,6 +268,9 @@
 	if !safeToRetry(r, e) || r.attempts >= p.maxAttempts(r) || p.givenUp(now, r) {
 		return false
 	}
+	if r.software != nil && !p.table.ServesSoftware(now, r.pool, *r.software) {
+		return false
+	}
 	backoff := retry.Backoff(p.Random, p.site.Retry.Backoff, r.attempts)
 	if now+backoff >= r.deadline || !p.budget.Take(r.route.Name) {
 		return false
--- a/internal/flow/component.go
+++ b/internal/flow/component.go
@@ -13,6 +13,7 @@
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/limit"
+	"github.com/figshift/figshift/internal/origin"
 	"github.com/figshift/figshift/internal/retry"
 	"github.com/figshift/figshift/internal/route"
 	"github.com/figshift/figshift/internal/wire"
@@ -24,8 +25,9 @@
 	Host           string
 	Zone           string
 	Trust          event.Trust
-	Limits         limit.Gate  // nil for limit.Unlimited
-	Crashes        crash.Watch // nil for crash.Trusting
+	Limits         limit.Gate    // nil for limit.Unlimited
+	Crashes        crash.Watch   // nil for crash.Trusting
+	Origins        origin.Memory // nil for origin.Forgetful
 	Keys           *keys.Table
 	Random         *rand.Rand
 	Process        config.Process
@@ -104,6 +106,10 @@
 		p.handleConnected(now, e, out)
 	case event.AttemptHead:
 		p.handleHead(now, e, out)
+	case event.StreamBegan:
+		p.handleStreamBegan(now, e, out)
+	case event.StreamSought:
+		p.handleStreamSought(now, e, out)
 	case event.AttemptDone:
 		p.handleAttemptDone(now, e, out)
 	case event.CallerGone:
@@ -137,6 +143,9 @@
 	if p.Limits == nil {
 		p.Limits = limit.Unlimited{}
 	}
+	if p.Origins == nil {
+		p.Origins = origin.Forgetful{}
+	}
 	p.poller.host, p.poller.lost = p.Host, map[string]bool{}
 	if p.Queue == nil {
 		p.Queue = &admit.Fair[uint64]{
--- a/internal/flow/demand.go
+++ b/internal/flow/demand.go
@@ -55,7 +55,7 @@
 	var all []wire.Demand
 	for _, r := range p.requests {
 		entry := wire.Demand{Model: modelOf(r), Class: string(r.class)}
-		if r.phase == queued || r.phase == backingOff {
+		if r.waits() {
 			entry.Queued = r.item.Cost
 		} else {
 			entry.Running = r.item.Cost
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -119,8 +119,11 @@
 	if !kinds.AnswerFor(kind).RetryAfter {
 		return 0
 	}
-	if kind == kinds.EndpointsLimited {
+	switch kind {
+	case kinds.EndpointsLimited:
 		return p.limitRetryAfter(now, r)
+	case kinds.StreamUnresumable:
+		return unresumableRetry
 	}
 	return max(minRetryAfter, p.queueWait(now, r))
 }
@@ -145,6 +148,8 @@
 	case backingOff:
 		p.pendingRetries--
 		p.finish(now, r, kind, out)
+	case seeking:
+		p.finish(now, r, kind, out)
 	case connecting, running:
 		p.stopAttempt(r, kind, out)
 	case stopping:
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -7,6 +7,7 @@
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 type phase int
@@ -17,6 +18,7 @@
 	running          // an attempt may write
 	stopping         // StopAttempt was emitted for the running attempt
 	backingOff       // waiting for the next attempt
+	seeking          // other hosts are asked where the stream began that the request takes up
 )
 
 // request is a request that has not been answered yet.
@@ -41,6 +43,8 @@
 	endpoint       string
 	incarnation    string
 	price          string
+	sentTo         wire.Endpoint // endpoint of the last attempt
+	software       *string       // the only software version that may go on with the answer, nil for any
 	triedEndpoints []string
 
 	isolated        bool       // the running attempt is that of a suspected request
@@ -58,6 +62,11 @@
 
 func (r *request) id() uint64 { return r.arrived.Request }
 
+// waits reports whether no attempt is under way.
+func (r *request) waits() bool {
+	return r.phase == queued || r.phase == backingOff || r.phase == seeking
+}
+
 func (r *request) needsKey() bool { return r.arrived.KeyHash != "" && !r.route.Open }
 
 func (r *request) classTags() []event.Field {
--- a/internal/flow/status.go
+++ b/internal/flow/status.go
@@ -40,7 +40,7 @@
 	}
 	running := map[string]int{}
 	for _, r := range p.requests {
-		if r.phase != queued && r.phase != backingOff {
+		if !r.waits() {
 			running[r.organisation]++
 		}
 	}
--- a/internal/items/copies.go
+++ b/internal/items/copies.go
@@ -51,6 +51,7 @@
 	Events   int    // in the text up to the end of this part
 	Last     string // id of the last event
 	Versions []uint64
+	Software string `msgpack:",omitempty"` // version of the engines' software that generated the text
 	Data     []byte
 
 	resets int // of the text at the sender
@@ -182,7 +183,7 @@
 		return textCopy{}, false
 	}
 	return textCopy{
-		Item: i, From: from, Events: t.events, Last: t.lastID, Versions: slices.Clone(t.versions), Data: slices.Clone(t.data[offset:]),
+		Item: i, From: from, Events: t.events, Last: t.lastID, Versions: slices.Clone(t.versions), Software: t.software, Data: slices.Clone(t.data[offset:]),
 		resets: t.resets,
 	}, true
 }
@@ -224,11 +225,11 @@
 	if part.From == 0 {
 		t.data, t.events = nil, 0
 	}
-	if part.From != t.events {
+	if part.From != t.events || part.From > 0 && part.Software != t.software {
 		return false
 	}
 	t.data = append(t.data, part.Data...)
-	t.events, t.lastID, t.versions = part.Events, part.Last, part.Versions
+	t.events, t.lastID, t.versions, t.software = part.Events, part.Last, part.Versions, part.Software
 	return true
 }
 
@@ -237,7 +238,8 @@
 	var items []event.ItemHeld
 	for i, t := range j.texts {
 		if events, _, versions := t.state(); events > 0 {
-			items = append(items, event.ItemHeld{Item: i, Events: events, Versions: versions})
+			_, software := t.began()
+			items = append(items, event.ItemHeld{Item: i, Events: events, Versions: versions, Software: software})
 		}
 	}
 	return items
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -282,12 +282,12 @@
 		x.sendCopies(context.Background())
 		other.applyCopies(peers.copies)
 	}
-	own.texts[0].add("1", []byte("a"), 4)
-	own.texts[1].add("1", []byte("x"), 4)
+	own.texts[0].add("1", []byte("a"), 4, "")
+	own.texts[1].add("1", []byte("x"), 4, "")
 	send()
-	own.texts[0].add("2", []byte("b"), 5)
+	own.texts[0].add("2", []byte("b"), 5, "")
 	own.texts[1].reset()
-	own.texts[1].add("1", []byte("y"), 5)
+	own.texts[1].add("1", []byte("y"), 5, "")
 	x.jobTable.appendChunk("j1", 0, chunkOf(2).Results)
 	send()
 	copied := other.jobTable.get("j1")
@@ -320,8 +320,8 @@
 		"text begins anew and grows as long": func(_ *fakePeers, text *itemText, send, _ func()) {
 			send()
 			text.reset()
-			text.add("1", []byte("w"), 5)
-			text.add("2", []byte("x"), 5)
+			text.add("1", []byte("w"), 5, "")
+			text.add("2", []byte("x"), 5, "")
 		},
 	}
 	for name, disturb := range cases {
@@ -334,11 +334,11 @@
 			restart()
 			send := func() { x.sendCopies(context.Background()) }
 			text := x.jobTable.get("j1").texts[0]
-			text.add("1", []byte("a"), 4)
+			text.add("1", []byte("a"), 4, "")
 			send()
-			text.add("2", []byte("b"), 4)
+			text.add("2", []byte("b"), 4, "")
 			disturb(peers, text, send, restart)
-			text.add("3", []byte("c"), 5)
+			text.add("3", []byte("c"), 5, "")
 			for range 3 {
 				send()
 			}
@@ -377,7 +377,7 @@
 		t.Run(name, func(t *testing.T) {
 			x := &Executor{Names: HeaderNames{HeaderNames: call.HeaderNames{}, GeneratedVersion: "Versions"}}
 			itemText := &itemText{}
-			err := x.readEvents(strings.NewReader(c.body), itemText, c.lastID, 3, func() {})
+			err := x.readEvents(strings.NewReader(c.body), itemText, c.lastID, madeBy{weights: 3}, func() {})
 			if (err != nil) != c.fails {
 				t.Errorf("error %v, want one: %v", err, c.fails)
 			}
@@ -439,7 +439,7 @@
 	x, store, _ := newExecutor(t)
 	x.jobTable.add(testJob())
 	for i, size := range []int{maxChunkBytes / 2, maxChunkBytes / 3, maxChunkBytes / 2, 2 * maxChunkBytes} {
-		x.jobTable.get("j1").texts[i].add("1", make([]byte, size), 1)
+		x.jobTable.get("j1").texts[i].add("1", make([]byte, size), 1, "")
 	}
 	var stored [][]int
 	x.Post = func(ev event.Event) bool {
--- a/internal/items/jobs.go
+++ b/internal/items/jobs.go
@@ -50,6 +50,7 @@
 	lastID    string    // id of the last event
 	startedAt time.Time // when a run here got the first event; not set for a copied text, which counts as long
 	versions  []uint64  // weight versions that generated the text
+	software  string    // version of the engines' software that generated the text
 	resets    int
 	score     string
 }
@@ -257,18 +258,33 @@
 func (t *itemText) reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.data, t.events, t.lastID, t.versions, t.score = nil, 0, "", nil, ""
+	t.data, t.events, t.lastID, t.versions, t.software, t.score = nil, 0, "", nil, "", ""
 	t.resets++
 }
 
-// add appends the data of one event, separated by a newline from the one before. Version 0 means not known.
-func (t *itemText) add(id string, data []byte, version uint64) {
+// prepare drops the text unless an engine with a version of the software can go on with it.
+func (t *itemText) prepare(software string) {
+	if events, began := t.began(); events > 0 && began != software {
+		t.reset()
+	}
+}
+
+// began returns the number of events and the software version that made them.
+func (t *itemText) began() (events int, software string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.events, t.software
+}
+
+// add appends the data of one event, separated by a newline from the one before. Version is that of the weights, 0 for not
+// known.
+func (t *itemText) add(id string, data []byte, version uint64, software string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.events > 0 {
 		t.data = append(t.data, '\n')
 	} else {
-		t.startedAt = time.Now()
+		t.startedAt, t.software = time.Now(), software
 	}
 	t.data = append(t.data, data...)
 	t.events++
--- a/internal/items/texts_test.go
+++ b/internal/items/texts_test.go
@@ -21,7 +21,7 @@
 	j := x.jobTable.get("j1")
 	for i, data := range []string{"ab", "c", "d"} {
 		for n, b := range data {
-			j.texts[i].add([]string{"1", "2"}[n], []byte(string(b)), 4)
+			j.texts[i].add([]string{"1", "2"}[n], []byte(string(b)), 4, "")
 		}
 		if i < 2 {
 			j.texts[i].startedAt = time.Now().Add(-2 * minTextAge)
@@ -55,7 +55,7 @@
 func TestLongTextsSurvivePowerLoss(t *testing.T) {
 	x, store := newTextsExecutor(t)
 	x.storeDueTexts(t)
-	x.jobTable.get("j1").texts[0].add("3", []byte("e"), 5)
+	x.jobTable.get("j1").texts[0].add("3", []byte("e"), 5, "")
 	x.storeDueTexts(t)
 	puts := len(store.puts)
 	x.storeDueTexts(t) // stores nothing, since no text has grown
@@ -84,11 +84,11 @@
 	x, store := newTextsExecutor(t)
 	j := x.jobTable.get("j1")
 	for n := range 50 {
-		j.texts[1].add(strconv.Itoa(n+2), []byte("x"), 4)
+		j.texts[1].add(strconv.Itoa(n+2), []byte("x"), 4, "")
 	}
 	x.storeDueTexts(t)
 	j.texts[1].reset() // as when the item is listed
-	j.texts[0].add("3", []byte("e"), 5)
+	j.texts[0].add("3", []byte("e"), 5, "")
 	x.storeDueTexts(t)
 	var texts []textCopy
 	if err := decode(store.objects[wire.PrefixTexts+"j1"].Value, &texts); err != nil {
--- a/internal/kinds/kinds.go
+++ b/internal/kinds/kinds.go
@@ -39,6 +39,7 @@
 	RateLimited       Kind = "RateLimited"
 	EndpointsLimited  Kind = "EndpointsLimited"
 	EndpointsCrashed  Kind = "EndpointsCrashed"
+	StreamUnresumable Kind = "StreamUnresumable"
 	Internal          Kind = "Internal"
 )
 
@@ -91,6 +92,7 @@
 	RateLimited:       {http.StatusTooManyRequests, NotRun, true},
 	EndpointsLimited:  {http.StatusServiceUnavailable, NotRun, true},
 	EndpointsCrashed:  {http.StatusBadGateway, NotRun, false},
+	StreamUnresumable: {http.StatusServiceUnavailable, NotRun, true},
 	Internal:          {http.StatusInternalServerError, Unknown, false},
 }
 
--- a/internal/route/candidates.go
+++ b/internal/route/candidates.go
@@ -21,6 +21,9 @@
 	MinVersion uint64     // minimum weight version, 0 for any
 	Avoid      []string   // endpoints to use only when there is no other
 	MaxRunning int        // maximum number of active attempts of this daemon at one endpoint
+	Software   *string    // the only software version that can go on with a stream that has begun, nil for any
+	// LeaveRoom prefers the software version that most endpoints have, so that streams that began at the others find room.
+	LeaveRoom bool
 	// Allows reports whether an endpoint's limit, if it names one, allows another request of this daemon now; nil for no
 	// limits.
 	Allows func(e *Endpoint) bool
@@ -31,6 +34,17 @@
 	return slices.ContainsFunc(t.pools[pool], func(e *Endpoint) bool { return e.acceptsRequests(now) })
 }
 
+// ServesSoftware reports whether the pool has an endpoint with a software version that is neither leaving nor ejected at
+// time now.
+func (t *Table) ServesSoftware(now time.Duration, pool, software string) bool {
+	return slices.ContainsFunc(t.pools[pool], func(e *Endpoint) bool { return e.hasSoftware(&software) && e.acceptsRequests(now) })
+}
+
+// Versioned reports whether an endpoint of the pool tells its software version.
+func (t *Table) Versioned(pool string) bool {
+	return slices.ContainsFunc(t.pools[pool], func(e *Endpoint) bool { return e.Software != "" })
+}
+
 // Slots returns how many attempts the pool can run at time now when each endpoint runs up to limit.
 func (t *Table) Slots(now time.Duration, pool string, limit int) int {
 	return limit * t.summary(now, pool).available
@@ -48,6 +62,9 @@
 		}
 	}
 	cs = prefer(cs, func(e *Endpoint) bool { return !slices.Contains(r.Avoid, e.Name) })
+	if r.LeaveRoom {
+		cs = preferUnlessBusy(now, cs, t.summary(now, r.Pool).hasMainSoftware)
+	}
 	if r.Price == wire.Cheap {
 		cs = prefer(cs, func(e *Endpoint) bool { return e.Price == r.Price })
 	} else {
@@ -57,7 +74,12 @@
 }
 
 func canTake(now time.Duration, e *Endpoint, r Requirements) bool {
-	return e.Running < r.MaxRunning && e.Version >= r.MinVersion && e.acceptsRequests(now) && (r.Allows == nil || r.Allows(e))
+	return e.Running < r.MaxRunning && e.hasSoftware(r.Software) && e.Version >= r.MinVersion && e.acceptsRequests(now) && (r.Allows == nil || r.Allows(e))
+}
+
+// hasSoftware reports whether the endpoint has a software version; nil stands for any.
+func (e *Endpoint) hasSoftware(software *string) bool {
+	return software == nil || e.Software == *software
 }
 
 // Accepting yields the endpoints of a pool that are neither leaving nor ejected at time now.
--- a/internal/route/summary.go
+++ b/internal/route/summary.go
@@ -28,6 +28,7 @@
 	all       workSum
 	zones     map[string]workSum
 	prices    map[wire.Price]bool
+	software  map[string]int // number of endpoints by software version
 }
 
 // summary returns the summary of a pool and recomputes it when it is too old.
@@ -36,7 +37,7 @@
 	if ok && len(t.pools[pool]) > smallPool && now-s.at < summaryRetention {
 		return s
 	}
-	s = &summary{at: now, zones: map[string]workSum{}, prices: map[wire.Price]bool{}}
+	s = &summary{at: now, zones: map[string]workSum{}, prices: map[wire.Price]bool{}, software: map[string]int{}}
 	for _, e := range t.pools[pool] {
 		if e.acceptsRequests(now) {
 			s.add(e, e.Work(now))
@@ -51,11 +52,22 @@
 func (s *summary) add(e *Endpoint, work float64) {
 	s.available++
 	s.prices[e.Price] = true
+	s.software[e.Software]++
 	s.all.work, s.all.n = s.all.work+work, s.all.n+1
 	z := s.zones[e.Zone]
 	s.zones[e.Zone] = workSum{work: z.work + work, n: z.n + 1}
 }
 
+// hasMainSoftware reports whether no software version has more endpoints than that of e.
+func (s *summary) hasMainSoftware(e *Endpoint) bool {
+	for _, n := range s.software {
+		if n > s.software[e.Software] {
+			return false
+		}
+	}
+	return true
+}
+
 // meanWorkOutside returns the mean work of the endpoints outside an availability zone.
 func (s *summary) meanWorkOutside(zone string) float64 {
 	z := s.zones[zone]
@@ -69,6 +81,9 @@
 	limit := preferredMaxLoad*s.meanWorkOutside(r.Zone) + preferredAllowance
 	var cs []*Endpoint
 	for _, e := range t.zones[poolZone{pool: r.Pool, zone: r.Zone}] {
+		if r.LeaveRoom && !s.hasMainSoftware(e) {
+			continue
+		}
 		suits := r.Price == "" || e.Price == r.Price || !s.prices[r.Price]
 		if suits && canTake(now, e, r) && !slices.Contains(r.Avoid, e.Name) && e.Work(now) <= limit {
 			cs = append(cs, e)
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -17,6 +17,9 @@
 	// Crashes tells of requests under which endpoints crashed.
 	Crashes []CrashNews `json:",omitempty" msgpack:",omitempty"`
 
+	// Streams tells at which software versions callers' streams began, or asks.
+	Streams []StreamNews `json:",omitempty" msgpack:",omitempty"`
+
 	Probe      *Probe      `msgpack:",omitempty"`
 	ProbeReply *ProbeReply `msgpack:",omitempty"`
 }
@@ -136,6 +139,17 @@
 	Answered     bool   `json:",omitempty" msgpack:",omitempty"`
 }
 
+// StreamNews tells at which software version of a service a caller's stream began. ID is that of the caller's attempt that
+// brought its first event.
+type StreamNews struct {
+	Organisation string
+	ID           string
+	Service      string `json:",omitempty" msgpack:",omitempty"`
+	Software     string `json:",omitempty" msgpack:",omitempty"`
+	Asked        bool   `json:",omitempty" msgpack:",omitempty"` // the sender asks the receiver for the rest
+	Unknown      bool   `json:",omitempty" msgpack:",omitempty"` // the sender was asked and doesn't know the stream
+}
+
 // DutyFreed tells the other hosts that a duty was released at an epoch.
 type DutyFreed struct {
 	Duty  string
