conns, call, items: streams are sent only to the incarnation that is meant

A stream went on, or began, at an endpoint that had started again under its name with another software version, while the list still showed the version that it had before. Cause: a request names the endpoint that it is meant for, and a version belongs to one incarnation of it.

A new connection for streams or items first asks the endpoint which incarnation it is; it is closed, with nothing sent, when it leads to another one than the list shows, and that one then counts as left everywhere (EndpointReplaced).

--- a/figbed/proofs/streams_test.go
+++ b/figbed/proofs/streams_test.go
@@ -68,6 +68,35 @@
 	}
 }
 
+// An endpoint that started again under its name, with another software version, got streams while the list still showed it
+// as it was before.
+func TestRestartedEndpointIsNotWhatItWas(t *testing.T) {
+	t.Parallel()
+	servers := softwareEngines(2, 1)
+	for _, s := range servers[:2] {
+		s.RegisterDelay = 3 * time.Second
+	}
+	f := startPlatformFleet(t, 3, servers...)
+	ids := f.beginStreams(1)
+	f.submit(2, "job", 4, 1)
+	proc.WaitUntil(t, 10*time.Second, "items run at the endpoint that starts again", func() bool {
+		return slices.ContainsFunc(servers[0].Runs(), func(r estate.Run) bool {
+			return strings.HasPrefix(r.Path, estate.Rollouts) && len(r.EventVersions) > softwareHeldEvents
+		})
+	})
+	servers[0].Restart("v3")
+	time.Sleep(2 * servers[0].RestartTime)
+	f.resumeStreams(ids, 2, 3)
+	f.beginNamed(3, "t")
+	servers[1].Restart("v3")
+	time.Sleep(2 * servers[1].RestartTime)
+	f.resumeStreams(ids, 1, 2)
+	f.waitComplete(2, "job", 4*estate.ItemsPerGroup, softwareEvents, 20*time.Second)
+	if mixed := estate.MixedStreams(servers); len(mixed) > 0 {
+		t.Errorf("streams with events of two software versions: %v", mixed)
+	}
+}
+
 // began reports whether a server ran the beginning of a caller's stream.
 func began(s *estate.Server, id string) bool {
 	return slices.ContainsFunc(s.Runs(), func(r estate.Run) bool { return r.Path == estate.Streams+id && r.LastEventID == "" })
@@ -89,11 +118,17 @@
 
 // beginStreams begins streams at a host, leaves each after softwareHeldEvents events and returns their ids.
 func (f *platformFleet) beginStreams(host int) []string {
+	f.t.Helper()
+	return f.beginNamed(host, "s")
+}
+
+// beginNamed is beginStreams with a prefix of the ids.
+func (f *platformFleet) beginNamed(host int, prefix string) []string {
 	f.t.Helper()
 	var ids []string
 	var callers sync.WaitGroup
 	for n := range softwareStreams {
-		id := fmt.Sprintf("s%d", n)
+		id := fmt.Sprintf("%s%d", prefix, n)
 		ids = append(ids, id)
 		callers.Go(func() {
 			if got := f.stream(host, id, id, "", "", softwareHeldEvents); got != softwareHeldEvents {
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -15,6 +15,7 @@
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 // attempt sends a request to one endpoint once and forwards the response.
@@ -88,11 +89,7 @@
 		a.fail(event.ReasonBodyMissing)
 		return
 	}
-	transport := a.executor.keepAlive
-	if !a.start.Idempotent {
-		transport = a.executor.singleUse
-	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := a.transport().RoundTrip(req)
 	if err != nil {
 		a.report.Closed = closedByEndpoint(err)
 		a.fail(a.roundTripReason())
@@ -102,6 +99,17 @@
 	a.handleResponse(resp)
 }
 
+func (a *attempt) transport() *http.Transport {
+	switch {
+	case a.start.Identify:
+		return a.executor.streams
+	case !a.start.Idempotent:
+		return a.executor.singleUse
+	default:
+		return a.executor.keepAlive
+	}
+}
+
 // closedByEndpoint reports whether an error of a connection means that the endpoint, or its host, closed or reset it. A
 // connection that fails because nothing is heard any more has another error.
 func closedByEndpoint(err error) bool {
@@ -188,6 +196,7 @@
 func (a *attempt) awaitSend(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*gatedConn); ok {
 		c.gate.Store(&a.gate)
+		a.executor.verify(c.Conn, wire.LeaveMark{Endpoint: a.start.Endpoint, Incarnation: a.start.Incarnation})
 	}
 	if a.connectedPosted {
 		return
--- a/internal/call/conn.go
+++ b/internal/call/conn.go
@@ -76,11 +76,14 @@
 
 // newTransport returns a transport to endpoints. Without keepAlive each attempt opens a new connection, so that no
 // request is written to a connection that the endpoint is about to close.
-func newTransport(keepAlive bool) *http.Transport {
+//
+// With an identity, it is known to which incarnation of an endpoint each connection leads.
+func newTransport(keepAlive bool, identity *conns.Identity) *http.Transport {
 	dialer := conns.Dialer(dialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			dial := func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, network, address) }
+			conn, err := dialIdentified(ctx, identity, dial)
 			if err != nil {
 				return nil, err
 			}
@@ -94,3 +97,10 @@
 		ReadBufferSize:         readBufferBytes,
 	}
 }
+
+func dialIdentified(ctx context.Context, identity *conns.Identity, dial func(ctx context.Context) (net.Conn, error)) (net.Conn, error) {
+	if identity == nil {
+		return dial(ctx)
+	}
+	return identity.Dial(ctx, dial)
+}
--- a/internal/call/executor.go
+++ b/internal/call/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 // Executor sends requests to endpoints and polls them. Its exported fields are set before Prepare.
@@ -22,6 +24,7 @@
 
 	keepAlive *http.Transport
 	singleUse *http.Transport
+	streams   *http.Transport // single use, with connections that are identified
 	polls     *http.Transport
 	closing   chan struct{}
 	mu        sync.Mutex
@@ -33,8 +36,9 @@
 	if x.Names.Request == "" {
 		x.Names = DefaultHeaderNames()
 	}
-	x.keepAlive = newTransport(true)
-	x.singleUse = newTransport(false)
+	x.keepAlive = newTransport(true, nil)
+	x.singleUse = newTransport(false, nil)
+	x.streams = newTransport(false, x.Names.Identity)
 	x.polls = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
 	x.closing = make(chan struct{})
 	x.exchanges = map[uint64]*Exchange{}
@@ -49,6 +53,14 @@
 	return nil
 }
 
+// verify checks that an identified connection leads to the incarnation of an endpoint that is meant, and reports what the
+// endpoint has told of itself.
+func (x *Executor) verify(conn net.Conn, endpoint wire.LeaveMark) {
+	if found, ok := conns.Verify(conn, endpoint.Incarnation); ok {
+		x.Post(event.EndpointIdentified{Endpoint: endpoint.Endpoint, Incarnation: endpoint.Incarnation, Found: found})
+	}
+}
+
 // RequestID returns the id of a request as endpoints and callers receive it. It may be called concurrently.
 func (x *Executor) RequestID(request uint64) string {
 	return x.Incarnation + "-" + strconv.FormatUint(request, 10)
--- a/internal/call/names.go
+++ b/internal/call/names.go
@@ -1,10 +1,12 @@
 package call
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/wire"
@@ -23,6 +25,8 @@
 	Limit        string // requests a second that the endpoint takes from all hosts together, while it is in need
 	Stamp        string // set on every response that an endpoint made itself; a 2xx response without it is rejected
 	Own          func(name string) bool
+	// Identity is how an endpoint is asked which incarnation it is, nil when endpoints don't tell.
+	Identity *conns.Identity
 	// ParseLoad returns the load in tokens from the value of a Load field, -1 for an invalid value.
 	ParseLoad func(value string) int
 }
@@ -38,9 +42,17 @@
 		Leaving:      wire.HeaderLeaving,
 		Limit:        wire.HeaderLimit,
 		ParseLoad:    parseLoad,
+		Identity:     &conns.Identity{Path: wire.PathState, Parse: parseIncarnation},
 	}
 }
 
+// parseIncarnation returns the incarnation of an engine from its state.
+func parseIncarnation(state []byte) (string, error) {
+	var s wire.EngineState
+	err := json.Unmarshal(state, &s)
+	return s.Incarnation, err
+}
+
 func parseLoad(value string) int {
 	load, err := strconv.Atoi(value)
 	if err != nil || load < 0 {
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -2,6 +2,7 @@
 package conns
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -50,6 +51,19 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// IdentifyingTransport returns a Transport whose connections are Identified, unless identity is nil.
+func IdentifyingTransport(identity *Identity, dialTimeout time.Duration, idlePerHost int, idleTimeout time.Duration) *http.Transport {
+	transport := Transport(dialTimeout, idlePerHost, idleTimeout)
+	if identity == nil {
+		return transport
+	}
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return identity.Dial(ctx, func(ctx context.Context) (net.Conn, error) { return dial(ctx, network, address) })
+	}
+	return transport
+}
+
 // Transport returns an HTTP transport that uses Dialer. It neither requests compressed responses nor decompresses them.
 func Transport(dialTimeout time.Duration, idlePerHost int, idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
--- a/internal/event/endpoint.go
+++ b/internal/event/endpoint.go
@@ -16,4 +16,13 @@
 	Malformed string
 }
 
-func (EndpointAnswered) isEvent() {}
+// EndpointIdentified reports what the endpoint at the other end of a new connection has told of itself. Found is its
+// incarnation, "" when it does not tell it; Incarnation is the one that was meant.
+type EndpointIdentified struct {
+	Endpoint    string
+	Incarnation string
+	Found       string
+}
+
+func (EndpointAnswered) isEvent()   {}
+func (EndpointIdentified) isEvent() {}
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -97,6 +97,7 @@
 	Priority     int
 	Idempotent   bool
 	Generation   bool
+	Identify     bool // send only if the connection leads to Incarnation, of whose software version the answer will be
 	PassErrors   bool // forward the endpoint's own 5xx answer instead of reporting it
 	Deadline     time.Duration
 	Sample       *SampleRef
--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -26,6 +26,7 @@
 		AttemptDone{},
 		EndpointPolled{},
 		EndpointAnswered{},
+		EndpointIdentified{},
 		ListenerClosed{},
 		LotPacked{},
 		GroupScored{},
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -124,6 +124,7 @@
 		Priority:     priority(r.class),
 		Idempotent:   r.idempotent,
 		Generation:   r.generation,
+		Identify:     (r.route.Streaming || r.generation) && e.Software != "",
 		PassErrors:   !p.mayRetry(now, r),
 		Deadline:     r.deadline,
 		Sample:       r.arrived.Sample,
--- a/internal/flow/component.go
+++ b/internal/flow/component.go
@@ -82,6 +82,8 @@
 		p.dispatch(now, out)
 	case event.HostLost:
 		p.handleHostLost(e.Host)
+	case event.EndpointIdentified:
+		p.handleIdentified(now, e, out)
 	case event.DrainEndpoint:
 		p.markLeaving(now, e.Mark, out)
 	case event.StopAsked:
@@ -205,6 +207,18 @@
 	p.dispatch(now, out)
 }
 
+// handleIdentified takes what an endpoint has told of itself. When it has started again since the list was made, the
+// incarnation that is listed is gone for good.
+func (p *Component) handleIdentified(now time.Duration, e event.EndpointIdentified, out *event.Batch) {
+	if e.Found == "" || e.Found == e.Incarnation {
+		return
+	}
+	out.Emit(event.Log{Level: "info", Event: "EndpointReplaced", Fields: []event.Field{
+		{Key: "Endpoint", Value: e.Endpoint}, {Key: "Incarnation", Value: e.Incarnation}, {Key: "Found", Value: e.Found},
+	}})
+	p.markLeaving(now, wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}, out)
+}
+
 // markLeaving records a leave mark and raises EndpointLeaving when it is new.
 func (p *Component) markLeaving(now time.Duration, mark wire.LeaveMark, out *event.Batch) {
 	if p.table.MarkLeaving(now, mark) {
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -80,6 +82,10 @@
 		return 0, event.ReasonBodyMissing
 	}
 	sent := x.Now()
+	if e.Software != "" {
+		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { x.verify(info, e) }}
+		req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	}
 	resp, err := x.HTTP.RoundTrip(req)
 	if err != nil {
 		return 0, event.ReasonBroken
@@ -110,6 +116,15 @@
 	return resp.StatusCode, ""
 }
 
+// verify checks that a connection leads to the incarnation of the engine that is meant, and reports what the engine has told
+// of itself on a new one.
+func (x *Executor) verify(info httptrace.GotConnInfo, e event.RunItem) {
+	found, ok := conns.Verify(info.Conn, e.Incarnation)
+	if ok && !info.Reused {
+		x.Post(event.EndpointIdentified{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Found: found})
+	}
+}
+
 func (x *Executor) echoesRequestID(resp *http.Response, id string) bool {
 	echoed := resp.Header.Get(x.Names.Request)
 	return echoed == "" || echoed == id
