reach: hosts tell when they have lost their links to the endpoints

A host that has heard of no endpoint for 0.7 s now probes one on a kept connection, and five on new ones when that or another connection fails; heartbeats carry the result. Nothing decides by it yet.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -38,6 +38,7 @@
 	"github.com/figshift/figshift/internal/orders"
 	"github.com/figshift/figshift/internal/origin"
 	"github.com/figshift/figshift/internal/peer"
+	"github.com/figshift/figshift/internal/reach"
 	"github.com/figshift/figshift/internal/reduce"
 	"github.com/figshift/figshift/internal/relay"
 	"github.com/figshift/figshift/internal/scale"
@@ -164,6 +165,10 @@
 	return net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.Ports[port]))
 }
 
+// sourceIP returns the IP from which this host connects to endpoints, nil for any. It is that of the internal listeners, as
+// for connections to other hosts.
+func (d *platformDaemon) sourceIP() net.IP { return net.ParseIP(d.settings.Bind) }
+
 // deploymentSecret returns the secret that keeps hosts of different deployments from connecting. It is derived from the
 // deployment's name, because the platform gives its processes no secret.
 func deploymentSecret(s platform.Settings) []byte {
@@ -264,6 +269,9 @@
 	crashes := &crash.Component{Self: d.self.Name, Membership: d.members}
 	d.members.BeatFillers = append(d.members.BeatFillers, crashes)
 	d.addComponent(crashes)
+	links := &reach.Component{Self: d.self.Name, Membership: d.members}
+	d.members.BeatFillers = append(d.members.BeatFillers, links)
+	d.addComponent(links)
 	origins := &origin.Component{Self: d.self, Membership: d.members}
 	d.addComponent(origins)
 	d.flowComponent = &flow.Component{
@@ -272,7 +280,7 @@
 	}
 	d.members.BeatFillers = append(d.members.BeatFillers, d.flowComponent)
 	d.addComponent(d.flowComponent)
-	d.callExecutor = &call.Executor{Incarnation: d.incarnation, Post: d.loop.Post, Now: d.loop.Now, Names: platform.CallNames()}
+	d.callExecutor = &call.Executor{Incarnation: d.incarnation, Post: d.loop.Post, Now: d.loop.Now, Names: platform.CallNames(), SourceIP: d.sourceIP()}
 	d.callExecutor.Prepare()
 	d.addExecutor(d.callExecutor)
 	d.addActor(d.callExecutor.Run)
@@ -287,7 +295,7 @@
 	hostAPI := &items.PeerClient{Hosts: d.hostAddresses, Secret: hex.EncodeToString(d.secret), HTTP: d.peerTransport}
 	d.jobExecutor = &items.Executor{
 		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayedStore, Calls: d.callExecutor, Names: platform.ItemNames(),
-		HTTP: conns.IdentifyingTransport(platform.CallNames().Identity, dialTimeout, maxIdleConns, idleConnTimeout), Peers: hostAPI, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
+		HTTP: conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), platform.CallNames().Identity, maxIdleConns, idleConnTimeout), Peers: hostAPI, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
 	}
 	d.jobExecutor.Prepare()
 	hostAPI.Executor = d.jobExecutor
--- a/internal/call/conn.go
+++ b/internal/call/conn.go
@@ -78,8 +78,7 @@
 // request is written to a connection that the endpoint is about to close.
 //
 // With an identity, it is known to which incarnation of an endpoint each connection leads.
-func newTransport(keepAlive bool, identity *conns.Identity) *http.Transport {
-	dialer := conns.Dialer(dialTimeout)
+func newTransport(dialer *net.Dialer, keepAlive bool, identity *conns.Identity) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			dial := func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, network, address) }
--- a/internal/call/executor.go
+++ b/internal/call/executor.go
@@ -21,9 +21,12 @@
 	Now         func() time.Duration
 	Samples     Samples
 	Names       HeaderNames // the zero value means DefaultHeaderNames
+	SourceIP    net.IP      // of connections to endpoints, nil for any
 
 	keepAlive *http.Transport
 	singleUse *http.Transport
+	probes    *http.Transport // with a kept connection
+	trials    *http.Transport // with a new connection for each probe
 	streams   *http.Transport // single use, with connections that are identified
 	polls     *http.Transport
 	closing   chan struct{}
@@ -36,9 +39,10 @@
 	if x.Names.Request == "" {
 		x.Names = DefaultHeaderNames()
 	}
-	x.keepAlive = newTransport(true, nil)
-	x.singleUse = newTransport(false, nil)
-	x.streams = newTransport(false, x.Names.Identity)
+	x.keepAlive = newTransport(x.dialer(), true, nil)
+	x.singleUse = newTransport(x.dialer(), false, nil)
+	x.streams = newTransport(x.dialer(), false, x.Names.Identity)
+	x.probes, x.trials = newProbeTransport(x.dialer(), true), newProbeTransport(x.dialer(), false)
 	x.polls = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
 	x.closing = make(chan struct{})
 	x.exchanges = map[uint64]*Exchange{}
@@ -50,9 +54,12 @@
 	close(x.closing)
 	x.keepAlive.CloseIdleConnections()
 	x.polls.CloseIdleConnections()
+	x.probes.CloseIdleConnections()
 	return nil
 }
 
+func (x *Executor) dialer() *net.Dialer { return conns.DialerFrom(x.SourceIP, dialTimeout) }
+
 // verify checks that an identified connection leads to the incarnation of an endpoint that is meant, and reports what the
 // endpoint has told of itself.
 func (x *Executor) verify(conn net.Conn, endpoint wire.LeaveMark) {
@@ -107,6 +114,8 @@
 		x.enqueue(c.Request, c)
 	case event.PollEndpoint:
 		go x.poll(c)
+	case event.ProbeEndpoint:
+		go x.probe(c)
 	default:
 		return false
 	}
--- /dev/null
+++ b/internal/call/probe.go
@@ -0,0 +1,48 @@
+package call
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/figshift/figshift/internal/conns"
+	"github.com/figshift/figshift/internal/event"
+)
+
+// probe asks an endpoint for a sign of life, which any answer is, and posts EndpointProbed.
+func (x *Executor) probe(c event.ProbeEndpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	transport := x.trials
+	if c.Kept {
+		transport = x.probes
+	}
+	x.Post(event.EndpointProbed{Endpoint: c.Endpoint, Incarnation: c.Incarnation, Answered: x.answers(ctx, transport, c.Address)})
+}
+
+func (x *Executor) answers(ctx context.Context, transport *http.Transport, address string) bool {
+	path := "/"
+	if x.Names.Identity != nil {
+		path = x.Names.Identity.Path
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("User-Agent", "")
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxPollBody)) // so that the connection can be kept
+	_ = resp.Body.Close()
+	return true
+}
+
+// newProbeTransport returns a transport for probes, which keeps one connection to an endpoint with keepAlive.
+func newProbeTransport(dialer *net.Dialer, keepAlive bool) *http.Transport {
+	transport := conns.IdentifyingTransport(dialer, nil, 1, idleTimeout)
+	transport.DisableKeepAlives = !keepAlive
+	return transport
+}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// DialerFrom returns a Dialer whose connections come from an IP, nil for any.
+func DialerFrom(ip net.IP, timeout time.Duration) *net.Dialer {
+	dialer := Dialer(timeout)
+	if ip != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return dialer
+}
+
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var sockoptErr error
 	err := c.Control(func(fd uintptr) {
@@ -52,8 +61,9 @@
 }
 
 // IdentifyingTransport returns a Transport whose connections are Identified, unless identity is nil.
-func IdentifyingTransport(identity *Identity, dialTimeout time.Duration, idlePerHost int, idleTimeout time.Duration) *http.Transport {
-	transport := Transport(dialTimeout, idlePerHost, idleTimeout)
+func IdentifyingTransport(dialer *net.Dialer, identity *Identity, idlePerHost int, idleTimeout time.Duration) *http.Transport {
+	transport := Transport(dialer.Timeout, idlePerHost, idleTimeout)
+	transport.DialContext = dialer.DialContext
 	if identity == nil {
 		return transport
 	}
--- a/internal/event/endpoint.go
+++ b/internal/event/endpoint.go
@@ -24,5 +24,27 @@
 	Found       string
 }
 
+// ProbeEndpoint asks an endpoint for a sign of life; EndpointProbed answers within about Timeout.
+type ProbeEndpoint struct {
+	Endpoint    string
+	Incarnation string
+	Address     string
+	Kept        bool // on a connection that is kept from one probe to the next, otherwise on a new one
+	Timeout     time.Duration
+}
+
+// EndpointProbed ends a ProbeEndpoint. Answered reports whether anything answered.
+type EndpointProbed struct {
+	Endpoint    string
+	Incarnation string
+	Answered    bool
+}
+
+// LinksChanged is raised when this host has lost its links to the endpoints, or has them back.
+type LinksChanged struct{ CutOff bool }
+
+func (ProbeEndpoint) isEffect()     {}
+func (EndpointProbed) isEvent()     {}
+func (LinksChanged) isEvent()       {}
 func (EndpointAnswered) isEvent()   {}
 func (EndpointIdentified) isEvent() {}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -109,7 +109,7 @@
 // arrivesWhileIdle reports whether events of this type also arrive while there is no work.
 func arrivesWhileIdle(ev event.Event) bool {
 	switch ev.(type) {
-	case event.PeerReceived, event.ClockRead, event.ObjectsDone, event.EndpointsDone, event.EndpointPolled:
+	case event.PeerReceived, event.ClockRead, event.ObjectsDone, event.EndpointsDone, event.EndpointPolled, event.EndpointProbed:
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/reach/component.go
@@ -0,0 +1,266 @@
+package reach
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/ranks"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const (
+	// quietTime is the time without a word from any endpoint after which one is probed.
+	quietTime = 700 * time.Millisecond
+	// probeTimeout bounds a probe. An endpoint answers within milliseconds, and a probe needs no slot.
+	probeTimeout = 250 * time.Millisecond
+	// roundPause is the time from the start of a round of probes to the next one while the links are in doubt, and
+	// cutPause the one while this host is cut off.
+	roundPause = 300 * time.Millisecond
+	cutPause   = 500 * time.Millisecond
+	// roundSize is the number of endpoints that are probed at once while the links are in doubt, and trialSize the number
+	// while this host is cut off.
+	roundSize = 5
+	trialSize = 2
+	// maxAnswered is the part of the probed endpoints that may answer a host that is cut off.
+	maxAnswered = 0.25
+	// healedRounds is the number of whole rounds in a row after which a host is no longer cut off.
+	healedRounds = 2
+	// relayContact is the age up to which another host's last word from an endpoint counts.
+	relayContact = 2500 * time.Millisecond
+)
+
+// Membership provides the hosts that are alive.
+type Membership interface {
+	// Alive returns the hosts that are alive at time now, sorted by name and including this one.
+	Alive(now time.Duration) []event.Host
+}
+
+// Component is the component of the reducer that finds out whether this host is cut off from the endpoints. It probes one
+// when it has heard of none for quietTime, and several when that fails or a connection does. Only probes, which use
+// connections of their own, decide: a connection that lives says nothing of new ones. Its exported fields are set before the
+// first Step. It must not be used concurrently.
+type Component struct {
+	Self       string // name of this host
+	Membership Membership
+
+	endpoints []wire.Endpoint // that may be probed, in the order in which they are
+	next      int             // index of the next one
+	contactAt time.Duration   // last word from an endpoint, 0 for none
+	doubted   bool            // a connection has failed since the last round
+	round     round
+	roundAt   time.Duration // start of the last round
+	cutOff    bool
+	healed    int // whole rounds in a row while cut off
+	hosts     map[string]hostLinks
+}
+
+// round is a number of probes that are made at once.
+type round struct {
+	open             map[wire.LeaveMark]bool
+	asked, answered  int
+	decides          bool // the probes use new connections
+	until, startedAt time.Duration
+}
+
+// hostLinks is what another host says of its links.
+type hostLinks struct {
+	cutOff    bool
+	contactAt time.Duration // on this host's clock, 0 for none
+}
+
+// Step applies one event.
+func (p *Component) Step(now time.Duration, ev event.Event, out *event.Batch) {
+	switch e := ev.(type) {
+	case event.EndpointsListed:
+		p.setEndpoints(e.List.Endpoints)
+	case event.EndpointAnswered, event.EndpointIdentified, event.EnginePace:
+		p.contactAt = now
+	case event.EndpointProbed:
+		p.handleProbed(now, e, out)
+	case event.BeatSeen:
+		p.setHost(now, e.Host, e.Beat.Links)
+	case event.PeerReceived:
+		if e.Message.Links != nil {
+			p.setHost(now, e.Host, e.Message.Links)
+		}
+	case event.HostLost:
+		delete(p.hosts, e.Host)
+	case event.Tick:
+		p.tick(now, out)
+	}
+}
+
+// setEndpoints takes the endpoints that may be probed: engines if there are any, which answer probes without a slot. The
+// order differs between hosts and puts availability zones beside each other.
+func (p *Component) setEndpoints(list []wire.Endpoint) {
+	var engines, services []wire.Endpoint
+	for _, e := range list {
+		switch {
+		case e.State != wire.Live:
+		case len(e.Weights) > 0:
+			engines = append(engines, e)
+		default:
+			services = append(services, e)
+		}
+	}
+	if len(engines) == 0 {
+		engines = services
+	}
+	byName := map[string]wire.Endpoint{}
+	names := make([]string, 0, len(engines))
+	for _, e := range engines {
+		byName[e.Name] = e
+		names = append(names, e.Name)
+	}
+	p.endpoints = p.endpoints[:0]
+	for _, name := range ranks.Order(p.Self, names) {
+		p.endpoints = append(p.endpoints, byName[name])
+	}
+}
+
+func (p *Component) tick(now time.Duration, out *event.Batch) {
+	if p.round.open != nil {
+		if now >= p.round.until {
+			p.endRound(now, out)
+		}
+		return
+	}
+	quiet := now-max(p.contactAt, p.roundAt) >= quietTime
+	switch {
+	case len(p.endpoints) == 0:
+	case p.cutOff && now-p.roundAt >= cutPause:
+		p.startRound(now, trialSize, out)
+	case p.cutOff:
+	case p.doubted && now-p.roundAt >= roundPause:
+		p.startRound(now, roundSize, out)
+	case quiet:
+		p.probeKept(now, out)
+	}
+}
+
+// Doubt takes that a connection to an endpoint failed or is silent, so that the endpoints are probed soon.
+func (p *Component) Doubt(time.Duration) { p.doubted = true }
+
+// probeKept probes one endpoint on a kept connection, which costs little. When it doesn't answer, several are probed.
+func (p *Component) probeKept(now time.Duration, out *event.Batch) {
+	e := p.endpoints[0]
+	p.roundAt = now
+	p.round = round{open: map[wire.LeaveMark]bool{markOf(e): true}, asked: 1, until: now + probeTimeout, startedAt: now}
+	out.Emit(event.ProbeEndpoint{Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Kept: true, Timeout: probeTimeout})
+}
+
+func markOf(e wire.Endpoint) wire.LeaveMark {
+	return wire.LeaveMark{Endpoint: e.Name, Incarnation: e.Incarnation}
+}
+
+func (p *Component) startRound(now time.Duration, size int, out *event.Batch) {
+	p.doubted, p.roundAt = false, now
+	p.round = round{open: map[wire.LeaveMark]bool{}, decides: true, until: now + probeTimeout, startedAt: now}
+	for range min(size, len(p.endpoints)) {
+		p.next = (p.next + 1) % len(p.endpoints)
+		e := p.endpoints[p.next]
+		p.round.open[markOf(e)] = true
+		p.round.asked++
+		out.Emit(event.ProbeEndpoint{Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Timeout: probeTimeout})
+	}
+}
+
+func (p *Component) handleProbed(now time.Duration, e event.EndpointProbed, out *event.Batch) {
+	if e.Answered {
+		p.contactAt = now
+	}
+	id := wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}
+	if !p.round.open[id] {
+		return
+	}
+	delete(p.round.open, id)
+	if e.Answered {
+		p.round.answered++
+	}
+	if len(p.round.open) == 0 {
+		p.endRound(now, out)
+	}
+}
+
+// endRound decides by a round of probes, whose open ones count as failed.
+func (p *Component) endRound(now time.Duration, out *event.Batch) {
+	ended := p.round
+	p.round = round{}
+	switch {
+	case p.cutOff && ended.answered < ended.asked:
+		p.healed = 0
+	case p.cutOff:
+		if p.healed++; p.healed >= healedRounds {
+			p.setCutOff(now, false, ended, out)
+		}
+	case !ended.decides && ended.answered == 0:
+		p.doubted, p.roundAt = true, now-roundPause // the next round asks more of them at once
+	case ended.decides && float64(ended.answered) <= maxAnswered*float64(ended.asked) && len(p.Relays(now)) > 0:
+		p.setCutOff(now, true, ended, out)
+	}
+}
+
+func (p *Component) setCutOff(now time.Duration, cutOff bool, by round, out *event.Batch) {
+	p.cutOff, p.healed = cutOff, 0
+	name := "LinksBack"
+	if cutOff {
+		name = "LinksLost"
+	}
+	out.Emit(event.Log{Level: "warn", Event: name, Fields: []event.Field{
+		{Key: "Asked", Value: strconv.Itoa(by.asked)}, {Key: "Answered", Value: strconv.Itoa(by.answered)},
+		{Key: "TookMS", Value: strconv.FormatInt((now - by.startedAt).Milliseconds(), 10)},
+		{Key: "SilentMS", Value: strconv.FormatInt((now - p.contactAt).Milliseconds(), 10)},
+		{Key: "Relays", Value: strconv.Itoa(len(p.Relays(now)))},
+	}})
+	out.Emit(event.Count{Name: name, N: 1})
+	links := p.links(now)
+	for _, h := range p.Membership.Alive(now) {
+		if h.Name != p.Self {
+			out.Emit(event.SendPeer{Host: h.Name, Message: wire.Message{Links: links}})
+		}
+	}
+	out.Raise(event.LinksChanged{CutOff: cutOff})
+}
+
+func (p *Component) links(now time.Duration) *wire.Links {
+	links := &wire.Links{CutOff: p.cutOff, ContactMS: -1}
+	if p.contactAt > 0 {
+		links.ContactMS = (now - p.contactAt).Milliseconds()
+	}
+	return links
+}
+
+// FillBeat adds the state of this host's links to a heartbeat.
+func (p *Component) FillBeat(now time.Duration, heartbeat *wire.Beat) { heartbeat.Links = p.links(now) }
+
+func (p *Component) setHost(now time.Duration, host string, links *wire.Links) {
+	if p.hosts == nil {
+		p.hosts = map[string]hostLinks{}
+	}
+	if links == nil || links.ContactMS < 0 {
+		p.hosts[host] = hostLinks{cutOff: links != nil && links.CutOff}
+		return
+	}
+	p.hosts[host] = hostLinks{cutOff: links.CutOff, contactAt: now - time.Duration(links.ContactMS)*time.Millisecond}
+}
+
+// CutOff reports whether this host reaches hardly any endpoint although other hosts do.
+func (p *Component) CutOff(now time.Duration) bool { return p.cutOff && len(p.Relays(now)) > 0 }
+
+// Relays returns the names of the other hosts that reach endpoints, sorted.
+func (p *Component) Relays(now time.Duration) []string {
+	var names []string
+	for _, h := range p.Membership.Alive(now) {
+		links, ok := p.hosts[h.Name]
+		if ok && h.Name != p.Self && !links.cutOff && links.contactAt > 0 && now-links.contactAt < relayContact {
+			names = append(names, h.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// HostCutOff reports whether another host says that it reaches hardly any endpoint.
+func (p *Component) HostCutOff(host string) bool { return p.hosts[host].cutOff }
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -20,6 +20,9 @@
 	// Streams tells at which software versions callers' streams began, or asks.
 	Streams []StreamNews `json:",omitempty" msgpack:",omitempty"`
 
+	// Links tells that the sender has lost its links to endpoints or has them back.
+	Links *Links `json:",omitempty" msgpack:",omitempty"`
+
 	Probe      *Probe      `msgpack:",omitempty"`
 	ProbeReply *ProbeReply `msgpack:",omitempty"`
 }
@@ -105,10 +108,18 @@
 	Limits []EndpointLimit `json:",omitempty" msgpack:",omitempty"`
 	// Crashes lists the last crashes of endpoints that the sender knows, with the requests under which they crashed.
 	Crashes []CrashNews `json:",omitempty" msgpack:",omitempty"`
+	// Links is the state of the sender's links to endpoints.
+	Links *Links `json:",omitempty" msgpack:",omitempty"`
 	// UnixMS is the time of day on the sender's own clock, in ms since the Unix epoch; 0 if not read yet.
 	UnixMS int64 `json:",omitempty" msgpack:",omitempty"`
 }
 
+// Links is the state of a host's links to endpoints.
+type Links struct {
+	CutOff    bool  `json:",omitempty" msgpack:",omitempty"` // the host reaches hardly any endpoint
+	ContactMS int64 // age of the last word from an endpoint, -1 for none
+}
+
 // EngineRuns is the number of items that one host runs on an engine.
 type EngineRuns struct {
 	Endpoint string
