--- a/figbed/internal/soak/link.go
+++ b/figbed/internal/soak/link.go
@@ -18,6 +18,8 @@
 	Delay         time.Duration // added to every read in each direction
 	HoldRequests  bool          // hold back bytes from the dialling side
 	HoldResponses bool          // hold back bytes to the dialling side
+	Refuse        bool          // reset new connections
+	Break         bool          // reset open connections when bytes pass, and new ones
 }
 
 // ImpairedProxy is a TCP proxy that impairs connections depending on their source, which the proxies of package toxic
@@ -52,11 +54,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.connections {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // fails if the connection is already closed
-		}
-		_ = c.Close()
+		reset(c)
+	}
+}
+
+// reset closes a connection with a TCP reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails if the connection is already closed
 	}
+	_ = c.Close()
 }
 
 // Stop closes the listener and resets all connections.
@@ -83,6 +90,14 @@
 	if !p.track(from) {
 		return
 	}
+	source, _, err := net.SplitHostPort(from.RemoteAddr().String())
+	if err != nil {
+		return
+	}
+	if i := p.Impairment(source); i.Refuse || i.Break {
+		reset(from)
+		return
+	}
 	to, err := net.DialTimeout("tcp", p.Upstream, proxyDialTimeout)
 	if err != nil {
 		return // the dialling side sees a closed connection
@@ -91,10 +106,6 @@
 	if !p.track(to) {
 		return
 	}
-	source, _, err := net.SplitHostPort(from.RemoteAddr().String())
-	if err != nil {
-		return
-	}
 	done := make(chan struct{}, 2)
 	go p.forward(to, from, source, func(i Impairment) bool { return i.HoldRequests }, done)
 	go p.forward(from, to, source, func(i Impairment) bool { return i.HoldResponses }, done)
@@ -113,6 +124,11 @@
 			time.Sleep(holdPollInterval)
 			impairment = p.Impairment(source)
 		}
+		if impairment.Break {
+			reset(from)
+			reset(to)
+			return
+		}
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				return
