serve: an answer without a length that breaks off ends with a reset

A caller took an answer for complete that an endpoint had broken off with a reset: it had no length and ended with its connection, and the connection to the caller was closed as after a whole one. It is reset now.

TestBrokenUnframedAnswerIsNotComplete/Reset failed before: the caller read the part without an error.

--- a/internal/serve/response.go
+++ b/internal/serve/response.go
@@ -53,6 +53,8 @@
 	writer  http.ResponseWriter
 	control *http.ResponseController
 	started bool
+	// unframed is set when the response ends with its connection, so that a closed one looks complete.
+	unframed bool
 }
 
 // Head writes the status and header of an endpoint's response.
@@ -61,7 +63,7 @@
 	for name, values := range header {
 		h[name] = values
 	}
-	k.started = true
+	k.started, k.unframed = true, header.Get("Transfer-Encoding") == "identity"
 	k.writer.WriteHeader(status)
 	return nil
 }
@@ -98,6 +100,18 @@
 // Interrupt unblocks a write to a slow caller.
 func (k *httpSink) Interrupt() { _ = k.control.SetWriteDeadline(time.Now()) }
 
+// reset ends the connection with a reset. When that fails, the connection has ended already.
+func (k *httpSink) reset() {
+	conn, _, err := k.control.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // writeStreamError ends a generation that has started with a segment that holds the error kind. A failure to write it is
 // ignored.
 func (k *httpSink) writeStreamError(answer event.AnswerRequest, generation bool) {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -252,5 +252,8 @@
 		return
 	}
 	sink.writeStreamError(answer, e.Generate != nil)
+	if sink.unframed {
+		sink.reset()
+	}
 	panic(http.ErrAbortHandler)
 }
