flow, batch, reach: a host that is cut off has others serve its callers

Callers of hosts that had lost their links to all endpoints were hardly served: 0 to 4 of 11 to 19 first tries, beside all at the others. Cause: a host takes what it sees of the endpoints for what they are. It tried one after the other, each until a time-out, and kept its jobs and duties.

While probes show that it is cut off and other hosts say that they reach endpoints, a host passes each call on to one of these, with its deadline, organisation and service, never with its key; that host makes one attempt, and its answer or refusal says truly whether the call ran. What was under way and may be repeated, or was not sent yet, goes that way at once. Jobs are given to hosts that reach engines, as at a stop; the duty of ordering engines goes to a host with links, also when all that rank first for it are cut off; submissions and takeovers pass cut hosts by. Failures of the links are forgotten, so that no endpoint stays ejected when they are back.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -47,6 +47,7 @@
 	"github.com/figshift/figshift/internal/update"
 	"github.com/figshift/figshift/internal/usage"
 	"github.com/figshift/figshift/internal/view"
+	"github.com/figshift/figshift/internal/wire"
 	"github.com/figshift/figshift/platform"
 )
 
@@ -95,6 +96,7 @@
 	callExecutor   *call.Executor
 	jobExecutor    *items.Executor
 	limits         *limit.Component
+	links          *reach.Component
 	flowComponent  *flow.Component
 	batchComponent *batch.Component
 }
@@ -224,10 +226,12 @@
 	d.keys = &keys.Table{}
 	d.members = &member.Component{Self: d.self, AdmitAll: true, ConnectZones: true}
 	d.viewComponent = &view.Component{Host: d.self.Name, Zone: d.self.Zone, Decoder: platform.Decoder{Settings: d.settings}, Keys: d.keys}
-	d.leaseComponent = &lease.Component{Self: d.self, Membership: d.members}
-	d.members.BeatFillers = []member.BeatFiller{d.viewComponent, d.leaseComponent}
+	d.links = &reach.Component{Self: d.self.Name, Membership: d.members}
+	d.leaseComponent = &lease.Component{Self: d.self, Membership: d.members, Links: d.links}
+	d.members.BeatFillers = []member.BeatFiller{d.viewComponent, d.leaseComponent, d.links}
 	d.addComponent(d.members)
 	d.addComponent(d.viewComponent)
+	d.addComponent(d.links)
 	d.addComponent(d.leaseComponent)
 	d.peerTransport = conns.Transport(dialTimeout, maxIdleConns, idleConnTimeout)
 	d.hostAddresses = &relay.HostAddresses{Port: d.settings.Ports[hostAPIPort]}
@@ -269,18 +273,15 @@
 	crashes := &crash.Component{Self: d.self.Name, Membership: d.members}
 	d.members.BeatFillers = append(d.members.BeatFillers, crashes)
 	d.addComponent(crashes)
-	links := &reach.Component{Self: d.self.Name, Membership: d.members}
-	d.members.BeatFillers = append(d.members.BeatFillers, links)
-	d.addComponent(links)
 	origins := &origin.Component{Self: d.self, Membership: d.members}
 	d.addComponent(origins)
 	d.flowComponent = &flow.Component{
-		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Limits: d.limits, Crashes: crashes, Origins: origins, Keys: d.keys,
+		Host: d.self.Name, Zone: d.self.Zone, Trust: d.trust, Limits: d.limits, Crashes: crashes, Origins: origins, Links: d.links, Keys: d.keys,
 		Random: rand.New(rand.NewPCG(d.seed, 0)), Process: d.process, DisablePolling: true, Sticky: true, LogRequests: true,
 	}
 	d.members.BeatFillers = append(d.members.BeatFillers, d.flowComponent)
 	d.addComponent(d.flowComponent)
-	d.callExecutor = &call.Executor{Incarnation: d.incarnation, Post: d.loop.Post, Now: d.loop.Now, Names: platform.CallNames(), SourceIP: d.sourceIP()}
+	d.callExecutor = &call.Executor{Incarnation: d.incarnation, Post: d.loop.Post, Now: d.loop.Now, Names: platform.CallNames(), SourceIP: d.sourceIP(), Relays: d.hostAddresses, Secret: hex.EncodeToString(d.secret)}
 	d.callExecutor.Prepare()
 	d.addExecutor(d.callExecutor)
 	d.addActor(d.callExecutor.Run)
@@ -288,7 +289,7 @@
 
 // addJobs adds batch jobs, the listener for other hosts and the callers' listener.
 func (d *platformDaemon) addJobs() {
-	d.batchComponent = &batch.Component{Self: d.self, KeyOwners: d.flowComponent, Membership: d.members, Limits: d.limits, NewStore: d.settings.FirstStart}
+	d.batchComponent = &batch.Component{Self: d.self, KeyOwners: d.flowComponent, Membership: d.members, Limits: d.limits, Links: d.links, NewStore: d.settings.FirstStart}
 	d.members.BeatFillers = append(d.members.BeatFillers, d.batchComponent)
 	d.limits.Backlogs = []limit.Backlog{d.flowComponent, d.batchComponent}
 	d.addComponent(d.batchComponent)
@@ -314,6 +315,7 @@
 		Protocol: platform.CallerProtocol{JobAPI: jobAPI},
 	}
 	server.Prepare()
+	hostAPIMux.HandleFunc(wire.PathPass, server.ServePassed)
 	d.addExecutor(server)
 	d.addActor(server.Run)
 	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz)))
@@ -323,7 +325,7 @@
 // deletion of old jobs.
 func (d *platformDaemon) addDuties() {
 	d.addComponent(&batch.Sweeper{Trust: d.trust, KeepResults: d.settings.KeepResults})
-	d.addComponent(&update.Component{Host: d.self.Name, Trust: d.trust, LocalRuns: d.batchComponent, Limits: d.limits})
+	d.addComponent(&update.Component{Host: d.self.Name, Trust: d.trust, LocalRuns: d.batchComponent, Limits: d.limits, Links: d.links})
 	d.addComponent(&scale.Component{Host: d.self.Name, Trust: d.trust, Duty: update.Duty, Jobs: d.batchComponent})
 	d.addComponent(&usage.Counter{Host: d.self.Name, Incarnation: d.incarnation, CountRequests: true})
 	d.addComponent(&usage.Holder{Host: d.self.Name, Trust: d.trust})
--- a/internal/batch/component.go
+++ b/internal/batch/component.go
@@ -12,6 +12,7 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/limit"
+	"github.com/figshift/figshift/internal/reach"
 	"github.com/figshift/figshift/internal/route"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -36,9 +37,10 @@
 	Self       event.Host
 	KeyOwners  KeyOwners
 	Membership Membership
-	Limits     limit.Gate // nil for limit.Unlimited
-	Order      Order      // the order in which items are dispatched; nil means NeededFirst
-	NewStore   bool       // the store is new, so that no jobs are listed at the start
+	Limits     limit.Gate  // nil for limit.Unlimited
+	Links      reach.Links // nil for reach.Unbroken
+	Order      Order       // the order in which items are dispatched; nil means NeededFirst
+	NewStore   bool        // the store is new, so that no jobs are listed at the start
 
 	site              *config.Site
 	routes            route.Routes
@@ -52,6 +54,7 @@
 	now               time.Duration
 	stopping          bool
 	drained           bool
+	handover          handover
 	flushingSince     time.Duration            // when the flush of the text copies began, 0 before
 	stoppingHosts     map[string]bool          // by their last heartbeats
 	disconnectedAt    map[string]time.Duration // when the connection to a host was closed, by host
@@ -145,7 +148,13 @@
 		p.disconnectedAt[e.Host] = now
 		delete(p.informed, e.Host)
 	case event.CopiesFlushed:
-		p.finishDrain(out)
+		if p.stopping {
+			p.finishDrain(out)
+		} else {
+			p.finishHandover(now, out)
+		}
+	case event.LinksChanged:
+		p.handleLinksChanged(now, out)
 	case event.BeatSeen:
 		p.engines.setRemoteRuns(now, e.Host, e.Beat.Runs)
 		p.stoppingHosts[e.Host] = e.Beat.Stopping
@@ -185,6 +194,9 @@
 	if p.Limits == nil {
 		p.Limits = limit.Unlimited{}
 	}
+	if p.Links == nil {
+		p.Links = reach.Unbroken{}
+	}
 	if p.Order == nil {
 		p.Order = NeededFirst{}
 	}
@@ -203,6 +215,7 @@
 	}
 	p.dispatch(now, out)
 	p.continueDrain(out)
+	p.continueHandover(now, out)
 }
 
 // sortedJobs returns the jobs that this host owns, sorted by id.
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -22,7 +22,7 @@
 // dispatch starts the waiting items for which an engine has a free slot, in the order that Order gives. It ends as soon as
 // no engine can take any of those that are left, since most calls find one free slot for thousands of items.
 func (p *Component) dispatch(now time.Duration, out *event.Batch) {
-	if p.site == nil || p.stopping {
+	if p.site == nil || p.stopping || p.Links.CutOff(now) {
 		return
 	}
 	queue := p.waitingItems(now, out)
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -98,12 +98,14 @@
 	}
 }
 
-// availableHosts returns the hosts that are alive, connected to this one and not stopping, sorted.
+// availableHosts returns the hosts that are alive, connected to this one, neither stopping nor cut off from the engines,
+// sorted.
 func (p *Component) availableHosts(now time.Duration) []string {
 	var names []string
 	for _, h := range p.Membership.Alive(now) {
 		since, down := p.disconnectedAt[h.Name]
-		if !p.stoppingHosts[h.Name] && (!down || now-since < disconnectGrace) {
+		cutOff := p.Links.HostCutOff(h.Name) || h.Name == p.Self.Name && p.Links.CutOff(now)
+		if !cutOff && !p.stoppingHosts[h.Name] && (!down || now-since < disconnectGrace) {
 			names = append(names, h.Name)
 		}
 	}
--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -36,18 +36,22 @@
 // another one when that hub does not accept jobs. When a hub is gone, only the first host that forwards a submission to
 // it waits for it in vain.
 func (p *Component) hostForRoute(now time.Duration, name string) string {
+	cutOff := p.Links.CutOff(now)
 	if !p.largeFleet {
-		return p.lastOwner(now, name)
+		if last := p.lastOwner(now, name); last != "" || !cutOff {
+			return last
+		}
+		return p.reachingHost(now, name)
 	}
 	hubs := p.hubOrder(name)
 	if last := p.routeHost[name]; slices.Contains(hubs, last) {
 		hubs = append([]string{last}, hubs...)
 	}
 	for _, hub := range hubs {
-		if hub == p.Self.Name {
+		if hub == p.Self.Name && !cutOff {
 			return ""
 		}
-		if p.acceptsJobs(now, hub) {
+		if hub != p.Self.Name && p.acceptsJobs(now, hub) {
 			return hub
 		}
 	}
@@ -95,7 +99,7 @@
 // acceptsJobs reports whether submissions may be forwarded to a host. For a host that is not connected to this one, only
 // the outcome of earlier submissions is known.
 func (p *Component) acceptsJobs(now time.Duration, host string) bool {
-	if p.stoppingHosts[host] {
+	if p.stoppingHosts[host] || p.Links.HostCutOff(host) {
 		return false
 	}
 	if since, down := p.disconnectedAt[host]; down && now-since >= disconnectGrace {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -118,6 +118,7 @@
 		}
 	case event.ReasonDial, event.ReasonBroken, event.ReasonCut, event.ReasonSilent:
 		eng.recordFailure(now)
+		p.Links.Doubt(now, m)
 	}
 }
 
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -84,14 +84,22 @@
 }
 
 func (a *attempt) roundTrip() {
-	req, err := a.newRequest()
+	build := a.newRequest
+	if a.start.Relay != "" {
+		build = a.newRelayRequest
+	}
+	req, err := build()
+	if kinds.KindOf(err) == kinds.EndpointsUnreached {
+		a.fail(event.ReasonDial)
+		return
+	}
 	if err != nil {
 		a.fail(event.ReasonBodyMissing)
 		return
 	}
 	resp, err := a.transport().RoundTrip(req)
 	if err != nil {
-		a.report.Closed = closedByEndpoint(err)
+		a.report.Closed = a.start.Relay == "" && closedByEndpoint(err)
 		a.fail(a.roundTripReason())
 		return
 	}
@@ -137,9 +145,7 @@
 	if target == "" {
 		target = a.exchange.Target
 	}
-	trace := &httptrace.ClientTrace{GotConn: a.awaitSend}
-	ctx := httptrace.WithClientTrace(a.ctx, trace)
-	req, err := http.NewRequestWithContext(ctx, a.exchange.Method, "http://"+a.start.Address+target, nil)
+	req, err := http.NewRequestWithContext(a.traced(), a.exchange.Method, "http://"+a.start.Address+target, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -151,6 +157,11 @@
 	return req, nil
 }
 
+// traced returns the attempt's context for a request that waits for SendAttempt.
+func (a *attempt) traced() context.Context {
+	return httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.awaitSend})
+}
+
 func (a *attempt) requestBody() ([]byte, error) {
 	if !a.start.Generation {
 		return a.exchange.Body, nil
--- a/internal/call/executor.go
+++ b/internal/call/executor.go
@@ -21,6 +21,8 @@
 	Now         func() time.Duration
 	Samples     Samples
 	Names       HeaderNames // the zero value means DefaultHeaderNames
+	Relays      Relays      // nil when there are none
+	Secret      string      // of the hosts
 	SourceIP    net.IP      // of connections to endpoints, nil for any
 
 	keepAlive *http.Transport
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -23,6 +23,10 @@
 
 // handleResponse checks the head of an endpoint's response, posts AttemptHead and forwards or reports the response.
 func (a *attempt) handleResponse(resp *http.Response) {
+	if a.start.Relay != "" {
+		a.handleRelayed(resp)
+		return
+	}
 	names := &a.executor.Names
 	if !names.isResponseTo(resp, a.exchange.ID) {
 		a.fail(event.ReasonBroken)
@@ -41,9 +45,16 @@
 		Load:    names.load(resp.Header),
 		Leaving: leaving,
 	})
-	switch {
-	case names.refused(resp):
+	if names.refused(resp) {
 		a.fail(event.ReasonRefused)
+		return
+	}
+	a.forwardAnswer(resp)
+}
+
+// forwardAnswer forwards an endpoint's answer, or reports one that another endpoint may replace.
+func (a *attempt) forwardAnswer(resp *http.Response) {
+	switch {
 	case resp.StatusCode >= http.StatusInternalServerError && !a.forwardsErrors():
 		a.fail(event.ReasonStatus)
 	case a.start.Generation && resp.StatusCode == http.StatusOK:
@@ -64,7 +75,7 @@
 func (a *attempt) forwardPlain(resp *http.Response) {
 	buffered, complete, err := a.readShortBody(resp)
 	if err != nil {
-		a.report.Closed = closedByEndpoint(err)
+		a.report.Closed = a.start.Relay == "" && closedByEndpoint(err)
 		a.fail(event.ReasonCut)
 		return
 	}
@@ -101,7 +112,7 @@
 // connection is forwarded in the same way, since nothing shows whether it is complete.
 func (a *attempt) responseHeader(resp *http.Response) http.Header {
 	h := ForwardableHeader(resp.Header)
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor == 1 {
+	if resp.Header.Get(wire.HeaderUnframed) != "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor == 1 {
 		h.Set("Transfer-Encoding", "identity")
 	}
 	return h
@@ -136,7 +147,7 @@
 			return true
 		}
 		if err != nil {
-			a.report.Closed = closedByEndpoint(err)
+			a.report.Closed = a.start.Relay == "" && closedByEndpoint(err)
 			a.fail(event.ReasonCut)
 			return false
 		}
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -33,7 +33,7 @@
 	Generation bool         // the body is a wire.Generate, whose answer can be resumed
 	Deadline   time.Duration
 	Sample     *SampleRef // nil for a caller's request
-	// Organisation is set only for a sample's request, from the rollout's specification.
+	// Organisation is set only for a sample's request, from the rollout's specification, and for one that is passed on.
 	Organisation string
 	Service      string   // plain service to call, "" uses the route's
 	Avoid        []string // endpoints to use only when there is no other
@@ -46,6 +46,8 @@
 	// Resumes is the id of its attempt that brought the first event, "" when it does not say.
 	LastEvent string `json:",omitempty"`
 	Resumes   string `json:",omitempty"`
+	// Pass is set for a call that another host passes on, with Own and the caller's Organisation.
+	Pass *wire.PassTerms `json:",omitempty"`
 }
 
 // FirstSampleRequest is the lowest Request number of a sample; callers' requests have lower ones.
@@ -84,7 +86,8 @@
 type CallerGone struct{ Request uint64 }
 
 // StartAttempt opens a connection to an endpoint for one attempt at a request; nothing is written before SendAttempt.
-// Deadline is that of the request. An empty Path stands for the caller's path.
+// Deadline is that of the request. An empty Path stands for the caller's path. With a Relay the attempt goes to that host,
+// which makes it at an endpoint by the terms of Pass.
 type StartAttempt struct {
 	Request      uint64
 	Attempt      uint64 // unique in this process
@@ -97,8 +100,10 @@
 	Priority     int
 	Idempotent   bool
 	Generation   bool
-	Identify     bool // send only if the connection leads to Incarnation, of whose software version the answer will be
-	PassErrors   bool // forward the endpoint's own 5xx answer instead of reporting it
+	Identify     bool            // send only if the connection leads to Incarnation, of whose software version the answer will be
+	Relay        string          `json:",omitempty"`
+	Pass         *wire.PassTerms `json:",omitempty"`
+	PassErrors   bool            // forward the endpoint's own 5xx answer instead of reporting it
 	Deadline     time.Duration
 	Sample       *SampleRef
 }
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -23,7 +23,7 @@
 		p.finish(now, r, kind, out)
 		return
 	}
-	if p.resumesStream(r) {
+	if r.arrived.Pass == nil && p.resumesStream(r) {
 		kind, ok := p.bindResumed(now, r, out)
 		if kind != "" {
 			p.finish(now, r, kind, out)
@@ -62,6 +62,9 @@
 	if r.arrived.Sample != nil {
 		return p.identifySample(now, r)
 	}
+	if r.arrived.Pass != nil {
+		return p.identifyPassed(now, r)
+	}
 	matched, ok := p.routes.Match(r.arrived.Host, r.arrived.Path)
 	if !ok {
 		return kinds.RouteUnknown
@@ -79,7 +82,8 @@
 	if r.class == "" {
 		r.class = config.Interactive
 	}
-	r.pool = route.PoolOf(matched, p.shareDraw(matched))
+	draw := p.shareDraw(matched)
+	r.service, r.pool = route.ServiceOf(matched, draw), route.PoolOf(matched, draw)
 	r.idempotent = matched.Idempotent
 	r.deadline = p.effectiveDeadline(now, r.arrived.Deadline, matched.Timeout)
 	return ""
@@ -171,6 +175,9 @@
 	if p.givenUp(now, r) {
 		return kinds.EndpointsCrashed
 	}
+	if p.relayed(now, r) {
+		return p.makeRoom(now, r, out)
+	}
 	if r.class == config.Interactive && !p.table.Serves(now, r.pool) {
 		p.demand.recordUnserved(now, r)
 		return kinds.NoEndpoint
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -21,10 +21,16 @@
 		return
 	}
 	var endpoint *route.Endpoint
+	relay := ""
 	fits := func(item admit.Item[uint64]) bool {
 		r := p.requests[item.Value]
-		endpoint = p.pickEndpoint(now, r)
-		return endpoint != nil || p.cannotFinishInTime(now, r) || p.givenUp(now, r) || p.unplaceable(now, r)
+		endpoint, relay = nil, ""
+		if p.relayed(now, r) {
+			relay = p.pickRelay(now, r)
+		} else {
+			endpoint = p.pickEndpoint(now, r)
+		}
+		return endpoint != nil || relay != "" || p.cannotFinishInTime(now, r) || p.givenUp(now, r) || p.unplaceable(now, r)
 	}
 	for {
 		item, ok := p.Queue.Pop(fits)
@@ -43,6 +49,10 @@
 			p.finish(now, r, kinds.DeadlineTooShort, out)
 			continue
 		}
+		if relay != "" {
+			p.startRelayed(now, r, relay, out)
+			continue
+		}
 		if endpoint == nil {
 			p.Queue.Correct(r.item, 0)
 			p.finish(now, r, kinds.StreamUnresumable, out)
@@ -98,16 +108,10 @@
 }
 
 func (p *Component) startAttempt(now time.Duration, r *request, e *route.Endpoint, out *event.Batch) {
-	p.lastAttempt++
+	p.beginAttempt(now, r, out)
 	p.table.AttemptStarted(e, r.item.Cost)
 	p.Limits.Take(now, markOf(e), limit.Requests, 1)
 	p.beginIsolation(now, r, markOf(e))
-	r.attempt, r.phase = p.lastAttempt, connecting
-	if r.attempts == 0 {
-		out.Emit(event.Observe{Name: "QueueTime", Tags: r.classTags(), Took: now - r.arrivedAt})
-	}
-	r.attempts++
-	r.sentAt, r.charged = now, true
 	r.endpoint, r.incarnation, r.price, r.sentTo = e.Name, e.Incarnation, string(e.Price), e.Endpoint
 	p.logRequest(now, r, "RequestSent", out, event.Field{Key: "Endpoint", Value: e.Name}, event.Field{Key: "Software", Value: e.Software}, event.Field{Key: "Try", Value: strconv.Itoa(r.attempts)},
 		event.Field{Key: "LeftMS", Value: formatMillis(r.deadline - now)}, event.Field{Key: "Work", Value: strconv.Itoa(int(e.Work(now)))},
@@ -131,6 +135,17 @@
 	})
 }
 
+// beginAttempt numbers the next attempt at a request.
+func (p *Component) beginAttempt(now time.Duration, r *request, out *event.Batch) {
+	p.lastAttempt++
+	r.attempt, r.phase = p.lastAttempt, connecting
+	if r.attempts == 0 {
+		out.Emit(event.Observe{Name: "QueueTime", Tags: r.classTags(), Took: now - r.arrivedAt})
+	}
+	r.attempts++
+	r.sentAt, r.charged, r.headSeen, r.rerouted, r.relay = now, true, false, false, ""
+}
+
 // pathFor returns the path to call at the endpoint, "" for the caller's own path.
 func pathFor(r *request) string {
 	if r.generation {
@@ -212,6 +227,7 @@
 	if !ok || r.attempt != e.Attempt {
 		return
 	}
+	r.headSeen = true
 	if e.Leaving {
 		p.markLeaving(now, wire.LeaveMark{Endpoint: r.endpoint, Incarnation: r.incarnation}, out)
 	}
@@ -227,6 +243,7 @@
 		return
 	}
 	mark := wire.LeaveMark{Endpoint: r.endpoint, Incarnation: r.incarnation}
+	p.endRelay(r)
 	p.observeEnd(now, r, mark, e, out)
 	p.table.AttemptEnded(now, mark, r.item.Cost, attemptResult(e))
 	if e.Leaving {
@@ -243,6 +260,8 @@
 	switch {
 	case e.Whole:
 		p.finish(now, r, "", out)
+	case r.rerouted && !e.Begun && (r.idempotent || e.Run == kinds.NotRun):
+		p.reroute(now, r)
 	case r.stopKind != "":
 		p.finish(now, r, r.stopKind, out)
 	case !p.scheduleRetry(now, r, e, out):
@@ -276,7 +295,11 @@
 	if now+backoff >= r.deadline || !p.budget.Take(r.route.Name) {
 		return false
 	}
-	r.triedEndpoints = append(r.triedEndpoints, r.endpoint)
+	if r.relay != "" {
+		r.triedRelays = append(r.triedRelays, r.relay)
+	} else {
+		r.triedEndpoints = append(r.triedEndpoints, r.endpoint)
+	}
 	r.phase, r.charged = backingOff, false
 	p.pendingRetries++
 	p.Queue.Correct(r.item, 0)
--- a/internal/flow/component.go
+++ b/internal/flow/component.go
@@ -14,6 +14,7 @@
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/origin"
+	"github.com/figshift/figshift/internal/reach"
 	"github.com/figshift/figshift/internal/retry"
 	"github.com/figshift/figshift/internal/route"
 	"github.com/figshift/figshift/internal/wire"
@@ -27,6 +28,7 @@
 	Trust          event.Trust
 	Limits         limit.Gate    // nil for limit.Unlimited
 	Crashes        crash.Watch   // nil for crash.Trusting
+	Links          reach.Links   // nil for reach.Unbroken
 	Origins        origin.Memory // nil for origin.Forgetful
 	Keys           *keys.Table
 	Random         *rand.Rand
@@ -47,6 +49,7 @@
 	requests       map[uint64]*request
 	queuedByPool   map[string]int           // number of queued requests by pool
 	limitedByPool  map[string]*limit.Recent // requests that were refused because of limits, by pool
+	passed         map[string]int           // number of this host's calls under way through each other host
 	pendingRetries int                      // requests that wait for their next attempt; they count towards QueuePerDaemon
 	isolation      isolation
 	timers         timers
@@ -84,6 +87,8 @@
 		p.handleHostLost(e.Host)
 	case event.EndpointIdentified:
 		p.handleIdentified(now, e, out)
+	case event.LinksChanged:
+		p.handleLinksChanged(now, e, out)
 	case event.DrainEndpoint:
 		p.markLeaving(now, e.Mark, out)
 	case event.StopAsked:
@@ -138,6 +143,7 @@
 	p.requests = map[uint64]*request{}
 	p.throughputs = map[string]*admit.Throughput{}
 	p.queuedByPool = map[string]int{}
+	p.passed = map[string]int{}
 	p.refusals = map[string]map[kinds.Kind]uint64{}
 	if p.Crashes == nil {
 		p.Crashes = crash.Trusting{}
@@ -145,6 +151,9 @@
 	if p.Limits == nil {
 		p.Limits = limit.Unlimited{}
 	}
+	if p.Links == nil {
+		p.Links = reach.Unbroken{}
+	}
 	if p.Origins == nil {
 		p.Origins = origin.Forgetful{}
 	}
@@ -189,6 +198,7 @@
 func (p *Component) tick(now time.Duration, out *event.Batch) {
 	p.checkTrust(now, out)
 	p.fireTimers(now, out)
+	p.checkOverdue(now)
 	if !p.DisablePolling {
 		p.poller.tick(now, &p.table, p.Limits, out)
 	}
--- a/internal/flow/finish.go
+++ b/internal/flow/finish.go
@@ -78,6 +78,9 @@
 		cost = 0
 	}
 	p.Queue.Correct(r.item, cost)
+	if r.arrived.Pass != nil {
+		return // the host that passed the call on accounts for it
+	}
 	p.servedTokens.Add(r.organisation, r.class, uint64(cost))
 	if kind == "" {
 		p.budget.Served(r.route.Name)
--- a/internal/flow/request.go
+++ b/internal/flow/request.go
@@ -46,6 +46,11 @@
 	sentTo         wire.Endpoint // endpoint of the last attempt
 	software       *string       // the only software version that may go on with the answer, nil for any
 	triedEndpoints []string
+	service        string // to which the request goes
+	relay          string // host through which the last attempt went, "" for none
+	triedRelays    []string
+	headSeen       bool // the head of the running attempt's answer has arrived
+	rerouted       bool // the running attempt was ended because this host is cut off
 
 	isolated        bool       // the running attempt is that of a suspected request
 	stopKind        kinds.Kind // why StopAttempt was emitted, "" when it was not
--- a/internal/flow/stream.go
+++ b/internal/flow/stream.go
@@ -52,11 +52,16 @@
 	if !ok || !slices.Contains(servicesOf(r), at.Service) {
 		return kinds.StreamUnresumable, true
 	}
-	r.pool = route.ServicePool(at.Service)
-	r.bind(at.Software)
+	r.bindTo(at)
 	return "", true
 }
 
+// bindTo sends a request to the service and software version at which its stream began.
+func (r *request) bindTo(at origin.Origin) {
+	r.service, r.pool = at.Service, route.ServicePool(at.Service)
+	r.bind(at.Software)
+}
+
 // bind makes a software version the only one that the request may go to.
 func (r *request) bind(software string) { r.software = &software }
 
@@ -71,8 +76,7 @@
 			p.finish(now, r, kinds.StreamUnresumable, out)
 			continue
 		}
-		r.pool = route.ServicePool(at.Service)
-		r.bind(at.Software)
+		r.bindTo(at)
 		p.admitAndDispatch(now, r, out)
 	}
 }
@@ -94,5 +98,5 @@
 // unplaceable reports whether a request for which no endpoint is free can't wait for one: the caller of a stream begins it
 // anew elsewhere, and a generation needs an endpoint of the version that began it.
 func (p *Component) unplaceable(now time.Duration, r *request) bool {
-	return r.software != nil && (!r.generation || !p.table.ServesSoftware(now, r.pool, *r.software))
+	return r.software != nil && !p.relayed(now, r) && (!r.generation || !p.table.ServesSoftware(now, r.pool, *r.software))
 }
--- a/internal/flow/suspect.go
+++ b/internal/flow/suspect.go
@@ -70,9 +70,13 @@
 		r.isolated = false
 		p.isolation.end(r.contentID(), endpoint)
 	}
+	if r.relay == "" && (e.Reason == event.ReasonDial || e.Reason == event.ReasonBroken) {
+		p.Links.Doubt(now, endpoint)
+	}
 	switch {
 	case e.Whole:
 		p.Crashes.Completed(now, r.contentID(), out)
+	case r.relay != "":
 	case e.Closed && (e.Reason == event.ReasonBroken || e.Reason == event.ReasonCut):
 		p.logClosed(now, r, endpoint, out)
 		if !e.Leaving && p.table.Stays(endpoint) {
--- a/internal/kinds/kinds.go
+++ b/internal/kinds/kinds.go
@@ -8,39 +8,40 @@
 
 // All kinds. Any other value is handled as Internal.
 const (
-	BadRequest        Kind = "BadRequest"
-	BadCursor         Kind = "BadCursor"
-	BodyTooLarge      Kind = "BodyTooLarge"
-	KeyMissing        Kind = "KeyMissing"
-	KeyUnknown        Kind = "KeyUnknown"
-	KeyWithdrawn      Kind = "KeyWithdrawn"
-	Forbidden         Kind = "Forbidden"
-	RouteUnknown      Kind = "RouteUnknown"
-	AuthorityStale    Kind = "AuthorityStale"
-	QueueFull         Kind = "QueueFull"
-	DeadlineTooShort  Kind = "DeadlineTooShort"
-	DeadlineExceeded  Kind = "DeadlineExceeded"
-	NoEndpoint        Kind = "NoEndpoint"
-	EndpointRefused   Kind = "EndpointRefused"
-	OutcomeUnknown    Kind = "OutcomeUnknown"
-	StreamCut         Kind = "StreamCut"
-	Stopping          Kind = "Stopping"
-	StoreUnavailable  Kind = "StoreUnavailable"
-	StoreRefused      Kind = "StoreRefused"
-	HistoryGone       Kind = "HistoryGone"
-	Conflict          Kind = "Conflict"
-	NotFound          Kind = "NotFound"
-	NotHolder         Kind = "NotHolder"
-	NotReady          Kind = "NotReady"
-	ConsumerHeld      Kind = "ConsumerHeld"
-	LotNotReady       Kind = "LotNotReady"
-	ConfigInvalid     Kind = "ConfigInvalid"
-	CredentialInvalid Kind = "CredentialInvalid"
-	RateLimited       Kind = "RateLimited"
-	EndpointsLimited  Kind = "EndpointsLimited"
-	EndpointsCrashed  Kind = "EndpointsCrashed"
-	StreamUnresumable Kind = "StreamUnresumable"
-	Internal          Kind = "Internal"
+	BadRequest         Kind = "BadRequest"
+	BadCursor          Kind = "BadCursor"
+	BodyTooLarge       Kind = "BodyTooLarge"
+	KeyMissing         Kind = "KeyMissing"
+	KeyUnknown         Kind = "KeyUnknown"
+	KeyWithdrawn       Kind = "KeyWithdrawn"
+	Forbidden          Kind = "Forbidden"
+	RouteUnknown       Kind = "RouteUnknown"
+	AuthorityStale     Kind = "AuthorityStale"
+	QueueFull          Kind = "QueueFull"
+	DeadlineTooShort   Kind = "DeadlineTooShort"
+	DeadlineExceeded   Kind = "DeadlineExceeded"
+	NoEndpoint         Kind = "NoEndpoint"
+	EndpointRefused    Kind = "EndpointRefused"
+	OutcomeUnknown     Kind = "OutcomeUnknown"
+	StreamCut          Kind = "StreamCut"
+	Stopping           Kind = "Stopping"
+	StoreUnavailable   Kind = "StoreUnavailable"
+	StoreRefused       Kind = "StoreRefused"
+	HistoryGone        Kind = "HistoryGone"
+	Conflict           Kind = "Conflict"
+	NotFound           Kind = "NotFound"
+	NotHolder          Kind = "NotHolder"
+	NotReady           Kind = "NotReady"
+	ConsumerHeld       Kind = "ConsumerHeld"
+	LotNotReady        Kind = "LotNotReady"
+	ConfigInvalid      Kind = "ConfigInvalid"
+	CredentialInvalid  Kind = "CredentialInvalid"
+	RateLimited        Kind = "RateLimited"
+	EndpointsLimited   Kind = "EndpointsLimited"
+	EndpointsCrashed   Kind = "EndpointsCrashed"
+	StreamUnresumable  Kind = "StreamUnresumable"
+	EndpointsUnreached Kind = "EndpointsUnreached"
+	Internal           Kind = "Internal"
 )
 
 // Run tells whether an endpoint ran the request.
@@ -61,39 +62,40 @@
 }
 
 var answers = map[Kind]Answer{
-	BadRequest:        {http.StatusBadRequest, NotRun, false},
-	BadCursor:         {http.StatusBadRequest, NotRun, false},
-	BodyTooLarge:      {http.StatusRequestEntityTooLarge, NotRun, false},
-	KeyMissing:        {http.StatusUnauthorized, NotRun, false},
-	KeyUnknown:        {http.StatusUnauthorized, NotRun, false},
-	KeyWithdrawn:      {http.StatusUnauthorized, NotRun, false},
-	Forbidden:         {http.StatusForbidden, NotRun, false},
-	RouteUnknown:      {http.StatusNotFound, NotRun, false},
-	AuthorityStale:    {http.StatusServiceUnavailable, NotRun, true},
-	QueueFull:         {http.StatusTooManyRequests, NotRun, true},
-	DeadlineTooShort:  {http.StatusServiceUnavailable, NotRun, true},
-	DeadlineExceeded:  {http.StatusGatewayTimeout, NotRun, true},
-	NoEndpoint:        {http.StatusServiceUnavailable, NotRun, true},
-	EndpointRefused:   {http.StatusServiceUnavailable, NotRun, true},
-	OutcomeUnknown:    {http.StatusBadGateway, Unknown, false},
-	StreamCut:         {http.StatusBadGateway, Unknown, false},
-	Stopping:          {http.StatusServiceUnavailable, NotRun, true},
-	StoreUnavailable:  {http.StatusServiceUnavailable, NotRun, true},
-	StoreRefused:      {http.StatusServiceUnavailable, NotRun, true},
-	HistoryGone:       {http.StatusGone, NotRun, false},
-	Conflict:          {http.StatusConflict, NotRun, false},
-	NotFound:          {http.StatusNotFound, NotRun, false},
-	NotHolder:         {http.StatusServiceUnavailable, NotRun, true},
-	NotReady:          {http.StatusServiceUnavailable, NotRun, true},
-	ConsumerHeld:      {http.StatusConflict, NotRun, true},
-	LotNotReady:       {http.StatusServiceUnavailable, NotRun, true},
-	ConfigInvalid:     {http.StatusUnprocessableEntity, NotRun, false},
-	CredentialInvalid: {http.StatusUnauthorized, NotRun, false},
-	RateLimited:       {http.StatusTooManyRequests, NotRun, true},
-	EndpointsLimited:  {http.StatusServiceUnavailable, NotRun, true},
-	EndpointsCrashed:  {http.StatusBadGateway, NotRun, false},
-	StreamUnresumable: {http.StatusServiceUnavailable, NotRun, true},
-	Internal:          {http.StatusInternalServerError, Unknown, false},
+	BadRequest:         {http.StatusBadRequest, NotRun, false},
+	BadCursor:          {http.StatusBadRequest, NotRun, false},
+	BodyTooLarge:       {http.StatusRequestEntityTooLarge, NotRun, false},
+	KeyMissing:         {http.StatusUnauthorized, NotRun, false},
+	KeyUnknown:         {http.StatusUnauthorized, NotRun, false},
+	KeyWithdrawn:       {http.StatusUnauthorized, NotRun, false},
+	Forbidden:          {http.StatusForbidden, NotRun, false},
+	RouteUnknown:       {http.StatusNotFound, NotRun, false},
+	AuthorityStale:     {http.StatusServiceUnavailable, NotRun, true},
+	QueueFull:          {http.StatusTooManyRequests, NotRun, true},
+	DeadlineTooShort:   {http.StatusServiceUnavailable, NotRun, true},
+	DeadlineExceeded:   {http.StatusGatewayTimeout, NotRun, true},
+	NoEndpoint:         {http.StatusServiceUnavailable, NotRun, true},
+	EndpointRefused:    {http.StatusServiceUnavailable, NotRun, true},
+	OutcomeUnknown:     {http.StatusBadGateway, Unknown, false},
+	StreamCut:          {http.StatusBadGateway, Unknown, false},
+	Stopping:           {http.StatusServiceUnavailable, NotRun, true},
+	StoreUnavailable:   {http.StatusServiceUnavailable, NotRun, true},
+	StoreRefused:       {http.StatusServiceUnavailable, NotRun, true},
+	HistoryGone:        {http.StatusGone, NotRun, false},
+	Conflict:           {http.StatusConflict, NotRun, false},
+	NotFound:           {http.StatusNotFound, NotRun, false},
+	NotHolder:          {http.StatusServiceUnavailable, NotRun, true},
+	NotReady:           {http.StatusServiceUnavailable, NotRun, true},
+	ConsumerHeld:       {http.StatusConflict, NotRun, true},
+	LotNotReady:        {http.StatusServiceUnavailable, NotRun, true},
+	ConfigInvalid:      {http.StatusUnprocessableEntity, NotRun, false},
+	CredentialInvalid:  {http.StatusUnauthorized, NotRun, false},
+	RateLimited:        {http.StatusTooManyRequests, NotRun, true},
+	EndpointsLimited:   {http.StatusServiceUnavailable, NotRun, true},
+	EndpointsCrashed:   {http.StatusBadGateway, NotRun, false},
+	StreamUnresumable:  {http.StatusServiceUnavailable, NotRun, true},
+	EndpointsUnreached: {http.StatusServiceUnavailable, NotRun, true},
+	Internal:           {http.StatusInternalServerError, Unknown, false},
 }
 
 // AnswerFor returns the answer for k, and the answer for Internal if k is not one of the kinds above. It may be called
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -9,6 +9,7 @@
 
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/reach"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -42,6 +43,7 @@
 type Component struct {
 	Self       event.Host
 	Membership Membership
+	Links      reach.Links // nil for links that are never cut
 
 	timing         config.Lease
 	meshUpTo       int // maximum number of hosts of a fully connected fleet
--- a/internal/lease/takeover.go
+++ b/internal/lease/takeover.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -48,6 +49,21 @@
 	}
 }
 
+// candidates returns the names of the hosts that are alive, without those that are cut off from the endpoints unless all are.
+func (p *Component) candidates(now time.Duration) []string {
+	alive := hostNames(p.Membership.Alive(now))
+	if p.Links == nil {
+		return alive
+	}
+	reaching := slices.DeleteFunc(slices.Clone(alive), func(host string) bool {
+		return p.Links.HostCutOff(host) || host == p.Self.Name && p.Links.CutOff(now)
+	})
+	if len(reaching) == 0 {
+		return alive
+	}
+	return reaching
+}
+
 // candidateRank returns this daemon's rank among the candidates for a duty and the interval of its reads; ok is false
 // when it is not a candidate. In a fully connected fleet the first few hosts that are alive are candidates. In a larger
 // fleet no host knows which hosts are alive, and few receive heartbeats from the holder: there each host is a candidate
@@ -56,7 +72,7 @@
 func (p *Component) candidateRank(d *duty, now time.Duration) (rank int, interval time.Duration, ok bool) {
 	known := p.Membership.Known()
 	if len(known) <= p.meshUpTo {
-		rank = ranks.Rank(d.name, hostNames(p.Membership.Alive(now)), p.Self.Name)
+		rank = ranks.Rank(d.name, p.candidates(now), p.Self.Name)
 		return rank, readInterval, rank >= 0 && rank < maxCandidates
 	}
 	if !d.rankValid {
--- a/internal/reach/component.go
+++ b/internal/reach/component.go
@@ -25,6 +25,9 @@
 	trialSize = 2
 	// maxAnswered is the part of the probed endpoints that may answer a host that is cut off.
 	maxAnswered = 0.25
+	// doubtedEndpoints is the number of endpoints to which connections must fail within doubtMemory for a round of probes.
+	doubtedEndpoints = 2
+	doubtMemory      = time.Second
 	// healedRounds is the number of whole rounds in a row after which a host is no longer cut off.
 	healedRounds = 2
 	// relayContact is the age up to which another host's last word from an endpoint counts.
@@ -45,10 +48,12 @@
 	Self       string // name of this host
 	Membership Membership
 
-	endpoints []wire.Endpoint // that may be probed, in the order in which they are
-	next      int             // index of the next one
-	contactAt time.Duration   // last word from an endpoint, 0 for none
-	doubted   bool            // a connection has failed since the last round
+	endpoints []wire.Endpoint                  // that may be probed, in the order in which they are
+	next      int                              // index of the next one
+	contactAt time.Duration                    // last word from an endpoint, 0 for none
+	failed    map[wire.LeaveMark]time.Duration // when a connection to an endpoint last failed
+	waiting   time.Duration                    // when something was sent that is late to be answered, 0 for none
+	alarmed   bool                             // several endpoints are to be probed
 	round     round
 	roundAt   time.Duration // start of the last round
 	cutOff    bool
@@ -128,20 +133,36 @@
 		return
 	}
 	quiet := now-max(p.contactAt, p.roundAt) >= quietTime
+	late := p.waiting > p.contactAt && now-p.roundAt >= roundPause
+	p.waiting = 0
 	switch {
 	case len(p.endpoints) == 0:
 	case p.cutOff && now-p.roundAt >= cutPause:
 		p.startRound(now, trialSize, out)
 	case p.cutOff:
-	case p.doubted && now-p.roundAt >= roundPause:
+	case p.alarmed && now-p.roundAt >= roundPause:
 		p.startRound(now, roundSize, out)
-	case quiet:
+	case quiet || late:
 		p.probeKept(now, out)
 	}
 }
 
-// Doubt takes that a connection to an endpoint failed or is silent, so that the endpoints are probed soon.
-func (p *Component) Doubt(time.Duration) { p.doubted = true }
+// Doubt takes that a connection to an endpoint failed. One endpoint may be down; when several fail at once, they are probed.
+func (p *Component) Doubt(now time.Duration, endpoint wire.LeaveMark) {
+	if p.failed == nil {
+		p.failed = map[wire.LeaveMark]time.Duration{}
+	}
+	p.failed[endpoint] = now
+	for id, at := range p.failed {
+		if now-at > doubtMemory {
+			delete(p.failed, id)
+		}
+	}
+	p.alarmed = p.alarmed || len(p.failed) >= min(doubtedEndpoints, len(p.endpoints))
+}
+
+// Waiting takes that something was sent to an endpoint at the time sent and is not answered yet, although it is late.
+func (p *Component) Waiting(sent time.Duration) { p.waiting = max(p.waiting, sent) }
 
 // probeKept probes one endpoint on a kept connection, which costs little. When it doesn't answer, several are probed.
 func (p *Component) probeKept(now time.Duration, out *event.Batch) {
@@ -156,7 +177,8 @@
 }
 
 func (p *Component) startRound(now time.Duration, size int, out *event.Batch) {
-	p.doubted, p.roundAt = false, now
+	p.alarmed, p.roundAt = false, now
+	clear(p.failed)
 	p.round = round{open: map[wire.LeaveMark]bool{}, decides: true, until: now + probeTimeout, startedAt: now}
 	for range min(size, len(p.endpoints)) {
 		p.next = (p.next + 1) % len(p.endpoints)
@@ -196,7 +218,7 @@
 			p.setCutOff(now, false, ended, out)
 		}
 	case !ended.decides && ended.answered == 0:
-		p.doubted, p.roundAt = true, now-roundPause // the next round asks more of them at once
+		p.alarmed, p.roundAt = true, now-roundPause // the next round asks more of them at once
 	case ended.decides && float64(ended.answered) <= maxAnswered*float64(ended.asked) && len(p.Relays(now)) > 0:
 		p.setCutOff(now, true, ended, out)
 	}
@@ -209,7 +231,8 @@
 		name = "LinksLost"
 	}
 	out.Emit(event.Log{Level: "warn", Event: name, Fields: []event.Field{
-		{Key: "Asked", Value: strconv.Itoa(by.asked)}, {Key: "Answered", Value: strconv.Itoa(by.answered)},
+		{Key: "Asked", Value: strconv.Itoa(by.asked)},
+		{Key: "Answered", Value: strconv.Itoa(by.answered)},
 		{Key: "TookMS", Value: strconv.FormatInt((now - by.startedAt).Milliseconds(), 10)},
 		{Key: "SilentMS", Value: strconv.FormatInt((now - p.contactAt).Milliseconds(), 10)},
 		{Key: "Relays", Value: strconv.Itoa(len(p.Relays(now)))},
--- a/internal/reach/component_test.go
+++ b/internal/reach/component_test.go
@@ -255,3 +255,52 @@
 		t.Errorf("%d probes beside answers", f.probes)
 	}
 }
+
+// The failure of one endpoint's connections must cost no round of probes, and that of several must.
+func TestFailedConnectionsAreChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed []string
+		probes int
+	}{"None": {nil, 0}, "OneEndpoint": {[]string{"e1", "e1", "e1"}, 0}, "Several": {[]string{"e1", "e2"}, roundSize}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2, 10)
+			f.run(3 * time.Second)
+			f.step("h0", event.EndpointAnswered{Endpoint: "e9", Incarnation: "1"})
+			f.step("h1", event.EndpointAnswered{Endpoint: "e9", Incarnation: "1"})
+			f.probes = 0
+			for _, e := range c.failed {
+				f.parts["h0"].Doubt(f.now, wire.LeaveMark{Endpoint: e, Incarnation: "1"})
+			}
+			f.run(400 * time.Millisecond)
+			if f.probes != c.probes {
+				t.Errorf("%d probes, want %d", f.probes, c.probes)
+			}
+		})
+	}
+}
+
+// A request that is late must have one endpoint probed, unless something was heard since it was sent.
+func TestLateAnswersAreChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		heard  bool
+		probes int
+	}{"NothingHeard": {false, 1}, "HeardSince": {true, 0}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1, 10)
+			f.run(3 * time.Second)
+			f.step("h0", event.EndpointAnswered{Endpoint: "e1", Incarnation: "1"})
+			f.run(300 * time.Millisecond)
+			f.probes = 0
+			sent := f.now
+			if c.heard {
+				f.now += time.Millisecond
+				f.step("h0", event.EndpointAnswered{Endpoint: "e1", Incarnation: "1"})
+			}
+			f.parts["h0"].Waiting(sent)
+			f.run(100 * time.Millisecond)
+			if f.probes != c.probes {
+				t.Errorf("%d probes, want %d", f.probes, c.probes)
+			}
+		})
+	}
+}
--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -2,7 +2,11 @@
 // theirs.
 package reach
 
-import "time"
+import (
+	"time"
+
+	"github.com/figshift/figshift/internal/wire"
+)
 
 // Links tells what this host's connections to endpoints are worth.
 type Links interface {
@@ -12,8 +16,10 @@
 	Relays(now time.Duration) []string
 	// HostCutOff reports whether another host says that it reaches hardly any endpoint.
 	HostCutOff(host string) bool
-	// Doubt takes that a connection to an endpoint failed or is silent, so that the endpoints are probed soon.
-	Doubt(now time.Duration)
+	// Doubt takes that a connection to an endpoint failed.
+	Doubt(now time.Duration, endpoint wire.LeaveMark)
+	// Waiting takes that something was sent to an endpoint at the time sent and is not answered yet, although it is late.
+	Waiting(sent time.Duration)
 }
 
 // Unbroken is Links that are never cut. It is the baseline of Component.
@@ -29,4 +35,7 @@
 func (Unbroken) HostCutOff(string) bool { return false }
 
 // Doubt does nothing.
-func (Unbroken) Doubt(time.Duration) {}
+func (Unbroken) Doubt(time.Duration, wire.LeaveMark) {}
+
+// Waiting does nothing.
+func (Unbroken) Waiting(time.Duration) {}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -171,6 +171,14 @@
 	}
 }
 
+// ForgetFailures drops the failures of all endpoints, which were those of this host's links.
+func (t *Table) ForgetFailures() {
+	for _, e := range t.endpoints {
+		e.failures = 0
+	}
+	clear(t.summaries)
+}
+
 // PoolOf returns the pool of an incarnation of an endpoint, and false when it is not known.
 func (t *Table) PoolOf(id wire.LeaveMark) (string, bool) {
 	e, ok := t.endpoints[id.Endpoint]
--- a/internal/serve/helpers_test.go
+++ b/internal/serve/helpers_test.go
@@ -58,6 +58,12 @@
 }
 
 func newTestServer(tb testing.TB, endpoints ...wire.Endpoint) *testServer {
+	tb.Helper()
+	return newTestServerWith(tb, func(*flow.Component, *call.Executor) {}, endpoints...)
+}
+
+// newTestServerWith is newTestServer with a function that sets fields before the start.
+func newTestServerWith(tb testing.TB, set func(p *flow.Component, x *call.Executor), endpoints ...wire.Endpoint) *testServer {
 	tb.Helper()
 	ts := &testServer{}
 	ts.flowComponent = &flow.Component{
@@ -68,6 +74,7 @@
 	ts.loop = &loop.Loop{State: &reduce.State{Components: []event.Part{ts.flowComponent}}, TickEvery: testTickInterval, QueueSize: 1024}
 	ts.loop.Prepare()
 	executor := &call.Executor{Incarnation: "test", Post: ts.loop.Post, Now: ts.loop.Now}
+	set(ts.flowComponent, executor)
 	executor.Prepare()
 	server := &Server{Executor: executor, Post: ts.loop.Post, Now: ts.loop.Now}
 	server.Prepare()
--- a/internal/update/component.go
+++ b/internal/update/component.go
@@ -12,6 +12,7 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/limit"
+	"github.com/figshift/figshift/internal/reach"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -48,10 +49,11 @@
 	Host      string
 	Trust     event.Trust
 	LocalRuns LocalRuns
-	Limits    limit.Gate // nil for limit.Unlimited
+	Limits    limit.Gate  // nil for limit.Unlimited
+	Links     reach.Links // nil for reach.Unbroken
 
 	site          *config.Site
-	dutyDeclared  bool
+	dutyWanted    bool
 	held          bool
 	epoch         uint64
 	endpoints     []wire.Endpoint
@@ -127,10 +129,7 @@
 	if p.site == nil {
 		return
 	}
-	if !p.dutyDeclared && len(p.site.Models) > 0 {
-		p.dutyDeclared = true
-		out.Raise(event.WantDuties{Owner: dutyOwner, Duties: []string{Duty}})
-	}
+	p.declareDuty(now, out)
 	until, epoch, ok := p.Trust.Holds(Duty, now)
 	if !p.held || !ok || epoch != p.epoch || until-now < minLeaseLeft {
 		return
@@ -141,6 +140,20 @@
 	}
 }
 
+// declareDuty wants the duty when there are models, unless this host is cut off from the engines.
+func (p *Component) declareDuty(now time.Duration, out *event.Batch) {
+	wanted := len(p.site.Models) > 0 && (p.Links == nil || !p.Links.CutOff(now))
+	if wanted == p.dutyWanted || len(p.site.Models) == 0 {
+		return
+	}
+	p.dutyWanted = wanted
+	want := event.WantDuties{Owner: dutyOwner}
+	if wanted {
+		want.Duties = []string{Duty}
+	}
+	out.Raise(want)
+}
+
 // updateBusyEngines collects the engines that run items of any host.
 func (p *Component) updateBusyEngines() {
 	p.busyEngines = map[string]bool{}
@@ -352,10 +365,13 @@
 		out.Raise(event.ReleaseDuty{Duty: Duty}) // the engine has seen a higher epoch
 		return
 	}
-	for _, o := range p.orders {
+	for engine, o := range p.orders {
 		if o.id != e.OrderID {
 			continue
 		}
+		if e.Kind == kinds.EndpointRefused && p.Links != nil {
+			p.Links.Doubt(now, engine) // most of these orders could not be sent
+		}
 		if e.Kind == "" {
 			o.answerBy = 0
 			continue
