--- a/internal/flow/relay_test.go
+++ b/internal/flow/relay_test.go
@@ -20,8 +20,8 @@
 	doubts int
 }
 
-func (f *fakeLinks) CutOff(time.Duration) bool            { return f.cutOff }
-func (f *fakeLinks) Relays(time.Duration) []string        { return f.relays }
+func (f *fakeLinks) CutOff(time.Duration) bool           { return f.cutOff }
+func (f *fakeLinks) Relays(time.Duration) []string       { return f.relays }
 func (f *fakeLinks) Doubt(time.Duration, wire.LeaveMark) { f.doubts++ }
 
 func newLinksRig(cutOff bool, relays ...string) (*rig, *fakeLinks) {
@@ -69,11 +69,11 @@
 		again  bool
 		kind   kinds.Kind
 	}{
-		"RefusedNotRun":             {"/order", kinds.NotRun, event.ReasonRefused, true, ""},
-		"NoPath":                    {"/order", kinds.NotRun, event.ReasonDial, true, ""},
-		"BrokenPath":                {"/order", kinds.Unknown, event.ReasonBroken, false, kinds.OutcomeUnknown},
-		"BrokenPathMayRepeat":       {"/lookup", kinds.Unknown, event.ReasonBroken, true, ""},
-		"CutAnswer":                 {"/order", kinds.Unknown, event.ReasonCut, false, kinds.StreamCut},
+		"RefusedNotRun":              {"/order", kinds.NotRun, event.ReasonRefused, true, ""},
+		"NoPath":                     {"/order", kinds.NotRun, event.ReasonDial, true, ""},
+		"BrokenPath":                 {"/order", kinds.Unknown, event.ReasonBroken, false, kinds.OutcomeUnknown},
+		"BrokenPathMayRepeat":        {"/lookup", kinds.Unknown, event.ReasonBroken, true, ""},
+		"CutAnswer":                  {"/order", kinds.Unknown, event.ReasonCut, false, kinds.StreamCut},
 		"RefusedNotRunMayBeRepeated": {"/lookup", kinds.NotRun, event.ReasonRefused, true, ""},
 	}
 	for name, c := range cases {
@@ -103,10 +103,10 @@
 		path             string
 		sent, head, want bool
 	}{
-		"Repeatable":               {"/lookup", true, false, true},
-		"NotSentYet":               {"/order", false, false, true},
-		"SentAndRunsOnce":          {"/order", true, false, false},
-		"AnswerHasBegun":           {"/lookup", true, true, false},
+		"Repeatable":              {"/lookup", true, false, true},
+		"NotSentYet":              {"/order", false, false, true},
+		"SentAndRunsOnce":         {"/order", true, false, false},
+		"AnswerHasBegun":          {"/lookup", true, true, false},
 		"RepeatableAndNotSentYet": {"/lookup", false, false, true},
 	}
 	for name, c := range cases {
