reach: a service that is down is not taken for lost links

While all engines were down and plain services answered, each host took itself for cut off: rounds of probes asked engines alone, and the others' words from plain services counted as links. Calls to plain services would have gone round among hosts that refuse them. A round now asks each service, any answer means that links exist, and while cut off one answer a round is enough to heal beside a service that went down meanwhile.

TestHostsKnowThatTheyAreCutOff/AllButOneServiceDown and TestLinksAreBackBesideADeadService failed before (simulated fleets).

--- a/internal/reach/component.go
+++ b/internal/reach/component.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -19,16 +20,14 @@
 	// cutPause the one while this host is cut off.
 	roundPause = 300 * time.Millisecond
 	cutPause   = 500 * time.Millisecond
-	// roundSize is the number of endpoints that are probed at once while the links are in doubt, and trialSize the number
-	// while this host is cut off.
+	// roundSize is the number of endpoints that are probed at once while the links are in doubt, of each service one at least,
+	// and trialSize the number while this host is cut off.
 	roundSize = 5
 	trialSize = 2
-	// maxAnswered is the part of the probed endpoints that may answer a host that is cut off.
-	maxAnswered = 0.25
 	// doubtedEndpoints is the number of endpoints to which connections must fail within doubtMemory for a round of probes.
 	doubtedEndpoints = 2
 	doubtMemory      = time.Second
-	// healedRounds is the number of whole rounds in a row after which a host is no longer cut off.
+	// healedRounds is the number of rounds with an answer in a row after which a host is no longer cut off.
 	healedRounds = 2
 	// relayContact is the age up to which another host's last word from an endpoint counts.
 	relayContact = 2500 * time.Millisecond
@@ -48,8 +47,9 @@
 	Self       string // name of this host
 	Membership Membership
 
-	endpoints []wire.Endpoint                  // that may be probed, in the order in which they are
-	next      int                              // index of the next one
+	services  [][]wire.Endpoint                // endpoints that may be probed, by service
+	kept      *wire.Endpoint                   // that is probed on a kept connection
+	rounds    int                              // on new connections so far, in which the endpoints of each service take turns
 	contactAt time.Duration                    // last word from an endpoint, 0 for none
 	failed    map[wire.LeaveMark]time.Duration // when a connection to an endpoint last failed
 	waiting   time.Duration                    // when something was sent that is late to be answered, 0 for none
@@ -97,31 +97,26 @@
 	}
 }
 
-// setEndpoints takes the endpoints that may be probed: engines if there are any, which answer probes without a slot. The
-// order differs between hosts and puts availability zones beside each other.
+// setEndpoints takes the endpoints that may be probed, by service. Their order differs between hosts. The kept connection goes
+// to an engine if there is any, which answers probes without a slot.
 func (p *Component) setEndpoints(list []wire.Endpoint) {
-	var engines, services []wire.Endpoint
+	byName, names := map[string]wire.Endpoint{}, map[string][]string{}
 	for _, e := range list {
-		switch {
-		case e.State != wire.Live:
-		case len(e.Weights) > 0:
-			engines = append(engines, e)
-		default:
-			services = append(services, e)
+		if e.State == wire.Live {
+			byName[e.Name] = e
+			names[e.Service] = append(names[e.Service], e.Name)
 		}
 	}
-	if len(engines) == 0 {
-		engines = services
-	}
-	byName := map[string]wire.Endpoint{}
-	names := make([]string, 0, len(engines))
-	for _, e := range engines {
-		byName[e.Name] = e
-		names = append(names, e.Name)
-	}
-	p.endpoints = p.endpoints[:0]
-	for _, name := range ranks.Order(p.Self, names) {
-		p.endpoints = append(p.endpoints, byName[name])
+	p.services, p.kept = nil, nil
+	for _, service := range slices.Sorted(maps.Keys(names)) {
+		var endpoints []wire.Endpoint
+		for _, name := range ranks.Order(p.Self, names[service]) {
+			endpoints = append(endpoints, byName[name])
+		}
+		p.services = append(p.services, endpoints)
+		if e := &endpoints[0]; p.kept == nil || len(p.kept.Weights) == 0 && len(e.Weights) > 0 {
+			p.kept = e
+		}
 	}
 }
 
@@ -136,7 +131,7 @@
 	late := p.waiting > p.contactAt && now-p.roundAt >= roundPause
 	p.waiting = 0
 	switch {
-	case len(p.endpoints) == 0:
+	case p.kept == nil:
 	case p.cutOff && now-p.roundAt >= cutPause:
 		p.startRound(now, trialSize, out)
 	case p.cutOff:
@@ -158,7 +153,7 @@
 			delete(p.failed, id)
 		}
 	}
-	p.alarmed = p.alarmed || len(p.failed) >= min(doubtedEndpoints, len(p.endpoints))
+	p.alarmed = p.alarmed || len(p.failed) >= doubtedEndpoints
 }
 
 // Waiting takes that something was sent to an endpoint at the time sent and is not answered yet, although it is late.
@@ -166,7 +161,7 @@
 
 // probeKept probes one endpoint on a kept connection, which costs little. When it doesn't answer, several are probed.
 func (p *Component) probeKept(now time.Duration, out *event.Batch) {
-	e := p.endpoints[0]
+	e := *p.kept
 	p.roundAt = now
 	p.round = round{open: map[wire.LeaveMark]bool{markOf(e): true}, asked: 1, until: now + probeTimeout, startedAt: now}
 	out.Emit(event.ProbeEndpoint{Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Kept: true, Timeout: probeTimeout})
@@ -176,16 +171,23 @@
 	return wire.LeaveMark{Endpoint: e.Name, Incarnation: e.Incarnation}
 }
 
+// startRound probes a number of endpoints, and one of each service at least, so that the round tells the links from a service
+// that is down.
 func (p *Component) startRound(now time.Duration, size int, out *event.Batch) {
 	p.alarmed, p.roundAt = false, now
 	clear(p.failed)
 	p.round = round{open: map[wire.LeaveMark]bool{}, decides: true, until: now + probeTimeout, startedAt: now}
-	for range min(size, len(p.endpoints)) {
-		p.next = (p.next + 1) % len(p.endpoints)
-		e := p.endpoints[p.next]
-		p.round.open[markOf(e)] = true
-		p.round.asked++
-		out.Emit(event.ProbeEndpoint{Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Timeout: probeTimeout})
+	size = max(size, len(p.services))
+	perService := (size + len(p.services) - 1) / len(p.services)
+	p.rounds++
+	for n := range size {
+		endpoints := p.services[n%len(p.services)]
+		e := endpoints[(p.rounds*perService+n/len(p.services))%len(endpoints)]
+		if id := markOf(e); !p.round.open[id] {
+			p.round.open[id] = true
+			p.round.asked++
+			out.Emit(event.ProbeEndpoint{Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Timeout: probeTimeout})
+		}
 	}
 }
 
@@ -211,7 +213,7 @@
 	ended := p.round
 	p.round = round{}
 	switch {
-	case p.cutOff && ended.answered < ended.asked:
+	case p.cutOff && ended.answered == 0:
 		p.healed = 0
 	case p.cutOff:
 		if p.healed++; p.healed >= healedRounds {
@@ -219,7 +221,7 @@
 		}
 	case !ended.decides && ended.answered == 0:
 		p.alarmed, p.roundAt = true, now-roundPause // the next round asks more of them at once
-	case ended.decides && float64(ended.answered) <= maxAnswered*float64(ended.asked) && len(p.Relays(now)) > 0:
+	case ended.decides && ended.answered == 0 && len(p.Relays(now)) > 0:
 		p.setCutOff(now, true, ended, out)
 	}
 }
--- a/internal/reach/component_test.go
+++ b/internal/reach/component_test.go
@@ -15,6 +15,7 @@
 const (
 	tick         = 50 * time.Millisecond
 	beatInterval = 600 * time.Millisecond
+	testServices = 3 // of the simulated endpoints, of which a trial probes one each
 	// noticedWithin is less than the time from the beginning of a cut after which callers' requests count.
 	noticedWithin = 2 * time.Second
 )
@@ -58,7 +59,8 @@
 func newFleet(hosts, endpoints int) *fleet {
 	f := &fleet{parts: map[string]*Component{}, changes: map[string]int{}, path: func(string, string) path { return open }}
 	for n := range endpoints {
-		f.endpoints = append(f.endpoints, wire.Endpoint{Name: fmt.Sprintf("e%d", n), Incarnation: "1", State: wire.Live, Address: "a"})
+		service := []string{"engines", "plain", "plain", "other", "engines"}[n%5]
+		f.endpoints = append(f.endpoints, wire.Endpoint{Name: fmt.Sprintf("e%d", n), Incarnation: "1", State: wire.Live, Address: "a", Service: service})
 	}
 	for n := range hosts {
 		f.names = append(f.names, fmt.Sprintf("h%d", n))
@@ -158,6 +160,7 @@
 		"OneEndpointDown":      {hosts: all, endpoints: []string{"e0"}, how: refuses},
 		"HalfTheEndpointsDown": {hosts: all, endpoints: []string{"e0", "e1", "e2", "e3", "e4"}, how: hangs},
 		"HalfForOneHost":       {hosts: all[:1], endpoints: []string{"e0", "e1", "e2", "e3", "e4"}, how: hangs},
+		"AllButOneServiceDown": {hosts: all, endpoints: []string{"e0", "e1", "e2", "e4", "e5", "e6", "e7", "e9"}, how: refuses},
 		"SlowForAll":           {hosts: all, how: slow},
 		"NoneCut":              {},
 	}
@@ -203,6 +206,29 @@
 	}
 }
 
+// A host took a service that had gone down during the cut for links that were still cut.
+func TestLinksAreBackBesideADeadService(t *testing.T) {
+	f := newFleet(3, 10)
+	f.run(3 * time.Second)
+	f.path = func(host, _ string) path {
+		if host == "h0" {
+			return hangs
+		}
+		return open
+	}
+	f.run(noticedWithin)
+	f.path = func(_, endpoint string) path {
+		if endpoint != "e3" && endpoint != "e8" {
+			return refuses
+		}
+		return open
+	}
+	f.run(2 * noticedWithin)
+	if got := f.cutOff(); len(got) > 0 {
+		t.Errorf("cut off beside dead services: %v", got)
+	}
+}
+
 // A host whose links come and go must not change its mind with each probe.
 func TestCutThatFlaps(t *testing.T) {
 	f := newFleet(4, 10)
@@ -225,7 +251,7 @@
 	for name, c := range map[string]struct {
 		how  path
 		most float64 // probes a second and host
-	}{"Open": {open, 1 / quietTime.Seconds()}, "Hangs": {hangs, trialSize/cutPause.Seconds() + 1}, "Refuses": {refuses, trialSize/cutPause.Seconds() + 1}} {
+	}{"Open": {open, 1 / quietTime.Seconds()}, "Hangs": {hangs, testServices/cutPause.Seconds() + 1}, "Refuses": {refuses, testServices/cutPause.Seconds() + 1}} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(2, 50)
 			f.run(3 * time.Second)
