conns: the interval of keep-alive probes is what the kernel has in force

The interval was given as 500 ms; the kernel has whole seconds, so that it was 1 s, and the four seconds that the probes would take were cut short by TCP_USER_TIMEOUT, which decides whatever the count says. The constants now say what is in force; connections fail after the same time as before.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -15,9 +15,11 @@
 const (
 	// keepAliveIdle is the time without traffic after which TCP keep-alive probes are sent.
 	keepAliveIdle = time.Second
-	// A connection fails after keepAliveIdle and keepAliveCount unanswered probes, one every keepAliveInterval.
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	// keepAliveInterval is the time between two probes, in whole seconds as the kernel takes it, and keepAliveCount the number
+	// of unanswered ones after which a connection fails. With a TCP_USER_TIMEOUT the kernel ignores that number: a connection
+	// fails at the first probe later than userTimeout after the last word.
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
 	// userTimeout is the time for which written bytes may stay unacknowledged (TCP_USER_TIMEOUT).
 	userTimeout = 2500 * time.Millisecond
 )
