reach: probes keep to the limits that endpoints name

Probes counted against no limit: an idle host asks an endpoint each 0.7 s, more than some endpoints take from all hosts together. They are polls for the limit now, and go to another endpoint when one takes none. TestProbesKeepToLimits fails without the gate: six endpoints that take one probe each got 13 to 38 in 20 s.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -268,6 +268,7 @@
 func (d *platformDaemon) addCalls() {
 	d.trust = viewTrust{Component: d.viewComponent, leases: d.leaseComponent}
 	d.limits = &limit.Component{Self: d.self.Name}
+	d.links.Limits = d.limits
 	d.members.BeatFillers = append(d.members.BeatFillers, d.limits)
 	d.addComponent(d.limits)
 	crashes := &crash.Component{Self: d.self.Name, Membership: d.members}
--- a/internal/reach/component_test.go
+++ b/internal/reach/component_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -270,6 +271,40 @@
 	}
 }
 
+// limited is a limit.Gate by which a host may send to an endpoint once only.
+type limited struct {
+	limit.Unlimited
+	taken map[wire.LeaveMark]int
+}
+
+func (l limited) Allowance(_ time.Duration, e wire.LeaveMark, _ limit.Source) limit.Allowance {
+	return limit.Allowance{Limited: true, Left: float64(1 - l.taken[e])}
+}
+
+func (l limited) Take(_ time.Duration, e wire.LeaveMark, _ limit.Source, n int) { l.taken[e] += n }
+
+// Probes went to endpoints beyond the limits that they name.
+func TestProbesKeepToLimits(t *testing.T) {
+	f := newFleet(2, 6)
+	gate := limited{taken: map[wire.LeaveMark]int{}}
+	f.parts["h0"].Limits = gate
+	f.path = func(host, _ string) path {
+		if host == "h0" {
+			return refuses
+		}
+		return open
+	}
+	f.run(20 * time.Second)
+	for e, n := range gate.taken {
+		if n > 1 {
+			t.Errorf("%s was probed %d times", e.Endpoint, n)
+		}
+	}
+	if len(gate.taken) == 0 {
+		t.Error("nothing was probed")
+	}
+}
+
 // A word from any endpoint must spare the probes.
 func TestTrafficSparesProbes(t *testing.T) {
 	f := newFleet(1, 5)
