reach: endpoints that name limits are not probed

What such an endpoint takes is left to requests; probes go to the others, also the one on a kept connection. TestLimitedEndpointsAreNotProbed replaces TestProbesKeepToLimits, which allowed a probe within the limit: it allows none.

--- a/internal/reach/component_test.go
+++ b/internal/reach/component_test.go
@@ -271,37 +271,36 @@
 	}
 }
 
-// limited is a limit.Gate by which a host may send to an endpoint once only.
-type limited struct {
+// limitedGate is a limit.Gate of which some endpoints name limits.
+type limitedGate struct {
 	limit.Unlimited
-	taken map[wire.LeaveMark]int
+	names []string
 }
 
-func (l limited) Allowance(_ time.Duration, e wire.LeaveMark, _ limit.Source) limit.Allowance {
-	return limit.Allowance{Limited: true, Left: float64(1 - l.taken[e])}
+func (g limitedGate) Allowance(_ time.Duration, e wire.LeaveMark, _ limit.Source) limit.Allowance {
+	return limit.Allowance{Limited: slices.Contains(g.names, e.Endpoint), Left: 1}
 }
 
-func (l limited) Take(_ time.Duration, e wire.LeaveMark, _ limit.Source, n int) { l.taken[e] += n }
-
-// Probes went to endpoints beyond the limits that they name.
-func TestProbesKeepToLimits(t *testing.T) {
+// Probes took what endpoints that name limits have left for requests.
+func TestLimitedEndpointsAreNotProbed(t *testing.T) {
 	f := newFleet(2, 6)
-	gate := limited{taken: map[wire.LeaveMark]int{}}
-	f.parts["h0"].Limits = gate
-	f.path = func(host, _ string) path {
-		if host == "h0" {
-			return refuses
+	f.parts["h0"].Limits = limitedGate{names: []string{"e0", "e2", "e4"}}
+	probed := map[string]int{}
+	f.path = func(host, endpoint string) path {
+		if host != "h0" {
+			return open
 		}
-		return open
+		probed[endpoint]++
+		return refuses
 	}
 	f.run(20 * time.Second)
-	for e, n := range gate.taken {
-		if n > 1 {
-			t.Errorf("%s was probed %d times", e.Endpoint, n)
+	for _, e := range []string{"e0", "e2", "e4"} {
+		if probed[e] > 0 {
+			t.Errorf("%s names a limit and was probed %d times", e, probed[e])
 		}
 	}
-	if len(gate.taken) == 0 {
-		t.Error("nothing was probed")
+	if probed["e1"]+probed["e3"]+probed["e5"] == 0 {
+		t.Error("no other endpoint was probed")
 	}
 }
 
--- a/internal/reach/round.go
+++ b/internal/reach/round.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figshift/figshift/internal/event"
@@ -59,31 +60,26 @@
 func (p *Component) probeKept(now time.Duration, out *event.Batch) {
 	p.roundAt = now
 	p.round = round{open: map[wire.LeaveMark]bool{}, until: now + probeTimeout, startedAt: now}
-	p.probe(now, *p.kept, true, out)
+	for _, endpoints := range append([][]wire.Endpoint{{*p.kept}}, p.services...) {
+		i := slices.IndexFunc(endpoints, func(e wire.Endpoint) bool { return !p.limited(now, e) })
+		if i >= 0 {
+			p.probe(endpoints[i], true, out)
+			return
+		}
+	}
 	p.dropEmptyRound()
 }
 
-// probe adds an endpoint to the round, unless a limit that it names keeps this host from it.
-func (p *Component) probe(now time.Duration, e wire.Endpoint, kept bool, out *event.Batch) bool {
-	id := markOf(e)
-	if p.round.open[id] || !p.allows(now, id) {
-		return false
-	}
-	p.round.open[id] = true
+// probe adds an endpoint to the round.
+func (p *Component) probe(e wire.Endpoint, kept bool, out *event.Batch) {
+	p.round.open[markOf(e)] = true
 	p.round.asked++
 	out.Emit(event.ProbeEndpoint{Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address, Kept: kept, Timeout: probeTimeout})
-	return true
 }
 
-func (p *Component) allows(now time.Duration, endpoint wire.LeaveMark) bool {
-	if p.Limits == nil {
-		return true
-	}
-	if !p.Limits.Allowance(now, endpoint, limit.Polls).Allows() {
-		return false
-	}
-	p.Limits.Take(now, endpoint, limit.Polls, 1)
-	return true
+// limited reports whether an endpoint names a limit. What it takes is left to requests.
+func (p *Component) limited(now time.Duration, e wire.Endpoint) bool {
+	return p.Limits != nil && p.Limits.Allowance(now, markOf(e), limit.Polls).Limited
 }
 
 func (p *Component) dropEmptyRound() {
@@ -109,7 +105,8 @@
 		endpoints := p.services[n%len(p.services)]
 		first := p.rounds*perService + n/len(p.services)
 		for i := range endpoints {
-			if p.probe(now, endpoints[(first+i)%len(endpoints)], false, out) {
+			if e := endpoints[(first+i)%len(endpoints)]; !p.round.open[markOf(e)] && !p.limited(now, e) {
+				p.probe(e, false, out)
 				break
 			}
 		}
