items: connections are identified only where versions are told

Each new connection for an item asked the engine for its incarnation, also on sites whose endpoints tell no software version, where nothing depends on the answer.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -297,7 +297,8 @@
 	hostAPI := &items.PeerClient{Hosts: d.hostAddresses, Secret: hex.EncodeToString(d.secret), HTTP: d.peerTransport}
 	d.jobExecutor = &items.Executor{
 		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayedStore, Calls: d.callExecutor, Names: platform.ItemNames(),
-		HTTP: conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), platform.CallNames().Identity, maxIdleConns, idleConnTimeout), Peers: hostAPI, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
+		HTTP:       conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), nil, maxIdleConns, idleConnTimeout),
+		Identified: conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), platform.CallNames().Identity, maxIdleConns, idleConnTimeout), Peers: hostAPI, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
 	}
 	d.jobExecutor.Prepare()
 	hostAPI.Executor = d.jobExecutor
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -26,6 +26,7 @@
 	Calls       *call.Executor // sends the calls that score texts
 	Names       HeaderNames
 	HTTP        http.RoundTripper // to engines
+	Identified  http.RoundTripper // to engines, on connections of which it is known to which incarnation they lead
 	Peers       Peers
 	Post        func(event.Event) bool
 	Now         func() time.Duration
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -82,11 +82,13 @@
 		return 0, event.ReasonBodyMissing
 	}
 	sent := x.Now()
-	if e.Software != "" {
+	transport := x.HTTP
+	if e.Identify {
+		transport = x.Identified
 		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { x.verify(info, e) }}
 		req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	}
-	resp, err := x.HTTP.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return 0, event.ReasonBroken
 	}
