figbed/internal/soak: hosts lose their links, engines start again with another version

HostNoLinks cuts a host from all servers (held, reset, or new connections refused); ServerAnew starts an engine again under its name with the other software version, which the store shows 0.8 s later. Four streamers leave streams of callers in the middle and take them up at random hosts. ORDER covers streams and texts of two versions, RECOVER the first tries at hosts without links. A violation of LIMIT tells what arrived, and each start of a server counts as another instance: 0.5 requests a second were exceeded by the next start of an engine, which had not named its limit yet (traced by the paths and times of the arrivals).

--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -82,6 +82,8 @@
 	server        *http.Server
 	crashes       []Crash
 	stopped       bool
+	restarting    bool // by Restart
+	restarts      int  // by Restart
 }
 
 // Order is an order to load a weight version of a model.
@@ -184,7 +186,7 @@
 
 // ServeHTTP handles a request for work and the platform's report and order calls.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.recordArrival(w)
+	s.recordArrival(w, r)
 	instance := s.currentInstance()
 	if expected := r.Header.Get(HeaderExpectInstance); expected != "" && expected != instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/figbed/internal/estate/trouble.go
+++ b/figbed/internal/estate/trouble.go
@@ -11,7 +11,8 @@
 // Arrival is a request or call of any kind that reached a server.
 type Arrival struct {
 	At       time.Time
-	Instance string // of the server
+	Instance string // of the server; each start is another one
+	Path     string
 }
 
 // Crash is the end of a server's instance under a request.
@@ -42,11 +43,15 @@
 }
 
 // Restart closes the server's connections and starts it again after RestartTime, under the same name and with another
-// version of its software. The store has the new entry RegisterDelay later.
+// version of its software. The store has the new entry RegisterDelay later. It does nothing while the server starts again.
 func (s *Server) Restart(software string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Software = software
+	if s.stopped || s.restarting {
+		return
+	}
+	s.restarting, s.Software = true, software
+	s.restarts++
 	s.end(s.instance)
 }
 
@@ -63,7 +68,7 @@
 		panic(err) // no other listener has the address
 	}
 	s.mu.Lock()
-	s.listener, s.startMS = listener, time.Now().UnixMilli()
+	s.listener, s.startMS, s.restarting = listener, time.Now().UnixMilli(), false
 	s.mu.Unlock()
 	s.serve()
 	time.Sleep(s.RegisterDelay)
@@ -101,11 +106,20 @@
 	return append([]Arrival(nil), s.arrivals...)
 }
 
+// start returns the name of the running instance, with the number of its restarts if it has kept its name. The caller holds
+// s.mu.
+func (s *Server) start() string {
+	if s.restarts == 0 {
+		return s.instance
+	}
+	return fmt.Sprintf("%s/%d", s.instance, s.restarts)
+}
+
 // recordArrival records an arrival and names the limit in the answer.
-func (s *Server) recordArrival(w http.ResponseWriter) {
+func (s *Server) recordArrival(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, Arrival{At: time.Now(), Instance: s.instance})
+	s.arrivals = append(s.arrivals, Arrival{At: time.Now(), Instance: s.start(), Path: r.URL.Path})
 	if s.limit > 0 {
 		w.Header().Set(HeaderLimit, strconv.FormatFloat(s.limit, 'f', -1, 64))
 	}
--- a/figbed/internal/soak/check_servers.go
+++ b/figbed/internal/soak/check_servers.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/figshift/figshift/figbed/internal/estate"
@@ -40,7 +43,7 @@
 			}
 			allowed := limitFactor*l.PerSecond*limitWindow.Seconds() + limitExtra
 			if float64(len(window)) > allowed && h.undisturbed(window[0].At, a.At, disruptionRecovery) {
-				violations = append(violations, fmt.Sprintf("LIMIT: %s names %v requests a second and got more than %v in %v", a.Instance, l.PerSecond, allowed, limitWindow))
+				violations = append(violations, fmt.Sprintf("LIMIT: %s names %v requests a second and got more than %v in %v: %s", a.Instance, l.PerSecond, allowed, limitWindow, arrivalKinds(window)))
 				break
 			}
 		}
@@ -68,3 +71,20 @@
 	}
 	return violations
 }
+
+// arrivalKinds returns the number of arrivals by the first part of their paths.
+func arrivalKinds(arrivals []estate.Arrival) string {
+	counts := map[string]int{}
+	for _, a := range arrivals {
+		kind, _, _ := strings.Cut(strings.TrimPrefix(a.Path, "/"), "/")
+		if kind == "api" {
+			kind = a.Path
+		}
+		counts[kind]++
+	}
+	var parts []string
+	for _, kind := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s %d", kind, counts[kind]))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/figbed/internal/soak/check_test.go
+++ b/figbed/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -75,6 +76,27 @@
 	return all
 }
 
+// addLinkCalls adds a host without links from second 10 on, and calls at it and at another one, of which some of the first
+// host's are served. The calls are sent in a part of that time.
+func addLinkCalls(h *History, from, to float64, served int) {
+	h.Spans = append(h.Spans, Span{Fault: Fault{Kind: HostNoLinks, Target: 1}, From: at(10), To: at(16)})
+	for n := range 20 {
+		for host, status := range map[int]int{1: 502, 2: 200} {
+			id := fmt.Sprintf("link-%d-%d", host, n)
+			c := Call{ID: id, Path: estate.Lookup + id, Key: estate.Key, Host: host, Sent: at(10 + from + (to-from)*float64(n)/20), Status: status}
+			if n < served {
+				c.Status = 200
+			}
+			c.Ended = c.Sent.Add(time.Second / 10)
+			if c.Status == 200 {
+				c.Body, c.Stamp = "answer of plain-1 to "+c.Path, "plain-1."+id
+				h.Runs = append(h.Runs, Run{Server: "plain-1", Run: estate.Run{ID: id, Path: c.Path, Tenant: estate.Tenant, At: c.Sent}})
+			}
+			h.Calls = append(h.Calls, c)
+		}
+	}
+}
+
 // addHarmfulRuns adds the crashes of three servers under a call at second 1, and further runs of the call.
 func addHarmfulRuns(h *History, runs int, seconds float64) {
 	const path = harmfulPath + "1"
@@ -104,6 +126,14 @@
 			h.Arrivals["plain-1"] = arrivals("plain-1", 40, 10)
 			h.Spans = []Span{{Fault: Fault{Kind: HostCut}, From: at(9), To: at(11)}}
 		}, nil},
+		"a text of two software versions": {func(h *History) { h.Runs[4].Software = "v2" }, []string{"ORDER: " + itemPath("j1-1") + " holds events of two"}},
+		"a text begun anew at another version": {func(h *History) {
+			h.Runs[4].Software, h.Runs[4].LastEventID, h.Runs[4].EventVersions = "v2", "", []uint64{5, 5, 5}
+			h.Reads[0].Results[1].Versions, h.Reads[1].Results[0].Versions = []uint64{5}, []uint64{5}
+		}, nil},
+		"a host without links serves nobody":     {func(h *History) { addLinkCalls(h, 3, 5, 0) }, []string{"RECOVER: host-1 reached no server and served 0 of 20 calls"}},
+		"a host without links serves a part":     {func(h *History) { addLinkCalls(h, 3, 5, 14) }, nil},
+		"calls soon after the links were lost":   {func(h *History) { addLinkCalls(h, 0, 2.9, 0) }, nil},
 		"a harmful request goes on":              {func(h *History) { addHarmfulRuns(h, 4, 5) }, []string{"BUDGET: /lookup/harmful-1 ran more than 3 times"}},
 		"a harmful request goes on three times":  {func(h *History) { addHarmfulRuns(h, 3, 5) }, nil},
 		"a harmful request goes on for a while":  {func(h *History) { addHarmfulRuns(h, 9, 3) }, nil},
--- a/figbed/internal/soak/draw.go
+++ b/figbed/internal/soak/draw.go
@@ -22,6 +22,7 @@
 	HostSlow     FaultKind = "HostSlow"     // the host's connections with the other hosts and the platform are delayed
 	HostReset    FaultKind = "HostReset"    // the host's connections with the other hosts and the platform are reset repeatedly
 	HostNoStore  FaultKind = "HostNoStore"  // the platform does not respond to the host
+	HostNoLinks  FaultKind = "HostNoLinks"  // the host reaches no server; Amount chooses one of linkFaults
 	ClockJump    FaultKind = "ClockJump"    // the host's wall clock is wrong
 	StoreRefuse  FaultKind = "StoreRefuse"  // the platform's object store answers every call with status 503
 	StoreSilent  FaultKind = "StoreSilent"  // the store does not respond
@@ -35,13 +36,17 @@
 	ServerGrey   FaultKind = "ServerGrey"   // a plain server answers some requests with status 500
 	ServerDrain  FaultKind = "ServerDrain"  // a server registers itself as draining, and later as ready
 	ServerLimit  FaultKind = "ServerLimit"  // a server names a limit of requests
+	ServerAnew   FaultKind = "ServerAnew"   // an engine starts again under its name, with another version of its software
 	ServerCrash  FaultKind = "ServerCrash"  // a caller sends a request that crashes each plain server that runs it, again and again
 	KeyChange    FaultKind = "KeyChange"    // an API key is replaced by a new one
 )
 
-// plannedKinds are the kinds during which every time limit holds: planned work of the operator, and what servers and callers
-// do that harms neither hosts nor connections.
-var plannedKinds = []FaultKind{HostStop, ServerDrain, ServerLimit, ServerCrash, KeyChange}
+// plannedKinds are the kinds during which every time limit holds: planned work of the operator, what servers and callers do
+// that harms neither hosts nor connections, and lost links to servers, since others reach them.
+var plannedKinds = []FaultKind{HostStop, HostNoLinks, ServerDrain, ServerLimit, ServerAnew, ServerCrash, KeyChange}
+
+// linkFaults are the ways in which a host loses its links to servers.
+var linkFaults = []Impairment{{HoldRequests: true, HoldResponses: true}, {Break: true}, {Refuse: true}}
 
 // Fault is one disruption or piece of planned work.
 type Fault struct {
@@ -81,6 +86,8 @@
 	ServerSlow: {targetsServer: true, minDuration: second, maxDuration: 6 * second, minAmount: 20, maxAmount: 300},
 	ServerGrey: {targetsServer: true, minAmount: 2, maxAmount: 20}, ServerDrain: {targetsServer: true, minDuration: 5 * second, maxDuration: 9 * second},
 	ServerLimit: {targetsServer: true, minDuration: 5 * second, maxDuration: 9 * second, minAmount: 10, maxAmount: 100},
+	HostNoLinks: {minDuration: 2 * second, maxDuration: 9 * second, maxAmount: len(linkFaults) - 1},
+	ServerAnew:  {targetsServer: true, maxDuration: 2 * second},
 	ServerCrash: {minDuration: 2 * second, maxDuration: 6 * second},
 	KeyChange:   {},
 }
@@ -110,6 +117,8 @@
 		{Kind: HostStop, Target: 1 + random.IntN(hosts), Start: second},
 		{Kind: ServerLimit, Target: plainServerCount + 1 + random.IntN(engineCount), Start: second / 2, Duration: 9 * second, Amount: 5},
 		{Kind: ServerCrash, Start: 800 * time.Millisecond, Duration: 9 * second},
+		{Kind: HostNoLinks, Target: 1 + random.IntN(hosts), Start: 2 * second, Duration: 8 * second, Amount: random.IntN(len(linkFaults))},
+		{Kind: ServerAnew, Target: plainServerCount + 1 + random.IntN(engineCount), Start: 3 * second},
 		{Kind: ServerLimit, Target: 1 + random.IntN(plainServerCount), Start: 4500 * time.Millisecond, Duration: 5500 * time.Millisecond, Amount: 50},
 	}
 	for at := plannedOnlyTime; at < span; at += randomDuration(random, minGap, maxGap) {
--- a/figbed/internal/soak/inject.go
+++ b/figbed/internal/soak/inject.go
@@ -62,6 +62,8 @@
 		r.drainServer(f)
 	case ServerLimit:
 		r.limitServer(f)
+	case ServerAnew:
+		r.restartServer(f)
 	case ServerCrash:
 		r.sendHarmfulCalls(f)
 	case KeyChange:
@@ -177,6 +179,20 @@
 	server.SetDraining(false)
 }
 
+// softwareVersions are the versions of the engines' software.
+var softwareVersions = []string{"v1", "v2"}
+
+// restartServer starts an engine again under its name, with the next version of its software.
+func (r *runner) restartServer(f Fault) {
+	server := r.testbed.platform.Servers[plainServerCount+(f.Target-1)%engineCount]
+	r.mu.Lock()
+	r.restarts[server.Name]++
+	version := softwareVersions[r.restarts[server.Name]%len(softwareVersions)]
+	r.mu.Unlock()
+	server.Restart(version)
+	time.Sleep(f.Duration)
+}
+
 // limitServer makes a server name a limit for the duration of the fault, unless it names one already.
 func (r *runner) limitServer(f Fault) {
 	server, perSecond := r.testbed.platform.Servers[f.Target-1], float64(f.Amount)/10
--- a/figbed/internal/soak/soak.go
+++ b/figbed/internal/soak/soak.go
@@ -16,6 +16,7 @@
 const (
 	callerCount   = 20 // spread over all hosts, with at least one per host
 	trainerCount  = 4
+	streamerCount = 4
 	checkInterval = 3 * time.Second
 	// recoveryTime is how long after the last fault the load goes on. By its end the hosts must serve every call again.
 	recoveryTime = 15 * time.Second
@@ -48,12 +49,13 @@
 	weightVersion int               // newest target weight version of the model
 	reported      []string          // violations reported so far
 	limited       map[string]bool   // servers that name a limit
+	restarts      map[string]int    // of engines, by name
 }
 
 // Run performs the soak, fails t for each violated guarantee, and returns the history.
 func (s Soak) Run(t proc.T) History {
 	rec := &recorder{history: History{Started: time.Now(), Events: streamEvents, Window: usageWindow, WithdrawnKeys: map[string]time.Time{}}}
-	r := &runner{t: t, soak: s, recorder: rec, testbed: newTestbed(t, s.Hosts, s.Port, rec), faultCounts: map[FaultKind]int{}, limited: map[string]bool{}, configVersion: initialVersion, weightVersion: initialVersion}
+	r := &runner{t: t, soak: s, recorder: rec, testbed: newTestbed(t, s.Hosts, s.Port, rec), faultCounts: map[FaultKind]int{}, limited: map[string]bool{}, restarts: map[string]int{}, configVersion: initialVersion, weightVersion: initialVersion}
 	r.testbed.start()
 	r.mu.Lock()
 	r.testbed.platform.Configure(initialVersion, estate.Key, r.rotatingKey())
@@ -86,6 +88,10 @@
 			wg.Go(func() { c.run(ctx) })
 		}
 	}
+	for n := range streamerCount {
+		s := &streamer{runner: r, name: fmt.Sprintf("s%d", n), random: r.newRandom(uint64(2000 + n)), client: newClient()}
+		wg.Go(func() { s.run(ctx) })
+	}
 	for n := range trainerCount {
 		t := &trainer{runner: r, name: fmt.Sprintf("t%d", n), random: r.newRandom(uint64(1000 + n)), client: newClient()}
 		wg.Go(func() { t.run(ctx) })
--- a/figbed/internal/soak/testbed.go
+++ b/figbed/internal/soak/testbed.go
@@ -40,6 +40,7 @@
 	harmfulPath       = estate.Lookup + "harmful-"
 	crashDelay        = 40 * time.Millisecond
 	restartTime       = 1200 * time.Millisecond
+	registerDelay     = 800 * time.Millisecond // from an engine's restart until the store shows it
 )
 
 // isHarmful reports whether a request crashes the server that runs it.
@@ -89,6 +90,7 @@
 		b.platform.Servers = append(b.platform.Servers, &estate.Server{
 			Name: fmt.Sprintf("engine-%d", n+1), Service: "engines", Zone: fmt.Sprintf("zone-%d", n%2+1), Models: []string{estate.Model},
 			Slots: engineSlots, EventInterval: eventInterval, EventsOf: streamEvents, RegisterAddress: b.startServerProxy,
+			Software: softwareVersions[n%len(softwareVersions)], RestartTime: restartTime, RegisterDelay: registerDelay,
 		})
 	}
 	return b
@@ -125,7 +127,7 @@
 // startServerProxy starts a proxy in front of a server and returns the proxy's address.
 func (b *testbed) startServerProxy(listen string) (string, error) {
 	number := len(b.serverProxies) + 1
-	p := &ImpairedProxy{Listen: "127.0.0.1:0", Upstream: listen, Impairment: func(string) Impairment { return b.serverImpairment(number) }}
+	p := &ImpairedProxy{Listen: "127.0.0.1:0", Upstream: listen, Impairment: func(source string) Impairment { return b.serverImpairment(number, hostOfBindIP(source)) }}
 	if err := p.Start(); err != nil {
 		return "", err
 	}
@@ -288,8 +290,13 @@
 	return impairment
 }
 
-// serverImpairment returns the impairment of connections to a server.
-func (b *testbed) serverImpairment(server int) (impairment Impairment) {
+// serverImpairment returns the impairment of a host's connections to a server.
+func (b *testbed) serverImpairment(server, host int) (impairment Impairment) {
+	b.eachActiveFault(func(f Fault) {
+		if f.Kind == HostNoLinks {
+			impairment = linkFaults[f.Amount%len(linkFaults)]
+		}
+	}, host)
 	b.eachActiveFault(func(f Fault) {
 		switch f.Kind {
 		case ServerSilent:
