figbed/internal/soak: a server that was draining comes back as another incarnation

A leave mark is final for an incarnation, as servers of the platform never go on after they were draining; so nothing was left to send to. The simulated server now comes back as another start.

--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -83,7 +83,7 @@
 	crashes       []Crash
 	stopped       bool
 	restarting    bool // by Restart
-	restarts      int  // by Restart
+	restarts      int  // under its name
 }
 
 // Order is an order to load a weight version of a model.
@@ -159,6 +159,16 @@
 	s.register()
 }
 
+// StartAnew registers the server as ready again after it was draining, as another incarnation: no server goes on after it
+// was draining.
+func (s *Server) StartAnew() {
+	s.mu.Lock()
+	s.draining, s.startMS = false, time.Now().UnixMilli()
+	s.restarts++
+	s.mu.Unlock()
+	s.register()
+}
+
 // SetEventInterval sets the interval between two events of a stream.
 func (s *Server) SetEventInterval(interval time.Duration) {
 	s.mu.Lock()
--- a/figbed/internal/soak/inject.go
+++ b/figbed/internal/soak/inject.go
@@ -164,7 +164,7 @@
 	r.mu.Unlock()
 }
 
-// drainServer makes a server register as draining for the duration of the fault, and as ready afterwards.
+// drainServer makes a server register as draining for the duration of the fault, and as another incarnation afterwards.
 func (r *runner) drainServer(f Fault) {
 	server := r.testbed.platform.Servers[f.Target-1]
 	server.SetDraining(true)
@@ -176,7 +176,7 @@
 	})
 	time.Sleep(f.Duration)
 	r.recorder.update(func(h *History) { h.Drains[index].To = time.Now() })
-	server.SetDraining(false)
+	server.StartAnew()
 }
 
 // softwareVersions are the versions of the engines' software.
