flow: a passed call waits for an endpoint where others do, and is refused at once where others are

A request whose first attempt broke waits at a host with links until an endpoint is back; through another host it was refused there, as a new one. The terms of a passed call now say that an attempt was made before. And a call that finds no endpoint at its first attempt gets that answer at once instead of two more attempts.

TestPassedRequestWaitsLikeOthers.

--- a/internal/call/relay.go
+++ b/internal/call/relay.go
@@ -53,6 +53,9 @@
 // handleRelayed handles the answer of the host that made the attempt. A refusal tells whether the request ran.
 func (a *attempt) handleRelayed(resp *http.Response) {
 	passed := resp.Header.Get(wire.HeaderPassed)
+	if passed != wire.PassedAnswer {
+		a.report.Refusal = kinds.Kind(passed)
+	}
 	switch {
 	case resp.StatusCode == http.StatusForbidden && passed == "":
 		a.fail(event.ReasonRefused) // the host takes no calls from this one
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -179,7 +179,8 @@
 	CachedTokens    int
 	GeneratedTokens int
 	HasUsage        bool
-	Closed          bool // the endpoint closed or reset the connection before its answer was whole
+	Refusal         kinds.Kind // why the other host refused a request that was passed on, "" for any other end
+	Closed          bool       // the endpoint closed or reset the connection before its answer was whole
 }
 
 // Reasons why an attempt ended without a whole answer.
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -178,7 +178,8 @@
 	if p.relayed(now, r) {
 		return p.makeRoom(now, r, out)
 	}
-	if r.class == config.Interactive && !p.table.Serves(now, r.pool) {
+	again := r.arrived.Pass != nil && r.arrived.Pass.Again
+	if r.class == config.Interactive && !again && !p.table.Serves(now, r.pool) {
 		p.demand.recordUnserved(now, r)
 		return kinds.NoEndpoint
 	}
--- a/internal/flow/relay.go
+++ b/internal/flow/relay.go
@@ -48,7 +48,7 @@
 	out.Emit(event.Count{Name: "RequestsPassed", N: 1})
 	terms := wire.PassTerms{
 		Service: r.service, Class: string(r.class), Idempotent: r.idempotent, Streaming: r.route.Streaming, TargetMS: r.route.Target.Milliseconds(),
-		Resumes: r.arrived.Resumes, Tokens: r.arrived.Tokens, Digest: r.arrived.Digest,
+		Resumes: r.arrived.Resumes, Again: r.attempts > 1, Tokens: r.arrived.Tokens, Digest: r.arrived.Digest,
 	}
 	if r.software != nil {
 		terms.Bound, terms.Software = true, *r.software
--- a/internal/flow/relay_test.go
+++ b/internal/flow/relay_test.go
@@ -97,6 +97,29 @@
 	}
 }
 
+// A request that was passed on was refused where one that arrives at a host with links waits for an endpoint to come back, and
+// tried again where none was left at first.
+func TestPassedRequestWaitsLikeOthers(t *testing.T) {
+	g, _ := newLinksRig(true, "h2", "h3")
+	s := g.startRunning(t, arrival(1, "Ledger", "/lookup"))
+	none := attemptDone(s, kinds.NotRun, event.ReasonRefused)
+	none.Refusal = kinds.NoEndpoint
+	wantAnswers(t, g.step(none), kinds.NoEndpoint)
+	s = g.startRunning(t, arrival(2, "Ledger", "/lookup"))
+	effects := append(g.step(attemptDone(s, kinds.Unknown, event.ReasonBroken)), g.advance(time.Second)...)
+	if again := requireStarted(t, effects); !again.Pass.Again {
+		t.Error("the second attempt doesn't say so")
+	}
+	other := newRig()
+	other.list()
+	passed := passedArrival(1)
+	wantAnswers(t, other.step(passed), kinds.NoEndpoint)
+	passed = passedArrival(2)
+	passed.Pass.Again = true
+	wantAnswers(t, other.step(passed))
+	requireStarted(t, other.list(rigEndpoint("a")))
+}
+
 // Requests that were under way when a host lost its links waited for their own deadline.
 func TestRequestsUnderWayAreRerouted(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/wire/pass.go
+++ b/internal/wire/pass.go
@@ -22,6 +22,7 @@
 	Bound      bool   // only endpoints with Software can go on with the call's stream
 	Software   string `msgpack:",omitempty"`
 	Resumes    string `msgpack:",omitempty"` // as in event.RequestArrived
+	Again      bool   `msgpack:",omitempty"` // an attempt was made before, so that the call may wait for an endpoint
 	Tokens     int
 	Digest     string `msgpack:",omitempty"` // as in event.RequestArrived
 }
