limit, items, flow: the question for an incarnation counts when it is sent

Each question was counted when its answer had come, after the next items had gone out. It counts with the item now, and is taken back on a connection that was in use.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -209,10 +209,14 @@
 	e.ownRunning++
 	p.runEngines[it.attempt] = leaveMark(&e.Endpoint)
 	p.Limits.Take(p.now, leaveMark(&e.Endpoint), limit.Items, 1)
+	charged := e.Software != "" && p.Limits.Allowance(p.now, leaveMark(&e.Endpoint), limit.Items).Limited
+	if charged {
+		p.Limits.Take(p.now, leaveMark(&e.Endpoint), limit.Polls, 1)
+	}
 	started := event.RunItem{
 		Job: ji.job.head.ID, Item: it.index, Attempt: it.attempt,
 		Endpoint: e.Name, Incarnation: e.Incarnation, Address: e.Address,
-		Software: e.Software, Identify: e.Software != "", Priority: r.Priority, Restart: it.restart, Silence: silenceTimeout, Deadline: ji.job.head.GiveUp,
+		Software: e.Software, Identify: e.Software != "", Charged: charged, Priority: r.Priority, Restart: it.restart, Silence: silenceTimeout, Deadline: ji.job.head.GiveUp,
 	}
 	if ji.job.head.Single && it.heldEvents > 0 && !it.restart && len(it.heldVersions) > 0 {
 		started.Version = it.heldVersions[len(it.heldVersions)-1]
--- a/internal/event/endpoint.go
+++ b/internal/event/endpoint.go
@@ -17,11 +17,13 @@
 }
 
 // EndpointIdentified reports what the endpoint at the other end of a new connection has told of itself. Found is its
-// incarnation, "" when it does not tell it; Incarnation is the one that was meant.
+// incarnation, "" when it does not tell it; Incarnation is the one that was meant. With Reused the connection was no new one,
+// and nothing was asked, although the question was counted against the endpoint's limit.
 type EndpointIdentified struct {
 	Endpoint    string
 	Incarnation string
 	Found       string
+	Reused      bool
 }
 
 // ProbeEndpoint asks an endpoint for a sign of life; EndpointProbed answers within about Timeout.
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -203,6 +203,7 @@
 	Priority    int
 	Software    string        // version of the endpoint's software; events of another one are discarded first
 	Identify    bool          // send only if the connection leads to Incarnation, of whose software version the events will be
+	Charged     bool          // the question for the incarnation is counted against the endpoint's limit
 	Version     uint64        // version that the endpoint must have, 0 for any
 	Restart     bool          // discard the held events first
 	Silence     time.Duration // longest time without an event before the run ends with ReasonSilent
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -111,6 +111,10 @@
 	p.beginAttempt(now, r, out)
 	p.table.AttemptStarted(e, r.item.Cost)
 	p.Limits.Take(now, markOf(e), limit.Requests, 1)
+	identify := (r.route.Streaming || r.generation) && e.Software != ""
+	if identify {
+		p.Limits.Take(now, markOf(e), limit.Polls, 1) // such a request has a connection of its own
+	}
 	p.beginIsolation(now, r, markOf(e))
 	r.endpoint, r.incarnation, r.price, r.sentTo = e.Name, e.Incarnation, string(e.Price), e.Endpoint
 	p.logRequest(now, r, "RequestSent", out, event.Field{Key: "Endpoint", Value: e.Name}, event.Field{Key: "Software", Value: e.Software}, event.Field{Key: "Try", Value: strconv.Itoa(r.attempts)},
@@ -128,7 +132,7 @@
 		Priority:     priority(r.class),
 		Idempotent:   r.idempotent,
 		Generation:   r.generation,
-		Identify:     (r.route.Streaming || r.generation) && e.Software != "",
+		Identify:     identify,
 		PassErrors:   !p.mayRetry(now, r),
 		Deadline:     r.deadline,
 		Sample:       r.arrived.Sample,
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -122,8 +122,8 @@
 // of itself on a new one.
 func (x *Executor) verify(info httptrace.GotConnInfo, e event.RunItem) {
 	found, ok := conns.Verify(info.Conn, e.Incarnation)
-	if ok && !info.Reused {
-		x.Post(event.EndpointIdentified{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Found: found})
+	if ok && (!info.Reused || e.Charged) {
+		x.Post(event.EndpointIdentified{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Found: found, Reused: info.Reused})
 	}
 }
 
--- a/internal/limit/component.go
+++ b/internal/limit/component.go
@@ -64,7 +64,9 @@
 	case event.EndpointAnswered:
 		p.handleAnswered(now, e, out)
 	case event.EndpointIdentified:
-		p.Take(now, wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}, Polls, 1)
+		if e.Reused {
+			p.Take(now, wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}, Polls, -1)
+		}
 	case event.EndpointsListed:
 		p.endpoints = e.List.Endpoints
 		p.dropUnlisted(now)
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -35,7 +35,8 @@
 type Gate interface {
 	// Allowance returns what this host may send to an endpoint from now on.
 	Allowance(now time.Duration, endpoint wire.LeaveMark, source Source) Allowance
-	// Take counts n requests that are sent to an endpoint now. It may exceed the allowance by less than n.
+	// Take counts n requests that are sent to an endpoint now, or takes them back when n is negative. It may exceed the
+	// allowance by less than n.
 	Take(now time.Duration, endpoint wire.LeaveMark, source Source, n int)
 }
 
