flow, reach: a host that takes no calls is no relay

One of the three other hosts was stopping for four seconds. It refused each passed call at once, so that it had the fewest calls under way and got each next one, and the refusals used up the budget for retries. A host that is stopping is no relay now; one that takes no call, or isn't reached, is passed by for a second; and the call goes to the next host at no cost, since no endpoint has seen it.

TestHostThatTakesNoCallsIsPassedBy, TestStoppingHostIsNoRelay.

--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -268,6 +268,7 @@
 		p.reroute(now, r)
 	case r.stopKind != "":
 		p.finish(now, r, r.stopKind, out)
+	case takesNoCalls(r, e) && p.passElsewhere(now, r):
 	case e.Refusal == kinds.NoEndpoint && r.attempts == 1:
 		p.finish(now, r, kinds.NoEndpoint, out) // at once, as a request that arrives where no endpoint is left
 	case !p.scheduleRetry(now, r, e, out):
--- a/internal/flow/component.go
+++ b/internal/flow/component.go
@@ -40,26 +40,27 @@
 	Queue       admit.Queue[uint64]           // nil for an admit.Fair
 	Picker      route.Picker[*route.Endpoint] // nil for a route.PrefixAffinity, within a route.Sticky when Sticky is set
 
-	site           *config.Site
-	routes         route.Routes
-	table          route.Table
-	budget         retry.Budget
-	servedTokens   admit.ServedTokens
-	throughputs    map[string]*admit.Throughput // by pool and class
-	requests       map[uint64]*request
-	queuedByPool   map[string]int           // number of queued requests by pool
-	limitedByPool  map[string]*limit.Recent // requests that were refused because of limits, by pool
-	passed         map[string]int           // number of this host's calls under way through each other host
-	pendingRetries int                      // requests that wait for their next attempt; they count towards QueuePerDaemon
-	isolation      isolation
-	timers         timers
-	lastAttempt    uint64 // number of the last attempt started
-	poller         poller
-	startup        startupGate
-	drain          drain
-	demand         demandTracker
-	refusals       map[string]map[kinds.Kind]uint64 // number of refused requests by organisation and kind
-	staleSince     time.Duration                    // time at which trust in the authority lapsed, 0 while it is trusted
+	site             *config.Site
+	routes           route.Routes
+	table            route.Table
+	budget           retry.Budget
+	servedTokens     admit.ServedTokens
+	throughputs      map[string]*admit.Throughput // by pool and class
+	requests         map[uint64]*request
+	queuedByPool     map[string]int           // number of queued requests by pool
+	limitedByPool    map[string]*limit.Recent // requests that were refused because of limits, by pool
+	passed           map[string]int           // number of this host's calls under way through each other host
+	relayPausedUntil map[string]time.Duration // by host that took no call
+	pendingRetries   int                      // requests that wait for their next attempt; they count towards QueuePerDaemon
+	isolation        isolation
+	timers           timers
+	lastAttempt      uint64 // number of the last attempt started
+	poller           poller
+	startup          startupGate
+	drain            drain
+	demand           demandTracker
+	refusals         map[string]map[kinds.Kind]uint64 // number of refused requests by organisation and kind
+	staleSince       time.Duration                    // time at which trust in the authority lapsed, 0 while it is trusted
 }
 
 // Step applies one event.
--- a/internal/flow/relay.go
+++ b/internal/flow/relay.go
@@ -20,12 +20,21 @@
 	return r.arrived.Pass == nil && r.arrived.Sample == nil && !r.generation && p.Links.CutOff(now)
 }
 
+// relayPause is the time for which a host that took a call for nobody gets no other one while there are others. Since it
+// answers at once, it would always be the one with the fewest calls.
+const relayPause = time.Second
+
 // pickRelay returns the host through which a request goes: of those that reach endpoints the one that has the fewest calls of
-// this host, and one that was not tried before if there is any.
+// this host. Hosts that were tried before, or that have just taken no call, come last.
 func (p *Component) pickRelay(now time.Duration, r *request) string {
 	relays := p.Links.Relays(now)
-	if fresh := slices.DeleteFunc(slices.Clone(relays), func(host string) bool { return slices.Contains(r.triedRelays, host) }); len(fresh) > 0 {
-		relays = fresh
+	for _, last := range []func(host string) bool{
+		func(host string) bool { return slices.Contains(r.triedRelays, host) },
+		func(host string) bool { return now < p.relayPausedUntil[host] },
+	} {
+		if first := slices.DeleteFunc(slices.Clone(relays), last); len(first) > 0 {
+			relays = first
+		}
 	}
 	if len(relays) == 0 {
 		return ""
@@ -102,6 +111,34 @@
 	p.dispatch(now, out)
 }
 
+// takesNoCalls reports whether an attempt through another host ended since that host takes no calls, whatever they are.
+func takesNoCalls(r *request, e event.AttemptDone) bool {
+	if r.relay == "" || e.Run != kinds.NotRun {
+		return false
+	}
+	switch e.Refusal {
+	case kinds.Stopping, kinds.EndpointsUnreached, kinds.NotReady:
+		return true
+	default:
+		return e.Reason == event.ReasonDial || e.Refusal == "" && e.Reason == event.ReasonRefused
+	}
+}
+
+// passElsewhere queues a request for another host after one that takes no calls, and reports whether there is one that was
+// not tried. No endpoint has seen the request, so that it costs no attempt.
+func (p *Component) passElsewhere(now time.Duration, r *request) bool {
+	if p.relayPausedUntil == nil {
+		p.relayPausedUntil = map[string]time.Duration{}
+	}
+	p.relayPausedUntil[r.relay] = now + relayPause
+	r.triedRelays = append(r.triedRelays, r.relay)
+	if !slices.ContainsFunc(p.Links.Relays(now), func(host string) bool { return !slices.Contains(r.triedRelays, host) }) {
+		return false
+	}
+	p.reroute(now, r)
+	return true
+}
+
 // reroute queues a request whose attempt was ended because this host is cut off.
 func (p *Component) reroute(now time.Duration, r *request) {
 	r.attempts--
--- a/internal/flow/relay_test.go
+++ b/internal/flow/relay_test.go
@@ -120,6 +120,44 @@
 	requireStarted(t, other.list(rigEndpoint("a")))
 }
 
+// A host that takes no calls answered at once, so that it had the fewest of them and got each next one; and the refusals used
+// up the budget for retries.
+func TestHostThatTakesNoCallsIsPassedBy(t *testing.T) {
+	for name, done := range map[string]event.AttemptDone{
+		"Stopping": {Reason: event.ReasonRefused, Refusal: kinds.Stopping}, "CutOffToo": {Reason: event.ReasonRefused, Refusal: kinds.EndpointsUnreached},
+		"Gone": {Reason: event.ReasonDial}, "OtherSecret": {Reason: event.ReasonRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, _ := newLinksRig(true, "h2", "h3")
+			refused := 0
+			for n := range uint64(40) {
+				effects := g.step(arrival(n+1, "Ledger", "/order"))
+				for {
+					started := effectsOf[event.StartAttempt](effects)
+					if len(started) == 0 {
+						break
+					}
+					s := started[0]
+					if s.Relay == "h3" {
+						g.step(attemptDone(s, kinds.Ran, ""))
+						break
+					}
+					refused++
+					end := done
+					end.Request, end.Attempt, end.Run = s.Request, s.Attempt, kinds.NotRun
+					effects = g.step(end)
+					if answers := effectsOf[event.AnswerRequest](effects); len(answers) > 0 {
+						t.Fatalf("request %d: %v although h3 takes calls", n, answers)
+					}
+				}
+			}
+			if refused != 1 {
+				t.Errorf("%d of 40 calls went to the host that takes none, want one", refused)
+			}
+		})
+	}
+}
+
 // Requests that were under way when a host lost its links waited for their own deadline.
 func TestRequestsUnderWayAreRerouted(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/reach/component.go
+++ b/internal/reach/component.go
@@ -66,6 +66,7 @@
 // hostLinks is what another host says of its links.
 type hostLinks struct {
 	cutOff    bool
+	stopping  bool          // it takes no calls of others
 	contactAt time.Duration // on this host's clock, 0 for none
 }
 
@@ -80,6 +81,7 @@
 		p.handleProbed(now, e, out)
 	case event.BeatSeen:
 		p.setHost(now, e.Host, e.Beat.Links)
+		p.setStopping(e.Host, e.Beat.Stopping)
 	case event.PeerReceived:
 		if e.Message.Links != nil {
 			p.setHost(now, e.Host, e.Message.Links)
@@ -152,11 +154,17 @@
 	if p.hosts == nil {
 		p.hosts = map[string]hostLinks{}
 	}
-	if links == nil || links.ContactMS < 0 {
-		p.hosts[host] = hostLinks{cutOff: links != nil && links.CutOff}
-		return
+	known := hostLinks{cutOff: links != nil && links.CutOff, stopping: p.hosts[host].stopping}
+	if links != nil && links.ContactMS >= 0 {
+		known.contactAt = now - time.Duration(links.ContactMS)*time.Millisecond
 	}
-	p.hosts[host] = hostLinks{cutOff: links.CutOff, contactAt: now - time.Duration(links.ContactMS)*time.Millisecond}
+	p.hosts[host] = known
+}
+
+func (p *Component) setStopping(host string, stopping bool) {
+	known := p.hosts[host]
+	known.stopping = stopping
+	p.hosts[host] = known
 }
 
 // CutOff reports whether this host reaches hardly any endpoint although other hosts do.
@@ -167,7 +175,7 @@
 	var names []string
 	for _, h := range p.Membership.Alive(now) {
 		links, ok := p.hosts[h.Name]
-		if ok && h.Name != p.Self && !links.cutOff && links.contactAt > 0 && now-links.contactAt < relayContact {
+		if ok && h.Name != p.Self && !links.cutOff && !links.stopping && links.contactAt > 0 && now-links.contactAt < relayContact {
 			names = append(names, h.Name)
 		}
 	}
--- a/internal/reach/component_test.go
+++ b/internal/reach/component_test.go
@@ -304,6 +304,18 @@
 	}
 }
 
+// A host that is stopping was taken for one that takes calls.
+func TestStoppingHostIsNoRelay(t *testing.T) {
+	f := newFleet(3, 10)
+	f.run(2 * time.Second)
+	for _, stopping := range []bool{true, false} {
+		f.step("h0", event.BeatSeen{Host: "h1", Beat: wire.Beat{Stopping: stopping, Links: &wire.Links{}}})
+		if got := slices.Contains(f.parts["h0"].Relays(f.now), "h1"); got == stopping {
+			t.Errorf("h1 is a relay: %v, while it is stopping: %v", got, stopping)
+		}
+	}
+}
+
 // A word from any endpoint must spare the probes.
 func TestTrafficSparesProbes(t *testing.T) {
 	f := newFleet(1, 5)
--- a/internal/reach/links.go
+++ b/internal/reach/links.go
@@ -12,7 +12,7 @@
 type Links interface {
 	// CutOff reports whether this host reaches hardly any endpoint although other hosts do.
 	CutOff(now time.Duration) bool
-	// Relays returns the names of the other hosts that reach endpoints, sorted.
+	// Relays returns the names of the other hosts that reach endpoints and are not stopping, sorted.
 	Relays(now time.Duration) []string
 	// HostCutOff reports whether another host says that it reaches hardly any endpoint.
 	HostCutOff(host string) bool
