reach: a connection that was in use is no word from its endpoint

Found in reading the change: the event that takes the count of a question back, on a reused connection, counted as a contact, so that a host whose kept connections hang would have noticed the cut later. TestReusedConnectionIsNoWord/Reused failed before.

--- a/internal/flow/relay.go
+++ b/internal/flow/relay.go
@@ -20,8 +20,8 @@
 	return r.arrived.Pass == nil && r.arrived.Sample == nil && !r.generation && p.Links.CutOff(now)
 }
 
-// relayPause is the time for which a host that took a call for nobody gets no other one while there are others. Since it
-// answers at once, it would always be the one with the fewest calls.
+// relayPause is the time for which a host that takes no calls gets none while there are others. Since it refuses at once, it
+// would always be the one with the fewest calls under way.
 const relayPause = time.Second
 
 // pickRelay returns the host through which a request goes: of those that reach endpoints the one that has the fewest calls of
--- a/internal/reach/component.go
+++ b/internal/reach/component.go
@@ -75,8 +75,12 @@
 	switch e := ev.(type) {
 	case event.EndpointsListed:
 		p.setEndpoints(e.List.Endpoints)
-	case event.EndpointAnswered, event.EndpointIdentified, event.EnginePace:
+	case event.EndpointAnswered, event.EnginePace:
 		p.contactAt = now
+	case event.EndpointIdentified:
+		if !e.Reused {
+			p.contactAt = now
+		}
 	case event.EndpointProbed:
 		p.handleProbed(now, e, out)
 	case event.BeatSeen:
--- a/internal/reach/component_test.go
+++ b/internal/reach/component_test.go
@@ -351,6 +351,20 @@
 	}
 }
 
+// A connection that was in use, on which nothing was asked, counted as a word from its endpoint.
+func TestReusedConnectionIsNoWord(t *testing.T) {
+	for name, reused := range map[string]bool{"New": false, "Reused": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1, 5)
+			f.now = time.Second
+			f.step("h0", event.EndpointIdentified{Endpoint: "e1", Incarnation: "1", Reused: reused})
+			if heard := f.parts["h0"].contactAt == f.now; heard == reused {
+				t.Errorf("counted as a word: %v", heard)
+			}
+		})
+	}
+}
+
 // A request that is late must have one endpoint probed, unless something was heard since it was sent.
 func TestLateAnswersAreChecked(t *testing.T) {
 	for name, c := range map[string]struct {
