--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -35,7 +35,7 @@
 	s.put("config", "main", map[string]any{
 		"version": version,
 		"routes": []any{
-			route("r-lots", "/lots/", "rollout", "engines", map[string]any{"run_deadline_ms": 7500, "max_queue_s": maxQueueS, "single_version": false, "sticky": true, "resumable": true}),
+			route("r-lots", "/lots/", "rollout", "engines", map[string]any{"run_deadline_ms": dueMS, "max_queue_s": maxQueueS, "single_version": false, "sticky": true, "resumable": true}),
 			route("r-score", "/score/", "safe", "plain", nil),
 			route("r-look", "/look/", "safe", "plain", nil),
 		},
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -31,7 +31,7 @@
 	// Twice reports whether an answer comes a second time, late: where the next answer on the connection is expected.
 	Twice func(status int) bool
 	// Unanswered returns whether an order gets no answer, and how much later it is carried out.
-	Unanswered func() (later time.Duration, unanswered bool)
+	Unanswered func(engine string) (later time.Duration, unanswered bool)
 
 	r       *rig
 	store   *store
@@ -47,6 +47,7 @@
 	answers  map[string][]int // statuses given, by id
 	runs     map[string]int   // begun, by id
 	orders   []arrivedOrder
+	lastRun  time.Duration // when a run last began or ended
 }
 
 type arrivedOrder struct {
@@ -182,6 +183,7 @@
 	}
 	s.running++
 	s.runs[id]++
+	s.lastRun = s.r.now()
 	s.r.record("%s runs %s %s for tenant %q from event %q", s.ID, id, req.URL.Path, req.Header.Get("Figshift-Tenant"), req.Header.Get("Last-Event-Id"))
 	return true
 }
@@ -190,6 +192,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
+	s.lastRun = s.r.now()
 }
 
 // stream sends the events of an item after the last one that the caller has.
@@ -233,7 +236,7 @@
 	s.orders = append(s.orders, o)
 	s.mu.Unlock()
 	if s.Unanswered != nil {
-		if later, unanswered := s.Unanswered(); unanswered {
+		if later, unanswered := s.Unanswered(s.ID); unanswered {
 			s.r.record("%s gets an order of %s with fence %d for version %d: no answer, carried out %v later", s.ID, o.Holder, o.Fence, o.Version, later)
 			time.AfterFunc(later, func() { s.carryOut(o) })
 			time.Sleep(later)
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -26,6 +26,7 @@
 	objects  map[string]map[string]object // by kind and name
 	history  []change
 	changed  chan struct{}
+	busy     bool // every call is answered with 503
 }
 
 type object struct {
@@ -81,6 +82,16 @@
 	s.set(kind, o)
 }
 
+// setBusy has every call answered with 503, also those that wait for changes, or no more.
+func (s *store) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.r.record("the store is busy: %v", busy)
+}
+
 func (s *store) set(kind string, o object) object {
 	s.revision++
 	o.Metadata.Revision = s.revision
@@ -103,6 +114,13 @@
 
 func (s *store) serveObjects(w http.ResponseWriter, req *http.Request) {
 	time.Sleep(storeLatency)
+	s.mu.Lock()
+	busy := s.busy
+	s.mu.Unlock()
+	if busy {
+		answer(w, http.StatusServiceUnavailable, nil)
+		return
+	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/api/objects/"), "/")
 	query := req.URL.Query()
 	switch {
@@ -157,13 +175,17 @@
 	timeout := time.After(time.Duration(ms) * time.Millisecond)
 	for waiting := true; ; {
 		s.mu.Lock()
-		events, asOf, changed := []change{}, s.revision, s.changed
+		events, asOf, changed, busy := []change{}, s.revision, s.changed, s.busy
 		for _, c := range s.history {
 			if c.kind == kind && c.Object.Metadata.Revision > after {
 				events = append(events, c)
 			}
 		}
 		s.mu.Unlock()
+		if busy {
+			answer(w, http.StatusServiceUnavailable, nil)
+			return
+		}
 		if len(events) > 0 || !waiting {
 			answer(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
 			return
