--- a/review/rig/daemon.go
+++ b/review/rig/daemon.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,6 +18,9 @@
 // restartDelay is the time after which the platform starts a process again that has ended.
 const restartDelay = 500 * time.Millisecond
 
+// proxyOffset is added to a daemon's number in the address of its proxies.
+const proxyOffset = 100
+
 // daemon is one of the project's daemons, run as deploy/system.toml says.
 type daemon struct {
 	r       *rig
@@ -26,21 +30,30 @@
 	ready   string
 	values  map[string]string // of the template's placeholders
 	command string
+	bind    string // IP of the internal listeners, when proxies stand before them
+	mesh    *proxy // before the listener for heartbeats and news
+	host    *proxy // before the listener for calls between hosts
 
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
 }
 
-// startDaemons starts daemons of the front role in three zones and waits until all are ready.
-func (r *rig) startDaemons(count int, s *store) error {
+// startDaemons starts daemons of the front role in three zones and waits until all are ready. With proxies, they reach each
+// other through them.
+func (r *rig) startDaemons(count int, s *store, proxies bool) error {
 	net2, net3 := 20+rand.IntN(200), 1+rand.IntN(250)
+	address := func(n int) string { return fmt.Sprintf("127.%d.%d.%d", net2, net3, n) }
+	var ips []string
 	for n := 1; n <= count; n++ {
-		ip := fmt.Sprintf("127.%d.%d.%d", net2, net3, n)
-		port, err := freePorts(ip)
-		if err != nil {
-			return err
-		}
+		ips = append(ips, address(n), address(proxyOffset+n))
+	}
+	port, err := freePorts(ips)
+	if err != nil {
+		return err
+	}
+	for n := 1; n <= count; n++ {
+		ip := address(n)
 		d := &daemon{
 			r: r, name: fmt.Sprintf("front-%d", n), ip: ip, front: fmt.Sprintf("%s:%d", ip, port), ready: fmt.Sprintf("%s:%d", ip, port+1),
 			command: filepath.Join(r.root, "target", "figd"),
@@ -51,6 +64,11 @@
 			"limits.memory_mb": "284", "limits.cpu_share": "0.4", "limits.cores": "1", "bootstrap": "true", "bounds.grace_s": "8", "bounds.lease_ms": "3000",
 			"bounds.usage_window_s": "5", "bounds.usage_late_s": "10", "bounds.status_s": "120",
 		}
+		if proxies {
+			if err := d.startProxies(address(proxyOffset+n), port+2); err != nil {
+				return err
+			}
+		}
 		r.daemons = append(r.daemons, d)
 		if err := d.begin(); err != nil {
 			return err
@@ -68,23 +86,36 @@
 	return nil
 }
 
-// freePorts returns the first of 20 ports that are free on an address.
-func freePorts(ip string) (int, error) {
+// startProxies has the others reach the daemon at another IP, at which proxies listen.
+func (d *daemon) startProxies(ip string, port int) (err error) {
+	d.bind, d.values["ip"] = d.ip, ip
+	if d.mesh, err = startProxy(fmt.Sprintf("%s:%d", ip, port), fmt.Sprintf("%s:%d", d.ip, port)); err != nil {
+		return err
+	}
+	d.host, err = startProxy(fmt.Sprintf("%s:%d", ip, port+1), fmt.Sprintf("%s:%d", d.ip, port+1))
+	return err
+}
+
+// freePorts returns the first of 20 ports that are free on all addresses: a deployment's machines have the same ports.
+func freePorts(ips []string) (int, error) {
 	for range 100 {
 		first := 20000 + rand.IntN(10000)
-		free := true
-		for port := first; port < first+20 && free; port++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
-			free = err == nil
-			if free {
-				_ = l.Close()
-			}
-		}
-		if free {
+		if !slices.ContainsFunc(ips, func(ip string) bool { return !portsAreFree(ip, first, 20) }) {
 			return first, nil
 		}
 	}
-	return 0, fmt.Errorf("no free ports on %s", ip)
+	return 0, fmt.Errorf("no free ports on %v", ips)
+}
+
+func portsAreFree(ip string, first, count int) bool {
+	for port := first; port < first+count; port++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
 }
 
 // begin writes the settings file and starts the process.
@@ -97,6 +128,9 @@
 	for name, value := range d.values {
 		settings = strings.ReplaceAll(settings, "{{"+name+"}}", value)
 	}
+	if d.bind != "" {
+		settings += "Bind = " + d.bind + "\n"
+	}
 	file := filepath.Join(d.r.folder, d.name+".ini")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
--- a/review/rig/ends.go
+++ b/review/rig/ends.go
@@ -35,7 +35,7 @@
 			return unable, err.Error()
 		}
 	}
-	if err := r.startDaemons(3, st); err != nil {
+	if err := r.startDaemons(3, st, false); err != nil {
 		return unable, err.Error()
 	}
 	time.Sleep(max(0, 4*time.Second-r.now()))
--- a/review/rig/foreign.go
+++ b/review/rig/foreign.go
@@ -46,7 +46,7 @@
 			return unable, err.Error()
 		}
 	}
-	if err := r.startDaemons(3, st); err != nil {
+	if err := r.startDaemons(3, st, false); err != nil {
 		return unable, err.Error()
 	}
 	time.Sleep(max(0, garbleFrom-r.now()))
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -48,6 +48,7 @@
 	runs     map[string]int   // begun, by id
 	orders   []arrivedOrder
 	lastRun  time.Duration // when a run last began or ended
+	begunAt  []time.Duration
 }
 
 type arrivedOrder struct {
@@ -184,6 +185,7 @@
 	s.running++
 	s.runs[id]++
 	s.lastRun = s.r.now()
+	s.begunAt = append(s.begunAt, s.lastRun)
 	s.r.record("%s runs %s %s for tenant %q from event %q", s.ID, id, req.URL.Path, req.Header.Get("Figshift-Tenant"), req.Header.Get("Last-Event-Id"))
 	return true
 }
--- a/review/rig/turns.go
+++ b/review/rig/turns.go
@@ -43,7 +43,7 @@
 			return unable, err.Error()
 		}
 	}
-	if err := r.startDaemons(2, st); err != nil {
+	if err := r.startDaemons(2, st, false); err != nil {
 		return unable, err.Error()
 	}
 	name := func(version int) {
