--- a/review/rig/turns.go
+++ b/review/rig/turns.go
@@ -13,7 +13,7 @@
 	leaseTime   = 3 * time.Second // lease_ms
 	lateFrom    = 8 * time.Second
 	lateTime    = 5500 * time.Millisecond // for_s of the site file
-	lateShare   = 0.5                     // x of "kinds": of the orders to servers while it lasts
+	lateShare   = 0.35                    // x of the site file: of the orders to servers while it lasts
 	lateBy      = 4 * time.Second         // within 2 to 12 s
 	killsInTurn = 2
 )
@@ -26,7 +26,7 @@
 		return unable, err.Error()
 	}
 	st.configure(1)
-	late := r.late()
+	late := &lateOrders{r: r}
 	var engines []*server
 	for n := range 6 {
 		e := &server{
@@ -34,7 +34,7 @@
 			EventGap: 20 * time.Millisecond, LoadTime: 900 * time.Millisecond,
 		}
 		if r.trouble {
-			e.Unanswered = late
+			e.Unanswered = late.isLate
 		}
 		engines = append(engines, e)
 	}
@@ -58,32 +58,43 @@
 		r.killGivers(engines)
 	}
 	time.Sleep(max(0, lateFrom+lateTime+6*time.Second-r.now()))
+	if !late.withinDose() {
+		return unable, "too many orders were left unanswered"
+	}
 	return judgeTurns(engines)
 }
 
-// late returns which orders get no answer: those to the engine that is the first to get one, and no more than lateShare of
-// all orders meanwhile.
-func (r *rig) late() func(engine string) (time.Duration, bool) {
-	var mu sync.Mutex
-	orders, unanswered, chosen := 0, 0, ""
-	return func(engine string) (time.Duration, bool) {
-		mu.Lock()
-		defer mu.Unlock()
-		if now := r.now(); now < lateFrom || now > lateFrom+lateTime {
-			return 0, false
-		}
-		if orders++; float64(unanswered+1) > lateShare*float64(orders) {
-			return 0, false
-		}
-		if chosen == "" {
-			chosen = engine
-		}
-		if engine != chosen {
-			return 0, false
-		}
-		unanswered++
-		return lateBy, true
+// lateOrders decides which orders get no answer: the first two to the engine that gets the second order. Two of all orders
+// in lateTime are no more than lateShare.
+type lateOrders struct {
+	r *rig
+
+	mu                 sync.Mutex
+	orders, unanswered int
+	chosen             string
+}
+
+func (l *lateOrders) isLate(engine string) (later time.Duration, unanswered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := l.r.now(); now < lateFrom || now > lateFrom+lateTime {
+		return 0, false
+	}
+	if l.orders++; l.orders == 2 {
+		l.chosen = engine
 	}
+	if engine != l.chosen || l.unanswered == 2 {
+		return 0, false
+	}
+	l.unanswered++
+	return lateBy, true
+}
+
+// withinDose reports whether no more than lateShare of the orders were left unanswered.
+func (l *lateOrders) withinDose() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(l.unanswered) <= lateShare*float64(l.orders)
 }
 
 // killGivers kills the process that gave the last order, as soon as another one than before has given one.
