--- a/review/rig/silent.go
+++ b/review/rig/silent.go
@@ -61,7 +61,9 @@
 	time.Sleep(2500 * time.Millisecond)
 	close(reading)
 	wait.Wait()
+	calm := time.Duration(0) // from when on the machines are in touch
 	if r.trouble {
+		calm = r.now() + contact
 		r.record("%d and %d open connections to %s go silent", owner.mesh.silence(other.ip), owner.host.silence(""), owner.name)
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -72,19 +74,5 @@
 		return unable, fmt.Sprintf("the end is answered with %d", status)
 	}
 	time.Sleep(cancelTime + 8*time.Second)
-	late, last := 0, time.Duration(0)
-	for _, e := range engines {
-		e.mu.Lock()
-		for _, at := range e.begunAt {
-			if at > ended+cancelTime {
-				late++
-				last = max(last, at)
-			}
-		}
-		e.mu.Unlock()
-	}
-	if late > 0 {
-		return broken, fmt.Sprintf("%d items reach a server later than %v after the end was acknowledged, the last %.1f s after it", late, cancelTime, (last - ended).Seconds())
-	}
-	return held, "no item reaches a server later than that"
+	return judgeEnded(engines, ended, calm)
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -27,6 +27,7 @@
 	history  []change
 	changed  chan struct{}
 	busy     bool // every call is answered with 503
+	latency  time.Duration
 }
 
 type object struct {
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{r: r, address: listener.Addr().String(), revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+	s := &store{r: r, address: listener.Addr().String(), revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{}), latency: storeLatency}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/api/objects/", s.serveObjects)
 	mux.HandleFunc("/usage", s.serveCloud)
@@ -92,6 +93,19 @@
 	s.r.record("the store is busy: %v", busy)
 }
 
+// slow makes answers take some times as long, for a while.
+func (s *store) slow(factor int, lasting time.Duration) {
+	s.r.record("the store's answers take %d times as long for %v", factor, lasting)
+	s.setLatency(time.Duration(factor) * storeLatency)
+	time.AfterFunc(lasting, func() { s.setLatency(storeLatency) })
+}
+
+func (s *store) setLatency(latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency = latency
+}
+
 func (s *store) set(kind string, o object) object {
 	s.revision++
 	o.Metadata.Revision = s.revision
@@ -113,7 +127,10 @@
 }
 
 func (s *store) serveObjects(w http.ResponseWriter, req *http.Request) {
-	time.Sleep(storeLatency)
+	s.mu.Lock()
+	latency := s.latency
+	s.mu.Unlock()
+	time.Sleep(latency)
 	s.mu.Lock()
 	busy := s.busy
 	s.mu.Unlock()
@@ -216,6 +233,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, exists := s.objects[kind][name]
+	if kind == "Owners" {
+		s.r.record("the store gets %s %s/%s: %s", req.Method, kind, name, in.Spec)
+	}
 	switch {
 	case req.Method == http.MethodPost && exists, exists && in.Metadata.Revision != 0 && in.Metadata.Revision != o.Metadata.Revision:
 		answer(w, http.StatusConflict, o)
