items, call: an answer belongs to the request whose id it repeats, whatever its status

Cause: runRequest took 422, 500 and refusals before it compared the id of the answer with the item's; only 200 was checked. A late second answer to the item before gave the next item on the connection up. Calls compared ids, but took an answer without one: a late refusal without an id was told to callers as not run.

Change: one check, IsResponseTo, comes before anything is read from an answer, for items and calls. An answer that is not the request's own closes its connection, which went back to the pool when that answer had no body. It says nothing about the endpoint on a connection that was in use before (ReasonForeign), and is a failure on a new one. The simulated server of the process tests repeats the id in refusals too, as the platform's servers do.

--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -197,8 +197,12 @@
 // ServeHTTP handles a request for work and the platform's report and order calls.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.recordArrival(w, r)
+	if id := r.Header.Get(HeaderAttemptID); id != "" {
+		w.Header().Set(HeaderAttemptID, id)
+	}
 	instance := s.currentInstance()
 	if expected := r.Header.Get(HeaderExpectInstance); expected != "" && expected != instance {
+		w.Header().Set(HeaderNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -223,7 +227,6 @@
 		s.crash(instance, r.URL.Path)
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(HeaderAttemptID, r.Header.Get(HeaderAttemptID))
 	w.Header().Set(HeaderResponseStamp, s.Name+"."+r.Header.Get(HeaderAttemptID))
 	w.Header().Set("Figshift-Server-Load", fmt.Sprintf("1,0,%d", s.Slots))
 	if len(s.Models) > 0 {
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -154,6 +154,7 @@
 		"never":                {[]event.ItemEnded{{Reason: event.ReasonUnprocessable, Status: 422}}, true, 1},
 		"fails as often":       {[]event.ItemEnded{{Reason: event.ReasonStatus}, {Reason: event.ReasonStatus}, {Reason: event.ReasonStatus}}, true, 3},
 		"broken":               {[]event.ItemEnded{{Reason: event.ReasonBroken}, {Reason: event.ReasonCut}, {Reason: event.ReasonSilent}, {}}, false, 4},
+		"foreign":              {[]event.ItemEnded{{Reason: event.ReasonForeign, Status: 422}, {Reason: event.ReasonForeign, Status: 500}, {}}, false, 3},
 		"refused":              {[]event.ItemEnded{{Reason: event.ReasonRefused, Status: 503}, {}}, false, 2},
 		"by an old version":    {[]event.ItemEnded{{Events: 3, Versions: []uint64{0, 1}}, {Versions: []uint64{1}}}, false, 2},
 		"whole":                {[]event.ItemEnded{{Events: 3, Versions: []uint64{1}}}, false, 1},
--- a/internal/call/names.go
+++ b/internal/call/names.go
@@ -71,16 +71,23 @@
 	return retriable && notRun != "" && notRun != "false"
 }
 
-// isResponseTo reports whether the endpoint sent resp for the request with this id. A late second response to an earlier
-// request can arrive in its place.
-func (n *HeaderNames) isResponseTo(resp *http.Response, id string) bool {
+// IsResponseTo reports whether the endpoint sent resp for the request with this id. A late second response to an earlier
+// request can arrive in its place, with any status. Endpoints that stamp their responses repeat the id in each of them.
+func (n *HeaderNames) IsResponseTo(resp *http.Response, id string) bool {
+	repeated := resp.Header.Get(n.Request)
 	if n.Stamp == "" {
-		return true
+		return repeated == "" || repeated == id
 	}
-	if echoed := resp.Header.Get(n.Request); echoed != "" && echoed != id {
-		return false
+	return repeated == id && (resp.StatusCode/100 != 2 || resp.Header.Get(n.Stamp) != "")
+}
+
+// ForeignReason returns the reason of an attempt whose connection delivered a response that is not its own. On a connection
+// that was in use before, that says nothing about the endpoint.
+func ForeignReason(reused bool) string {
+	if reused {
+		return event.ReasonForeign
 	}
-	return resp.StatusCode/100 != 2 || resp.Header.Get(n.Stamp) != ""
+	return event.ReasonBroken
 }
 
 // Answered returns the event for the head of an endpoint's answer to a request that was sent at the time sent. An answer
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -28,8 +28,9 @@
 		return
 	}
 	names := &a.executor.Names
-	if !names.isResponseTo(resp, a.exchange.ID) {
-		a.fail(event.ReasonBroken)
+	if !names.IsResponseTo(resp, a.exchange.ID) {
+		_ = a.gate.owner.Load().Close() // the response that belongs to the attempt may still come on it
+		a.fail(ForeignReason(a.reusedConn))
 		return
 	}
 	endpoint := wire.LeaveMark{Endpoint: a.start.Endpoint, Incarnation: a.start.Incarnation}
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -189,6 +189,7 @@
 	ReasonExpired     = "Expired" // the evidence or the deadline expired before the first byte
 	ReasonRefused     = "Refused" // the endpoint reported that it did not run the request
 	ReasonBroken      = "Broken"  // the connection failed before an answer
+	ReasonForeign     = "Foreign" // a response to another request arrived on the connection
 	ReasonStatus      = "Status"  // the endpoint answered with a 5xx status
 	ReasonCut         = "Cut"     // the answer ended early
 	ReasonStopped     = "Stopped" // by StopAttempt or the request's deadline
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -323,7 +323,7 @@
 	switch e.Reason {
 	case event.ReasonDial, event.ReasonRefused:
 		return e.Run == kinds.NotRun
-	case event.ReasonBroken, event.ReasonStatus, event.ReasonCut:
+	case event.ReasonBroken, event.ReasonForeign, event.ReasonStatus, event.ReasonCut:
 		return (r.idempotent || e.Run == kinds.NotRun) && (!e.Begun || e.CanResume)
 	default:
 		return false
--- a/internal/flow/relay_test.go
+++ b/internal/flow/relay_test.go
@@ -9,6 +9,7 @@
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/reach"
+	"github.com/figshift/figshift/internal/route"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -265,3 +266,33 @@
 		t.Errorf("the other host sends it to %s, want a", got.Endpoint)
 	}
 }
+
+// An answer to another request counted as a failure of its endpoint and as a doubt of this host's links. It only leaves open
+// whether the request ran.
+func TestForeignAnswerIsNoFailureOfTheEndpoint(t *testing.T) {
+	cases := map[string]struct {
+		path  string
+		again int
+		kinds []kinds.Kind
+	}{
+		"idempotent":     {"/lookup", 1, nil},
+		"not idempotent": {"/order", 0, []kinds.Kind{kinds.OutcomeUnknown}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g, links := newLinksRig(false)
+			s := g.startRunning(t, arrival(1, "Ledger", c.path))
+			effects := g.step(attemptDone(s, kinds.Unknown, event.ReasonForeign))
+			wantAnswers(t, effects, c.kinds...)
+			if links.doubts > 0 {
+				t.Error("the host doubts its links")
+			}
+			if diff := cmp.Diff(c.again, len(effectsOf[event.StartAttempt](g.advance(time.Second)))); diff != "" {
+				t.Errorf("further attempts (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(route.Inconclusive, attemptResult(attemptDone(s, kinds.Unknown, event.ReasonForeign))); diff != "" {
+				t.Errorf("what the attempt shows of its endpoint (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/items/foreign_test.go
@@ -0,0 +1,114 @@
+package items
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/call"
+	"github.com/figshift/figshift/internal/conns"
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+const foreignStream = "Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: 17\r\n\r\nid: 1\ndata: one\n\n"
+
+// An answer to another item, which came late where the next one was expected, was taken for the answer to this one: a late
+// 422 or 500 gave an item up that no engine had failed.
+func TestForeignAnswerSaysNothingOfAnItem(t *testing.T) {
+	cases := map[string]string{
+		"never":         "422 Unprocessable Entity\r\nRequest: other\r\nContent-Length: 0\r\n\r\n",
+		"failure":       "500 Internal Server Error\r\nRequest: other\r\nStamp: s\r\nContent-Length: 0\r\n\r\n",
+		"refusal":       "503 Service Unavailable\r\nRequest: other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"wrong version": "421 Misdirected Request\r\nRequest: other\r\nContent-Length: 0\r\n\r\n",
+		"stream":        "200 OK\r\nRequest: other\r\n" + foreignStream,
+		"without an id": "422 Unprocessable Entity\r\nContent-Length: 0\r\n\r\n",
+		"not stamped":   "200 OK\r\nRequest: item-1\r\nContent-Length: 0\r\n\r\n",
+	}
+	for name, late := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, connections := lateEngine(t, late)
+			var posted []event.Event
+			x := &Executor{
+				HTTP: conns.Transport(time.Second, 1, time.Second), Now: func() time.Duration { return 0 },
+				Post:  func(ev event.Event) bool { posted = append(posted, ev); return true },
+				Names: HeaderNames{HeaderNames: call.HeaderNames{Request: "Request", Stamp: "Stamp", NotRun: "Not-Run", Limit: "Limit"}},
+			}
+			j := &jobState{}
+			for i := range 3 {
+				j.job.Items = append(j.job.Items, wire.JobItem{ID: fmt.Sprintf("item-%d", i), Path: "/p"})
+				j.texts = append(j.texts, &itemText{})
+			}
+			var got []string
+			for i := range j.texts {
+				_, reason := x.runRequest(context.Background(), j, event.RunItem{Item: i, Address: address}, j.texts[i], "", func() {})
+				got = append(got, fmt.Sprintf("%q after %d events", reason, j.texts[i].events))
+			}
+			want := []string{`"" after 1 events`, `"Foreign" after 0 events`, `"" after 1 events`}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("ends of the runs (-want +got):\n%s", diff)
+			}
+			if len(posted) != 2 {
+				t.Errorf("%d answers tell of the engine, want only those that are its own: %v", len(posted), posted)
+			}
+			if n := connections.Load(); n != 2 {
+				t.Errorf("%d connections, want another one for the item after the foreign answer", n)
+			}
+		})
+	}
+}
+
+// lateEngine answers each request with a stream. On its first connection, late comes before the second answer.
+func lateEngine(t *testing.T, late string) (address string, connections *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	connections = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return // the test is over
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			go answerLate(conn, connections.Add(1) == 1, late)
+		}
+	}()
+	return listener.Addr().String(), connections
+}
+
+func answerLate(conn net.Conn, first bool, late string) {
+	reader := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return // the other side has closed the connection
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if first && n == 1 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+late)
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest: "+req.Header.Get("Request")+"\r\n"+foreignStream)
+	}
+}
+
+// A first connection that delivers an answer to another request shows a fault of its engine.
+func TestForeignAnswerOnANewConnection(t *testing.T) {
+	want := map[bool]string{true: event.ReasonForeign, false: event.ReasonBroken}
+	got := map[bool]string{true: call.ForeignReason(true), false: call.ForeignReason(false)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("reasons by whether the connection was in use before (-want +got):\n%s", diff)
+	}
+}
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/wire"
@@ -85,14 +86,21 @@
 	transport := x.HTTP
 	if e.Identify {
 		transport = x.Identified
-		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { x.verify(info, e) }}
-		req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	}
-	resp, err := transport.RoundTrip(req)
+	var conn httptrace.GotConnInfo
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn = info
+		x.verify(info, e)
+	}}
+	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return 0, event.ReasonBroken
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !x.Names.IsResponseTo(resp, j.job.Items[e.Item].ID) {
+		_ = conn.Conn.Close() // the response that belongs to the item may still come on it
+		return resp.StatusCode, call.ForeignReason(conn.Reused)
+	}
 	if answered, ok := x.Names.Answered(wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}, sent, resp); ok {
 		x.Post(answered)
 	}
@@ -108,9 +116,6 @@
 	case resp.StatusCode != http.StatusOK:
 		return resp.StatusCode, event.ReasonBroken
 	}
-	if x.Names.Stamp != "" && resp.Header.Get(x.Names.Stamp) == "" || !x.echoesRequestID(resp, j.job.Items[e.Item].ID) {
-		return resp.StatusCode, event.ReasonBroken
-	}
 	version, _ := strconv.ParseUint(resp.Header.Get(x.Names.GeneratedVersion), 10, 64) // 0 when the engine does not say
 	if err := x.readEvents(resp.Body, t, lastID, madeBy{version, e.Software}, onEvent); err != nil {
 		return resp.StatusCode, event.ReasonCut
@@ -127,11 +132,6 @@
 	}
 }
 
-func (x *Executor) echoesRequestID(resp *http.Response, id string) bool {
-	echoed := resp.Header.Get(x.Names.Request)
-	return echoed == "" || echoed == id
-}
-
 func (x *Executor) newRequest(ctx context.Context, j *jobState, e event.RunItem, lastID string) (*http.Request, error) {
 	item := j.job.Items[e.Item]
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+item.Path, nil)
