batch, items: the end of a job is told until its owner has heard

Cause: the owner is told by one call, whose outcome nobody read, on a kept connection that was silent, and by one message on a link, which is lost when the link is made anew. The owner's heartbeats went on naming the job at hosts that knew its end.

Change: a host that hears a heartbeat name a job that it knows to have ended tells the sender again, at most once in 300 ms; the heartbeats of an owner that has heard don't name it. The call uses a connection of its own and is repeated for 6 s until it is confirmed, also by a host that finds the end stored already.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -294,7 +294,9 @@
 	d.members.BeatFillers = append(d.members.BeatFillers, d.batchComponent)
 	d.limits.Backlogs = []limit.Backlog{d.flowComponent, d.batchComponent}
 	d.addComponent(d.batchComponent)
-	hostAPI := &items.PeerClient{Hosts: d.hostAddresses, Secret: hex.EncodeToString(d.secret), HTTP: d.peerTransport}
+	unshared := conns.Transport(dialTimeout, maxIdleConns, idleConnTimeout)
+	unshared.DisableKeepAlives = true
+	hostAPI := &items.PeerClient{Hosts: d.hostAddresses, Secret: hex.EncodeToString(d.secret), HTTP: d.peerTransport, Unshared: unshared}
 	d.jobExecutor = &items.Executor{
 		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayedStore, Calls: d.callExecutor, Names: platform.ItemNames(),
 		HTTP:       conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), nil, maxIdleConns, idleConnTimeout),
--- a/internal/batch/component.go
+++ b/internal/batch/component.go
@@ -164,6 +164,7 @@
 		}
 		for _, n := range e.Beat.Jobs {
 			p.handleNews(now, e.Host, n, out)
+			p.repeatEnd(now, e.Host, n.Job, out)
 		}
 	case event.HostLost:
 		p.engines.setRemoteRuns(now, e.Host, nil)
--- a/internal/batch/news.go
+++ b/internal/batch/news.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// repeatEnd tells the owner of a job again that the job has ended, when its heartbeat still names the job: what was sent before
+// may be lost with a connection.
+func (p *Component) repeatEnd(now time.Duration, owner, job string, out *event.Batch) {
+	k := p.known[job]
+	if !k.Ended || k.endRepeatedAt != 0 && now-k.endRepeatedAt < endRepeatInterval {
+		return
+	}
+	k.endRepeatedAt = now
+	p.sendNews(owner, k.JobSeen, out)
+}
+
 // ownedJobs returns the unfinished jobs that this host owns, for its heartbeats.
 func (p *Component) ownedJobs() []wire.JobNews {
 	var all []wire.JobNews
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -23,20 +23,23 @@
 	hubDiscoveryTime = 5 * time.Second
 	// ownerSilenceTimeout is the time without news of a job after which its supposed owner is queried.
 	ownerSilenceTimeout = 3 * time.Second
+	// endRepeatInterval is the shortest time between two messages to an owner that does not know of its job's end.
+	endRepeatInterval = 300 * time.Millisecond
 )
 
 // knownJob is what this host knows of a job and its owner.
 type knownJob struct {
 	event.JobSeen
-	newsAt       time.Duration
-	orphanedAt   time.Duration // since when it has no live owner, 0 while it has one
-	queriedAt    time.Duration // when the owner was last queried
-	checkedAt    time.Duration // when the store's record was last read because this host was taken for the owner
-	takingOver   bool
-	textsDropped bool          // the executor was told to drop its texts
-	mayTakeOver  bool          // this host may take it over: its owner announced it, or it was found without one
-	unoffered    bool          // found in the store or by a reader, and not yet offered to another host, which may not know it
-	nextTakeover time.Duration // no attempt to take it over before
+	newsAt        time.Duration
+	orphanedAt    time.Duration // since when it has no live owner, 0 while it has one
+	queriedAt     time.Duration // when the owner was last queried
+	endRepeatedAt time.Duration // when its owner was last told again that it has ended, 0 before
+	checkedAt     time.Duration // when the store's record was last read because this host was taken for the owner
+	takingOver    bool
+	textsDropped  bool          // the executor was told to drop its texts
+	mayTakeOver   bool          // this host may take it over: its owner announced it, or it was found without one
+	unoffered     bool          // found in the store or by a reader, and not yet offered to another host, which may not know it
+	nextTakeover  time.Duration // no attempt to take it over before
 }
 
 // ensureKnown returns the entry of a job and adds an empty one when there is none.
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -68,8 +68,8 @@
 	Page(ctx context.Context, host, job string, after int, wait time.Duration) (wire.JobPage, bool)
 	// Runs asks a host whether it runs a job, and whether the job has ended there.
 	Runs(ctx context.Context, host, job string) (runs, ended bool)
-	// NotifyEnded tells a host that a job was ended.
-	NotifyEnded(ctx context.Context, host, job string)
+	// NotifyEnded tells a host that a job was ended, and reports whether the host has confirmed it.
+	NotifyEnded(ctx context.Context, host, job string) (confirmed bool)
 	// Submit forwards a submission to a host. With an error, sent tells whether the host may have taken it.
 	Submit(ctx context.Context, host string, c JobCall, body []byte) (answer event.JobAnswer, sent bool, err error)
 	// Copy sends copies to a host and reports whether the host has taken them.
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -118,9 +118,11 @@
 
 // fakePeers takes the place of the other hosts.
 type fakePeers struct {
+	mu       sync.Mutex      // protects ends and unheard
 	running  map[string]bool // hosts that answer that they run the job
 	jobEnded map[string]bool // hosts at which the job has ended
 	ends     []string        // calls of NotifyEnded, as host/job
+	unheard  int             // number of the next calls of NotifyEnded that are not confirmed
 	copies   []jobCopy       // that were sent
 	copyTo   *Executor       // applies them, nil for none
 	loses    bool            // the answers to copies are lost
@@ -135,8 +137,12 @@
 	return p.running[host], p.jobEnded[host]
 }
 
-func (p *fakePeers) NotifyEnded(_ context.Context, host, id string) {
+func (p *fakePeers) NotifyEnded(_ context.Context, host, id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.ends = append(p.ends, host+"/"+id)
+	p.unheard--
+	return p.unheard < 0
 }
 
 func (p *fakePeers) Submit(context.Context, string, JobCall, []byte) (event.JobAnswer, bool, error) {
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -41,6 +41,7 @@
 		return kinds.KindOf(err)
 	}
 	if owner.Ended {
+		x.notifyOwnerOfEnd(ctx, id, owner) // whoever stored the end may not have done so
 		return ""
 	}
 	if owner.Host == "" {
@@ -55,8 +56,9 @@
 	return kind
 }
 
-// notifyOwnerOfEnd tells the host that runs a job that the job was ended. Peer messages may not reach that host, since
-// in a large fleet few hosts exchange them.
+// notifyOwnerOfEnd tells the host that runs a job that the job was ended. Peer messages may not reach that host: they are
+// lost with their connection, and in a large fleet few hosts exchange them. While the host does not confirm the call,
+// it is repeated in the background for notifyTime.
 func (x *Executor) notifyOwnerOfEnd(ctx context.Context, id string, owner wire.JobOwner) {
 	host := owner.Host
 	if host == "" {
@@ -64,8 +66,19 @@
 			host = job.Host
 		}
 	}
-	if host != "" && host != x.Host {
-		x.Peers.NotifyEnded(ctx, host, id)
+	if host != "" && host != x.Host && !x.Peers.NotifyEnded(ctx, host, id) {
+		go x.repeatEnd(ctx, id, host)
+	}
+}
+
+// repeatEnd tells a host that a job was ended until the host confirms it, for notifyTime at most.
+func (x *Executor) repeatEnd(ctx context.Context, id, host string) {
+	ctx, cancel := context.WithTimeout(ctx, notifyTime)
+	defer cancel()
+	for retry.Sleep(ctx, notifyInterval) == nil {
+		if x.Peers.NotifyEnded(ctx, host, id) {
+			return
+		}
 	}
 }
 
--- a/internal/items/peers.go
+++ b/internal/items/peers.go
@@ -29,6 +29,7 @@
 	Hosts    *relay.HostAddresses
 	Secret   string
 	HTTP     http.RoundTripper
+	Unshared http.RoundTripper // opens a connection for each call, since a kept one may be silent; nil for HTTP
 	Executor *Executor
 }
 
@@ -60,16 +61,20 @@
 	return page, true
 }
 
-// NotifyEnded tells a host that a job was ended. It makes one call and ignores its outcome: a host that is not reached
-// learns the end from news of the job or, as the job's owner in a large fleet, when it next reads the owner's record in
-// the store. It may be called concurrently.
-func (p *PeerClient) NotifyEnded(ctx context.Context, host, job string) {
-	p.callPeer(ctx, http.MethodDelete, host, job)
+// NotifyEnded tells a host that a job was ended, and reports whether the host has confirmed it. It may be called
+// concurrently.
+func (p *PeerClient) NotifyEnded(ctx context.Context, host, job string) (confirmed bool) {
+	transport := p.Unshared
+	if transport == nil {
+		transport = p.HTTP
+	}
+	resp := p.callPeer(ctx, transport, http.MethodDelete, host, job)
+	return resp != nil && resp.StatusCode == http.StatusOK
 }
 
 // Runs asks a host whether it runs a job, and whether the job has ended there. It may be called concurrently.
 func (p *PeerClient) Runs(ctx context.Context, host, job string) (runs, ended bool) {
-	resp := p.callPeer(ctx, http.MethodHead, host, job)
+	resp := p.callPeer(ctx, p.HTTP, http.MethodHead, host, job)
 	if resp == nil || resp.StatusCode != http.StatusOK {
 		return false, false
 	}
@@ -77,7 +82,7 @@
 }
 
 // callPeer makes a call about a job without request and response bodies. It returns nil when there is no response.
-func (p *PeerClient) callPeer(ctx context.Context, method, host, job string) *http.Response {
+func (p *PeerClient) callPeer(ctx context.Context, transport http.RoundTripper, method, host, job string) *http.Response {
 	address := p.Hosts.Address(host)
 	if address == "" {
 		return nil
@@ -89,7 +94,7 @@
 		return nil
 	}
 	req.Header.Set(relay.HeaderSecret, p.Secret)
-	resp, err := p.HTTP.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return nil
 	}
@@ -117,7 +122,9 @@
 	}
 	query := r.URL.Query()
 	if r.Method == http.MethodDelete {
-		p.Executor.Post(event.PeerReceived{Message: wire.Message{News: &wire.JobNews{Job: query.Get("Job"), Ended: true}}})
+		if !p.Executor.Post(event.PeerReceived{Message: wire.Message{News: &wire.JobNews{Job: query.Get("Job"), Ended: true}}}) {
+			http.Error(w, "this host is stopping", http.StatusServiceUnavailable)
+		}
 		return
 	}
 	if r.Method == http.MethodHead {
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -17,6 +17,8 @@
 	storeCallTimeout   = time.Second     // of one call to the store
 	listChunksTimeout  = 2 * time.Second // of one list of a job's chunks, up to a few MB
 	endTimeout         = 3 * time.Second
+	notifyTime         = 6 * time.Second // of telling an owner of the end of its job; the record in the store lasts
+	notifyInterval     = 300 * time.Millisecond
 	storeRetryInterval = 150 * time.Millisecond
 	askOwnerTimeout    = 500 * time.Millisecond // of asking a host whether it still runs a job
 )
