batch: an owner that does not hear every host reads the record of its job

The host that acknowledges the end of a job may be gone, or cut off from the other hosts, before any of them has heard. In a small fleet the owner then never read the store's record and ran the job on. It reads it every 1.5 s while there is a host that it does not hear, as owners in large fleets do at any time.

TestOwnerThatDoesNotHearAllHostsReadsTheRecord fails on the code before (no read) and passes. In steady state nothing is read.

--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -15,8 +15,8 @@
 	jobListRetry = 500 * time.Millisecond
 	// listingHubs is the number of hubs of a large fleet that list the jobs after their start; two, since one may be lost.
 	listingHubs = 2
-	// ownershipCheckInterval is the interval at which an owner in a large fleet reads the store's record of its job, so
-	// that the end of a job takes effect within the few seconds that the platform allows.
+	// ownershipCheckInterval is the interval at which an owner that does not hear every host reads the store's record of
+	// its job, so that the end of a job takes effect within the few seconds that the platform allows.
 	ownershipCheckInterval = 1500 * time.Millisecond
 	// hubDiscoveryTime is the time after the start within which this host receives heartbeats from the hubs of its zone,
 	// when there are any.
@@ -122,16 +122,28 @@
 	out.Emit(event.KnowHosts{Hosts: others})
 }
 
-// checkOwnership reads the store's record of a job that this host owns: in a large fleet, news of its end or of another
-// owner may not reach this host.
+// checkOwnership reads the store's record of a job that this host owns. News of its end or of another owner may not reach
+// this host in a large fleet, or while there is a host that it does not hear.
 func (p *Component) checkOwnership(now time.Duration, j *job, out *event.Batch) {
-	if !p.largeFleet || j.ended || j.unstored || j.unlisted == 0 || now-max(j.checkedAt, j.ownedSince) < ownershipCheckInterval {
+	if !p.largeFleet && p.hearsAllHosts(now) || j.ended || j.unstored || j.unlisted == 0 || now-max(j.checkedAt, j.ownedSince) < ownershipCheckInterval {
 		return
 	}
 	j.checkedAt = now
 	out.Emit(event.CheckJob{Job: j.head.ID})
 }
 
+// hearsAllHosts reports whether every host of the host list is alive and connected to this one.
+func (p *Component) hearsAllHosts(now time.Duration) bool {
+	heard := 1 // this host
+	for _, h := range p.Membership.Alive(now) {
+		since, down := p.disconnectedAt[h.Name]
+		if h.Name != p.Self.Name && (!down || now-since < disconnectGrace) {
+			heard++
+		}
+	}
+	return heard >= len(p.hosts)
+}
+
 // noteFound records a job that was found in the store's list, or that a caller reads while its owner does not answer.
 // The owner may have died before it announced the job.
 func (p *Component) noteFound(now time.Duration, s event.JobSeen, out *event.Batch) {
