batch: the end of a job is final, whoever takes the job over

Cause: startOwning set Ended from the number of unlisted items alone, over what was known; an end that was stored after this host had come to own the job stopped nothing. The same held for a job that is submitted again in an outage, for the list of jobs at the start, and for news of a third host.

Change: markEnded is the one place that records an end; it stops the runs of this host, and nothing clears it.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -195,6 +195,7 @@
 	}
 	p.dropUnstored(j, out)
 	k := p.ensureKnown(owner.Job)
+	owner.Ended = owner.Ended || k.Ended
 	k.JobSeen, k.newsAt, k.orphanedAt = owner, now, 0
 	p.announce(k.JobSeen, out)
 }
@@ -239,9 +240,17 @@
 	if e.Kind != "" {
 		return
 	}
-	k := p.ensureKnown(e.Job)
-	k.Ended = true
-	p.announce(k.JobSeen, out)
+	p.markEnded(e.Job, out)
+	p.announce(p.known[e.Job].JobSeen, out)
+}
+
+// markEnded records that a job has ended, which is final, and stops its runs on this host, which may have become the owner
+// while the end was being stored.
+func (p *Component) markEnded(job string, out *event.Batch) {
+	p.ensureKnown(job).Ended = true
+	if j := p.jobs[job]; j != nil {
+		p.stopJob(j, out)
+	}
 }
 
 func (p *Component) logJobEnd(job string, kind kinds.Kind, out *event.Batch) {
--- a/internal/batch/ends_test.go
+++ b/internal/batch/ends_test.go
@@ -7,9 +7,71 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
 )
 
+// A job was ended while this host was taking it over. The host that then owned it ran all of it, even when it had acknowledged
+// the end itself.
+func TestEndedJobIsNotRunByItsNextOwner(t *testing.T) {
+	const job = "j1"
+	head := testHead(1, 2, noHints)
+	head.ID, head.Route, head.GiveUp = job, "rollouts", time.Hour
+	taken := event.JobTaken{Job: job, Head: head, Epoch: 1}
+	ended := event.JobEnded{Job: job}
+	endCall := event.JobCalled{Seq: 9, Call: event.JobEnd, Job: job}
+	submission := event.JobCalled{Seq: 8, Call: event.JobSubmit, Path: "/r/x", Job: job, Head: head}
+	news := newsFrom("h3", event.JobSeen{Job: job, Ended: true})
+	record := event.JobSeen{Job: job, Host: "h2", Incarnation: "1", Ended: true}
+	cases := map[string]struct {
+		events  []event.Event
+		started int // runs before the end was known here
+	}{
+		"ended here, then taken":          {[]event.Event{endCall, ended, taken}, 0},
+		"taken, then ended here":          {[]event.Event{endCall, taken, ended}, 2},
+		"ended by another host":           {[]event.Event{news, taken}, 0},
+		"taken, then ended elsewhere":     {[]event.Event{taken, news}, 2},
+		"found ended at the same epoch":   {[]event.Event{event.JobsListed{Jobs: []event.JobSeen{record}}, taken}, 0},
+		"not found, then submitted again": {[]event.Event{news, event.JobTaken{Job: job, Kind: kinds.NotFound}, submission, event.Tick{}}, 0},
+		"submitted again in an outage":    {[]event.Event{news, submission, event.Tick{}}, 0},
+		"stored by another submission":    {[]event.Event{news, submission, event.JobKept{Seq: 8, Job: job, Kind: kinds.Conflict, Owner: event.JobSeen{Job: job, Host: "h1", Incarnation: "1"}}, taken}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			r.tick(startupGrace)
+			r.step(newsFrom("h2", event.JobSeen{Job: job, Host: "h2", Incarnation: "1"}))
+			r.step(event.PeerDown{Host: "h2", Incarnation: "1"})
+			r.tick(disconnectGrace)
+			r.tick(rankDelay)
+			if got := take[event.TakeJob](r); len(got) != 1 {
+				t.Fatalf("%d takeovers, want 1", len(got))
+			}
+			for _, ev := range c.events {
+				if ev == (event.Tick{}) {
+					r.now += startUnstoredAfter
+				}
+				r.step(ev)
+			}
+			if diff := cmp.Diff(c.started, len(take[event.RunItem](r))); diff != "" {
+				t.Errorf("runs (-want +got):\n%s", diff)
+			}
+			stopped := take[event.StopItem](r)
+			if diff := cmp.Diff(c.started, len(stopped)); diff != "" {
+				t.Errorf("stopped runs (-want +got):\n%s", diff)
+			}
+			r.effects = nil
+			for _, s := range stopped {
+				r.step(event.ItemEnded{Job: job, Item: s.Item, Attempt: s.Attempt, Reason: event.ReasonStopped})
+			}
+			r.tick(time.Second)
+			if got := r.running(); len(got) > 0 {
+				t.Errorf("runs of the ended job: %v", got)
+			}
+		})
+	}
+}
+
 // The host that had acknowledged the end of a job was gone before any other host heard of it. Only the store's record tells
 // the owner then.
 func TestOwnerThatDoesNotHearAllHostsReadsTheRecord(t *testing.T) {
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -68,7 +68,8 @@
 	k := p.ensureKnown(taken.Job)
 	k.Host, k.Incarnation, k.Epoch, k.newsAt, k.orphanedAt = p.Self.Name, p.Self.Incarnation, taken.Epoch, now, 0
 	k.Route, k.Items = j.head.Route, len(j.items)
-	k.Ended, k.Next = j.unlisted == 0, "" // with nothing left to run it counts as ended
+	j.ended = k.Ended // it may have been ended while this host was taking it over
+	k.Ended, k.Next = k.Ended || j.unlisted == 0, "" // with nothing left to run it counts as ended
 	p.noteRouteHost(k.JobSeen)
 	p.updateCopyHost(now, j, out)
 	if k.Next == "" {
@@ -156,11 +157,16 @@
 func (p *Component) noteOwner(now time.Duration, s event.JobSeen, out *event.Batch) {
 	k := p.ensureKnown(s.Job)
 	k.newsAt = now
-	if k.Ended || k.Host != "" && k.Epoch >= s.Epoch {
-		return
+	before := k.JobSeen
+	if !k.Ended && (k.Host == "" || k.Epoch < s.Epoch) {
+		k.JobSeen = s
+	}
+	if s.Ended {
+		p.markEnded(s.Job, out)
+	}
+	if k.JobSeen != before {
+		out.Emit(event.KnowJob{Seen: k.JobSeen})
 	}
-	k.JobSeen = s
-	out.Emit(event.KnowJob{Seen: s})
 }
 
 // listJobsAtStart reads the store's list of jobs once: jobs of an earlier process of this host, and of other hosts, may
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -167,7 +167,7 @@
 	}})
 	out.Emit(event.Count{Name: "JobTakeovers", Tags: []event.Field{{Key: "Kind", Value: string(e.Kind)}}, N: 1})
 	switch {
-	case e.Kind == kinds.NotFound:
+	case e.Kind == kinds.NotFound && !k.Ended:
 		// It may still be stored: by a submission under way, or when its caller submits it again.
 		delete(p.known, e.Job)
 	case e.Kind == kinds.Conflict:
@@ -176,7 +176,7 @@
 	case e.Kind != "":
 		k.Epoch = max(k.Epoch, e.Epoch)
 	case e.Ended:
-		k.Ended = true
+		p.markEnded(e.Job, out)
 		out.Emit(event.KnowJob{Seen: k.JobSeen})
 	case p.stopping:
 	case p.jobs[e.Job] != nil:
