batch, items: the end of a job takes effect once it is stored

Cause: the owner stopped its runs when the end was asked, before it was stored, and a refusal undid nothing. Besides, an end was refused after 3 s even when one of its writes had had no answer and could still take effect.

Change: nothing is stopped before the end is stored. The executor tells four outcomes apart: stored, no such job, refused (no write can take effect any more) and unknown. An unknown end is answered so and carried through; later calls share its outcome. The end that an owner stores when everything is listed is offered for two minutes.

Evidence: TestEndTakesEffectOnceItIsStored fails on the code before.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -15,6 +15,8 @@
 	retryAfter = 100 * time.Millisecond
 	// storeBudget is the time within which the store's outcome for a submission must be known.
 	storeBudget = 3 * time.Second
+	// endBudget is the time after which the end of a job is refused while the store refuses to record it.
+	endBudget = 3 * time.Second
 	// startUnstoredAfter is the time after a submission at which its items start to run even though the job is not
 	// stored yet. From then on the submission is no longer refused.
 	startUnstoredAfter = 600 * time.Millisecond
@@ -210,34 +212,34 @@
 	delete(p.jobs, j.head.ID)
 }
 
-// endJob stops a job's runs on this host and has its end stored. Any host accepts the call, not only the owner.
+// endJob has a job's end stored. Any host accepts the call, not only the owner. The job runs on until its end is stored, since
+// an end that is refused must change nothing.
 func (p *Component) endJob(e event.JobCalled, out *event.Batch) {
 	if k := p.known[e.Job]; k != nil && k.Ended {
 		p.logJobEnd(e.Job, "", out)
 		p.answer(e.Seq, e.Job, "", "", out)
 		return
 	}
-	if j := p.jobs[e.Job]; j != nil {
-		p.stopJob(j, out)
-	}
 	p.endCalls[e.Job] = append(p.endCalls[e.Job], e.Seq)
 	if len(p.endCalls[e.Job]) == 1 {
-		out.Emit(event.EndJob{Job: e.Job})
+		out.Emit(event.EndJob{Job: e.Job, Budget: endBudget})
 	}
 }
 
-// handleJobEnded answers the calls that wait for a job's end to be stored and announces the end.
+// handleJobEnded answers the calls that wait for a job's end to be stored. Once it is stored, it takes effect and is announced;
+// it may be stored after its calls were told that the outcome is unknown.
 func (p *Component) handleJobEnded(_ time.Duration, e event.JobEnded, out *event.Batch) {
-	seqs := p.endCalls[e.Job]
+	calls := p.endCalls[e.Job]
 	delete(p.endCalls, e.Job)
-	if len(seqs) == 0 {
-		return // stored by the owner, since all results are listed
-	}
-	for _, seq := range seqs {
+	for _, seq := range calls {
 		p.answer(seq, e.Job, e.Kind, "", out)
 	}
-	p.logJobEnd(e.Job, e.Kind, out)
-	if e.Kind != "" {
+	k := p.known[e.Job]
+	known := k != nil && k.Ended // as when all results of this host's own job are listed
+	if len(calls) > 0 || e.Kind != "" || !known {
+		p.logJobEnd(e.Job, e.Kind, out)
+	}
+	if e.Kind != "" || known {
 		return
 	}
 	p.markEnded(e.Job, out)
--- a/internal/batch/ends_test.go
+++ b/internal/batch/ends_test.go
@@ -11,6 +11,62 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
+// The owner stopped a job as soon as its end was asked. When the store then refused to record the end, the job stood still for
+// good, although its caller had been told that nothing had ended.
+func TestEndTakesEffectOnceItIsStored(t *testing.T) {
+	unknown := event.JobEnded{Job: "j1", Kind: kinds.OutcomeUnknown}
+	refused := event.JobEnded{Job: "j1", Kind: kinds.StoreRefused}
+	stored := event.JobEnded{Job: "j1"}
+	cases := map[string]struct {
+		outcomes []event.Event
+		answer   kinds.Kind
+		goesOn   bool
+	}{
+		"not answered yet":      {nil, "", true},
+		"refused":               {[]event.Event{refused}, kinds.StoreRefused, true},
+		"unknown":               {[]event.Event{unknown}, kinds.OutcomeUnknown, true},
+		"unknown, then stored":  {[]event.Event{unknown, stored}, kinds.OutcomeUnknown, false},
+		"stored":                {[]event.Event{stored}, "", false},
+		"there is no such job":  {[]event.Event{event.JobEnded{Job: "j1", Kind: kinds.NotFound}}, kinds.NotFound, true},
+		"unknown, then refused": {[]event.Event{unknown, refused}, kinds.OutcomeUnknown, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			r.submit("j1", testHead(3, 2, noHints)) // two items more than the engine has slots
+			runs := take[event.RunItem](r)
+			r.step(event.JobCalled{Seq: 2, Call: event.JobEnd, Job: "j1"})
+			for _, outcome := range c.outcomes {
+				r.step(outcome)
+			}
+			var got []kinds.Kind
+			for _, a := range take[event.JobAnswer](r) {
+				if a.Seq == 2 {
+					got = append(got, a.Kind)
+				}
+			}
+			var want []kinds.Kind
+			if len(c.outcomes) > 0 {
+				want = []kinds.Kind{c.answer}
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
+			}
+			if stopped := len(take[event.StopItem](r)); (stopped == 0) != c.goesOn {
+				t.Errorf("%d runs are stopped, want the job to go on: %v", stopped, c.goesOn)
+			}
+			r.step(event.ItemEnded{Job: "j1", Item: runs[0].Item, Attempt: runs[0].Attempt, Events: 3, Versions: []uint64{1}})
+			r.tick(time.Second)
+			if further := len(take[event.RunItem](r)) - len(runs); (further == 1) != c.goesOn {
+				t.Errorf("%d further items began, want the job to go on: %v", further, c.goesOn)
+			}
+			if lists := len(take[event.StoreChunk](r)); c.goesOn && lists != 1 {
+				t.Errorf("%d chunks of results, want one of the whole item", lists)
+			}
+		})
+	}
+}
+
 // A job was ended while this host was taking it over. The host that then owned it ran all of it, even when it had acknowledged
 // the end itself.
 func TestEndedJobIsNotRunByItsNextOwner(t *testing.T) {
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -68,7 +68,7 @@
 	k := p.ensureKnown(taken.Job)
 	k.Host, k.Incarnation, k.Epoch, k.newsAt, k.orphanedAt = p.Self.Name, p.Self.Incarnation, taken.Epoch, now, 0
 	k.Route, k.Items = j.head.Route, len(j.items)
-	j.ended = k.Ended // it may have been ended while this host was taking it over
+	j.ended = k.Ended                                // it may have been ended while this host was taking it over
 	k.Ended, k.Next = k.Ended || j.unlisted == 0, "" // with nothing left to run it counts as ended
 	p.noteRouteHost(k.JobSeen)
 	p.updateCopyHost(now, j, out)
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -19,6 +19,9 @@
 	listInterval = 500 * time.Millisecond
 	// chunkRetryPause is the pause after a chunk could not be stored.
 	chunkRetryPause = 200 * time.Millisecond
+	// listedEndBudget is the time for which the end of a job that is listed in full is offered to the store. No caller waits
+	// for it.
+	listedEndBudget = 2 * time.Minute
 	// maxChunkItems is the maximum number of results that are offered for one chunk; the executor stores as many as fit
 	// into an object.
 	maxChunkItems = 64
@@ -116,7 +119,7 @@
 		k.Ended = true // nothing is left to run
 		p.announce(k.JobSeen, out)
 		// Hosts that start without news of the job would take it over and read all its results.
-		out.Emit(event.EndJob{Job: e.Job})
+		out.Emit(event.EndJob{Job: e.Job, Budget: listedEndBudget})
 	}
 	p.listResults(now, j, out)
 }
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -28,7 +28,8 @@
 	jobCount int
 	// submissions is the number of submissions, by which their numbers differ.
 	submissions int
-	noFaults    bool // calls and messages no longer fail
+	endCalls    map[uint64]bool // numbers of the calls that end a job
+	noFaults    bool            // calls and messages no longer fail
 }
 
 type simHost struct {
@@ -44,6 +45,8 @@
 	host   *simHost
 	starts int // of the host when it made the call
 	effect event.Effect
+	// unknownEnd tells that the effect is an EndJob that the store may have taken, so that it can't be refused any more.
+	unknownEnd bool
 }
 
 // simJob is a job with its record in the store and the answers that its callers got.
@@ -57,11 +60,13 @@
 	refused  bool // an answer said that nothing runs
 	unknown  bool // an answer left open whether anything runs
 	ran      bool
-	ended    bool
+	endAsked bool // and not refused by every answer
+	endAcked bool // an answer said that the job has ended
+	endCalls int  // that are not answered
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	s := &simulation{t: t, now: time.Second, jobs: map[string]*simJob{}}
+	s := &simulation{t: t, now: time.Second, jobs: map[string]*simJob{}, endCalls: map[uint64]bool{}}
 	for i := range simHosts {
 		s.hosts = append(s.hosts, &simHost{sim: s, name: fmt.Sprintf("h%d", i+1)})
 	}
@@ -121,9 +126,9 @@
 		}
 	case event.RunItem:
 		s.noteRun(e.Job)
-		s.calls = append(s.calls, simCall{h, h.starts, effect})
+		s.calls = append(s.calls, simCall{host: h, starts: h.starts, effect: effect})
 	case event.KeepJob, event.TakeJob, event.CheckJob, event.ListJobs, event.EndJob, event.ScoreItem, event.StoreChunk, event.StopItem:
-		s.calls = append(s.calls, simCall{h, h.starts, effect})
+		s.calls = append(s.calls, simCall{host: h, starts: h.starts, effect: effect})
 	}
 }
 
@@ -133,6 +138,10 @@
 func (s *simulation) noteAnswer(e event.JobAnswer) {
 	j := s.jobs[jobOf(e.Seq)]
 	switch {
+	case s.endCalls[e.Seq]:
+		j.endAcked = j.endAcked || e.Kind == ""
+		j.endAsked = j.endAsked || kinds.AnswerFor(e.Kind).Run != kinds.NotRun || e.Kind == ""
+		j.endCalls--
 	case e.Kind == "":
 		j.accepted = true
 	case kinds.AnswerFor(e.Kind).Run == kinds.NotRun:
@@ -183,13 +192,32 @@
 }
 
 func (s *simulation) submitAt(n int) {
-	h := s.hosts[rapid.IntRange(0, simHosts-1).Draw(s.t, "host")]
 	j := s.jobs[jobOf(uint64(n))]
+	s.hostOf("host").step(event.JobCalled{Seq: s.nextSeq(n), Call: event.JobSubmit, Path: "/r/x", Job: j.id, Head: j.head})
+}
+
+// nextSeq returns a number for a call about job n. A host never uses a number twice.
+func (s *simulation) nextSeq(n int) uint64 {
 	s.submissions++
 	const maxDraw = 1_000_000
 	draw := rapid.IntRange(1, maxDraw).Draw(s.t, "seq")
-	seq := uint64(n) + 1000*uint64(draw+(maxDraw+1)*s.submissions) // a host never uses a number twice
-	h.step(event.JobCalled{Seq: seq, Call: event.JobSubmit, Path: "/r/x", Job: j.id, Head: j.head})
+	return uint64(n) + 1000*uint64(draw+(maxDraw+1)*s.submissions)
+}
+
+func (s *simulation) hostOf(label string) *simHost {
+	return s.hosts[rapid.IntRange(0, simHosts-1).Draw(s.t, label)]
+}
+
+// end ends a job at any host.
+func (s *simulation) end() {
+	if s.jobCount == 0 || rapid.IntRange(0, 3).Draw(s.t, "ends") > 0 {
+		return
+	}
+	n := rapid.IntRange(0, s.jobCount-1).Draw(s.t, "ended job")
+	j, seq := s.jobs[jobOf(uint64(n))], s.nextSeq(n)
+	s.endCalls[seq] = true
+	j.endCalls++
+	s.hostOf("host that ends").step(event.JobCalled{Seq: seq, Call: event.JobEnd, Job: j.id})
 }
 
 // performOne performs one call. It may fail before or after its effect, or its host may have restarted meanwhile.
@@ -201,7 +229,7 @@
 	c := s.calls[i]
 	s.calls = slices.Delete(s.calls, i, i+1)
 	outcome := "done"
-	if !s.noFaults {
+	if !s.noFaults && !c.unknownEnd {
 		outcome = rapid.SampledFrom([]string{"done", "done", "done", "lost", "refused"}).Draw(s.t, "outcome")
 	}
 	ev := s.perform(c, outcome)
@@ -221,6 +249,8 @@
 		return s.takeJob(c.host, c.starts, e, outcome)
 	case event.CheckJob:
 		return s.checkJob(e, outcome)
+	case event.EndJob:
+		return s.endJob(c, e, outcome)
 	case event.ListJobs:
 		return s.listJobs(outcome)
 	case event.RunItem:
@@ -243,7 +273,7 @@
 		done.Kind = kinds.Conflict
 	default:
 		j.stored = true
-		j.owner = event.JobSeen{Job: e.Job, Host: e.Host, Incarnation: e.Incarnation}
+		j.owner = event.JobSeen{Job: e.Job, Host: e.Host, Incarnation: e.Incarnation, Ended: j.owner.Ended}
 		done.Owner = j.owner
 	}
 	if outcome == "lost" {
@@ -302,6 +332,9 @@
 	case j.owner.Epoch > e.Epoch && !own:
 		done.Kind = kinds.Conflict
 		return done
+	case j.owner.Ended:
+		done.Ended = true
+		return done
 	case !own:
 		j.owner = event.JobSeen{Job: e.Job, Host: h.name, Incarnation: incarnation, Epoch: j.owner.Epoch + 1}
 	}
@@ -317,6 +350,24 @@
 	return done
 }
 
+// endJob records the end of a job. When the store's answer is lost, the executor goes on until it knows the outcome.
+func (s *simulation) endJob(c simCall, e event.EndJob, outcome string) event.Event {
+	j := s.jobs[e.Job]
+	switch {
+	case outcome == "refused":
+		return event.JobEnded{Job: e.Job, Kind: kinds.StoreRefused}
+	case !j.stored && c.host.p.jobs[e.Job] == nil:
+		return event.JobEnded{Job: e.Job, Kind: kinds.NotFound}
+	case outcome == "lost":
+		j.owner.Ended = j.owner.Ended || rapid.Bool().Draw(s.t, "end takes effect")
+		c.unknownEnd = true
+		s.calls = append(s.calls, c)
+		return event.JobEnded{Job: e.Job, Kind: kinds.OutcomeUnknown}
+	}
+	j.owner.Ended = true
+	return event.JobEnded{Job: e.Job}
+}
+
 func (s *simulation) checkJob(e event.CheckJob, outcome string) event.Event {
 	j := s.jobs[e.Job]
 	if outcome != "done" || !j.stored {
@@ -396,7 +447,7 @@
 		for _, chunk := range j.chunks {
 			listed += len(chunk)
 		}
-		if j.accepted && listed != simItems {
+		if j.accepted && !j.mayHaveEnded() && listed != simItems {
 			text := fmt.Sprintf("%s: %d of %d items are listed, owner %v", j.id, listed, simItems, j.owner)
 			for _, h := range s.hosts {
 				text += fmt.Sprintf("\n%s process %d: owns it %v, knows %+v", h.name, h.starts, h.p.jobs[j.id] != nil, h.p.known[j.id])
@@ -407,5 +458,55 @@
 	return ""
 }
 
+// mayHaveEnded reports whether an end of the job was acknowledged or may have taken effect. An end that every answer refused
+// must change nothing.
+func (j *simJob) mayHaveEnded() bool { return j.endAsked || j.endCalls > 0 }
+
+// wrongEnd describes a job whose end was acknowledged and that a host still runs, or whose end was refused and that its host
+// has stopped, "" for none.
+func (s *simulation) wrongEnd() string {
+	for n := range s.jobCount {
+		id := jobOf(uint64(n))
+		for _, h := range s.hosts {
+			j := h.p.jobs[id]
+			switch {
+			case j == nil || j.unlisted == 0:
+			case s.jobs[id].endAcked && !j.ended:
+				return fmt.Sprintf("%s has ended, and %s runs it, which knows %+v; the record is %+v", id, h.name, h.p.known[id], s.jobs[id].owner)
+			case !s.jobs[id].mayHaveEnded() && j.ended:
+				return fmt.Sprintf("every end of %s was refused, and %s has stopped it", id, h.name)
+			}
+		}
+	}
+	return ""
+}
+
+// performAll performs the calls to the store and delivers the messages that are under way, without faults. Runs of items go on.
+func (s *simulation) performAll() {
+	const maxCalls = 10000
+	for range maxCalls {
+		i := slices.IndexFunc(s.calls, func(c simCall) bool {
+			_, run := c.effect.(event.RunItem)
+			return !run
+		})
+		to := slices.IndexFunc(s.hosts, func(h *simHost) bool { return len(h.inbox) > 0 })
+		switch {
+		case i >= 0:
+			c := s.calls[i]
+			s.calls = slices.Delete(s.calls, i, i+1)
+			if ev := s.perform(c, "done"); ev != nil && c.starts == c.host.starts {
+				c.host.step(ev)
+			}
+		case to >= 0:
+			first := s.hosts[to].inbox[0]
+			s.hosts[to].inbox = s.hosts[to].inbox[1:]
+			s.hosts[to].step(first)
+		default:
+			return
+		}
+	}
+	s.t.Fatal("calls without end")
+}
+
 // GoString keeps the failure report of rapid short.
 func (h *simHost) GoString() string { return h.name }
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -167,10 +167,13 @@
 	Address string // of the host's listener for reads by peers, "" if not known
 }
 
-// EndJob records that a job was ended; JobEnded answers.
-type EndJob struct{ Job string }
+// EndJob records that a job was ended; JobEnded answers. While the store refuses, the end is given up after Budget.
+type EndJob struct {
+	Job    string
+	Budget time.Duration
+}
 
-// JobEnded ends an EndJob.
+// JobEnded answers an EndJob. After OutcomeUnknown, another one follows when the outcome is known.
 type JobEnded struct {
 	Job  string
 	Kind kinds.Kind
--- a/internal/items/ends_test.go
+++ b/internal/items/ends_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/relay"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -36,7 +37,7 @@
 			if c.ended {
 				x.writeOwner(context.Background(), "j1", wire.JobOwner{Host: "h2", Incarnation: "1", Ended: true}, 0)
 			}
-			if kind := x.tryEndJob(context.Background(), "j1"); kind != "" {
+			if kind := x.tryEndJob(context.Background(), "j1", &ending{}); kind != "" {
 				t.Fatalf("kind %q", kind)
 			}
 			got := 0
@@ -86,6 +87,86 @@
 	}
 }
 
+// The end of a job was refused with 503, which promises that it has not run, although a write without an answer might still
+// take effect.
+func TestEndIsRefusedOnlyWhenNothingMayHaveEnded(t *testing.T) {
+	const budget = 2 * storeRetryInterval
+	cases := map[string]struct {
+		losses  []loss // of the writes, the last one until the end has been answered
+		another bool   // another host writes the record after the first write
+		want    []kinds.Kind
+	}{
+		"stored":                             {[]loss{lossNone}, false, []kinds.Kind{""}},
+		"answer lost":                        {[]loss{lossAnswer}, false, []kinds.Kind{""}},
+		"refused":                            {[]loss{lossRefused}, false, []kinds.Kind{kinds.StoreRefused}},
+		"no answer":                          {[]loss{lossChange}, false, []kinds.Kind{kinds.OutcomeUnknown, ""}},
+		"no answer, then refused":            {[]loss{lossChange, lossRefused}, false, []kinds.Kind{kinds.OutcomeUnknown, ""}},
+		"no answer, overtaken, then refused": {[]loss{lossChange, lossRefused}, true, []kinds.Kind{kinds.StoreRefused}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x, store, _ := newExecutor(t)
+			posted := make(chan kinds.Kind, 10)
+			var answered atomic.Bool
+			x.Post = func(ev event.Event) bool {
+				answered.Store(true)
+				posted <- ev.(event.JobEnded).Kind
+				return true
+			}
+			writes := 0
+			store.nextLoss = func() loss {
+				writes++
+				if writes == 2 && c.another { // a takeover, before this write
+					store.objects[wire.PrefixOwners+"j1"] = wire.Object{Name: wire.PrefixOwners + "j1", Version: 1, Value: []byte(`{"Host":"h3","Epoch":1}`)}
+				}
+				if answered.Load() && c.losses[len(c.losses)-1] != lossNone {
+					return lossNone
+				}
+				return c.losses[min(writes, len(c.losses))-1]
+			}
+			x.endJob(context.Background(), event.EndJob{Job: "j1", Budget: budget})
+			close(posted)
+			var got []kinds.Kind
+			for kind := range posted {
+				got = append(got, kind)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("outcomes (-want +got):\n%s", diff)
+			}
+			owner, _, err := x.readOwner(context.Background(), "j1")
+			if ended := got[len(got)-1] == ""; err != nil || owner.Ended != ended {
+				t.Errorf("the record says ended: %v, %v; the last outcome %v", owner.Ended, err, ended)
+			}
+		})
+	}
+}
+
+// A second call that ends a job, while the outcome of a write for the first one is unknown, must not be refused either, and
+// must be answered in its own time.
+func TestEndsOfOneJobShareTheirOutcome(t *testing.T) {
+	x, store, _ := newExecutor(t)
+	posted := make(chan kinds.Kind, 10)
+	x.Post = func(ev event.Event) bool { posted <- ev.(event.JobEnded).Kind; return true }
+	outcome := atomic.Int64{}
+	outcome.Store(int64(lossChange))
+	store.nextLoss = func() loss { return loss(outcome.Load()) }
+	end := event.EndJob{Job: "j1", Budget: storeRetryInterval}
+	x.Do(end)
+	if diff := cmp.Diff(kinds.OutcomeUnknown, <-posted); diff != "" {
+		t.Fatalf("first outcome (-want +got):\n%s", diff)
+	}
+	outcome.Store(int64(lossRefused))
+	x.Do(end)
+	if diff := cmp.Diff(kinds.OutcomeUnknown, <-posted); diff != "" {
+		t.Fatalf("outcome of the second call (-want +got):\n%s", diff)
+	}
+	outcome.Store(int64(lossNone))
+	if diff := cmp.Diff(kinds.Kind(""), <-posted); diff != "" {
+		t.Fatalf("last outcome (-want +got):\n%s", diff)
+	}
+}
+
 // A host that no longer takes events must not confirm an end.
 func TestStoppingHostConfirmsNoEnd(t *testing.T) {
 	x, _, _ := newExecutor(t)
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -46,6 +46,7 @@
 	storing          map[uint64]wire.Job // submissions that are being stored, by Seq
 	answers          map[uint64]chan event.JobAnswer
 	runs             map[runKey]context.CancelFunc
+	endings          map[string]*ending // ends that are being stored, by job
 	lastSeq          uint64
 	lastScoreRequest uint64
 	unixOffset       atomic.Int64 // time of day at which Now was 0, in ns since the Unix epoch
@@ -89,6 +90,7 @@
 	x.storing = map[uint64]wire.Job{}
 	x.answers = map[uint64]chan event.JobAnswer{}
 	x.runs = map[runKey]context.CancelFunc{}
+	x.endings = map[string]*ending{}
 	x.copies = map[string]*copyProgress{}
 	x.storedTexts = map[string]*textStoreState{}
 	x.lastScoreRequest = FirstScoreRequest
@@ -118,7 +120,7 @@
 	case event.JobAnswer:
 		x.deliverAnswer(e)
 	case event.EndJob:
-		go x.endJob(x.ctx, e.Job)
+		go x.endJob(x.ctx, e)
 	case event.TakeJob:
 		go x.takeOver(x.ctx, e)
 	case event.ListJobs:
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -30,9 +30,10 @@
 type loss int
 
 const (
-	lossNone   loss = iota
-	lossAnswer      // the change is made, but the caller gets an error
-	lossChange      // the change is not made, and the caller gets the same kind of error
+	lossNone    loss = iota
+	lossAnswer       // the change is made, but the caller gets an error
+	lossChange       // the change is not made, and the caller gets the same kind of error
+	lossRefused      // the store says that the change is not made
 )
 
 func (m *memoryStore) drawLoss() loss {
@@ -60,6 +61,9 @@
 	if lost == lossChange {
 		return wire.Object{}, kinds.New(kinds.StoreUnavailable, "lost")
 	}
+	if lost == lossRefused {
+		return wire.Object{}, kinds.New(kinds.StoreRefused, "busy")
+	}
 	if m.objects[put.Name].Version != put.Version {
 		return wire.Object{}, kinds.New(kinds.Conflict, "%s", put.Name)
 	}
@@ -266,7 +270,7 @@
 // TestEndReachesTheOwner covers a job that is ended at a host whose messages do not reach the job's owner.
 func TestEndReachesTheOwner(t *testing.T) {
 	x, _, peers := newExecutor(t)
-	if kind := x.tryEndJob(context.Background(), "j1"); kind != "" {
+	if kind := x.tryEndJob(context.Background(), "j1", &ending{}); kind != "" {
 		t.Fatalf("kind %q", kind)
 	}
 	if diff := cmp.Diff([]string{"h2/j1"}, peers.ends); diff != "" {
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -5,83 +5,12 @@
 	"context"
 	"encoding/json"
 	"strings"
-	"time"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
-	"github.com/figshift/figshift/internal/retry"
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// endJob records in the store that a job was ended, whichever host runs it, and posts JobEnded. It retries for
-// endTimeout.
-func (x *Executor) endJob(ctx context.Context, id string) {
-	deadline := time.Now().Add(endTimeout)
-	kind := kinds.StoreUnavailable
-	for {
-		kind = x.tryEndJob(ctx, id)
-		if kind == "" || kind == kinds.NotFound || time.Now().After(deadline) || ctx.Err() != nil {
-			break
-		}
-		if retry.Sleep(ctx, storeRetryInterval) != nil {
-			break
-		}
-	}
-	x.Post(event.JobEnded{Job: id, Kind: kind})
-}
-
-func (x *Executor) tryEndJob(ctx context.Context, id string) kinds.Kind {
-	if x.jobTable.get(id) == nil && x.jobTable.owner(id).Job == "" {
-		if _, err := x.get(ctx, wire.PrefixJobs+id); err != nil {
-			return kinds.KindOf(err)
-		}
-	}
-	owner, version, err := x.readOwner(ctx, id)
-	if err != nil {
-		return kinds.KindOf(err)
-	}
-	if owner.Ended {
-		x.notifyOwnerOfEnd(ctx, id, owner) // whoever stored the end may not have done so
-		return ""
-	}
-	if owner.Host == "" {
-		known := x.jobTable.owner(id)
-		owner = wire.JobOwner{Host: known.Host, Incarnation: known.Incarnation, Epoch: known.Epoch}
-	}
-	owner.Ended, owner.EndedMS = true, x.UnixMS()
-	kind := x.writeOwner(ctx, id, owner, version)
-	if kind == "" {
-		x.notifyOwnerOfEnd(ctx, id, owner)
-	}
-	return kind
-}
-
-// notifyOwnerOfEnd tells the host that runs a job that the job was ended. Peer messages may not reach that host: they are
-// lost with their connection, and in a large fleet few hosts exchange them. While the host does not confirm the call,
-// it is repeated in the background for notifyTime.
-func (x *Executor) notifyOwnerOfEnd(ctx context.Context, id string, owner wire.JobOwner) {
-	host := owner.Host
-	if host == "" {
-		if job, err := x.loadJobCached(ctx, id); err == nil {
-			host = job.Host
-		}
-	}
-	if host != "" && host != x.Host && !x.Peers.NotifyEnded(ctx, host, id) {
-		go x.repeatEnd(ctx, id, host)
-	}
-}
-
-// repeatEnd tells a host that a job was ended until the host confirms it, for notifyTime at most.
-func (x *Executor) repeatEnd(ctx context.Context, id, host string) {
-	ctx, cancel := context.WithTimeout(ctx, notifyTime)
-	defer cancel()
-	for retry.Sleep(ctx, notifyInterval) == nil {
-		if x.Peers.NotifyEnded(ctx, host, id) {
-			return
-		}
-	}
-}
-
 func (x *Executor) readOwner(ctx context.Context, id string) (wire.JobOwner, uint64, error) {
 	var owner wire.JobOwner
 	object, err := x.get(ctx, wire.PrefixOwners+id)
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -16,7 +16,6 @@
 const (
 	storeCallTimeout   = time.Second     // of one call to the store
 	listChunksTimeout  = 2 * time.Second // of one list of a job's chunks, up to a few MB
-	endTimeout         = 3 * time.Second
 	notifyTime         = 6 * time.Second // of telling an owner of the end of its job; the record in the store lasts
 	notifyInterval     = 300 * time.Millisecond
 	storeRetryInterval = 150 * time.Millisecond
