flow: a call that takes a stream up is bound whatever endpoints are known

What callers saw: a report from a system like ours; streams that were taken up after all hosts were killed held events of two software versions.

Cause: whether a call takes a stream up, and so is bound to the version that began it, was decided by the endpoints that were listed just then (resumesStream asked Table.Versioned). A host that has just started knows none. Such a call waited in the queue (classes that wait) and went to the first endpoint that was listed, of any version; a host that is cut off passed it on without a version, and the receiver sent it to any, also when it came from such a host of an earlier build.

Change: the call alone tells. Its origin is looked up or asked for first; a stream of which nobody knows where it began goes on only where endpoints are listed and none tells a version, and is refused at once otherwise (StreamUnresumable, not run). The receiver of a passed call that names no version binds it itself.

--- a/figbed/proofs/streams_test.go
+++ b/figbed/proofs/streams_test.go
@@ -189,3 +189,38 @@
 	}
 	return events
 }
+
+// All hosts were killed at once and came back, and callers took their streams up while the hosts knew of no endpoint, or of no
+// stream, yet.
+func TestStreamsAfterAllHostsWereKilled(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(servers []*estate.Server){
+		"both versions serve":   func([]*estate.Server) {},
+		"the old one just left": func(servers []*estate.Server) { servers[0].SetDraining(true); servers[1].SetDraining(true) },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			servers := softwareEngines(2, 2)
+			f := startPlatformFleet(t, 3, servers...)
+			ids := f.beginStreams(1)
+			change(servers)
+			for _, h := range f.hosts {
+				h.Kill()
+			}
+			for n := range f.hosts {
+				f.hosts[n] = f.startFigd(n + 1)
+			}
+			const rejoinTime = 5 * time.Second // in which the hosts learn of each other and of the endpoints
+			for until := time.Now().Add(rejoinTime); time.Now().Before(until); {
+				f.resumeStreams(ids, 1, 2, 3)
+			}
+			if fresh := len(f.beginNamed(2, "t")); fresh != softwareStreams {
+				t.Errorf("%d streams begin after that, want %d", fresh, softwareStreams)
+			}
+			if mixed := estate.MixedStreams(servers); len(mixed) > 0 {
+				t.Errorf("streams with events of two software versions: %d of %d: %v", len(mixed), len(ids), mixed)
+			}
+		})
+	}
+}
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -23,7 +23,7 @@
 		p.finish(now, r, kind, out)
 		return
 	}
-	if r.arrived.Pass == nil && p.resumesStream(r) {
+	if r.software == nil && resumesStream(r) {
 		kind, ok := p.bindResumed(now, r, out)
 		if kind != "" {
 			p.finish(now, r, kind, out)
@@ -46,7 +46,7 @@
 	p.enqueue(now, r, false)
 	p.timers.add(r.deadline, r.id())
 	p.dispatch(now, out)
-	if _, open := p.requests[r.id()]; open && r.phase == queued && r.software != nil {
+	if _, open := p.requests[r.id()]; open && r.phase == queued && r.software != nil && *r.software != withoutVersion {
 		p.endRequest(now, r, kinds.StreamUnresumable, out)
 	}
 }
--- a/internal/flow/stream.go
+++ b/internal/flow/stream.go
@@ -18,11 +18,27 @@
 // with, so that it doesn't hold up the others of its organisation.
 const softwareQueue = "#software="
 
-// resumesStream reports whether a request takes up a stream of a route whose endpoints tell their software versions.
-func (p *Component) resumesStream(r *request) bool {
-	return r.route.Streaming && r.arrived.LastEvent != "" && slices.ContainsFunc(servicesOf(r), func(service string) bool {
-		return p.table.Versioned(route.ServicePool(service))
-	})
+// withoutVersion is the software version of endpoints that tell none.
+const withoutVersion = ""
+
+// resumesStream reports whether a request takes up a stream. The call alone tells, not the endpoints that are known just then.
+func resumesStream(r *request) bool {
+	return r.route.Streaming && r.arrived.LastEvent != ""
+}
+
+// withoutVersions reports whether endpoints of the request's services are known and none of them tells its software version.
+func (p *Component) withoutVersions(r *request) bool {
+	pools := 0
+	for _, service := range servicesOf(r) {
+		pool := route.ServicePool(service)
+		if p.table.Versioned(pool) {
+			return false
+		}
+		if p.table.Listed(pool) {
+			pools++
+		}
+	}
+	return pools > 0
 }
 
 // servicesOf returns the services to which the request's route sends.
@@ -41,7 +57,7 @@
 // for it, and a kind when the stream can't go on.
 func (p *Component) bindResumed(now time.Duration, r *request, out *event.Batch) (kinds.Kind, bool) {
 	if r.arrived.Resumes == "" {
-		return kinds.StreamUnresumable, true
+		return p.bindTo(r, origin.Origin{}, false), true
 	}
 	stream := origin.Stream{Organisation: r.organisation, ID: r.arrived.Resumes}
 	at, ok := p.Origins.Lookup(now, stream)
@@ -49,17 +65,22 @@
 		r.phase = seeking
 		return "", false
 	}
-	if !ok || !slices.Contains(servicesOf(r), at.Service) {
-		return kinds.StreamUnresumable, true
-	}
-	r.bindTo(at)
-	return "", true
+	return p.bindTo(r, at, ok), true
 }
 
-// bindTo sends a request to the service and software version at which its stream began.
-func (r *request) bindTo(at origin.Origin) {
-	r.service, r.pool = at.Service, route.ServicePool(at.Service)
-	r.bind(at.Software)
+// bindTo sends a request to the service and software version at which its stream began, or returns why the stream can't go on.
+// A stream of which nobody knows where it began goes on only where no endpoint tells its version.
+func (p *Component) bindTo(r *request, at origin.Origin, known bool) kinds.Kind {
+	switch {
+	case known && slices.Contains(servicesOf(r), at.Service):
+		r.service, r.pool = at.Service, route.ServicePool(at.Service)
+		r.bind(at.Software)
+	case !known && p.withoutVersions(r):
+		r.bind(withoutVersion)
+	default:
+		return kinds.StreamUnresumable
+	}
+	return ""
 }
 
 // bind makes a software version the only one that the request may go to.
@@ -72,11 +93,10 @@
 		if r.phase != seeking || r.organisation != e.Organisation || r.arrived.Resumes != e.ID {
 			continue
 		}
-		if !known || !slices.Contains(servicesOf(r), at.Service) {
-			p.finish(now, r, kinds.StreamUnresumable, out)
+		if kind := p.bindTo(r, at, known); kind != "" {
+			p.finish(now, r, kind, out)
 			continue
 		}
-		r.bindTo(at)
 		p.admitAndDispatch(now, r, out)
 	}
 }
@@ -98,5 +118,8 @@
 // unplaceable reports whether a request for which no endpoint is free can't wait for one: the caller of a stream begins it
 // anew elsewhere, and a generation needs an endpoint of the version that began it.
 func (p *Component) unplaceable(now time.Duration, r *request) bool {
-	return r.software != nil && !p.relayed(now, r) && (!r.generation || !p.table.ServesSoftware(now, r.pool, *r.software))
+	if r.software == nil || p.relayed(now, r) {
+		return false
+	}
+	return !r.generation && *r.software != withoutVersion || !p.table.ServesSoftware(now, r.pool, *r.software)
 }
--- a/internal/route/candidates.go
+++ b/internal/route/candidates.go
@@ -40,6 +40,11 @@
 	return slices.ContainsFunc(t.pools[pool], func(e *Endpoint) bool { return e.hasSoftware(&software) && e.acceptsRequests(now) })
 }
 
+// Listed reports whether the latest list has an endpoint of the pool, whatever its state.
+func (t *Table) Listed(pool string) bool {
+	return slices.ContainsFunc(t.pools[pool], func(e *Endpoint) bool { return e.listed })
+}
+
 // Versioned reports whether an endpoint of the pool tells its software version.
 func (t *Table) Versioned(pool string) bool {
 	return slices.ContainsFunc(t.pools[pool], func(e *Endpoint) bool { return e.Software != "" })
--- a/internal/serve/pass.go
+++ b/internal/serve/pass.go
@@ -61,11 +61,14 @@
 	}
 }
 
+// lastEventHeader names the last event that a caller holds of a stream that it takes up again, as in the HTML standard.
+const lastEventHeader = "Last-Event-Id"
+
 func arrivalOf(request uint64, passed wire.PassedCall, now time.Duration) event.RequestArrived {
 	return event.RequestArrived{
 		Request: request, ID: passed.ID, Host: passed.Host, Path: passed.Target, Method: passed.Method, Own: true, Pass: &passed.Terms,
 		Organisation: passed.Organisation, Class: config.Class(passed.Terms.Class), Tokens: passed.Terms.Tokens, Digest: passed.Terms.Digest,
-		Resumes: passed.Terms.Resumes, Deadline: now + time.Duration(passed.DeadlineMS)*time.Millisecond,
+		LastEvent: http.Header(passed.Header).Get(lastEventHeader), Resumes: passed.Terms.Resumes, Deadline: now + time.Duration(passed.DeadlineMS)*time.Millisecond,
 	}
 }
 
