items: the question of a second connection stays counted

When the transport turns from a kept connection to a new one, which it may since requests for items can be rewound, the engine is asked for its incarnation. The event for the kept connection had taken the question back already, so that an engine with a limit got one request more than was counted. It is taken back only when the kept connection was the last one.

That this was its cause is not shown.

--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -87,12 +87,17 @@
 	if e.Identify {
 		transport = x.Identified
 	}
-	var conn httptrace.GotConnInfo
+	var conn verifiedConn // the last one, when the transport needs several
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = info
-		x.verify(info, e)
+		conn = verify(info, e)
+		if conn.identified && !conn.Reused {
+			x.reportIdentity(conn, e)
+		}
 	}}
 	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if conn.identified && conn.Reused && e.Charged {
+		x.reportIdentity(conn, e)
+	}
 	if err != nil {
 		return 0, event.ReasonBroken
 	}
@@ -123,13 +128,23 @@
 	return resp.StatusCode, ""
 }
 
-// verify checks that a connection leads to the incarnation of the engine that is meant, and reports what the engine has told
-// of itself on a new one.
-func (x *Executor) verify(info httptrace.GotConnInfo, e event.RunItem) {
-	found, ok := conns.Verify(info.Conn, e.Incarnation)
-	if ok && (!info.Reused || e.Charged) {
-		x.Post(event.EndpointIdentified{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Found: found, Reused: info.Reused})
-	}
+// verifiedConn is the connection of a run. Found is the incarnation to which it leads, if it is identified.
+type verifiedConn struct {
+	httptrace.GotConnInfo
+	found      string
+	identified bool
+}
+
+// verify closes a connection that leads to another incarnation of the engine than the one that is meant.
+func verify(info httptrace.GotConnInfo, e event.RunItem) verifiedConn {
+	c := verifiedConn{GotConnInfo: info}
+	c.found, c.identified = conns.Verify(info.Conn, e.Incarnation)
+	return c
+}
+
+// reportIdentity reports what the engine has told of itself on a new connection, or that it was not asked again on a kept one.
+func (x *Executor) reportIdentity(c verifiedConn, e event.RunItem) {
+	x.Post(event.EndpointIdentified{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Found: c.found, Reused: c.Reused})
 }
 
 func (x *Executor) newRequest(ctx context.Context, j *jobState, e event.RunItem, lastID string) (*http.Request, error) {
