lease: a host that held a duty last but one waits for a lease

Cause: a duty whose holder's process was replaced is free at once, also for the host that had held it before that holder.

Change: the record names its last two holders; the last but one waits for a lease and its margin since it lost the duty or since its process started, and the next candidate moves up.

--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/figshift/figshift/internal/config"
@@ -16,6 +17,29 @@
 	Renewals    uint64
 	Timing      config.Lease
 	Ledger      []byte
+	// Turns names the last holders, the latest one last. A build that doesn't know the field drops it.
+	Turns []string `json:",omitempty"`
+}
+
+// maxTurns is the number of holders that a record names.
+const maxTurns = 2
+
+// addTurn records that a host takes the duty over.
+func (r *Record) addTurn(host string) {
+	turns := slices.Clone(r.Turns)
+	if len(turns) == 0 && r.Holder != "" {
+		turns = append(turns, r.Holder)
+	}
+	if len(turns) == 0 || turns[len(turns)-1] != host {
+		turns = append(turns, host)
+	}
+	r.Turns = turns[max(0, len(turns)-maxTurns):]
+}
+
+// heldSince reports whether another host has held the duty since a host did.
+func (r *Record) heldSince(host string) bool {
+	i := slices.Index(r.Turns, host)
+	return i >= 0 && r.Turns[len(r.Turns)-1] != host
 }
 
 // phase is the state of a duty on this daemon.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -56,7 +56,9 @@
 	hubs           []string
 	callSeq        uint64
 	started        bool
-	acquireFrom    time.Duration // earliest time to acquire duties, 0 before the first configuration
+	startedAt      time.Duration
+	lostAt         map[string]time.Duration // when this process last held a duty, by duty
+	acquireFrom    time.Duration            // earliest time to acquire duties, 0 before the first configuration
 	stopping       bool
 	stopAskedAt    time.Duration
 	drained        bool
@@ -65,7 +67,7 @@
 
 // Step applies one event.
 func (p *Component) Step(now time.Duration, ev event.Event, out *event.Batch) {
-	p.start()
+	p.start(now)
 	switch e := ev.(type) {
 	case event.Tick:
 		p.tick(now, out)
@@ -104,11 +106,12 @@
 	}
 }
 
-func (p *Component) start() {
+func (p *Component) start(now time.Duration) {
 	if p.started {
 		return
 	}
-	p.started = true
+	p.started, p.startedAt = true, now
+	p.lostAt = map[string]time.Duration{}
 	p.timing = config.Defaults().Lease
 	p.meshUpTo = config.Defaults().Trust.MeshUpTo
 	p.wantedByOwner = map[string][]string{}
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -12,11 +12,12 @@
 // expire gives up a duty whose lease has run out.
 func (p *Component) expire(now time.Duration, d *duty, out *event.Batch) {
 	if d.phase != idle && now >= d.trustedUntil {
-		p.lose(d, "Expired", out)
+		p.lose(now, d, "Expired", out)
 	}
 }
 
-func (p *Component) lose(d *duty, reason string, out *event.Batch) {
+func (p *Component) lose(now time.Duration, d *duty, reason string, out *event.Batch) {
+	p.lostAt[d.name] = now
 	held := d.phase == holding
 	d.phase = idle
 	d.known = false
@@ -140,7 +141,7 @@
 	}
 	if w.record.Holder == "" {
 		p.announceRelease(now, d, out)
-		p.lose(d, "Released", out)
+		p.lose(now, d, "Released", out)
 		return
 	}
 	d.trustedUntil = max(d.trustedUntil, leaseEnd(w.sentAt, w.record.Timing))
@@ -175,7 +176,7 @@
 		p.maintain(now, d, out)
 		return
 	}
-	p.lose(d, "Taken", out)
+	p.lose(now, d, "Taken", out)
 }
 
 func (p *Component) writeLedger(now time.Duration, e event.WriteLedger, out *event.Batch) {
--- a/internal/lease/replaced_test.go
+++ b/internal/lease/replaced_test.go
@@ -44,7 +44,7 @@
 			for _, ev := range c.events {
 				p.Step(seen, ev, &event.Batch{})
 			}
-			p.start()
+			p.start(0)
 			d := &duty{firstSeenAt: seen, revision: recordRevision, record: Record{Holder: c.holder, Incarnation: "1"}}
 			if got := p.holderReplaced(d); got != c.want {
 				t.Errorf("holderReplaced() = %v, want %v", got, c.want)
--- a/internal/lease/takeover.go
+++ b/internal/lease/takeover.go
@@ -39,7 +39,7 @@
 		return
 	}
 	age := now - d.lastReadAt
-	due := now >= p.takeoverTime(d, rank)
+	due := now >= p.takeoverTime(d, p.rankOfTurn(now, d, rank))
 	if age > interval || due && age > maxTakeoverReadAge {
 		p.startRead(d, out)
 		return
@@ -90,9 +90,31 @@
 	return names
 }
 
-// takeoverTime returns the time from which this daemon may take over a duty. It need not wait for an expired lease of
-// its own process, which gave up the duty before.
+// takeoverTime returns the time from which this daemon may take over a duty. Endpoints that check no fencing numbers must not
+// see holders take turns within a lease.
 func (p *Component) takeoverTime(d *duty, rank int) time.Duration {
+	at := p.leaseFreeTime(d, rank)
+	if d.record.heldSince(p.Self.Name) {
+		last := max(p.startedAt, p.lostAt[d.name]) // this host, or an earlier process of it, acted no later
+		at = max(at, last+d.record.Timing.TTL+d.record.Timing.Margin)
+	}
+	return at
+}
+
+// rankOfTurn returns this daemon's rank without the candidate before it that has to wait since its turn was the last but one.
+func (p *Component) rankOfTurn(now time.Duration, d *duty, rank int) int {
+	names := p.candidates(now)
+	for _, name := range names {
+		if d.record.heldSince(name) && name != p.Self.Name && rank > 0 && ranks.Rank(d.name, names, name) < rank {
+			return rank - 1
+		}
+	}
+	return rank
+}
+
+// leaseFreeTime returns the time from which nobody holds a duty. A daemon need not wait for an expired lease of its own
+// process, which gave up the duty before.
+func (p *Component) leaseFreeTime(d *duty, rank int) time.Duration {
 	rankDelay := time.Duration(rank) * takeoverStagger
 	switch {
 	case d.record.Holder == "":
@@ -108,6 +130,7 @@
 
 func (p *Component) writeTakeover(d *duty, out *event.Batch) {
 	record := d.record
+	record.addTurn(p.Self.Name)
 	record.Holder = p.Self.Name
 	record.Incarnation = p.Self.Incarnation
 	record.Epoch++
