call, items: an answer without an id counts on a new connection

The platform's examples of 421 and of a full server's 503 show no id. Taking such an answer for nobody's would have told callers of requests that run once that the outcome is unknown, although the endpoint refused. A late answer needs an earlier request on its connection: the id may lack on a connection that was not in use before, and only there. TestAnswerWithoutAnIDOnANewConnection.

--- a/internal/call/names.go
+++ b/internal/call/names.go
@@ -71,14 +71,15 @@
 	return retriable && notRun != "" && notRun != "false"
 }
 
-// IsResponseTo reports whether the endpoint sent resp for the request with this id. A late second response to an earlier
-// request can arrive in its place, with any status. Endpoints that stamp their responses repeat the id in each of them.
-func (n *HeaderNames) IsResponseTo(resp *http.Response, id string) bool {
+// IsResponseTo reports whether the endpoint sent resp for the request with this id. On a connection that was in use before
+// (reused), a late second response to an earlier request can arrive in its place, with any status. Endpoints that stamp their
+// responses repeat the id, at least in those that can come late.
+func (n *HeaderNames) IsResponseTo(resp *http.Response, id string, reused bool) bool {
 	repeated := resp.Header.Get(n.Request)
-	if n.Stamp == "" {
-		return repeated == "" || repeated == id
+	if repeated != "" && repeated != id || repeated == "" && reused && n.Stamp != "" {
+		return false
 	}
-	return repeated == id && (resp.StatusCode/100 != 2 || resp.Header.Get(n.Stamp) != "")
+	return n.Stamp == "" || resp.StatusCode/100 != 2 || resp.Header.Get(n.Stamp) != ""
 }
 
 // ForeignReason returns the reason of an attempt whose connection delivered a response that is not its own. On a connection
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -28,7 +28,7 @@
 		return
 	}
 	names := &a.executor.Names
-	if !names.IsResponseTo(resp, a.exchange.ID) {
+	if !names.IsResponseTo(resp, a.exchange.ID, a.reusedConn) {
 		_ = a.gate.owner.Load().Close() // the response that belongs to the attempt may still come on it
 		a.fail(ForeignReason(a.reusedConn))
 		return
--- a/internal/items/foreign_test.go
+++ b/internal/items/foreign_test.go
@@ -108,6 +108,33 @@
 	}
 }
 
+// On a new connection no earlier answer can come, so that one without an id, as of another engine that has the address, is the
+// item's own.
+func TestAnswerWithoutAnIDOnANewConnection(t *testing.T) {
+	cases := map[string]struct {
+		header http.Header
+		status int
+		reused bool
+		want   bool
+	}{
+		"refused, new":            {http.Header{}, http.StatusMisdirectedRequest, false, true},
+		"refused, used before":    {http.Header{}, http.StatusMisdirectedRequest, true, false},
+		"never, new":              {http.Header{}, http.StatusUnprocessableEntity, false, true},
+		"another id, new":         {http.Header{"Request": {"other"}}, http.StatusUnprocessableEntity, false, false},
+		"own id, used before":     {http.Header{"Request": {"own"}}, http.StatusUnprocessableEntity, true, true},
+		"success without a stamp": {http.Header{"Request": {"own"}}, http.StatusOK, false, false},
+		"success":                 {http.Header{"Request": {"own"}, "Stamp": {"s"}}, http.StatusOK, true, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			names := call.HeaderNames{Request: "Request", Stamp: "Stamp"}
+			if got := names.IsResponseTo(&http.Response{StatusCode: c.status, Header: c.header}, "own", c.reused); got != c.want {
+				t.Errorf("taken for the answer: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // A first connection that delivers an answer to another request shows a fault of its engine.
 func TestForeignAnswerOnANewConnection(t *testing.T) {
 	want := map[bool]string{true: event.ReasonForeign, false: event.ReasonBroken}
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -102,7 +102,7 @@
 		return 0, event.ReasonBroken
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if !x.Names.IsResponseTo(resp, j.job.Items[e.Item].ID) {
+	if !x.Names.IsResponseTo(resp, j.job.Items[e.Item].ID, conn.Reused) {
 		_ = conn.Conn.Close() // the response that belongs to the item may still come on it
 		return resp.StatusCode, call.ForeignReason(conn.Reused)
 	}
