--- a/internal/lease/turns_test.go
+++ b/internal/lease/turns_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -81,3 +82,33 @@
 		})
 	}
 }
+
+// A host of the production build must read a record with turns, and this build one without.
+func TestRecordsOfTwoBuilds(t *testing.T) {
+	const production = `{"Holder":"h2","Incarnation":"7","Epoch":3,"Renewals":9,"Timing":{"TTL":3000000000,"Renew":1000000000,"Margin":500000000,"OrderFlight":300000000},"Ledger":"AQI="}`
+	record, ok := decodeRecord([]byte(production))
+	if !ok || record.heldSince("h1") || record.Epoch != 3 || record.Timing.TTL != 3*time.Second {
+		t.Fatalf("the record of the production build is read as %+v, %v", record, ok)
+	}
+	record.addTurn("h1")
+	value, err := json.Marshal(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read struct { // the record as the production build declares it
+		Holder, Incarnation string
+		Epoch, Renewals     uint64
+		Timing              config.Lease
+		Ledger              []byte
+	}
+	if err := json.Unmarshal(value, &read); err != nil {
+		t.Fatal(err)
+	}
+	again, err := json.Marshal(read)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(production, string(again)); diff != "" {
+		t.Errorf("what the production build writes back (-want +got):\n%s", diff)
+	}
+}
