call: a foreign answer closes the connection that it came on

The connection was looked up as the one on which the attempt had written. An endpoint that answers before the request is written left none, and the daemon would have ended. The connection is now remembered when the attempt gets it.

--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -27,8 +27,8 @@
 	ctx             context.Context
 	cancel          context.CancelFunc
 	gate            writeGate
-	connectedPosted bool          // AttemptConnected was posted
-	reusedConn      bool          // the connection had served other attempts
+	connectedPosted bool // AttemptConnected was posted
+	conn            httptrace.GotConnInfo
 	sentAt          time.Duration // when the attempt was allowed to write, 0 before
 	sendDeadline    chan time.Duration
 	forwarding      atomic.Bool // the response is being forwarded
@@ -206,7 +206,7 @@
 // awaitSend posts AttemptConnected and waits for SendAttempt. The transport calls it when it has a connection, before
 // it writes.
 func (a *attempt) awaitSend(info httptrace.GotConnInfo) {
-	a.reusedConn = info.Reused
+	a.conn = info
 	if c, ok := info.Conn.(*gatedConn); ok {
 		c.gate.Store(&a.gate)
 		a.executor.verify(c.Conn, wire.LeaveMark{Endpoint: a.start.Endpoint, Incarnation: a.start.Incarnation})
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -28,9 +28,9 @@
 		return
 	}
 	names := &a.executor.Names
-	if !names.IsResponseTo(resp, a.exchange.ID, a.reusedConn) {
-		_ = a.gate.owner.Load().Close() // the response that belongs to the attempt may still come on it
-		a.fail(ForeignReason(a.reusedConn))
+	if !names.IsResponseTo(resp, a.exchange.ID, a.conn.Reused) {
+		_ = a.conn.Conn.Close() // the response that belongs to the attempt may still come on it
+		a.fail(ForeignReason(a.conn.Reused))
 		return
 	}
 	endpoint := wire.LeaveMark{Endpoint: a.start.Endpoint, Incarnation: a.start.Incarnation}
