items: tell how old the store's word behind an empty page is

Nothing told which host had answered empty, from what source, and how old its proof was that no more was listed. Each proof now bears the time at which the store was asked, pages between hosts bear its age, and each empty page is observed (EmptyPageAge, debug line EmptyPage).

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -253,6 +253,13 @@
 	(&stats.Executor{Scope: d.metrics()}).Do(event.Observe{Name: "StoreCallTime", Tags: tags, Took: took})
 }
 
+// observeEmptyPage records the age of an empty page of results in its histogram.
+func (d *platformDaemon) observeEmptyPage(p items.EmptyPage) {
+	tags := []event.Field{{Key: "Source", Value: p.Source}}
+	(&stats.Executor{Scope: d.metrics()}).Do(event.Observe{Name: "EmptyPageAge", Tags: tags, Took: p.Age})
+	d.log.Debug("EmptyPage", zap.String("Job", p.Job), zap.Int("After", p.After), zap.String("Source", p.Source), zap.Int64("AgeMS", p.Age.Milliseconds()))
+}
+
 // viewTrust implements event.Trust with the view component and the lease component.
 type viewTrust struct {
 	*view.Component
@@ -301,6 +308,7 @@
 		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayedStore, Calls: d.callExecutor, Names: platform.ItemNames(),
 		HTTP:       conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), nil, maxIdleConns, idleConnTimeout),
 		Identified: conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), platform.CallNames().Identity, maxIdleConns, idleConnTimeout), Peers: hostAPI, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
+		ObserveEmpty: d.observeEmptyPage,
 	}
 	d.jobExecutor.Prepare()
 	hostAPI.Executor = d.jobExecutor
--- a/internal/items/chunks.go
+++ b/internal/items/chunks.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
@@ -29,8 +30,10 @@
 		return
 	}
 	put := wire.ObjectPut{Name: chunkName(e.Job, e.Number), Writer: x.writerID(uint64(e.Number)), Value: value}
+	completeAt := time.Now() // this chunk is created later, and the next ones later still
 	done.Kind = x.put(ctx, put)
 	if done.Kind == kinds.Conflict {
+		completeAt = time.Time{}
 		chunk, err = x.chunk(ctx, e.Job, e.Number)
 		if err != nil {
 			done.Kind = kinds.StoreUnavailable
@@ -38,7 +41,7 @@
 		done.Items = itemIndices(chunk)
 	}
 	if done.Kind == "" || done.Kind == kinds.Conflict {
-		x.jobTable.appendChunk(e.Job, e.Number, chunk.Results)
+		x.jobTable.appendChunk(e.Job, e.Number, chunk.Results, completeAt)
 		x.releaseTexts(j, done.Items)
 	}
 	x.Post(done)
--- a/internal/items/copies.go
+++ b/internal/items/copies.go
@@ -205,7 +205,7 @@
 			continue
 		}
 		for n, chunk := range update.Chunks {
-			x.jobTable.appendChunk(update.Job, update.Chunk+n, chunk.Results)
+			x.jobTable.appendChunk(update.Job, update.Chunk+n, chunk.Results, time.Time{})
 			x.releaseTexts(j, itemIndices(chunk))
 		}
 		for _, part := range update.Parts {
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -32,6 +32,8 @@
 	Now         func() time.Duration
 	// Decode parses the body of a submission that arrived at unixMS, in ms since the Unix epoch. Its errors have a kind.
 	Decode func(c JobCall, body []byte, unixMS int64) (wire.Job, error)
+	// ObserveEmpty is called with each empty page that a reader gets; nil for none.
+	ObserveEmpty func(EmptyPage)
 
 	jobTable         jobTable
 	remoteJobs       remoteJobs
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -258,7 +258,7 @@
 	x.jobTable.add(testJob())
 	x.jobTable.setOwned("j1", true)
 	store.seed(t, chunkName("j1", 0), chunkOf(0))
-	x.jobTable.appendChunk("j1", 0, chunkOf(0).Results)
+	x.jobTable.appendChunk("j1", 0, chunkOf(0).Results, time.Now())
 	store.seed(t, chunkName("j1", 1), chunkOf(3))
 	x.jobTable.jobs["j1"].verifiedAt = time.Now().Add(-2 * verifiedFor)
 	page, err := x.Page(context.Background(), "j1", 1, 0)
@@ -298,7 +298,7 @@
 	own.texts[0].add("2", []byte("b"), 5, "")
 	own.texts[1].reset()
 	own.texts[1].add("1", []byte("y"), 5, "")
-	x.jobTable.appendChunk("j1", 0, chunkOf(2).Results)
+	x.jobTable.appendChunk("j1", 0, chunkOf(2).Results, time.Now())
 	send()
 	copied := other.jobTable.get("j1")
 	want := []event.ItemHeld{{Item: 0, Events: 2, Versions: []uint64{4, 5}}}
--- a/internal/items/jobs.go
+++ b/internal/items/jobs.go
@@ -40,6 +40,8 @@
 	changed     chan struct{} // closed when listed grows
 	owned       bool          // this host runs the job, so that listed was complete at verifiedAt
 	verifiedAt  time.Time     // when the store last showed that no other host has listed more results
+	// completeAt is a time at which the store had no chunk beyond the known ones, zero for none.
+	completeAt time.Time
 }
 
 // itemText is what the runs of an item have generated so far.
@@ -123,13 +125,32 @@
 	return 0
 }
 
-// markVerified records that the store holds no chunk beyond the known ones.
-func (jt *jobTable) markVerified(id string) {
+// markComplete records that the store, asked at a time, had no chunk of that number, which is the next one.
+func (jt *jobTable) markComplete(id string, number int, at time.Time) {
 	jt.mu.Lock()
 	defer jt.mu.Unlock()
-	if j := jt.jobs[id]; j != nil {
+	if j := jt.jobs[id]; j != nil && j.chunks == number {
 		j.verifiedAt = time.Now()
+		j.noteComplete(at)
+	}
+}
+
+// noteComplete records a time at which the store had no chunk beyond the known ones. A zero time says nothing. What was known
+// before still holds: a chunk is stored only once all before it are.
+func (j *jobState) noteComplete(at time.Time) {
+	if at.After(j.completeAt) {
+		j.completeAt = at
+	}
+}
+
+// ageMS returns how long ago, in ms, the store had no chunk of a job beyond the known ones, 0 when it has not said so.
+func (jt *jobTable) ageMS(id string) int64 {
+	jt.mu.Lock()
+	defer jt.mu.Unlock()
+	if j := jt.jobs[id]; j != nil && !j.completeAt.IsZero() {
+		return ageMS(j.completeAt)
 	}
+	return 0
 }
 
 func (jt *jobTable) setOwner(s event.JobSeen) {
@@ -145,8 +166,8 @@
 }
 
 // appendChunk appends a stored chunk's results and wakes the waiting readers. A chunk other than the next one is
-// dropped.
-func (jt *jobTable) appendChunk(id string, number int, results []wire.JobResult) {
+// dropped. CompleteAt is a time at which the store had no later chunk, zero for none.
+func (jt *jobTable) appendChunk(id string, number int, results []wire.JobResult, completeAt time.Time) {
 	jt.mu.Lock()
 	defer jt.mu.Unlock()
 	j := jt.jobs[id]
@@ -157,6 +178,7 @@
 	j.chunkStarts = append(j.chunkStarts, len(j.listed))
 	j.listed = append(j.listed, results...)
 	j.verifiedAt = time.Now()
+	j.noteComplete(completeAt)
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
@@ -76,12 +77,13 @@
 		done.Epoch = newOwner.Epoch
 	}
 	j := x.jobTable.add(job)
+	asked := time.Now()
 	chunks, err := x.chunks(ctx, e.Job)
 	if err != nil {
 		return kinds.KindOf(err)
 	}
 	for n, chunk := range chunks {
-		x.jobTable.appendChunk(e.Job, n, chunk.Results) // chunks that are already known change nothing
+		x.jobTable.appendChunk(e.Job, n, chunk.Results, asked) // chunks that are already known change nothing
 	}
 	if len(j.listed) < len(job.Items) {
 		x.restoreTexts(ctx, j)
--- a/internal/items/peers.go
+++ b/internal/items/peers.go
@@ -49,6 +49,7 @@
 		return page, false
 	}
 	req.Header.Set(relay.HeaderSecret, p.Secret)
+	sent := time.Now()
 	resp, err := p.HTTP.RoundTrip(req)
 	if err != nil {
 		return page, false
@@ -58,6 +59,9 @@
 	if err != nil || resp.StatusCode != http.StatusOK || msgpack.Unmarshal(body, &page) != nil {
 		return page, false
 	}
+	if page.AgeMS > 0 {
+		page.AgeMS += ageMS(sent) - page.TookMS // the time on the way
+	}
 	return page, true
 }
 
@@ -137,11 +141,13 @@
 		http.Error(w, "After and WaitMS must be integers", http.StatusBadRequest)
 		return
 	}
+	arrived := time.Now()
 	page, ok := p.Executor.LocalPage(r.Context(), query.Get("Job"), after, time.Duration(waitMS)*time.Millisecond)
 	if !ok {
 		http.NotFound(w, r)
 		return
 	}
+	page.TookMS = time.Since(arrived).Milliseconds()
 	body, err := msgpack.Marshal(page)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -66,8 +66,16 @@
 	Next         int
 	Results      []JobResult
 	Items        []string // ids of the items that Results belong to
+	// AgeMS is how many ms ago, at most, the store had nothing at the position of an empty page. It is 0 in other pages, and
+	// from hosts that don't tell.
+	AgeMS int64 `msgpack:",omitempty"`
+	// TookMS is the time in ms for which the host kept the call.
+	TookMS int64 `msgpack:",omitempty"`
 }
 
+// Unfinished reports whether the page is empty although more results may be listed later.
+func (p JobPage) Unfinished() bool { return len(p.Results) == 0 && p.Next < p.Total }
+
 // PrefixHosts is the prefix of the objects with which hosts register themselves.
 const PrefixHosts = "Hosts/"
 
