items: an empty page is as old as the question to the store behind it

Cause: a host said that nothing was listed at a position by a proof that it dated by the arrival of the store's answer, and proofs along a path added up: a read of up to 1 s (2 s for a list of chunks), a second for which the owner believed it, 0.8 s between hosts. A chunk of another owner, found in place of one's own or by a list, even counted as a proof that none follows it. Meanwhile another host owns the job and has listed more. The class: evidence that is dated by when it came in place of when its question was sent.

Now a proof bears the time of its question, one's own write that of its sending, a foreign chunk and a copy none. An empty page tells its age to other hosts, which add the time on its way, and is answered up to 0.7 of the settle time (a setting); else the host asks the store itself, and refuses the read when that takes too long as well. A page of an older build tells no age, and is asked of the store. That a job doesn't exist is said under the same bound. A reader of the cache keeps its job when that is evicted, and a wait isn't begun twice.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -308,7 +308,7 @@
 		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayedStore, Calls: d.callExecutor, Names: platform.ItemNames(),
 		HTTP:       conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), nil, maxIdleConns, idleConnTimeout),
 		Identified: conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), platform.CallNames().Identity, maxIdleConns, idleConnTimeout), Peers: hostAPI, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
-		ObserveEmpty: d.observeEmptyPage,
+		Settle: d.settings.Settle, ObserveEmpty: d.observeEmptyPage,
 	}
 	d.jobExecutor.Prepare()
 	hostAPI.Executor = d.jobExecutor
--- a/internal/items/endjob.go
+++ b/internal/items/endjob.go
@@ -85,7 +85,7 @@
 // tryEndJob makes one attempt to record that a job was ended. Its kind is "" when the store has recorded that.
 func (x *Executor) tryEndJob(ctx context.Context, id string, state *ending) kinds.Kind {
 	if x.jobTable.get(id) == nil && x.jobTable.owner(id).Job == "" {
-		if _, err := x.get(ctx, wire.PrefixJobs+id); err != nil {
+		if _, err := x.getCurrent(ctx, wire.PrefixJobs+id); err != nil {
 			return kinds.KindOf(err)
 		}
 	}
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -32,6 +32,8 @@
 	Now         func() time.Duration
 	// Decode parses the body of a submission that arrived at unixMS, in ms since the Unix epoch. Its errors have a kind.
 	Decode func(c JobCall, body []byte, unixMS int64) (wire.Job, error)
+	// Settle is the time after which a position that a reader has got at any host is shown to all readers, 0 for the default.
+	Settle time.Duration
 	// ObserveEmpty is called with each empty page that a reader gets; nil for none.
 	ObserveEmpty func(EmptyPage)
 
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -260,7 +260,7 @@
 	store.seed(t, chunkName("j1", 0), chunkOf(0))
 	x.jobTable.appendChunk("j1", 0, chunkOf(0).Results, time.Now())
 	store.seed(t, chunkName("j1", 1), chunkOf(3))
-	x.jobTable.jobs["j1"].verifiedAt = time.Now().Add(-2 * verifiedFor)
+	x.jobTable.jobs["j1"].completeAt = time.Now().Add(-2 * defaultSettle)
 	page, err := x.Page(context.Background(), "j1", 1, 0)
 	if err != nil || len(page.Results) != 1 || page.Results[0].Item != 3 {
 		t.Errorf("page = %+v, %v; want item 3", page, err)
--- a/internal/items/jobs.go
+++ b/internal/items/jobs.go
@@ -15,10 +15,6 @@
 	"github.com/figshift/figshift/internal/wire"
 )
 
-// verifiedFor is the time for which an owner need not ask the store again whether another host has listed more results:
-// no other host takes a job over from an owner that was suspended or cut off for less.
-const verifiedFor = time.Second
-
 // maxChunkBytes is the maximum size of the texts in one stored object. Encoded they grow by a third, and an object may
 // have 1 MB.
 const maxChunkBytes = 600 << 10
@@ -38,8 +34,7 @@
 	chunks      int           // number of chunks in listed
 	chunkStarts []int         // positions in listed at which the chunks begin
 	changed     chan struct{} // closed when listed grows
-	owned       bool          // this host runs the job, so that listed was complete at verifiedAt
-	verifiedAt  time.Time     // when the store last showed that no other host has listed more results
+	owned       bool          // this host runs the job
 	// completeAt is a time at which the store had no chunk beyond the known ones, zero for none.
 	completeAt time.Time
 }
@@ -106,15 +101,6 @@
 	return j != nil && j.owned
 }
 
-// recentlyVerified reports whether a job's list of results is known to be complete, because it lists every item or
-// because the store has shown so within verifiedFor.
-func (jt *jobTable) recentlyVerified(id string) bool {
-	jt.mu.Lock()
-	defer jt.mu.Unlock()
-	j := jt.jobs[id]
-	return j != nil && (time.Since(j.verifiedAt) < verifiedFor || len(j.listed) == len(j.job.Items))
-}
-
 // chunkCount returns the number of known chunks of a job.
 func (jt *jobTable) chunkCount(id string) int {
 	jt.mu.Lock()
@@ -130,7 +116,6 @@
 	jt.mu.Lock()
 	defer jt.mu.Unlock()
 	if j := jt.jobs[id]; j != nil && j.chunks == number {
-		j.verifiedAt = time.Now()
 		j.noteComplete(at)
 	}
 }
@@ -143,16 +128,6 @@
 	}
 }
 
-// ageMS returns how long ago, in ms, the store had no chunk of a job beyond the known ones, 0 when it has not said so.
-func (jt *jobTable) ageMS(id string) int64 {
-	jt.mu.Lock()
-	defer jt.mu.Unlock()
-	if j := jt.jobs[id]; j != nil && !j.completeAt.IsZero() {
-		return ageMS(j.completeAt)
-	}
-	return 0
-}
-
 func (jt *jobTable) setOwner(s event.JobSeen) {
 	jt.mu.Lock()
 	defer jt.mu.Unlock()
@@ -177,7 +152,6 @@
 	j.chunks++
 	j.chunkStarts = append(j.chunkStarts, len(j.listed))
 	j.listed = append(j.listed, results...)
-	j.verifiedAt = time.Now()
 	j.noteComplete(completeAt)
 	close(j.changed)
 	j.changed = make(chan struct{})
@@ -195,11 +169,12 @@
 		}
 		select {
 		case <-changed:
+			continue
 		case <-timer.C:
-			return page, true
 		case <-ctx.Done():
-			return page, true
 		}
+		page, _, ok = jt.snapshotPage(id, after, maxBytes)
+		return page, ok
 	}
 }
 
@@ -210,7 +185,11 @@
 	if j == nil || !j.owned {
 		return wire.JobPage{}, nil, false
 	}
-	return j.page(after, maxBytes), j.changed, true
+	page := j.page(after, maxBytes)
+	if page.Unfinished() && !j.completeAt.IsZero() {
+		page.AgeMS = ageMS(j.completeAt)
+	}
+	return page, j.changed, true
 }
 
 // page returns the listed results from a position on, at most maxBytes of text but at least one result.
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -83,8 +83,9 @@
 		return kinds.KindOf(err)
 	}
 	for n, chunk := range chunks {
-		x.jobTable.appendChunk(e.Job, n, chunk.Results, asked) // chunks that are already known change nothing
+		x.jobTable.appendChunk(e.Job, n, chunk.Results, time.Time{}) // chunks that are already known change nothing
 	}
+	x.jobTable.markComplete(e.Job, len(chunks), asked)
 	if len(j.listed) < len(job.Items) {
 		x.restoreTexts(ctx, j)
 	}
--- a/internal/items/pages.go
+++ b/internal/items/pages.go
@@ -1,6 +1,7 @@
 package items
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -33,8 +34,20 @@
 	Age    time.Duration
 }
 
+// defaultSettle is the time after which a position that a reader has got is shown to all readers.
+const defaultSettle = time.Second
+
+// maxAge is the age of the store's word up to which an empty page is answered; the rest of the time is for the answer's way.
+func (x *Executor) maxAge() time.Duration { return cmp.Or(x.Settle, defaultSettle) * 7 / 10 }
+
+// isCurrent reports whether a page still tells all that the reader may have seen elsewhere.
+func (x *Executor) isCurrent(page wire.JobPage) bool {
+	return !page.Unfinished() || page.AgeMS > 0 && page.AgeMS <= x.maxAge().Milliseconds()
+}
+
 // Page returns a job's results from a position on: from this host's memory, the host that runs the job, or the store,
-// in this order. It waits up to wait for a first result. It may be called concurrently.
+// in this order. It waits up to wait for a first result. Its error has kind StoreUnavailable when the page is empty and the
+// store has not said recently enough that more is listed nowhere. It may be called concurrently.
 func (x *Executor) Page(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, error) {
 	page, source, err := x.findPage(ctx, id, after, wait)
 	if err == nil && page.Unfinished() && x.ObserveEmpty != nil {
@@ -44,6 +57,7 @@
 }
 
 func (x *Executor) findPage(ctx context.Context, id string, after int, wait time.Duration) (page wire.JobPage, source string, err error) {
+	deadline := time.Now().Add(wait)
 	if page, ok := x.LocalPage(ctx, id, after, wait); ok {
 		return page, PageOwned, nil
 	}
@@ -52,12 +66,18 @@
 		return wire.JobPage{}, "", err
 	}
 	if host != x.Host {
-		if page, ok := x.Peers.Page(ctx, host, id, after, wait); ok {
+		page, ok := x.Peers.Page(ctx, host, id, after, wait)
+		if ok && x.isCurrent(page) {
 			return page, PagePeer, nil
 		}
-		x.reportUnreachableOwner(ctx, id, host)
+		if !ok {
+			x.reportUnreachableOwner(ctx, id, host)
+		}
+	}
+	page, err = x.storedPage(ctx, id, after, time.Until(deadline))
+	if err == nil && !x.isCurrent(page) {
+		err = kinds.New(kinds.StoreUnavailable, "the store's word on job %s is %d ms old", id, page.AgeMS)
 	}
-	page, err = x.storedPage(ctx, id, after, wait)
 	return page, PageStored, err
 }
 
@@ -87,17 +107,23 @@
 	return job.Host, err
 }
 
-// verifyListComplete reports whether this host knows all listed results of a job that it runs. It asks the store for the
-// next chunk unless it did so recently: while this host was suspended, another one may have taken the job over and
-// listed more results.
-func (x *Executor) verifyListComplete(ctx context.Context, id string) bool {
-	if x.jobTable.recentlyVerified(id) {
-		return true
+// LocalPage returns a page of a job that this host runs. It waits up to wait for a first result. It returns false for
+// any other job, and for an empty page when another host may have listed more results. It may be called concurrently.
+func (x *Executor) LocalPage(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, bool) {
+	page, ok := x.jobTable.page(ctx, id, after, wait, maxPageBytes)
+	if !ok || x.isCurrent(page) {
+		return page, ok
 	}
-	j := x.jobTable.get(id)
-	if j == nil {
-		return false
+	if !x.verifyListComplete(ctx, id) {
+		return page, false
 	}
+	page, ok = x.jobTable.page(ctx, id, after, 0, maxPageBytes) // results may have been listed meanwhile
+	return page, ok && x.isCurrent(page)
+}
+
+// verifyListComplete asks the store whether this host knows all listed results of a job that it runs: another host may have
+// taken the job over and listed more results.
+func (x *Executor) verifyListComplete(ctx context.Context, id string) bool {
 	number, asked := x.jobTable.chunkCount(id), time.Now()
 	_, err := x.chunk(ctx, id, number)
 	if kinds.KindOf(err) != kinds.NotFound {
@@ -107,48 +133,34 @@
 	return true
 }
 
-// LocalPage returns a page of a job that this host runs. It waits up to wait for a first result. It returns false for
-// any other job, and for an empty page when another host may have listed more results. It may be called concurrently.
-func (x *Executor) LocalPage(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, bool) {
-	page, ok := x.localPage(ctx, id, after, wait)
-	ok = ok && (len(page.Results) > 0 || x.verifyListComplete(ctx, id))
-	if page.Unfinished() {
-		page.AgeMS = x.jobTable.ageMS(id)
-	}
-	return page, ok
-}
-
-// localPage returns a page of a job that this host runs, from memory.
-func (x *Executor) localPage(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, bool) {
-	return x.jobTable.page(ctx, id, after, wait, maxPageBytes)
-}
-
 // storedPage returns a page from the chunks in the store. It waits up to wait for a first result.
 func (x *Executor) storedPage(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, error) {
 	job, err := x.loadJobCached(ctx, id)
 	if err != nil {
 		return wire.JobPage{}, err
 	}
+	j := x.remoteJobs.state(job)
 	deadline := time.Now().Add(wait)
-	for {
-		page := x.remoteJobs.page(job, after)
-		if len(page.Results) > 0 || page.Next >= page.Total {
+	for repeated := false; ; {
+		page := x.remoteJobs.page(j, after)
+		if !page.Unfinished() {
 			return page, nil
 		}
 		asked := time.Now()
-		found, err := x.readMoreChunks(ctx, id)
+		found, err := x.readMoreChunks(ctx, j)
 		if err != nil {
 			return wire.JobPage{}, err
 		}
-		if found {
-			continue
-		}
 		page.AgeMS = ageMS(asked)
-		if time.Now().Add(pollInterval).After(deadline) || ctx.Err() != nil {
-			return page, nil
-		}
-		if retry.Sleep(ctx, pollInterval) != nil {
-			return page, nil
+		switch {
+		case found:
+		case time.Now().Add(pollInterval).After(deadline) || ctx.Err() != nil:
+			if repeated || x.isCurrent(page) {
+				return page, nil
+			}
+			repeated = true // the list of all chunks takes longer than the next one
+		default:
+			_ = retry.Sleep(ctx, pollInterval) // the next round sees that ctx has ended
 		}
 	}
 }
@@ -156,24 +168,25 @@
 // ageMS returns the time since a moment in ms, rounded up and at least 1.
 func ageMS(since time.Time) int64 { return time.Since(since).Milliseconds() + 1 }
 
-// readMoreChunks adds stored chunks of a job to the cache of remote jobs and reports whether there were any: all chunks
-// when none is cached, else the next one.
-func (x *Executor) readMoreChunks(ctx context.Context, id string) (bool, error) {
-	number := x.remoteJobs.chunkCount(id)
-	if number == 0 {
-		chunks, err := x.chunks(ctx, id)
-		for n, chunk := range chunks {
-			x.remoteJobs.appendChunk(id, n, chunk.Results)
+// readMoreChunks adds stored chunks to a job of the cache and reports whether there were any: all chunks by the first call,
+// the next one by later ones.
+func (x *Executor) readMoreChunks(ctx context.Context, j *remoteJob) (bool, error) {
+	number, listed := x.remoteJobs.progress(j)
+	if !listed {
+		chunks, err := x.chunks(ctx, j.job.ID)
+		if err != nil {
+			return false, err
 		}
-		return len(chunks) > 0, err
+		x.remoteJobs.appendChunks(j, chunks)
+		return len(chunks) > 0, nil
 	}
-	chunk, err := x.chunk(ctx, id, number)
+	chunk, err := x.chunk(ctx, j.job.ID, number)
 	if kinds.KindOf(err) == kinds.NotFound {
 		return false, nil
 	}
 	if err != nil {
 		return false, err
 	}
-	x.remoteJobs.appendChunk(id, number, chunk.Results)
+	x.remoteJobs.appendChunk(j, number, chunk.Results)
 	return true, nil
 }
--- a/internal/items/remotejobs.go
+++ b/internal/items/remotejobs.go
@@ -13,10 +13,16 @@
 // stay valid, since stored chunks never change. It may be used concurrently; its zero value is empty.
 type remoteJobs struct {
 	mu          sync.Mutex
-	jobs        map[string]*jobState
+	jobs        map[string]*remoteJob
 	insertOrder []string // ids of the jobs in the order in which they were added
 }
 
+// remoteJob is a job of the cache. A reader can go on with one that was evicted meanwhile. The cache's mutex protects it.
+type remoteJob struct {
+	jobState
+	listRead bool // all chunks that were stored at some time were read by one call
+}
+
 func (c *remoteJobs) job(id string) (wire.Job, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -27,51 +33,58 @@
 	return j.job, true
 }
 
-// add adds a job unless it is cached. When the cache is full, the job that was added first is evicted.
-func (c *remoteJobs) add(job wire.Job) {
+// state returns the entry of a job, and adds it unless it is cached. When the cache is full, the job that was added first is
+// evicted.
+func (c *remoteJobs) state(job wire.Job) *remoteJob {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.getOrAdd(job)
-}
-
-func (c *remoteJobs) getOrAdd(job wire.Job) *jobState {
 	if j := c.jobs[job.ID]; j != nil {
 		return j
 	}
 	if c.jobs == nil {
-		c.jobs = map[string]*jobState{}
+		c.jobs = map[string]*remoteJob{}
 	}
 	if len(c.insertOrder) >= maxRemoteJobs {
 		delete(c.jobs, c.insertOrder[0])
 		c.insertOrder = c.insertOrder[1:]
 	}
-	j := &jobState{job: job}
+	j := &remoteJob{jobState: jobState{job: job}}
 	c.jobs[job.ID] = j
 	c.insertOrder = append(c.insertOrder, job.ID)
 	return j
 }
 
 // page returns the cached results from a position on, at most maxPageBytes of text but at least one result.
-func (c *remoteJobs) page(job wire.Job, after int) wire.JobPage {
+func (c *remoteJobs) page(j *remoteJob, after int) wire.JobPage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.getOrAdd(job).page(after, maxPageBytes)
+	return j.page(after, maxPageBytes)
 }
 
-// chunkCount returns the number of cached chunks of a job, which is the number of the next one.
-func (c *remoteJobs) chunkCount(id string) int {
+// progress returns the number of cached chunks of a job, which is the number of the next one, and whether the chunks were
+// listed.
+func (c *remoteJobs) progress(j *remoteJob) (chunks int, listRead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if j := c.jobs[id]; j != nil {
-		return j.chunks
+	return j.chunks, j.listRead
+}
+
+// appendChunks adds the chunks of a list of all chunks, of which some may be known.
+func (c *remoteJobs) appendChunks(j *remoteJob, chunks []wire.JobChunk) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j.listRead = true
+	for _, chunk := range chunks[min(j.chunks, len(chunks)):] {
+		j.chunks++
+		j.listed = append(j.listed, chunk.Results...)
 	}
-	return 0
 }
 
-func (c *remoteJobs) appendChunk(id string, number int, results []wire.JobResult) {
+// appendChunk adds the chunk of a number, unless it is known.
+func (c *remoteJobs) appendChunk(j *remoteJob, number int, results []wire.JobResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if j := c.jobs[id]; j != nil && j.chunks == number {
+	if j.chunks == number {
 		j.chunks++
 		j.listed = append(j.listed, results...)
 	}
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -133,6 +133,17 @@
 	return x.Store.Get(ctx, name)
 }
 
+// getCurrent returns a stored object. That there is none is said only while the answer is recent: the object may have been
+// created since the store was asked.
+func (x *Executor) getCurrent(ctx context.Context, name string) (wire.Object, error) {
+	asked := time.Now()
+	object, err := x.get(ctx, name)
+	if age := time.Since(asked); kinds.KindOf(err) == kinds.NotFound && age > x.maxAge() {
+		return object, kinds.New(kinds.StoreUnavailable, "the store's word that there is no %s is %v old", name, age)
+	}
+	return object, err
+}
+
 func (x *Executor) writerID(seq uint64) string {
 	return x.Host + "/" + x.Incarnation + "/" + strconv.FormatUint(seq, 10)
 }
@@ -177,7 +188,7 @@
 		return j.job, nil
 	}
 	var job wire.Job
-	object, err := x.get(ctx, wire.PrefixJobs+id)
+	object, err := x.getCurrent(ctx, wire.PrefixJobs+id)
 	if err != nil {
 		return job, err
 	}
@@ -191,7 +202,7 @@
 	}
 	job, err := x.loadJob(ctx, id)
 	if err == nil {
-		x.remoteJobs.add(job)
+		x.remoteJobs.state(job)
 	}
 	return job, err
 }
--- a/internal/items/visible_test.go
+++ b/internal/items/visible_test.go
@@ -1,6 +1,7 @@
 package items
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -73,6 +74,7 @@
 	hosts map[string]*readingHost
 	peer  func() delays // of a call between hosts
 	apart bool          // h1 and h2 don't reach each other
+	mute  bool          // hosts don't tell the age of an empty page, as those of older builds
 
 	mu       sync.Mutex
 	shown    map[int]time.Time // when a reader first got a position
@@ -133,10 +135,27 @@
 	return delay(r.Context(), h.hosts.peer(), func() (*http.Response, error) {
 		w := httptest.NewRecorder()
 		host.Peers.(*PeerClient).ServeHTTP(w, r)
+		if h.hosts.mute && r.Method == http.MethodGet && w.Code == http.StatusOK {
+			h.hosts.removeAge(w.Body)
+		}
 		return w.Result(), nil
 	})
 }
 
+func (r *readingHosts) removeAge(body *bytes.Buffer) {
+	var page wire.JobPage
+	if err := decode(body.Bytes(), &page); err != nil {
+		r.t.Error(err)
+	}
+	page.AgeMS, page.TookMS = 0, 0
+	value, err := encode(page)
+	if err != nil {
+		r.t.Error(err)
+	}
+	body.Reset()
+	body.Write(value)
+}
+
 // own makes a host consider itself the owner, with the chunks that it knows.
 func (r *readingHosts) own(host string) {
 	h := r.hosts[host]
@@ -250,6 +269,16 @@
 			listsElsewhere(r, 1)
 			time.Sleep(3 * time.Second)
 		},
+		"the owner is of an older build, and its answer to another host is slow": func(r *readingHosts) {
+			r.mute = true
+			r.own("h1")
+			r.list("h1")
+			r.peer = answersLate(700 * time.Millisecond)
+			go r.read("h3", 1, 400*time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			listsElsewhere(r, 1)
+			time.Sleep(3 * time.Second)
+		},
 		"a host without any chunk reads the list slowly": func(r *readingHosts) {
 			r.hosts["h3"].store.list = answersLate(2 * slow)
 			go r.read("h3", 0, 0)
