figbed/internal/soak: positions that were read are asked for at other hosts

The soak asked whether a job is known and whole at the end, and its reader only went on. A reader now asks random hosts for positions that trainers have got, and a host that has nothing there more than a second later fails the run (LOST), unless it was suspended meanwhile.

--- a/figbed/internal/soak/check.go
+++ b/figbed/internal/soak/check.go
@@ -31,7 +31,7 @@
 	}
 	var violations []string
 	for _, check := range []func(h *History, runs map[string][]Run) []string{
-		checkCalls, checkRuns, checkJobs, checkReads, checkReports, checkOrders, checkDrains, checkLimits, checkCrashes, checkSoftware, checkLinks,
+		checkCalls, checkRuns, checkJobs, checkReads, checkSettled, checkReports, checkOrders, checkDrains, checkLimits, checkCrashes, checkSoftware, checkLinks,
 	} {
 		violations = append(violations, check(&h, runs)...)
 	}
--- a/figbed/internal/soak/check_test.go
+++ b/figbed/internal/soak/check_test.go
@@ -115,8 +115,25 @@
 		mutate func(h *History)
 		want   []string // prefixes of the violations
 	}{
-		"none":                            {func(*History) {}, nil},
-		"requests beyond a limit":         {func(h *History) { h.Arrivals["plain-1"] = arrivals("plain-1", 18, 10) }, []string{"LIMIT: plain-1 names 2 requests"}},
+		"none":                    {func(*History) {}, nil},
+		"requests beyond a limit": {func(h *History) { h.Arrivals["plain-1"] = arrivals("plain-1", 18, 10) }, []string{"LIMIT: plain-1 names 2 requests"}},
+		"position that was read is empty": {
+			func(h *History) {
+				h.Reads = append(h.Reads, Read{Job: "j1", Host: 3, At: at(4.1), Status: 200, After: 1, Total: 2})
+			},
+			[]string{"LOST: host-3 has nothing at position 1 of job j1, which was read 1.1 s before"},
+		},
+		"position is empty soon after it was read": {
+			func(h *History) {
+				h.Reads = append(h.Reads, Read{Job: "j1", Host: 3, At: at(3.9), Status: 200, After: 1, Total: 2})
+			}, nil,
+		},
+		"position is empty at a host that was suspended": {
+			func(h *History) {
+				h.Reads = append(h.Reads, Read{Job: "j1", Host: 3, At: at(4.1), Status: 200, After: 1, Total: 2})
+				h.Spans = append(h.Spans, Span{Fault: Fault{Kind: HostFreeze, Target: 3}, From: at(2), To: at(3.5)})
+			}, nil,
+		},
 		"requests before the limit binds": {func(h *History) { h.Arrivals["plain-1"] = arrivals("plain-1", 40, 2) }, nil},
 		"requests after the limit":        {func(h *History) { h.Arrivals["plain-1"] = arrivals("plain-1", 40, 20) }, nil},
 		"requests to a new instance": {func(h *History) {
--- a/figbed/internal/soak/load.go
+++ b/figbed/internal/soak/load.go
@@ -25,6 +25,8 @@
 	jobsPerVersion   = 3 // jobs of a trainer from one advance of the weights to the next
 	unsafeOneIn      = 2 // one call in this many is not idempotent
 	rotatingKeyOneIn = 6 // one call in this many uses a rotating key
+	auditInterval    = 100 * time.Millisecond
+	auditSpan        = 4 * time.Second
 )
 
 // isReady reports whether a host's readiness listener answers with status 200.
@@ -196,6 +198,30 @@
 	return read
 }
 
+// auditor reads positions that trainers have got, each at a random host.
+type auditor struct{ trainer }
+
+func (a *auditor) run(ctx context.Context) {
+	for ; ctx.Err() == nil; sleep(ctx, auditInterval) {
+		if job, after, ok := a.pickPosition(); ok {
+			a.read(job, a.randomHost(), after)
+		}
+	}
+}
+
+// pickPosition returns a position of which a result was read in the last auditSpan.
+func (a *auditor) pickPosition() (job string, after int, ok bool) {
+	since := time.Now().Add(-auditSpan)
+	a.runner.recorder.update(func(h *History) {
+		for i := len(h.Reads) - 1; i >= 0 && h.Reads[i].At.After(since); i-- {
+			if n := len(h.Reads[i].Results); n > 0 && (!ok || a.random.IntN(2) == 0) {
+				job, after, ok = h.Reads[i].Job, h.Reads[i].After+a.random.IntN(n), true
+			}
+		}
+	})
+	return job, after, ok
+}
+
 // unfinishedJobs returns the accepted jobs that lack results in the history.
 func unfinishedJobs(h History) []string {
 	listed := map[string]map[string]bool{}
--- a/figbed/internal/soak/soak.go
+++ b/figbed/internal/soak/soak.go
@@ -96,6 +96,8 @@
 		t := &trainer{runner: r, name: fmt.Sprintf("t%d", n), random: r.newRandom(uint64(1000 + n)), client: newClient()}
 		wg.Go(func() { t.run(ctx) })
 	}
+	a := &auditor{trainer{runner: r, random: r.newRandom(3000), client: newClient()}}
+	wg.Go(func() { a.run(ctx) })
 	return &wg
 }
 
