items, batch: a job is ended by its organisation's keys only

Now the job's record tells whose it is before an end is asked; a foreign key gets what a job that doesn't exist gets. A submission under such an id is refused (Forbidden), whether the job runs here or the store has it. Not covered: a job that isn't stored yet and runs at another host, whose organisation this host doesn't know.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -74,7 +74,10 @@
 		p.answer(e.Seq, e.Job, kinds.Stopping, "", out)
 		return
 	}
-	if j, ok := p.jobs[e.Job]; ok && !j.unstored {
+	if j, ok := p.jobs[e.Job]; ok && j.head.Organisation != organisation {
+		p.answer(e.Seq, e.Job, kinds.Forbidden, "", out)
+		return
+	} else if ok && !j.unstored {
 		p.answer(e.Seq, e.Job, "", organisation, out)
 		return
 	}
@@ -138,6 +141,9 @@
 func (p *Component) finishStoring(now time.Duration, e event.JobKept, s submission, out *event.Batch) {
 	j := p.jobs[e.Job]
 	switch {
+	case e.Kind == kinds.Conflict && e.Organisation != "" && e.Organisation != s.head.Organisation:
+		p.answerOnce(s, kinds.Forbidden, out) // the id is that of another organisation's job
+		p.dropUnstored(j, out)
 	case e.Kind == kinds.Conflict:
 		p.answerOnce(s, "", out) // another host has accepted the job
 		p.acceptOwner(now, j, e.Owner, out)
--- a/internal/batch/ends_test.go
+++ b/internal/batch/ends_test.go
@@ -189,3 +189,32 @@
 		}
 	}
 }
+
+// A job that bears the id of another organisation's job must not be accepted: its results would be the other one's.
+func TestIDOfAnotherOrganisationsJobIsRefused(t *testing.T) {
+	cases := map[string]func(r *rig){
+		"it runs here": func(r *rig) {
+			r.submit("j1", testHead(1, 1, noHints))
+			r.p.jobs["j1"].head.Organisation = "South"
+			r.effects = nil
+			r.step(event.JobCalled{Seq: 2, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 1, noHints)})
+		},
+		"the store has it": func(r *rig) {
+			r.step(event.JobCalled{Seq: 2, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 1, noHints)})
+			r.step(event.JobKept{Seq: 2, Job: "j1", Kind: kinds.Conflict, Owner: event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"}, Organisation: "South"})
+		},
+	}
+	for name, play := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			play(r)
+			var got []kinds.Kind
+			for _, answer := range take[event.JobAnswer](r) {
+				got = append(got, answer.Kind)
+			}
+			if diff := cmp.Diff([]kinds.Kind{kinds.Forbidden}, got); diff != "" {
+				t.Errorf("kinds of the answers (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -85,6 +85,8 @@
 	Job   string
 	Kind  kinds.Kind
 	Owner JobSeen // host that runs the job, after a conflict
+	// Organisation is that of the stored job, after a conflict; "" if not known.
+	Organisation string
 }
 
 // TakeJob takes over a job from a host that is gone and reads the results listed so far; JobTaken answers.
--- a/internal/items/api.go
+++ b/internal/items/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
@@ -16,14 +17,29 @@
 	Job     string
 }
 
+// endRetryAfter is the retry delay sent when it can't be told whose job is to be ended.
+const endRetryAfter = 100 * time.Millisecond
+
 // Submit accepts a job to be stored and run by this host. The answer's kind is "" once the job is stored. It may be
 // called concurrently.
 func (x *Executor) Submit(ctx context.Context, c JobCall, job wire.Job) event.JobAnswer {
 	return x.callReducer(ctx, event.JobCalled{Call: event.JobSubmit, KeyHash: c.KeyHash, Host: c.Host, Path: c.Path, Job: job.ID, Head: JobHeadOf(job)}, &job)
 }
 
-// End ends a job, whichever host runs it. It may be called concurrently.
+// End ends a job of the organisation of the caller's key, whichever host runs it. Any other job is not found. It may be called
+// concurrently.
 func (x *Executor) End(ctx context.Context, c JobCall) event.JobAnswer {
+	caller := x.Authorise(ctx, c)
+	if caller.Kind != "" {
+		return caller
+	}
+	job, err := x.loadJobCached(ctx, c.Job)
+	switch kind := kinds.KindOf(err); {
+	case err == nil && job.Organisation != caller.Organisation:
+		return event.JobAnswer{Kind: kinds.NotFound}
+	case err != nil && kind != kinds.NotFound: // a job that is not found may be about to be stored
+		return event.JobAnswer{Kind: kinds.StoreRefused, RetryAfter: endRetryAfter}
+	}
 	return x.callReducer(ctx, event.JobCalled{Call: event.JobEnd, KeyHash: c.KeyHash, Host: c.Host, Path: c.Path, Job: c.Job}, nil)
 }
 
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -27,24 +27,25 @@
 func (x *Executor) storeJob(ctx context.Context, e event.KeepJob) {
 	done := event.JobKept{Seq: e.Seq, Job: e.Job, Kind: x.createJob(ctx, e), Owner: event.JobSeen{Job: e.Job}}
 	if done.Kind == kinds.Conflict {
-		done.Owner = x.currentOwner(ctx, e.Job)
+		done.Owner, done.Organisation = x.currentOwner(ctx, e.Job)
 	}
 	x.Post(done)
 }
 
-// currentOwner reads from the store who runs a job. It returns no host when the store does not answer.
-func (x *Executor) currentOwner(ctx context.Context, id string) event.JobSeen {
-	currentOwner := event.JobSeen{Job: id}
+// currentOwner reads from the store who runs a job, and whose job it is. It returns no host and no organisation when the store
+// does not answer.
+func (x *Executor) currentOwner(ctx context.Context, id string) (currentOwner event.JobSeen, organisation string) {
+	currentOwner = event.JobSeen{Job: id}
 	job, err := x.loadJobCached(ctx, id)
 	if err != nil {
-		return currentOwner
+		return currentOwner, ""
 	}
 	currentOwner.Host, currentOwner.Incarnation = job.Host, job.Incarnation
 	owner, _, err := x.readOwner(ctx, id)
 	if err == nil && owner.Host != "" {
 		currentOwner = event.JobSeen{Job: id, Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch, Ended: owner.Ended}
 	}
-	return currentOwner
+	return currentOwner, job.Organisation
 }
 
 func (x *Executor) createJob(ctx context.Context, e event.KeepJob) kinds.Kind {
