items, batch: a listed job is open until a caller ends it

A caller's end makes it a usual one. Now the sweeping process must have known the end for as long by its own clock.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -224,6 +224,10 @@
 	if k := p.known[e.Job]; k != nil && k.Ended {
 		p.logJobEnd(e.Job, "", out)
 		p.answer(e.Seq, e.Job, "", "", out)
+		if !k.endAsked { // the record may say only that all results are listed
+			k.endAsked = true
+			out.Emit(event.EndJob{Job: e.Job, Budget: listedEndBudget})
+		}
 		return
 	}
 	p.endCalls[e.Job] = append(p.endCalls[e.Job], e.Seq)
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -36,6 +36,7 @@
 	endRepeatedAt time.Duration // when its owner was last told again that it has ended, 0 before
 	checkedAt     time.Duration // when the store's record was last read because this host was taken for the owner
 	takingOver    bool
+	endAsked      bool          // a caller has ended it at this host after it had ended
 	textsDropped  bool          // the executor was told to drop its texts
 	mayTakeOver   bool          // this host may take it over: its owner announced it, or it was found without one
 	unoffered     bool          // found in the store or by a reader, and not yet offered to another host, which may not know it
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -119,7 +119,7 @@
 		k.Ended = true // nothing is left to run
 		p.announce(k.JobSeen, out)
 		// Hosts that start without news of the job would take it over and read all its results.
-		out.Emit(event.EndJob{Job: e.Job, Budget: listedEndBudget})
+		out.Emit(event.EndJob{Job: e.Job, Budget: listedEndBudget, Listed: true})
 	}
 	p.listResults(now, j, out)
 }
--- a/internal/batch/results_test.go
+++ b/internal/batch/results_test.go
@@ -85,7 +85,7 @@
 		r.step(event.ItemEnded{Job: "j1", Item: run.Item, Attempt: run.Attempt, Events: 1, Versions: []uint64{1}})
 	}
 	r.chunks(time.Second)
-	if diff := cmp.Diff([]event.EndJob{{Job: "j1", Budget: listedEndBudget}}, take[event.EndJob](r)); diff != "" {
+	if diff := cmp.Diff([]event.EndJob{{Job: "j1", Budget: listedEndBudget, Listed: true}}, take[event.EndJob](r)); diff != "" {
 		t.Errorf("ends (-want +got):\n%s", diff)
 	}
 	r.effects = nil
--- a/internal/batch/sweep.go
+++ b/internal/batch/sweep.go
@@ -13,6 +13,9 @@
 	minKeep = 10 * time.Minute
 	// keepFactor is the multiple of KeepResults for which they stay when that is longer.
 	keepFactor = 2
+	// keepOpen is the time for which the objects of a job stay that no caller has ended since all its results were listed. It
+	// bounds what an organisation can keep.
+	keepOpen = 24 * time.Hour
 	// sweepInterval is the interval between two sweeps; each lists the records of the ended jobs once.
 	sweepInterval = 5 * time.Minute
 )
@@ -51,7 +54,8 @@
 		return
 	}
 	s.sweeping = true
-	out.Emit(event.SweepJobs{Keep: max(minKeep, keepFactor*s.KeepResults)})
+	keep := max(minKeep, keepFactor*s.KeepResults)
+	out.Emit(event.SweepJobs{Keep: keep, KeepOpen: max(keep, keepOpen)})
 }
 
 func (s *Sweeper) handleJobsSwept(e event.JobsSwept, out *event.Batch) {
--- a/internal/batch/sweep_test.go
+++ b/internal/batch/sweep_test.go
@@ -25,9 +25,9 @@
 		keep     time.Duration // KeepResults
 		want     []event.Effect
 	}{
-		"Holder":         {true, true, 2 * time.Minute, []event.Effect{event.SweepJobs{Keep: minKeep}, event.SweepJobs{Keep: minKeep}}},
-		"LongResults":    {true, true, time.Hour, []event.Effect{event.SweepJobs{Keep: 2 * time.Hour}, event.SweepJobs{Keep: 2 * time.Hour}}},
-		"OneAtATime":     {true, false, 2 * time.Minute, []event.Effect{event.SweepJobs{Keep: minKeep}}},
+		"Holder":         {true, true, 2 * time.Minute, []event.Effect{event.SweepJobs{Keep: minKeep, KeepOpen: keepOpen}, event.SweepJobs{Keep: minKeep, KeepOpen: keepOpen}}},
+		"LongResults":    {true, true, time.Hour, []event.Effect{event.SweepJobs{Keep: 2 * time.Hour, KeepOpen: keepOpen}, event.SweepJobs{Keep: 2 * time.Hour, KeepOpen: keepOpen}}},
+		"OneAtATime":     {true, false, 2 * time.Minute, []event.Effect{event.SweepJobs{Keep: minKeep, KeepOpen: keepOpen}}},
 		"AnotherHoldsIt": {false, true, 2 * time.Minute, nil},
 	}
 	for name, test := range cases {
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -169,10 +169,12 @@
 	Address string // of the host's listener for reads by peers, "" if not known
 }
 
-// EndJob records that a job was ended; JobEnded answers. While the store refuses, the end is given up after Budget.
+// EndJob records that a job was ended, by a caller or, with Listed, because all its results are listed; JobEnded answers. While
+// the store refuses, the end is given up after Budget.
 type EndJob struct {
 	Job    string
 	Budget time.Duration
+	Listed bool
 }
 
 // JobEnded answers an EndJob. After OutcomeUnknown, another one follows when the outcome is known.
@@ -184,8 +186,9 @@
 // CheckJob reads a job's owner from its record in the store; the result arrives as a peer's JobNews.
 type CheckJob struct{ Job string }
 
-// SweepJobs deletes the stored objects of jobs that ended more than Keep ago; JobsSwept answers.
-type SweepJobs struct{ Keep time.Duration }
+// SweepJobs deletes the stored objects of jobs that ended more than Keep ago, or KeepOpen when no caller ended them; JobsSwept
+// answers.
+type SweepJobs struct{ Keep, KeepOpen time.Duration }
 
 // JobsSwept ends a SweepJobs. Jobs is the number of jobs whose objects were deleted; Kind is "" when none was left
 // over.
--- a/internal/items/endjob.go
+++ b/internal/items/endjob.go
@@ -14,6 +14,7 @@
 type ending struct {
 	answerBy time.Time // when the end is given up, or its outcome is said to be unknown; the executor's mutex protects it
 	answered bool      // the outcome was said to be unknown; the executor's mutex protects it
+	listed   bool      // no caller ends the job, all its results are listed; the executor's mutex protects it
 	// unanswered tells of a write that had no answer and takes effect, at any time, while the record has version.
 	unanswered bool
 	version    uint64
@@ -52,14 +53,20 @@
 	defer x.mu.Unlock()
 	answerBy := time.Now().Add(e.Budget)
 	if state := x.endings[e.Job]; state != nil {
-		state.answerBy, state.answered = answerBy, false
+		state.answerBy, state.answered, state.listed = answerBy, false, state.listed && e.Listed
 		return nil
 	}
-	state := &ending{answerBy: answerBy}
+	state := &ending{answerBy: answerBy, listed: e.Listed}
 	x.endings[e.Job] = state
 	return state
 }
 
+func (x *Executor) endsListed(state *ending) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return state.listed
+}
+
 func (x *Executor) dropEnding(id string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -93,7 +100,12 @@
 	if err != nil {
 		return kinds.KindOf(err)
 	}
+	listed := x.endsListed(state)
 	if owner.Ended {
+		if owner.Listed && !listed {
+			owner.Listed, owner.EndedMS = false, x.UnixMS()
+			_ = x.writeOwner(ctx, id, owner, version) // a failure keeps the job's objects longer, as if nobody had ended it
+		}
 		x.notifyOwnerOfEnd(ctx, id, owner) // whoever stored the end may not have done so
 		return ""
 	}
@@ -102,7 +114,7 @@
 		known := x.jobTable.owner(id)
 		owner = wire.JobOwner{Host: known.Host, Incarnation: known.Incarnation, Epoch: known.Epoch}
 	}
-	owner.Ended, owner.EndedMS = true, x.UnixMS()
+	owner.Ended, owner.EndedMS, owner.Listed = true, x.UnixMS(), listed
 	kind := x.writeOwner(ctx, id, owner, version)
 	switch kind {
 	case "":
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -50,7 +50,8 @@
 	storing          map[uint64]wire.Job // submissions that are being stored, by Seq
 	answers          map[uint64]chan event.JobAnswer
 	runs             map[runKey]context.CancelFunc
-	endings          map[string]*ending // ends that are being stored, by job
+	endings          map[string]*ending       // ends that are being stored, by job
+	endsSeen         map[string]time.Duration // when sweeps, one at a time, first found the record of an ended job, by its name
 	lastSeq          uint64
 	lastScoreRequest uint64
 	unixOffset       atomic.Int64 // time of day at which Now was 0, in ns since the Unix epoch
--- a/internal/items/sweep.go
+++ b/internal/items/sweep.go
@@ -14,18 +14,27 @@
 // sweepTimeout bounds one sweep. The next sweep finds the objects that are left over.
 const sweepTimeout = time.Minute
 
-// sweep deletes the objects of the jobs that ended longer than e.Keep ago, and posts JobsSwept.
+// sweep deletes the objects of the jobs that ended longer ago than they are kept, and posts JobsSwept. Both the recorded time of
+// the end and this process, by its own clock, must say so: the time of day may have been wrong where it was recorded, or is here.
 func (x *Executor) sweep(ctx context.Context, e event.SweepJobs) {
 	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
 	defer cancel()
 	var done event.JobsSwept
 	owners, err := x.Store.List(ctx, wire.PrefixOwners)
 	done.Kind = kinds.KindOf(err)
-	cutoffMS := x.UnixMS() - e.Keep.Milliseconds()
+	seen := map[string]time.Duration{}
 	for _, object := range owners.Objects {
 		var owner wire.JobOwner
-		if json.Unmarshal(object.Value, &owner) != nil || !owner.Ended || owner.EndedMS == 0 || owner.EndedMS > cutoffMS {
-			continue // not a record of an owner, or a job that is still open or may still be read
+		if json.Unmarshal(object.Value, &owner) != nil || !owner.Ended || owner.EndedMS == 0 {
+			continue // not a record of an owner, or a job that is still open
+		}
+		seen[object.Name] = x.endSeenAt(object.Name)
+		keep := e.Keep
+		if owner.Listed {
+			keep = e.KeepOpen
+		}
+		if x.Now()-seen[object.Name] < e.Keep || x.UnixMS()-owner.EndedMS < keep.Milliseconds() {
+			continue // it may still be read
 		}
 		if err := x.removeJob(ctx, strings.TrimPrefix(object.Name, wire.PrefixOwners), object); err != nil {
 			done.Kind = kinds.KindOf(err)
@@ -33,9 +42,20 @@
 		}
 		done.Jobs++
 	}
+	if err == nil {
+		x.endsSeen = seen
+	}
 	x.Post(done)
 }
 
+// endSeenAt returns when a sweep of this process first found the record of an ended job, now for a new one.
+func (x *Executor) endSeenAt(name string) time.Duration {
+	if at, ok := x.endsSeen[name]; ok {
+		return at
+	}
+	return x.Now()
+}
+
 // removeJob deletes a job's objects. It deletes the owner's record last, by which the next sweep finds a job whose removal
 // was interrupted, and the chunks from the last to the first, since it looks for them from the first one on.
 func (x *Executor) removeJob(ctx context.Context, id string, owner wire.Object) error {
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -57,6 +57,8 @@
 	Epoch       uint64
 	Ended       bool
 	EndedMS     int64 `json:",omitempty"` // agreed time of day at which the job ended, in ms since the Unix epoch
+	// Listed says that the job has ended only because all its results are listed. For callers it is open until they end it.
+	Listed bool `json:",omitempty"`
 }
 
 // JobPage answers a read of a job's results. Next is the position after the last result of the page.
