batch: a stopping host hands on a job that it has just taken over

It now announces the job without an owner at once. TestStoppingHostHandsATakenJobOn failed before (nothing was told), and passes.

--- a/internal/batch/handover_test.go
+++ b/internal/batch/handover_test.go
@@ -175,3 +175,28 @@
 		t.Errorf("runs %v, want one at once", got)
 	}
 }
+
+// A host that was told to stop while it took a job over said until its exit that it runs the job.
+func TestStoppingHostHandsATakenJobOn(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	r.step(event.PeerReceived{Host: "h2", Message: wire.Message{News: &wire.JobNews{Job: "j1", Host: "h2", Incarnation: "1"}}})
+	r.alive = []event.Host{{Name: "h1", Zone: "a", Incarnation: "1"}, {Name: "h3", Zone: "b", Incarnation: "1"}}
+	r.tick(startupGrace)
+	r.tick(time.Second)
+	r.tick(time.Second)
+	if got := take[event.TakeJob](r); len(got) != 1 {
+		t.Fatalf("takes = %v, want one", got)
+	}
+	r.step(event.StopAsked{})
+	r.effects = nil
+	head := testHead(1, 1, noHints)
+	head.ID = "j1"
+	r.step(event.JobTaken{Job: "j1", Epoch: 1, Head: head})
+	if diff := cmp.Diff([]event.KnowJob{{Seen: event.JobSeen{Job: "j1", Epoch: 1}}}, take[event.KnowJob](r)); diff != "" {
+		t.Errorf("told to the executor (-want +got):\n%s", diff)
+	}
+	news := wire.JobNews{Job: "j1", Epoch: 1}
+	if diff := cmp.Diff([]event.SendPeer{{Host: "h3", Message: wire.Message{News: &news}}}, take[event.SendPeer](r)); diff != "" {
+		t.Errorf("told to the other hosts (-want +got):\n%s", diff)
+	}
+}
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -178,7 +178,10 @@
 	case e.Ended:
 		p.markEnded(e.Job, out)
 		out.Emit(event.KnowJob{Seen: k.JobSeen})
-	case p.stopping:
+	case p.stopping && p.jobs[e.Job] != nil:
+	case p.stopping: // the store names this host as the owner
+		k.Host, k.Incarnation, k.Epoch, k.newsAt, k.orphanedAt = "", "", e.Epoch, now, now
+		p.announce(event.JobSeen{Job: e.Job, Epoch: e.Epoch}, out)
 	case p.jobs[e.Job] != nil:
 		p.confirmOwner(now, p.jobs[e.Job], e, out)
 	default:
