peer: a lack of descriptors doesn't end the process

It now pauses, 5 ms up to a second, logs one line (PeerNotAccepted) and goes on; the other listeners are net/http's, which do so. That descriptors are bounded below the limit from the start is not done.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -12,6 +12,13 @@
 	"go.uber.org/zap"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/retry"
+)
+
+// Pauses after a connection could not be accepted, such as for lack of descriptors; they double up to the longest one.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // idleTimeout is the time without a received frame after which an inbound connection is closed.
@@ -104,15 +111,23 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
-	for {
+	for pause := time.Duration(0); ; {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
-			return errors.Wrap(err, "accepting a peer connection")
+		if err == nil {
+			pause = 0
+			go m.serve(ctx, conn)
+			continue
+		}
+		if pause == 0 {
+			m.Log.Error("PeerNotAccepted", zap.Error(err))
+		}
+		pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+		if retry.Sleep(ctx, pause) != nil {
+			return nil
 		}
-		go m.serve(ctx, conn)
 	}
 }
 
