lease, loop: a gap of the clock has leases confirmed before their duties go on

A holder that woke took itself for the holder beside its successor and sent orders, which only fencing tokens would have stopped, where they are checked. The loop now compares the monotonic clock with the time of day before each event, and reports when the latter gains 0.2 s at once (ClockGap). Each lease is then renewed before its duty is performed again: the write is conditional, and fails when another host has taken the duty. A time of day that is set forward has the same effect, at the price of a write.

--- a/internal/event/types.go
+++ b/internal/event/types.go
@@ -17,6 +17,7 @@
 		RequestArrived{},
 		AuthoriseCall{},
 		ClockRead{},
+		ClockGap{},
 		UsageSent{},
 		OrderSent{},
 		CallerGone{},
--- a/internal/event/usage.go
+++ b/internal/event/usage.go
@@ -13,6 +13,10 @@
 // ClockRead reports the time of day on this host's own clock, since the Unix epoch. It may jump.
 type ClockRead struct{ Unix time.Duration }
 
+// ClockGap reports that the time of day went on by By more than the reducer's clock: this host was suspended, or its time of day
+// was set.
+type ClockGap struct{ By time.Duration }
+
 // WallClock is raised with the time of day that the hosts agree on, since the Unix epoch. Usage windows depend on it.
 type WallClock struct{ Unix time.Duration }
 
@@ -36,6 +40,7 @@
 }
 
 func (ClockRead) isEvent()  {}
+func (ClockGap) isEvent()   {}
 func (WallClock) isEvent()  {}
 func (KnowClock) isEffect() {}
 func (SendUsage) isEffect() {}
--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -65,6 +65,7 @@
 	trustedUntil time.Duration // the lease counts as held before this time
 	gainAt       time.Duration // when DutyGained is due after a takeover
 	renewAt      time.Duration
+	doubtedAt    time.Duration // when a gap of the clock was reported; no order until a later write is stored
 	nextCallAt   time.Duration // earliest time of the next call
 	uncertain    bool          // a write failed and may have been stored: read the object first
 	claimed      claimedVersion
@@ -122,6 +123,9 @@
 func (d *duty) confirmWrite(now time.Duration, version uint64, w recordWrite) {
 	d.setRecord(now, version, w.record)
 	d.unresolvedWrites = nil
+	if w.sentAt >= d.doubtedAt {
+		d.doubtedAt = 0
+	}
 	d.storedSeq = max(d.storedSeq, w.ledgerSeq)
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -95,6 +95,8 @@
 	case event.BeatSeen:
 		p.observeClaims(now, e)
 		p.recordAlive(e)
+	case event.ClockGap:
+		p.doubt(now, out)
 	case event.StopAsked:
 		p.stopping = true
 		p.stopAskedAt = now
@@ -106,6 +108,17 @@
 	}
 }
 
+// doubt has every lease confirmed by a write before the duty is performed again: it may have run out while this host was
+// suspended, which its clock does not show.
+func (p *Component) doubt(now time.Duration, out *event.Batch) {
+	for _, name := range p.dutyNames() {
+		if d := p.duties[name]; d.phase != idle {
+			d.doubtedAt = now
+			p.maintain(now, d, out)
+		}
+	}
+}
+
 func (p *Component) start(now time.Duration) {
 	if p.started {
 		return
@@ -207,7 +220,7 @@
 // lease counts as held.
 func (p *Component) Holds(name string, now time.Duration) (until time.Duration, epoch uint64, ok bool) {
 	d := p.duties[name]
-	if d == nil || d.phase != holding || now >= d.trustedUntil {
+	if d == nil || d.phase != holding || now >= d.trustedUntil || d.doubtedAt > 0 {
 		return 0, 0, false
 	}
 	return d.trustedUntil, d.record.Epoch, true
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -20,6 +20,7 @@
 	p.lostAt[d.name] = now
 	held := d.phase == holding
 	d.phase = idle
+	d.doubtedAt = 0
 	d.known = false
 	d.uncertain = false
 	d.unresolvedWrites = nil
@@ -47,7 +48,7 @@
 	if now >= d.trustedUntil {
 		return // the next tick gives up the duty
 	}
-	if d.phase == waiting && now >= d.gainAt {
+	if d.phase == waiting && now >= d.gainAt && d.doubtedAt == 0 {
 		d.phase = holding
 		out.Raise(event.DutyGained{Duty: d.name, Epoch: d.record.Epoch, Ledger: d.record.Ledger})
 		out.Emit(event.Count{Name: "DutiesGained", N: 1})
@@ -60,7 +61,7 @@
 		p.startRead(d, out)
 		return
 	}
-	if d.phase == releasing || d.dirty() || now >= d.renewAt {
+	if d.phase == releasing || d.dirty() || d.doubtedAt > 0 || now >= d.renewAt {
 		p.renew(d, out)
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -27,7 +27,12 @@
 	// Record, if not nil, is called after each step; it must not retain the effects.
 	Record func(now time.Duration, ev event.Event, effects []event.Effect)
 
+	// WallElapsed returns the time since Prepare by the time of day, which also goes on while the host is suspended; nil for that
+	// of the system.
+	WallElapsed func() time.Duration
+
 	start  time.Time
+	lead   time.Duration // of the time of day before the monotonic clock, since Prepare
 	events chan event.Event
 	done   chan struct{}
 }
@@ -35,6 +40,9 @@
 // Prepare creates the event queue and starts the clock; it is called once, before Run and Post.
 func (l *Loop) Prepare() {
 	l.start = time.Now()
+	if l.WallElapsed == nil {
+		l.WallElapsed = l.systemWallElapsed
+	}
 	l.events = make(chan event.Event, l.QueueSize)
 	l.done = make(chan struct{})
 }
@@ -42,6 +50,8 @@
 // Now returns the monotonic time since Prepare. It may be called concurrently.
 func (l *Loop) Now() time.Duration { return time.Since(l.start) }
 
+func (l *Loop) systemWallElapsed() time.Duration { return time.Now().Round(0).Sub(l.start.Round(0)) }
+
 // Post queues an event for the reducer and waits while the queue is full. It returns false once the loop has ended.
 // It may be called concurrently, but not by an Executor's Do.
 func (l *Loop) Post(ev event.Event) bool {
@@ -115,8 +125,22 @@
 	return false
 }
 
+// minClockGap is the smallest lead that the time of day gains at once that is reported.
+const minClockGap = 200 * time.Millisecond
+
+// step steps an event, and before it the gap of the clock since the last one.
 func (l *Loop) step(ev event.Event) {
 	now := l.Now()
+	lead := l.WallElapsed() - now
+	gap := lead - l.lead
+	l.lead = lead
+	if gap >= minClockGap {
+		l.stepAt(now, event.ClockGap{By: gap})
+	}
+	l.stepAt(now, ev)
+}
+
+func (l *Loop) stepAt(now time.Duration, ev event.Event) {
 	effects := l.State.Step(now, ev)
 	if l.Record != nil {
 		l.Record(now, ev, effects)
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -163,3 +164,53 @@
 		t.Error("an ended loop accepted more events than its queue holds")
 	}
 }
+
+// gapRecorder records the events that it gets, but for ticks.
+type gapRecorder struct{ seen chan event.Event }
+
+func (r gapRecorder) Step(_ time.Duration, ev event.Event, _ *event.Batch) {
+	if _, ok := ev.(event.Tick); !ok {
+		r.seen <- ev
+	}
+}
+
+// While a host was suspended, the clock of its leases stood still, and nothing told the components so before the next event.
+func TestClockGapComesBeforeTheNextEvent(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	recorder := gapRecorder{seen: make(chan event.Event, 16)}
+	l := &Loop{State: &reduce.State{Components: []event.Part{recorder}}, TickEvery: time.Hour, QueueSize: 16}
+	var lead atomic.Int64
+	l.WallElapsed = func() time.Duration { return l.Now() + time.Duration(lead.Load()) }
+	l.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	var got []event.Event
+	for n, step := range []time.Duration{0, minClockGap / 2, time.Minute, 0, -time.Hour, time.Second} {
+		lead.Add(int64(step))
+		l.Post(event.StatusAsked{Seq: uint64(n)})
+		for asked := false; !asked; {
+			ev := <-recorder.seen
+			if gap, ok := ev.(event.ClockGap); ok {
+				ev = event.ClockGap{By: gap.By.Round(100 * time.Millisecond)}
+			}
+			got = append(got, ev)
+			_, asked = ev.(event.StatusAsked)
+		}
+	}
+	cancel()
+	<-ended
+	want := []event.Event{
+		event.StatusAsked{Seq: 0},
+		event.StatusAsked{Seq: 1},
+		event.ClockGap{By: time.Minute},
+		event.StatusAsked{Seq: 2},
+		event.StatusAsked{Seq: 3},
+		event.StatusAsked{Seq: 4},
+		event.ClockGap{By: time.Second},
+		event.StatusAsked{Seq: 5},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+}
