call: an unframed stream that ends within an event is cut

The events themselves tell more: one that isn't followed by an empty line has not ended, and a stream that begins has one event at least.

Change: where the body of a stream of events is unframed, the executor follows the lines, and reports one that ends within an event, or before the first one unless it goes on with the caller's Last-Event-Id, as cut. The caller's connection is then reset, as after a reset of the endpoint's. The host that a call was passed on by checks the same, so that an old build in between does no harm. An unframed stream that stops between two events can't be told from a whole one, here or by the caller.

--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strings"
 
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
@@ -18,7 +17,6 @@
 	maxBufferedBody = 64 << 10 // bytes; up to this length, an idempotent response is read completely before its head is forwarded
 	maxSegmentBytes = 1 << 20  // of one encoded segment
 	headerTrue      = "true"
-	eventStreamType = "text/event-stream"
 )
 
 // handleResponse checks the head of an endpoint's response, posts AttemptHead and forwards or reports the response.
@@ -113,7 +111,7 @@
 // connection is forwarded in the same way, since nothing shows whether it is complete.
 func (a *attempt) responseHeader(resp *http.Response) http.Header {
 	h := ForwardableHeader(resp.Header)
-	if resp.Header.Get(wire.HeaderUnframed) != "" || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor == 1 {
+	if isUnframed(resp) {
 		h.Set("Transfer-Encoding", "identity")
 	}
 	return h
@@ -126,14 +124,17 @@
 
 // postBegan posts StreamBegan for a stream of events.
 func (a *attempt) postBegan(resp *http.Response) {
-	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
+	if isEventStream(resp) {
 		a.executor.Post(event.StreamBegan{Request: a.start.Request, Attempt: a.start.Attempt})
 	}
 }
 
-// forwardBody forwards the body as it arrives and reports whether it was complete.
+// forwardBody forwards the body as it arrives and reports whether it was complete. Of an unframed stream of events, only the
+// events tell.
 func (a *attempt) forwardBody(resp *http.Response) bool {
 	buffer := make([]byte, copyBufferBytes)
+	events := eventScanner{resuming: a.exchange.Header.Get(lastEventHeader) != ""}
+	checked := isUnframed(resp) && isEventStream(resp)
 	for begun := false; ; {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 && !begun {
@@ -144,7 +145,10 @@
 			a.fail(event.ReasonCallerWrite)
 			return false
 		}
-		if err == io.EOF {
+		if checked {
+			events.scan(buffer[:n])
+		}
+		if err == io.EOF && (!checked || events.whole()) {
 			return true
 		}
 		if err != nil {
