call: a status that ends no request is no answer

Callers saw: for an answer with a status below 100 a closed connection, without a second try at another endpoint; for 101 or 999 that status. Each answer below 100 took a place of its endpoint for good: after 16 of them (ConcurrencyPerNode) the host sent that endpoint nothing more.

Cause: net/http's client accepts any three digits, and a sign, as a status, and 101 without an upgrade; its server panics in WriteHeader for one below 100, in the goroutine that was to post AttemptDone. The panic is caught by the server, so the process goes on and the reducer waits for that end for ever.

Change: a response whose status isn't from 200 to 599 makes the attempt a broken one, as bytes that are no HTTP do. This holds for other hosts' answers too.

Evidence: TestStatusThatEndsNoRequest, before: "status 0, body "", unexpected EOF; want 502" and "status 999, body "none", <nil>; want 502", 16 of 24 cases. The readers of package items, orders and swap take nothing but 200 or 2xx for an answer.

--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -17,10 +17,15 @@
 	maxBufferedBody = 64 << 10 // bytes; up to this length, an idempotent response is read completely before its head is forwarded
 	maxSegmentBytes = 1 << 20  // of one encoded segment
 	headerTrue      = "true"
+	maxStatus       = 599 // greatest one in HTTP (RFC 9110, section 15)
 )
 
 // handleResponse checks the head of an endpoint's response, posts AttemptHead and forwards or reports the response.
 func (a *attempt) handleResponse(resp *http.Response) {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		a.fail(event.ReasonBroken)
+		return
+	}
 	if a.start.Relay != "" {
 		a.handleRelayed(resp)
 		return
