call: a segment of a generation holds tokens or ends it

Callers saw: a generation had begun and broke off, the next engine answered 200 with some JSON (an error as {"Detail":...}, or null), and an empty segment for each of its lines stood in their stream before it broke off. Without end, such lines were passed on until the deadline of the call.

Cause: any JSON object decodes as a segment without tokens; engines never send one that isn't the last.

Change: a line without tokens that doesn't end the generation makes the answer a cut one.

Evidence: TestErrorOfTheNextEndpointIsNotInTheGeneration, before: 'no segment: {"Version":0}' for "Object" and "Null", the 21 other cases passed; passes after. Ruled out by this test and TestErrorOfTheNextEndpointIsNotInTheEvents: an error's text or head within a stream, or an end that looks whole, after 500, 503 with and without NotRun, 429, 421, 404, 422, 302, 204, a page, a list, no HTTP, an empty answer and stops in head and body, for generations and for event streams (chunked and without a length, direct and passed on), even if the reducer were to start such an attempt. It never does for event streams: safeToRetry wants CanResume.

--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -178,10 +178,7 @@
 			continue
 		}
 		var s wire.Segment
-		if json.Unmarshal(lines.Bytes(), &s) != nil || s.Error != "" {
-			break
-		}
-		if a.exceedsTokens(s) {
+		if json.Unmarshal(lines.Bytes(), &s) != nil || !a.continues(s) {
 			break
 		}
 		a.markBegun()
@@ -198,10 +195,13 @@
 	a.fail(event.ReasonCut)
 }
 
-// exceedsTokens reports whether a segment brings the generation beyond what was asked for, so that a stream without end is
-// not kept until its deadline.
-func (a *attempt) exceedsTokens(s wire.Segment) bool {
-	return len(a.exchange.forwardedTokens)+len(s.Tokens) > a.exchange.Generate.MaxTokens
+// continues reports whether a segment takes the generation on. One that brings nothing may be any other JSON, and one beyond what
+// was asked for belongs to a stream without end, which is not kept until its deadline.
+func (a *attempt) continues(s wire.Segment) bool {
+	if s.Error != "" || len(s.Tokens) == 0 && !s.Done {
+		return false
+	}
+	return len(a.exchange.forwardedTokens)+len(s.Tokens) <= a.exchange.Generate.MaxTokens
 }
 
 func (a *attempt) forwardSegment(s wire.Segment) bool {
--- a/internal/serve/broken_test.go
+++ b/internal/serve/broken_test.go
@@ -104,14 +104,15 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(testTimeout))
-	fmt.Fprintf(conn, "POST /%s %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", path, protocol, testKey)
+	const body = `{"Prompt":"p","MaxTokens":6}`
+	fmt.Fprintf(conn, "POST /%s %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", path, protocol, testKey, len(body), body)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return callerAnswer{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return callerAnswer{resp.StatusCode, string(body), err}
+	got, err := io.ReadAll(resp.Body)
+	return callerAnswer{resp.StatusCode, string(got), err}
 }
 
 // rawEndpoint answers the request of each connection with a text, and closes it.
@@ -145,7 +146,7 @@
 }
 
 // scriptedHost starts a host that sends the attempts at each call to the given addresses, one after the other, whatever came of
-// those before, or has another host do so. It returns the host's URL.
+// those before, the first one through another host if passed is set. It returns the host's URL.
 func scriptedHost(t *testing.T, passed bool, model string, addresses ...string) string {
 	t.Helper()
 	script := func(request uint64, path string, n int) (event.StartAttempt, bool) {
@@ -157,17 +158,23 @@
 			Generation: model != "", Model: model, PassErrors: n == len(addresses)-1,
 		}, true
 	}
-	direct := newScripted(t, script)
 	if !passed {
-		return direct.url
+		return newScripted(t, script).url
 	}
+	direct := newScripted(t, func(request uint64, path string, n int) (event.StartAttempt, bool) {
+		start, ok := script(request, path, n)
+		return start, ok && n == 0
+	})
 	hostAPI := httptest.NewServer(http.HandlerFunc(direct.server.ServePassed))
 	t.Cleanup(hostAPI.Close)
 	entry := newScripted(t, func(request uint64, path string, n int) (event.StartAttempt, bool) {
+		if n > 0 {
+			return script(request, path, n)
+		}
 		return event.StartAttempt{
 			Request: request, Attempt: 1, Deadline: time.Hour, Idempotent: path != "/order", PassErrors: true,
 			Relay: "other", Pass: &wire.PassTerms{Service: "lookup", Idempotent: path != "/order"},
-		}, n == 0
+		}, true
 	})
 	entry.server.Executor.Relays = oneRelay{strings.TrimPrefix(hostAPI.URL, "http://")}
 	return entry.url
