items: a text is whole after events only

Readers would see: a result "completed" without a text, or with the part that an earlier run had brought (MIXED).

Cause: readEvents took the end of any body with status 200 for the end of the text, when the body held no field of an event: an engine that stopped before its first event in an answer without a length, an empty answer, and JSON or a page in place of the stream, also in answer to the run that was to go on after a cut one.

Change: an answer that isn't text/event-stream is a broken run, and a stream that begins has one event at least, else it is cut. A stream that goes on after an event may bring no more, since the one before may have been cut after its last event.

The stand-in engine of TestRunDropsATextOfAnotherSoftware sent no content type, which servers always send; it does now, its checks are unchanged.

--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -25,12 +25,14 @@
 	maxLineBytes    = 1 << 20 // longest line of an event stream
 	maxEventBytes   = 1 << 20 // longest event, with whatever else comes before it
 	maxTextBytes    = 8 << 20 // longest stream
+	eventStreamType = "text/event-stream"
 )
 
 var (
 	errMissingEvent = errors.New("event ids are not consecutive")
 	errEndlessEvent = errors.New("an event is too long")
 	errEndlessText  = errors.New("the stream is too long")
+	errNoEvent      = errors.New("the stream has no event")
 )
 
 // run runs an item once at an engine, which continues after the events that are held here. It cancels ctx when the
@@ -118,7 +120,7 @@
 	case resp.StatusCode == http.StatusInternalServerError:
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, readBufferBytes))
 		return resp.StatusCode, event.ReasonStatus
-	case resp.StatusCode != http.StatusOK:
+	case resp.StatusCode != http.StatusOK, !strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType):
 		return resp.StatusCode, event.ReasonBroken
 	}
 	version, _ := strconv.ParseUint(resp.Header.Get(x.Names.GeneratedVersion), 10, 64) // 0 when the engine does not say
@@ -188,7 +190,8 @@
 	software string
 }
 
-// readEvents appends the events of a stream to t until the stream ends. An event that is cut off is dropped.
+// readEvents appends the events of a stream to t until the stream ends. An event that is cut off is dropped. A stream that goes on
+// after an event may bring no more, but one that begins has one at least.
 func (x *Executor) readEvents(body io.Reader, t *itemText, lastID string, by madeBy, onEvent func()) error {
 	r := bufio.NewReaderSize(body, readBufferBytes)
 	versionField := strings.ToLower(x.Names.GeneratedVersion) + ":"
@@ -206,6 +209,9 @@
 			return errEndlessText
 		}
 		if err == io.EOF && len(line) == 0 && !pending {
+			if lastID == "" {
+				return errNoEvent
+			}
 			return nil
 		}
 		if err != nil {
--- a/internal/items/software_test.go
+++ b/internal/items/software_test.go
@@ -20,7 +20,8 @@
 	last := r.Header.Get("Last-Event-Id")
 	e.asked = append(e.asked, last)
 	body := map[string]string{"": "id: 1\ndata: p\n\nid: 2\ndata: q\n\n", "1": "id: 2\ndata: q\n\n"}[last]
-	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}, nil
+	header := http.Header{"Content-Type": {eventStreamType}}
+	return &http.Response{StatusCode: http.StatusOK, Header: header, Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
 // A text that engines of one software version had begun went on at an engine of another one, when the host held another
