call: empty lines without end end a generation

WATCH-FOR: bytes that are no answer may come without end. A generation's reader skipped empty lines, however many, until the deadline of the call. Now a segment and the empty lines before it have 1 MiB together.

A call's body is passed on as it comes, in a buffer of 32 KiB, until the deadline.

--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -15,7 +15,7 @@
 const (
 	copyBufferBytes = 32 << 10
 	maxBufferedBody = 64 << 10 // bytes; up to this length, an idempotent response is read completely before its head is forwarded
-	maxSegmentBytes = 1 << 20  // of one encoded segment
+	maxSegmentBytes = 1 << 20  // of one encoded segment, with the empty lines before it
 	headerTrue      = "true"
 	maxStatus       = 599 // greatest one in HTTP (RFC 9110, section 15)
 )
@@ -173,10 +173,12 @@
 func (a *attempt) forwardGeneration(resp *http.Response) {
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, copyBufferBytes), maxSegmentBytes)
-	for lines.Scan() {
+	for empty := 0; lines.Scan() && empty <= maxSegmentBytes; {
 		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
+			empty += len(lines.Bytes()) + 1
 			continue
 		}
+		empty = 0
 		var s wire.Segment
 		if json.Unmarshal(lines.Bytes(), &s) != nil || !a.continues(s) {
 			break
