swap: engines are called without net/http's default client

An engine in trouble that answered 307 had its order sent on, body and fencing number included, to the address that it named; a state was asked there too.

Cause: http.Client follows redirects and repeats a body that can be read again, and its default transport has no bound of its own for heads. The other executors call a transport.

Change: this one too; states and read slots have a transport of package conns, orders the leased one as before.

Only the project's own protocol uses this package; on the users' platform package orders sends them.

--- a/figd/rollouts.go
+++ b/figd/rollouts.go
@@ -40,6 +40,6 @@
 	d.addComponent(&weight.Component{Trust: d.trust})
 	d.addExecutor(blockStore)
 	d.addExecutor(trainerCalls)
-	d.addExecutor(&swap.Executor{PlatformURL: d.process.Platform, HTTP: &http.Client{}, Post: d.loop.Post, Now: d.loop.Now})
+	d.addExecutor(&swap.Executor{PlatformURL: d.process.Platform, Post: d.loop.Post, Now: d.loop.Now})
 	d.addActor(blockStore.Run)
 }
--- a/internal/swap/executor.go
+++ b/internal/swap/executor.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/figshift/figshift/internal/conns"
@@ -18,6 +19,8 @@
 )
 
 const (
+	dialTimeout        = 500 * time.Millisecond
+	idleTimeout        = 10 * time.Second
 	stateTimeout       = time.Second
 	orderTimeout       = time.Second
 	firstPollInterval  = 50 * time.Millisecond
@@ -31,9 +34,11 @@
 // Executor sends orders to engines and reads their state. Its exported fields are set before the first effect.
 type Executor struct {
 	PlatformURL string // for the weight store's read slots
-	HTTP        *http.Client
 	Post        func(ev event.Event) bool
 	Now         func() time.Duration // the loop's clock
+
+	prepareReads sync.Once
+	reads        *http.Transport // for states and read slots
 }
 
 // Do starts to execute a SwapEngine or ReadEngine and reports whether the effect was one. It does not block.
@@ -108,12 +113,13 @@
 	if err != nil {
 		return state, err
 	}
-	err = x.doJSON(x.HTTP, r, &state)
+	err = x.doJSON(x.readTransport(), r, &state)
 	return state, err
 }
 
-func (x *Executor) doJSON(client *http.Client, r *http.Request, v any) error {
-	response, err := client.Do(r)
+// doJSON sends a call and decodes the answer into v. A redirect is no answer: an order would reach another engine.
+func (x *Executor) doJSON(transport *http.Transport, r *http.Request, v any) error {
+	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return kinds.New(kinds.OutcomeUnknown, "%v", err)
 	}
@@ -142,7 +148,7 @@
 			return err
 		}
 		var slot wire.WeightRead
-		err = x.doJSON(x.HTTP, r, &slot)
+		err = x.doJSON(x.readTransport(), r, &slot)
 		if kinds.KindOf(err) != kinds.RateLimited {
 			return err
 		}
@@ -169,7 +175,7 @@
 		return err
 	}
 	var reply wire.SwapReply
-	if err := x.doJSON(x.leasedClient(e.Before), r, &reply); err != nil {
+	if err := x.doJSON(x.leasedTransport(e.Before), r, &reply); err != nil {
 		return err
 	}
 	if !reply.Accepted {
@@ -178,8 +184,13 @@
 	return nil
 }
 
-// leasedClient returns a client whose connections are used once and refuse writes from deadline on.
-func (x *Executor) leasedClient(deadline time.Duration) *http.Client {
+func (x *Executor) readTransport() *http.Transport {
+	x.prepareReads.Do(func() { x.reads = conns.Transport(dialTimeout, 1, idleTimeout) })
+	return x.reads
+}
+
+// leasedTransport returns a transport whose connections are used once and refuse writes from deadline on.
+func (x *Executor) leasedTransport(deadline time.Duration) *http.Transport {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		var d net.Dialer
 		c, err := d.DialContext(ctx, network, address)
@@ -188,7 +199,7 @@
 		}
 		return &leasedConn{Conn: c, deadline: deadline, now: x.Now}, nil
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes}}
+	return &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
 }
 
 // leasedConn refuses writes from the lease's deadline on.
--- a/internal/swap/executor_test.go
+++ b/internal/swap/executor_test.go
@@ -87,7 +87,7 @@
 			defer server.Close()
 			done := make(chan event.EngineSwapped, 1)
 			x := &Executor{
-				PlatformURL: server.URL, HTTP: server.Client(), Now: func() time.Duration { return time.Second },
+				PlatformURL: server.URL, Now: func() time.Duration { return time.Second },
 				Post: func(ev event.Event) bool {
 					done <- ev.(event.EngineSwapped)
 					return true
