serve: a cut answer is reset for callers that speak HTTP/1.0

Such callers saw a 200 with a short body that ended as if it were whole, when an endpoint broke off an answer in chunks, a stream or a generation.

Cause: an answer in chunks has no length, and HTTP/1.0 knows no chunks, so it goes to such a caller until its connection ends; a cut one was ended with a plain close. Only an answer that its endpoint had sent without a length was reset.

Change: what counts is whether the answer to the caller ends with its connection.

Evidence: TestCutAnswerToAnOldCaller stops six framings at every byte; before, 31 stops of the chunked one were whole: 'stopped after "...\r\n7\r\nw": status 200, body "w", <nil>'. It passes after. Callers of HTTP/1.1 get chunks and aren't concerned (PROTOCOL.md: HTTP/1.1 everywhere).

--- a/internal/serve/broken_test.go
+++ b/internal/serve/broken_test.go
@@ -237,3 +237,22 @@
 	}
 	s.server.Executor.Do(event.AnswerRequest{Request: request, Kind: "StreamCut"})
 }
+
+// A caller that speaks HTTP/1.0 takes the end of its connection for the end of an answer without a length, so that a cut one
+// looked whole to it.
+func TestCutAnswerToAnOldCaller(t *testing.T) {
+	for framing, whole := range framedAnswers("text/plain", plainBody) {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			endpoint := newRawEndpoint(t)
+			url := scriptedHost(t, false, "", endpoint.address)
+			for n := range len(whole) + 1 {
+				endpoint.answer.Store(whole[:n])
+				got := callOver(t, url+"/order", "HTTP/1.0")
+				if ends := mayEndAt(whole, n, "text/plain"); got.whole() != ends {
+					t.Errorf("stopped after %q: status %d, body %q, %v", whole[:n], got.status, got.body, got.err)
+				}
+			}
+		})
+	}
+}
--- a/internal/serve/response.go
+++ b/internal/serve/response.go
@@ -50,9 +50,10 @@
 
 // httpSink writes a response to a caller.
 type httpSink struct {
-	writer  http.ResponseWriter
-	control *http.ResponseController
-	started bool
+	writer   http.ResponseWriter
+	control  *http.ResponseController
+	started  bool
+	noChunks bool // the caller speaks HTTP/1.0
 	// unframed is set when the response ends with its connection, so that a closed one looks complete.
 	unframed bool
 }
@@ -63,7 +64,8 @@
 	for name, values := range header {
 		h[name] = values
 	}
-	k.started, k.unframed = true, header.Get("Transfer-Encoding") == "identity"
+	k.started = true
+	k.unframed = header.Get("Transfer-Encoding") == "identity" || k.noChunks && header.Get("Content-Length") == ""
 	k.writer.WriteHeader(status)
 	return nil
 }
@@ -90,7 +92,7 @@
 		return err
 	}
 	if !k.started {
-		k.started = true
+		k.started, k.unframed = true, k.noChunks
 		k.writer.Header().Set("Content-Type", "application/x-ndjson")
 		k.writer.WriteHeader(http.StatusOK)
 	}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -215,7 +215,7 @@
 		return
 	}
 	defer s.bodyBytes.Add(-int64(len(in.exchange.Body)))
-	sink := &httpSink{writer: w, control: http.NewResponseController(w)}
+	sink := &httpSink{writer: w, control: http.NewResponseController(w), noChunks: !r.ProtoAtLeast(1, 1)}
 	in.exchange.Request, in.exchange.Sink = request, sink
 	in.arrived.Request = request
 	if s.Protocol == nil {
