figd: a host tells its build

Operators could not see which build a host runs, so nothing showed whether an upgrade had reached it. The name of the build is what the linker set, else the revision that the compiler recorded, else "unknown". It stands in the start line (Build=), in the gauge Build with the tag Build, in the status of the operators' listener, and in the host's own object, from which the other hosts' status and figctl status show it.

Older builds ignore the field of the host's object and write theirs without it; figctl shows those as "older". A host whose object is of another start than the one that sends heartbeats is shown without a build. A recording names its build, and a replay registers under it, since its effects are compared.

--- a/Makefile
+++ b/Makefile
@@ -11,12 +11,16 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 SKIPRED := $(if $(KNOWN_RED),^($(KNOWN_RED))$$|)
 
+# Daemons tell the revision of the source that they were built from.
+BUILD = $(shell git describe --always --abbrev=12 --exclude "*" --dirty=_changed 2>/dev/null)
+LDFLAGS = -ldflags "-X main.linkedBuild=$(BUILD)"
+
 .PHONY: all build format lint vet test race demo soak known-red
 
 all: test
 
 build:
-	go build -o bin/ ./figd ./figctl ./figbed
+	go build $(LDFLAGS) -o bin/ ./figd ./figctl ./figbed
 
 format:
 	go tool gofumpt -w $$(git ls-files '*.go')
@@ -48,5 +52,5 @@
 MINUTES ?= 1
 
 soak:
-	go build -tags skew -o bin/soak/ ./figd ./figctl ./figbed
+	go build -tags skew $(LDFLAGS) -o bin/soak/ ./figd ./figctl ./figbed
 	bin/soak/figbed soak --bin bin/soak --seed $(SEED) --seeds $(SEEDS) --minutes $(MINUTES)
--- a/figctl/main_test.go
+++ b/figctl/main_test.go
@@ -45,6 +45,7 @@
 		"render":                 {args: []string{"config", "render", "--config", good}, out: "Weight = 3 ; " + good + ":2\n"},
 		"extra argument":         {args: []string{"config", "render", "--config", good, "x"}, exit: subcommands.ExitUsageError},
 		"status":                 {args: []string{"status", "--operators", listener, "--credential-file", secret}, out: "Fleet.z1  h2      4\n"},
+		"status: a mixed fleet":  {args: []string{"status", "--operators", listener, "--credential-file", secret}, out: "h1    z1    668a085748b4  true   0ms   0       0\nh2    z1    older         true"},
 		"status as JSON":         {args: []string{"status", "--json", "--operators", listener, "--credential-file", secret}, out: `"Duty": "Fleet.z1"`},
 		"one of two listeners":   {args: []string{"status", "--operators", "127.0.0.1:1," + listener, "--credential-file", secret}, out: "Fleet.z1"},
 		"fleet":                  {args: []string{"fleet", "--operators", listener, "--credential-file", secret}, out: "e1        z1    Engine  Cheap  Live   7"},
@@ -73,6 +74,8 @@
 	t.Helper()
 	status := wire.Status{
 		Host:      "h1",
+		Build:     "668a085748b4",
+		Hosts:     []wire.HostStatus{{Host: "h1", Zone: "z1", Build: "668a085748b4", Alive: true}, {Host: "h2", Zone: "z1", Alive: true}},
 		Duties:    []wire.DutyStatus{{Duty: "Fleet.z1", Holder: "h1", Epoch: 3}, {Duty: "Fleet.z1", Holder: "h2", Epoch: 4}},
 		Endpoints: []wire.EndpointStatus{{Endpoint: "e1", Zone: "z1", Kind: wire.Engine, Price: wire.Cheap, State: wire.Live, Version: 7}},
 	}
--- a/figctl/status.go
+++ b/figctl/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -103,10 +104,10 @@
 }
 
 func (o output) printDaemons(reports []wire.Status) {
-	rows := [][]string{{"DAEMON", "ZONE", "READY", "REASON", "CONFIG", "KEYS", "EVIDENCE"}}
+	rows := [][]string{{"DAEMON", "ZONE", "BUILD", "READY", "REASON", "CONFIG", "KEYS", "EVIDENCE"}}
 	for _, r := range reports {
 		rows = append(rows, []string{
-			r.Host, r.Zone, strconv.FormatBool(r.Ready), r.Reason,
+			r.Host, r.Zone, formatBuild(r.Build), strconv.FormatBool(r.Ready), r.Reason,
 			formatNumber(r.ConfigRevision), formatNumber(r.KeysRevision), fmt.Sprintf("%dms", r.EvidenceAgeMS),
 		})
 	}
@@ -115,14 +116,14 @@
 
 // printHosts prints the hosts of the first report that lists any.
 func (o output) printHosts(reports []wire.Status) {
-	rows := [][]string{{"HOST", "ZONE", "ALIVE", "BEAT", "CONFIG", "KEYS"}}
+	rows := [][]string{{"HOST", "ZONE", "BUILD", "ALIVE", "BEAT", "CONFIG", "KEYS"}}
 	for _, r := range reports {
 		if len(r.Hosts) == 0 {
 			continue
 		}
 		for _, h := range r.Hosts {
 			rows = append(rows, []string{
-				h.Host, h.Zone, strconv.FormatBool(h.Alive), fmt.Sprintf("%dms", h.BeatAgeMS),
+				h.Host, h.Zone, formatBuild(h.Build), strconv.FormatBool(h.Alive), fmt.Sprintf("%dms", h.BeatAgeMS),
 				formatNumber(h.ConfigRevision), formatNumber(h.KeysRevision),
 			})
 		}
@@ -131,6 +132,9 @@
 	o.printTable(rows)
 }
 
+// formatBuild returns a build as it is printed. Builds that do not tell their name are older than those that do.
+func formatBuild(build string) string { return cmp.Or(build, "older") }
+
 // printDuties prints the holder of each duty, from the report with the highest epoch.
 func (o output) printDuties(reports []wire.Status) {
 	newest := map[string]wire.DutyStatus{}
--- a/figd/cluster.go
+++ b/figd/cluster.go
@@ -45,6 +45,7 @@
 		Zone:        d.process.Zone,
 		Address:     cmp.Or(d.process.PeerAdvertise, d.process.Peer),
 		Incarnation: d.incarnation,
+		Build:       d.build,
 	}
 	d.keys = &keys.Table{}
 	members := &member.Component{Self: self}
--- a/figd/operations.go
+++ b/figd/operations.go
@@ -66,14 +66,15 @@
 	d.addActor(d.watchSignals)
 	d.addComponent(&logs.RequestLogger{Incarnation: d.incarnation, Debug: d.process.LogLevel == "debug"})
 	d.addComponent(&drain.Component{Grace: d.process.BalancerDelay + drainGrace})
-	d.log.Info("Started", zap.String("Incarnation", d.incarnation), zap.String("Zone", d.process.Zone))
+	gaugeBuild(scope, d.build)
+	d.log.Info("Started", zap.String("Build", d.build), zap.String("Incarnation", d.incarnation), zap.String("Zone", d.process.Zone))
 	return nil
 }
 
 // addStatus adds the component that ends each status report. It must be added last, after every component that
 // contributes.
 func (d *daemon) addStatus() {
-	d.addComponent(&admin.StatusFinisher{Self: wire.Status{Host: d.process.Host, Zone: d.process.Zone, Incarnation: d.incarnation}})
+	d.addComponent(&admin.StatusFinisher{Self: wire.Status{Host: d.process.Host, Zone: d.process.Zone, Incarnation: d.incarnation, Build: d.build}})
 }
 
 // watchSignals requests a graceful stop at the first signal and fails at the second.
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -138,7 +138,7 @@
 	d.process = config.Process{Host: settings.Host, Zone: settings.Zone, BalancerDelay: balancerDelay, LogLevel: settings.LogLevel}
 	d.loop = &loop.Loop{State: d.state, TickEvery: tickInterval, IdleEvery: idleTickInterval, QueueSize: eventQueueSize}
 	d.loop.Prepare()
-	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.advertisedAddress(peerPort), Incarnation: id.incarnation, Power: int(settings.Cores * 100)}
+	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.advertisedAddress(peerPort), Incarnation: id.incarnation, Power: int(settings.Cores * 100), Build: id.build}
 	d.secret = deploymentSecret(settings)
 	transport := conns.Transport(dialTimeout, maxIdleConns, idleConnTimeout)
 	d.store = &platform.Store{Address: settings.Store, HTTP: &http.Client{Transport: transport}}
@@ -204,7 +204,8 @@
 	d.addActor((&settingsReloader{file: d.file, settings: d.settings, logs: d.logs, log: d.log}).run)
 	d.addActor(d.listen(net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.MetricsPort)), metrics))
 	d.addComponent(&drain.Component{Grace: d.settings.Grace, MaxWait: d.settings.Grace - stopMargin})
-	d.log.Info("Started")
+	gaugeBuild(scope, d.build)
+	d.log.Info("Started", zap.String("Build", d.build))
 }
 
 // listen returns an actor that serves h at address.
--- a/figd/record.go
+++ b/figd/record.go
@@ -22,7 +22,7 @@
 	}
 	d.closers = append(d.closers, file)
 	w := &trace.Writer{Out: file}
-	if err := w.Begin(trace.Header{Process: d.process, Incarnation: d.incarnation, Seed: d.seed}); err != nil {
+	if err := w.Begin(d.header(d.process)); err != nil {
 		return err
 	}
 	d.loop.Record = func(now time.Duration, ev event.Event, effects []event.Effect) {
--- a/figd/replay.go
+++ b/figd/replay.go
@@ -23,7 +23,7 @@
 	if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return 0, errors.Wrap(err, "replay")
 	}
-	d, err := newDaemon(header.Process, identity{incarnation: header.Incarnation, seed: header.Seed}, stderr)
+	d, err := newDaemon(header.Process, recordedIdentity(header), stderr)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -110,6 +110,7 @@
 	setText(&dst.Host, from.Host)
 	setText(&dst.Zone, from.Zone)
 	setText(&dst.Incarnation, from.Incarnation)
+	setText(&dst.Build, from.Build)
 	setText(&dst.Reason, from.Reason)
 	dst.Ready = dst.Ready || from.Ready
 	dst.ConfigRevision = max(dst.ConfigRevision, from.ConfigRevision)
--- a/internal/event/peer.go
+++ b/internal/event/peer.go
@@ -16,7 +16,8 @@
 	Address     string // of the peer listener, host:port
 	Incarnation string
 	Admitted    bool
-	Power       int `json:",omitempty"` // processor time in hundredths of a core, 0 if not known
+	Power       int    `json:",omitempty"` // processor time in hundredths of a core, 0 if not known
+	Build       string `json:",omitempty"` // "" for builds that do not tell it
 }
 
 // ZonesOf returns the zone of each host by host name. It may be called concurrently.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -220,7 +220,7 @@
 }
 
 func (p *Component) status(now time.Duration) wire.Status {
-	status := wire.Status{Host: p.Self.Name, Zone: p.Self.Zone, Incarnation: p.Self.Incarnation}
+	status := wire.Status{Host: p.Self.Name, Zone: p.Self.Zone, Incarnation: p.Self.Incarnation, Build: p.Self.Build}
 	for _, h := range p.Known() {
 		if h.Name == p.Self.Name {
 			status.Hosts = append(status.Hosts, p.ownStatus())
@@ -235,6 +235,7 @@
 	return wire.HostStatus{
 		Host:           p.Self.Name,
 		Zone:           p.Self.Zone,
+		Build:          p.Self.Build,
 		Alive:          true,
 		Admitted:       p.Self.Admitted,
 		ConfigRevision: p.lastHeartbeat.ConfigRevision,
@@ -248,6 +249,9 @@
 	if q == nil || q.lastSeq == 0 {
 		return status
 	}
+	if q.host.Incarnation == h.Incarnation {
+		status.Build = h.Build
+	}
 	status.Alive = p.isAlive(h.Name, now)
 	status.BeatAgeMS = (now - q.lastHeartbeatAt).Milliseconds()
 	status.ConfigRevision = q.lastHeartbeat.ConfigRevision
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -251,3 +251,31 @@
 		}
 	}
 }
+
+// A host that was replaced by an older build, or has not registered yet, must not be shown with the build that ran before.
+func TestStatusTellsTheBuildOfEachRunningProcess(t *testing.T) {
+	told := func(i int, build string) event.ObjectSeen {
+		registered := host(i)
+		registered.Build = build
+		value, _ := json.Marshal(registered)
+		return event.ObjectSeen{Object: wire.Object{Name: Prefix + registered.Name, Value: value}}
+	}
+	p := newComponent(4)
+	p.Self.Build = "own"
+	p.Step(0, told(1, "new"), &event.Batch{})
+	p.Step(0, told(2, "new"), &event.Batch{})
+	p.Step(0, event.PeerUp{Host: host(2).Name, Incarnation: "another start", Zone: "a", Address: host(2).Address}, &event.Batch{})
+	for i := range 3 {
+		p.receiveTestHeartbeat(time.Second, i+1, wire.Beat{Seq: 1})
+	}
+	beat := event.PeerReceived{Host: host(2).Name, Incarnation: "another start", Message: wire.Message{Beat: &wire.Beat{Seq: 1}}}
+	p.Step(time.Second, beat, &event.Batch{})
+	status := p.status(time.Second)
+	got := map[string]string{"self": status.Build}
+	for _, h := range status.Hosts {
+		got[h.Host] = h.Build
+	}
+	if diff := cmp.Diff(map[string]string{"self": "own", "h0": "own", "h1": "new", "h2": "", "h3": ""}, got); diff != "" {
+		t.Errorf("builds (-want +got):\n%s", diff)
+	}
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -20,6 +20,7 @@
 	Process     config.Process
 	Incarnation string
 	Seed        uint64
+	Build       string `json:",omitempty"`
 }
 
 // Step is one recorded step: the event, its monotonic time, and a digest of its effects.
--- a/internal/wire/status.go
+++ b/internal/wire/status.go
@@ -5,6 +5,7 @@
 	Host           string
 	Zone           string
 	Incarnation    string
+	Build          string `json:",omitempty"` // "" for builds that do not tell it
 	Ready          bool
 	Reason         string
 	ConfigRevision uint64
@@ -22,6 +23,7 @@
 type HostStatus struct {
 	Host           string
 	Zone           string
+	Build          string `json:",omitempty"` // of the running process; "" for one that does not tell it or has not registered yet
 	Alive          bool
 	Admitted       bool // counts for majorities
 	BeatAgeMS      int64
