usage: counts are read with other numbers of fields

Counts of usage and their ledger are msgpack arrays without field names. The decoder refused an array with one field more or less ("number of fields in array-encoded struct has changed"), though the comment said that a field may be added as the last one. The first release with a new field would have had its counts refused by holders of the older build, and a ledger that the older build can't read: nobody would report usage. Nothing has met it yet, since no field was ever added.

--- a/internal/usage/holder.go
+++ b/internal/usage/holder.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
@@ -120,7 +118,7 @@
 		return
 	}
 	var d wire.UsageDelta
-	if err := msgpack.Unmarshal(e.Body, &d); err != nil || e.Call != callDelta {
+	if err := decode(e.Body, &d); err != nil || e.Call != callDelta {
 		out.Raise(event.AnswerDuty{To: e.From, ID: e.ID, Kind: kinds.BadRequest})
 		return
 	}
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -35,7 +35,7 @@
 func (l *Ledger) Encode() ([]byte, error) { return encode(l) }
 
 // encode encodes structs as arrays, without field names, which would be half of the bytes. Therefore a field may be
-// added to a struct only as its last one.
+// added to a struct only as its last one, and only once no build runs that refuses more fields (docs/UPGRADE.md).
 func encode(value any) ([]byte, error) {
 	var b bytes.Buffer
 	e := msgpack.NewEncoder(&b)
@@ -53,7 +53,7 @@
 	if len(b) == 0 {
 		return l, nil
 	}
-	if err := msgpack.Unmarshal(b, l); err != nil {
+	if err := decode(b, l); err != nil {
 		return nil, kinds.New(kinds.Internal, "decoding the usage ledger: %v", err)
 	}
 	return l, nil
