call, flow: an endpoint that says in an answer that it leaves gets no new work

It is now read in the answers to calls, items, scoring calls, orders, polls and probes, refusals and failures too; it marks that incarnation, final for it, and other hosts hear it by heartbeats as other leave marks. Any value but 1 and true says nothing, and one of several fields is enough. An answer that isn't the endpoint's (421, a foreign one) says nothing.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -342,5 +342,6 @@
 	d.addComponent(&scale.Component{Host: d.self.Name, Trust: d.trust, Duty: update.Duty, Jobs: d.batchComponent})
 	d.addComponent(&usage.Counter{Host: d.self.Name, Incarnation: d.incarnation, CountRequests: true})
 	d.addComponent(&usage.Holder{Host: d.self.Name, Trust: d.trust})
-	d.addExecutor(&orders.Executor{BaseURL: "http://" + d.settings.Cloud, Protocol: platform.OrderProtocol{}, Now: d.loop.Now, Post: d.loop.Post, AnswerTimeout: orderAnswerTimeout, LimitField: platform.CallNames().Limit})
+	names := platform.CallNames()
+	d.addExecutor(&orders.Executor{BaseURL: "http://" + d.settings.Cloud, Protocol: platform.OrderProtocol{}, Now: d.loop.Now, Post: d.loop.Post, AnswerTimeout: orderAnswerTimeout, Answered: names.Answered})
 }
--- a/internal/call/names.go
+++ b/internal/call/names.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/figshift/figshift/internal/conns"
@@ -21,7 +23,7 @@
 	Expect       string // name of the intended endpoint; any other refuses the request
 	NotRun       string // set when the endpoint refused the request without starting it
 	Load         string
-	Leaving      string // set on every response of an endpoint that accepts no new work
+	Leaving      string // "true" or "1" on every response of an endpoint that accepts no new work
 	Limit        string // requests a second that the endpoint takes from all hosts together, while it is in need
 	Stamp        string // set on every response that an endpoint made itself; a 2xx response without it is rejected
 	Own          func(name string) bool
@@ -94,10 +96,24 @@
 // Answered returns the event for the head of an endpoint's answer to a request that was sent at the time sent. An answer
 // of another endpoint says nothing of this one, and ok is then false.
 func (n *HeaderNames) Answered(endpoint wire.LeaveMark, sent time.Duration, resp *http.Response) (answered event.EndpointAnswered, ok bool) {
-	if n.Limit == "" || n.Expect != "" && resp.StatusCode == http.StatusMisdirectedRequest {
+	if n.Limit == "" && n.Leaving == "" || n.Expect != "" && resp.StatusCode == http.StatusMisdirectedRequest {
 		return answered, false
 	}
-	return limit.Answered(endpoint, sent, resp.Header.Get(n.Limit)), true
+	answered = limit.Answered(endpoint, sent, resp.Header.Get(n.Limit))
+	answered.Leaving = n.leaving(resp.Header)
+	return answered, true
+}
+
+// leaving reports whether the head of an answer says that the endpoint accepts no new work. Any other value than that says nothing,
+// and of several fields one is enough.
+func (n *HeaderNames) leaving(h http.Header) bool {
+	if n.Leaving == "" {
+		return false
+	}
+	return slices.ContainsFunc(h.Values(n.Leaving), func(value string) bool {
+		value = strings.TrimSpace(value)
+		return value == headerTrue || value == headerOne
+	})
 }
 
 func (n *HeaderNames) load(h http.Header) int {
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -17,6 +17,7 @@
 	maxBufferedBody = 64 << 10 // bytes; up to this length, an idempotent response is read completely before its head is forwarded
 	maxSegmentBytes = 1 << 20  // of one encoded segment, with the empty lines before it
 	headerTrue      = "true"
+	headerOne       = "1"
 	maxStatus       = 599 // greatest one in HTTP (RFC 9110, section 15)
 )
 
@@ -40,7 +41,7 @@
 	if answered, ok := names.Answered(endpoint, a.sentAt, resp); ok {
 		a.executor.Post(answered)
 	}
-	leaving := names.Leaving != "" && resp.Header.Get(names.Leaving) == headerTrue
+	leaving := names.leaving(resp.Header)
 	a.report.Status, a.report.Leaving = resp.StatusCode, leaving
 	a.executor.Post(event.AttemptHead{
 		Request: a.start.Request,
--- a/internal/event/endpoint.go
+++ b/internal/event/endpoint.go
@@ -14,6 +14,7 @@
 	PerSecond float64
 	// Malformed is the beginning of a limit that cannot be read, "" without one. The answer then says nothing of limits.
 	Malformed string
+	Leaving   bool // the endpoint accepts no new work
 }
 
 // EndpointIdentified reports what the endpoint at the other end of a new connection has told of itself. Found is its
--- a/internal/flow/component.go
+++ b/internal/flow/component.go
@@ -86,6 +86,8 @@
 		p.dispatch(now, out)
 	case event.HostLost:
 		p.handleHostLost(e.Host)
+	case event.EndpointAnswered:
+		p.handleAnswered(now, e, out)
 	case event.EndpointIdentified:
 		p.handleIdentified(now, e, out)
 	case event.LinksChanged:
@@ -218,6 +220,18 @@
 	p.dispatch(now, out)
 }
 
+// handleAnswered takes what an endpoint tells of itself in any answer.
+func (p *Component) handleAnswered(now time.Duration, e event.EndpointAnswered, out *event.Batch) {
+	mark := wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}
+	if !e.Leaving || p.table.IsMarked(mark) {
+		return
+	}
+	out.Emit(event.Log{Level: "info", Event: "EndpointSaysLeaving", Fields: []event.Field{
+		{Key: "Endpoint", Value: e.Endpoint}, {Key: "Incarnation", Value: e.Incarnation},
+	}})
+	p.markLeaving(now, mark, out)
+}
+
 // handleIdentified takes what an endpoint has told of itself. When it has started again since the list was made, the
 // incarnation that is listed is gone for good.
 func (p *Component) handleIdentified(now time.Duration, e event.EndpointIdentified, out *event.Batch) {
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -142,6 +142,10 @@
 			g.step(event.BeatSeen{Host: "h2", Beat: wire.Beat{Leaving: []wire.LeaveMark{mark}}})
 		},
 		"poll": func(g *rig) { g.step(event.EndpointPolled{Endpoint: "a", Incarnation: "1", Leaving: true}) },
+		"answer to anything": func(g *rig) {
+			g.step(event.EndpointAnswered{Endpoint: "a", Incarnation: "1", Leaving: true})
+			g.step(event.EndpointAnswered{Endpoint: "a", Incarnation: "1"}) // to what was sent before
+		},
 		"answer": func(g *rig) {
 			for i := uint64(100); ; i++ {
 				s := requireStarted(t, g.step(arrival(i, "Ledger", "/order")))
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -19,7 +19,6 @@
 	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
-	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -40,7 +39,9 @@
 	Post     func(event.Event) bool
 	// AnswerTimeout is the time that an answer may take after the deadline for sending, 0 for the default of 5 s.
 	AnswerTimeout time.Duration
-	LimitField    string // name of the header field in which an engine names its limit, "" without one
+	// Answered returns what the head of an engine's answer tells of the engine; nil when engines don't tell. A head that isn't the
+	// engine's tells nothing, and ok is then false.
+	Answered func(engine wire.LeaveMark, sent time.Duration, resp *http.Response) (answered event.EndpointAnswered, ok bool)
 }
 
 // Call is the request for an order or a report: a POST with a JSON body. Target is a path at BaseURL or a complete URL.
@@ -132,26 +133,27 @@
 		err = kinds.New(kinds.EndpointRefused, "%s is executing another order", e.Endpoint)
 	}
 	if err == nil {
-		err = x.send(x.protocol().Swap(e, state), nil, e.Before, x.readLimit(e))
+		err = x.send(x.protocol().Swap(e, state), nil, e.Before, x.readHead(e))
 	}
 	x.Post(event.EngineSwapped{Duty: e.Duty, Epoch: e.Epoch, OrderID: e.OrderID, Endpoint: e.Endpoint, Version: e.Version, Kind: kinds.KindOf(err)})
 }
 
-// readLimit returns a function that posts what the head of an engine's answer says of its limit.
-func (x *Executor) readLimit(e event.SwapEngine) func(*http.Response) {
+// readHead returns a function that posts what the head of an engine's answer tells of the engine.
+func (x *Executor) readHead(e event.SwapEngine) func(*http.Response) {
 	sent := x.Now()
 	return func(response *http.Response) {
-		if x.LimitField == "" || response.StatusCode == http.StatusMisdirectedRequest {
+		if x.Answered == nil {
 			return
 		}
-		engine := wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}
-		x.Post(limit.Answered(engine, sent, response.Header.Get(x.LimitField)))
+		if answered, ok := x.Answered(wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}, sent, response); ok {
+			x.Post(answered)
+		}
 	}
 }
 
 // state reads an engine's state. A failed read has kind EndpointRefused, since no order was sent.
 func (x *Executor) state(e event.SwapEngine, stateCall Call) (EngineState, error) {
-	readLimit := x.readLimit(e)
+	readHead := x.readHead(e)
 	ctx, cancel := context.WithTimeout(context.Background(), max(e.Before-x.Now(), 0))
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, stateCall.Target, nil)
@@ -165,7 +167,7 @@
 		return EngineState{}, kinds.New(kinds.EndpointRefused, "%s: %v", stateCall.Target, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	readLimit(response)
+	readHead(response)
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize))
 	if err != nil || response.StatusCode != http.StatusOK {
 		return EngineState{}, kinds.New(kinds.EndpointRefused, "%s: status %d, %v", stateCall.Target, response.StatusCode, err)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -116,6 +116,9 @@
 	return true
 }
 
+// IsMarked reports whether an incarnation of an endpoint has a leave mark.
+func (t *Table) IsMarked(id wire.LeaveMark) bool { return t.marks[id] != nil }
+
 // Marks returns the leave marks to send in heartbeats, sorted: the recent ones, and those that the list contradicts.
 func (t *Table) Marks(now time.Duration) []wire.LeaveMark {
 	var ids []wire.LeaveMark
