platform: an odd entry fails no list or watch

Callers: a host that lists the servers while another writer's entry is nested deeper than 10,000, or has finalizers of numbers, keeps no list: it is not ready after a start, and a running host follows no change any more, until the entry is gone. Processes don't end by it here.

Cause: an answer of the store was decoded at once by encoding/json, which gives up the whole answer at a depth of 10,000 and at the first value of another type, in fields that nothing reads (status, finalizers) too. Each list and watch ended with StoreUnavailable and was repeated. One page of entries without a name was asked for again without end.

Another writer's entry whose name or revision can't be read is left out and counted in ObjectList.Unreadable; the answer's as_of still moves a watch past it, and the next list drops an entry that was sound before. Of our own kinds an unreadable object is an error as before: it must not count as missing.

Ruled out: a stack that overflows (encoding/json has the limit), numbers that are too large in a spec (each spec was decoded alone already).

--- a/internal/wire/object.go
+++ b/internal/wire/object.go
@@ -32,6 +32,7 @@
 // ObjectList answers a list or a watch with the matching objects and the store's revision at the time of the answer.
 // A watch returns the objects that changed after the requested revision, with deleted ones marked.
 type ObjectList struct {
-	Revision uint64
-	Objects  []Object
+	Revision   uint64
+	Objects    []Object
+	Unreadable int `json:",omitempty" msgpack:",omitempty"` // objects that Objects lacks because their metadata can't be read
 }
