view: an odd entry is reported once

Operators: an entry that can't be decoded gave an ObjectRefused line on each host for each write of its writer, and the line repeated what the writer had stored: 100,000 digits of a number are 100,000 bytes of log.

Now an entry is reported when it becomes odd and when the reason changes, and name and reason are cut at 200 bytes. A sound entry that is replaced by an odd one names no endpoint any more, at once, as before; the test holds this too.

--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -87,6 +87,7 @@
 		}
 		previous, known := p.endpoints[name]
 		delete(p.endpoints, name)
+		delete(p.refused, name)
 		if recovered && known && previous.State == wire.Live {
 			p.expired[name] = expiredEndpoint{endpoint: previous, removedAt: now}
 		}
@@ -131,9 +132,13 @@
 	e, err := p.Decoder.Endpoint(name, o.Value)
 	if err != nil {
 		delete(p.endpoints, name)
-		reportUndecodable(o.Name, err, out)
+		if reason := shorten(err.Error()); p.refused[name] != reason { // its writer may renew it every second
+			p.refused[name] = reason
+			reportUndecodable(o.Name, err, out)
+		}
 		return
 	}
+	delete(p.refused, name)
 	p.endpoints[name] = e
 }
 
@@ -174,6 +179,16 @@
 func reportUndecodable(name string, err error, out *event.Batch) {
 	out.Emit(event.Count{Name: "ObjectsRefused", Tags: []event.Field{{Key: "Reason", Value: "Undecodable"}}, N: 1})
 	out.Emit(event.Log{Level: "warn", Event: "ObjectRefused", Fields: []event.Field{
-		{Key: "Name", Value: name}, {Key: "Error", Value: err.Error()},
+		{Key: "Name", Value: shorten(name)}, {Key: "Error", Value: shorten(err.Error())},
 	}})
 }
+
+// maxLogged is the maximum number of bytes of a name or error in a log line: both may repeat what another writer stored.
+const maxLogged = 200
+
+func shorten(text string) string {
+	if len(text) <= maxLogged {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxLogged], "") + "..."
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -83,8 +83,9 @@
 	expired     map[string]expiredEndpoint
 	// endpoints holds the entries that could be decoded, by name.
 	endpoints     map[string]wire.Endpoint
-	lastRaise     time.Duration // time of the last endpoint list
-	raisePending  bool          // a change waits for the next endpoint list
+	refused       map[string]string // why each of the other entries can't be decoded, by name
+	lastRaise     time.Duration     // time of the last endpoint list
+	raisePending  bool              // a change waits for the next endpoint list
 	lastPull      map[string]time.Duration
 	lastHeartbeat map[string]time.Duration // time of the last heartbeat, by host
 	zoneOf        map[string]string        // zone of each known host
@@ -132,6 +133,7 @@
 	}
 	p.initialised = true
 	p.expired, p.endpoints = map[string]expiredEndpoint{}, map[string]wire.Endpoint{}
+	p.refused = map[string]string{}
 	p.lastPull = map[string]time.Duration{}
 	p.lastHeartbeat = map[string]time.Duration{}
 	p.caches = []*prefixCache{
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -27,8 +27,8 @@
 }
 
 func (testDecoder) Endpoint(name string, value []byte) (wire.Endpoint, error) {
-	if string(value) == "undecodable" {
-		return wire.Endpoint{}, kinds.New(kinds.ConfigInvalid, "undecodable")
+	if reason, ok := strings.CutPrefix(string(value), "undecodable"); ok {
+		return wire.Endpoint{}, kinds.New(kinds.ConfigInvalid, "undecodable%s", reason)
 	}
 	return wire.Endpoint{Name: name, Service: "s", State: wire.EndpointState(value)}, nil
 }
@@ -289,6 +289,44 @@
 	}
 }
 
+// Guards against a log line for each write and a line as long as what another writer stored, and against an odd entry that
+// leaves the endpoint of the sound one before it in use.
+func TestOddEntryIsReportedOnce(t *testing.T) {
+	r := newRig(t, "h1")
+	r.answer(PrefixEndpoints, "", list(5, object("Endpoints/e1", 3, "Live"), object("Endpoints/x", 4, "Live")))
+	long := "undecodable" + strings.Repeat("9", 100_000)
+	steps := []struct {
+		value     string
+		lines     int
+		endpoints string
+	}{
+		{"undecodable", 1, "e1"},
+		{"undecodable", 0, "e1"},
+		{long, 1, "e1"},
+		{long, 0, "e1"},
+		{"Live", 0, "e1,x"},
+		{"undecodable", 1, "e1"},
+	}
+	for i, s := range steps {
+		push := wire.Push{Prefix: PrefixEndpoints, Objects: []wire.Object{object("Endpoints/x", uint64(6+i), s.value)}}
+		r.step(event.PeerReceived{Host: "h2", Message: wire.Message{Push: &push}})
+		lines := 0
+		for _, e := range r.out.Effects {
+			l, ok := e.(event.Log)
+			if !ok || l.Event != "ObjectRefused" {
+				continue
+			}
+			lines++
+			if n := len(l.Fields[1].Value); n > 300 {
+				t.Errorf("step %d: an error of %d bytes in the log", i, n)
+			}
+		}
+		if got := strings.Join(r.endpoints(), ","); lines != s.lines || got != s.endpoints {
+			t.Errorf("step %d: %d lines and endpoints %s, want %d and %s", i, lines, got, s.lines, s.endpoints)
+		}
+	}
+}
+
 // After the store has dropped its history, the next call must be a list.
 func TestHistoryGone(t *testing.T) {
 	r := newRig(t, "h1")
