view: odd entries make no host ready

Callers: a host that knows nothing but entries that name no server reports itself ready and refuses each call.

Cause: readiness counted the stored entries. Now it counts the endpoints that could be decoded, draining ones included as before.

Failed before: TestOddEntryMakesNoHostReady, reason "", want NoEndpoints.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -263,7 +263,7 @@
 		return "Stopping"
 	case p.site == nil:
 		return "NoConfiguration"
-	case len(p.prefixCache(PrefixEndpoints).objects) == 0:
+	case len(p.endpoints) == 0:
 		return "NoEndpoints"
 	default:
 		return ""
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -327,6 +327,22 @@
 	}
 }
 
+// Guards against a host that takes callers while it knows no entry but odd ones.
+func TestOddEntryMakesNoHostReady(t *testing.T) {
+	r := newRig(t, "h1")
+	r.answer(PrefixConfig, "", list(2, object("Config/Site", 2, "1")))
+	r.answer(PrefixEndpoints, "", list(5, object("Endpoints/x", 4, "undecodable")))
+	r.tick(50 * time.Millisecond)
+	if got := r.p.notReadyReason(); got != "NoEndpoints" {
+		t.Errorf("reason %q, want NoEndpoints", got)
+	}
+	push := wire.Push{Prefix: PrefixEndpoints, Objects: []wire.Object{object("Endpoints/e1", 6, "Live")}}
+	r.step(event.PeerReceived{Host: "h2", Message: wire.Message{Push: &push}})
+	if got := r.p.notReadyReason(); got != "" {
+		t.Errorf("reason %q with a sound entry, want none", got)
+	}
+}
+
 // After the store has dropped its history, the next call must be a list.
 func TestHistoryGone(t *testing.T) {
 	r := newRig(t, "h1")
