view: objects without readable metadata are reported

Operators: since odd entries no longer fail a list, one whose name or revision can't be read would be left out without a word. A list that lacks some now gives one ObjectRefused line with their number, again only when the number changes, and counts in ObjectsRefused.

Failed before: TestUnreadableObjectsAreReportedOnce, no line.

--- a/internal/view/cache.go
+++ b/internal/view/cache.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
@@ -24,6 +26,8 @@
 	nextCall       time.Duration
 	failures       int
 
+	unreadable int // objects without readable metadata in the last list
+
 	relists    bool   // is listed again periodically
 	relistSeq  uint64 // number of the periodic list in flight, 0 for none
 	nextRelist time.Duration
@@ -130,6 +134,7 @@
 	if e.List.Revision < c.newestRevision {
 		return // older than the cache
 	}
+	p.reportUnreadable(c, e.List.Unreadable, out)
 	changed := c.replace(e.List)
 	c.syncedRevision = max(c.syncedRevision, e.List.Revision)
 	if len(changed) > 0 && c.inFlight {
@@ -139,6 +144,14 @@
 	p.apply(now, c, changed, p.storeRecentlyRecovered(now), out)
 }
 
+// reportUnreadable reports the objects that a list lacks, when their number has changed.
+func (p *Component) reportUnreadable(c *prefixCache, n int, out *event.Batch) {
+	if n != c.unreadable && n > 0 {
+		reportUndecodable(c.prefix, errors.Errorf("%d objects have no readable metadata", n), out)
+	}
+	c.unreadable = n
+}
+
 // storeAnswered records that the store has answered.
 func (p *Component) storeAnswered(now time.Duration, out *event.Batch) {
 	if p.storeUnavailable() {
@@ -172,6 +185,7 @@
 			c.nextCall = now + minRetryDelay // an answer older than the cache
 			return
 		}
+		p.reportUnreadable(c, list.Unreadable, out)
 		changed = c.replace(list)
 		if c.syncedRevision == 0 && c.prefix != PrefixHosts { // the first list of this process
 			c.nextCall, c.nextRelist = now+startupDelay, now+startupDelay
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -327,6 +327,31 @@
 	}
 }
 
+// Guards against objects that every list lacks without a word of it.
+func TestUnreadableObjectsAreReportedOnce(t *testing.T) {
+	r := newRig(t, "h1")
+	var lines []string
+	for i, unreadable := range []int{2, 2, 1, 0} {
+		if i > 0 {
+			r.p.prefixCache(PrefixEndpoints).listed = false
+			r.pendingCalls = nil
+			r.p.prefixCache(PrefixEndpoints).inFlight = false
+			r.tick(startupDelay)
+		}
+		listed := list(uint64(5+i), object("Endpoints/e1", 3, "Live"))
+		listed.Unreadable = unreadable
+		r.answer(PrefixEndpoints, "", listed)
+		for _, l := range effectsOf[event.Log](r.out.Effects) {
+			if l := l.(event.Log); l.Event == "ObjectRefused" {
+				lines = append(lines, l.Fields[1].Value)
+			}
+		}
+	}
+	if diff := cmp.Diff([]string{"2 objects have no readable metadata", "1 objects have no readable metadata"}, lines); diff != "" {
+		t.Errorf("errors of the lines (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a host that takes callers while it knows no entry but odd ones.
 func TestOddEntryMakesNoHostReady(t *testing.T) {
 	r := newRig(t, "h1")
