items: a question that a connection dialed ahead asks stays counted

An engine that names a limit got more requests than were counted against it. An item is charged for itself and for the question for the engine's incarnation; when it got a kept connection it took the question back. net/http dials while an item waits, though, and finishes that dial after the item has taken a connection that came free: the dialed connection asked its question all the same, and its first user counts as one on a kept connection, too. So nobody paid for it.

Each item that is charged now has its own count of questions, which the dialer reads from the context of the request (net/http hands its values on to the dial): a question is counted before it is written, and asked only until the item has its answer's head. The item takes its charge back only when none was asked, and is charged for each one beyond the first, when the transport needed several connections. A connection whose item no longer needs it is closed without a question.

Ruled out: streams, which ask on connections of their own and never take back; the calls of callers, which ask none; probes, which pass over endpoints with limits; orders, whose read of the state is counted.

TestQuestionOfAConnectionDialedAheadIsCounted plays both orders with net/http and a real server. TestEveryQuestionOfAnItemIsCounted covers several connections for one item.

--- a/internal/conns/identity.go
+++ b/internal/conns/identity.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	incarnation, err := i.ask(conn)
+	incarnation, err := i.ask(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "identifying the endpoint")
@@ -44,7 +44,7 @@
 	return &Identified{Conn: conn, Incarnation: incarnation}, nil
 }
 
-func (i *Identity) ask(conn net.Conn) (string, error) {
+func (i *Identity) ask(ctx context.Context, conn net.Conn) (string, error) {
 	if err := conn.SetDeadline(time.Now().Add(identifyTimeout)); err != nil {
 		return "", err
 	}
@@ -53,6 +53,9 @@
 		return "", err
 	}
 	req.Header.Set("User-Agent", "")
+	if err := beginQuestion(ctx); err != nil {
+		return "", err
+	}
 	if err := req.Write(conn); err != nil {
 		return "", err
 	}
--- a/internal/event/endpoint.go
+++ b/internal/event/endpoint.go
@@ -18,13 +18,14 @@
 }
 
 // EndpointIdentified reports what the endpoint at the other end of a new connection has told of itself. Found is its
-// incarnation, "" when it does not tell it; Incarnation is the one that was meant. With Reused the connection was no new one,
-// and nothing was asked, although the question was counted against the endpoint's limit.
+// incarnation, "" when it does not tell it; Incarnation is the one that was meant. With Reused it tells nothing new: Uncounted
+// is the number of questions that were asked beyond the one that was counted against the endpoint's limit, -1 when none was.
 type EndpointIdentified struct {
 	Endpoint    string
 	Incarnation string
 	Found       string
 	Reused      bool
+	Uncounted   int
 }
 
 // ProbeEndpoint asks an endpoint for a sign of life; EndpointProbed answers within about Timeout.
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -96,9 +96,14 @@
 			x.reportIdentity(conn, e)
 		}
 	}}
-	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	if conn.identified && conn.Reused && e.Charged {
-		x.reportIdentity(conn, e)
+	traced := httptrace.WithClientTrace(ctx, trace)
+	var questions conns.Questions
+	if e.Charged {
+		traced = questions.With(traced)
+	}
+	resp, err := transport.RoundTrip(req.WithContext(traced))
+	if e.Charged {
+		x.reportQuestions(conn, e, questions.Close())
 	}
 	if err != nil {
 		return 0, event.ReasonBroken
@@ -144,9 +149,18 @@
 	return c
 }
 
-// reportIdentity reports what the engine has told of itself on a new connection, or that it was not asked again on a kept one.
+// reportIdentity reports what the engine has told of itself on a new connection.
 func (x *Executor) reportIdentity(c verifiedConn, e event.RunItem) {
-	x.Post(event.EndpointIdentified{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Found: c.found, Reused: c.Reused})
+	x.Post(event.EndpointIdentified{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Found: c.found})
+}
+
+// reportQuestions reports that an item whose question was counted asked none, on a kept connection, or more than one.
+func (x *Executor) reportQuestions(c verifiedConn, e event.RunItem, asked int) {
+	takenBack := c.identified && c.Reused && asked == 0
+	if !takenBack && asked <= 1 {
+		return
+	}
+	x.Post(event.EndpointIdentified{Endpoint: e.Endpoint, Incarnation: e.Incarnation, Found: c.found, Reused: true, Uncounted: asked - 1})
 }
 
 func (x *Executor) newRequest(ctx context.Context, j *jobState, e event.RunItem, lastID string) (*http.Request, error) {
--- a/internal/limit/component.go
+++ b/internal/limit/component.go
@@ -64,8 +64,8 @@
 	case event.EndpointAnswered:
 		p.handleAnswered(now, e, out)
 	case event.EndpointIdentified:
-		if e.Reused {
-			p.Take(now, wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}, Polls, -1)
+		if e.Uncounted != 0 {
+			p.Take(now, wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}, Polls, e.Uncounted)
 		}
 	case event.EndpointsListed:
 		p.endpoints = e.List.Endpoints
