limit: count the question before a request in what hosts may send at once

An engine with a limit could get more from all hosts together than the limit's bound. A host may send when one request is left to it, and what it has saved at a low limit is one request. An item or a stream comes to two, though: the engine is asked for its incarnation first. So the hosts that share a limit, twice the limit and four more, could send twice as many requests at the same time, besides the two that an order comes to: at 0.5 a second four hosts send eight, where eight are allowed in 4 s, and ten with an order. The bound of the senders was counted with one request for each.

Where the list names an engine's software version, which is when it is asked, half as many hosts share its limit, and what they save counts two requests for each. Another way, sending only when two are left, needs the same bound, as each host must then save two.

--- a/internal/limit/component.go
+++ b/internal/limit/component.go
@@ -53,6 +53,7 @@
 	listedAt time.Duration // when the incarnation was last in the endpoint list
 	bucket   bucket
 	wants    wants
+	atOnce   int    // requests that a host may send with one left: two where it asks for the incarnation first
 	orders   bucket // for orders, which don't wait for a share
 	// overdraft counts the requests that this host has sent beyond its share since its last heartbeat.
 	overdraft int
@@ -108,7 +109,7 @@
 	perSecond = max(perSecond, minPerSecond)
 	l := p.limits[id]
 	if l == nil {
-		l = &limit{endpoint: id, lifted: true, listedAt: now}
+		l = &limit{endpoint: id, lifted: true, listedAt: now, atOnce: p.atOnce(id)}
 		if p.limits == nil {
 			p.limits = map[wire.LeaveMark]*limit{}
 		}
@@ -131,6 +132,23 @@
 	}})
 }
 
+// atOnce returns what a request to an endpoint comes to with the question that may go before it.
+func (p *Component) atOnce(id wire.LeaveMark) int {
+	for i := range p.endpoints {
+		if markOf(&p.endpoints[i]) == id {
+			return requestsAtOnce(&p.endpoints[i])
+		}
+	}
+	return 1
+}
+
+func requestsAtOnce(e *wire.Endpoint) int {
+	if e.Software != "" {
+		return 2
+	}
+	return 1
+}
+
 // lift ends a limit, as the endpoint did not name one in its answer to a request that was sent at the time at.
 func (p *Component) lift(now, at time.Duration, l *limit, out *event.Batch) {
 	p.logUseOf(now, l, out)
@@ -236,7 +254,7 @@
 	}
 	for i := range p.endpoints {
 		if l := p.limits[markOf(&p.endpoints[i])]; l != nil {
-			l.listedAt = now
+			l.listedAt, l.atOnce = now, requestsAtOnce(&p.endpoints[i])
 		}
 	}
 	for id, l := range p.limits {
--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -38,6 +38,7 @@
 	connected func(a, b int, now time.Duration) bool
 	lostBeats float64 // fraction of the heartbeats that don't arrive
 	orders    bool    // host 0 sends an order of two calls each second, as far as it may
+	questions bool    // each request has a new connection, on which the endpoint is asked for its incarnation first
 	baseline  bool    // no host keeps to the limit
 }
 
@@ -77,7 +78,7 @@
 				continue
 			}
 			if !h.started {
-				h.start(hosts, c.baseline)
+				h.start(hosts, c)
 			}
 			offset := time.Duration(i) * heartbeatInterval / time.Duration(c.hosts)
 			if (now+offset)%heartbeatInterval < simulationStep {
@@ -87,7 +88,7 @@
 			if rate := c.demand(i, now); random.Float64() < rate*simulationStep.Seconds() {
 				h.waiting++
 			}
-			sent := h.send(now)
+			sent := h.send(now, c.questions)
 			if c.orders && i == 0 && now%time.Second == 0 && h.gate.Allowance(now, simEndpoint, limit.Orders).Allows() {
 				h.gate.Take(now, simEndpoint, limit.Orders, 2)
 				sent += 2
@@ -102,18 +103,23 @@
 	return arrivals, byHost
 }
 
-func (h *simHost) start(hosts []*simHost, baseline bool) {
+func (h *simHost) start(hosts []*simHost, c fleetCase) {
 	var known []event.Host
 	for _, o := range hosts {
 		known = append(known, event.Host{Name: o.name})
 	}
 	h.component = &limit.Component{Self: h.name, Backlogs: []limit.Backlog{h}}
 	h.gate = h.component
-	if baseline {
+	if c.baseline {
 		h.gate = limit.Unlimited{}
 	}
 	h.started, h.waiting, h.heardAt, h.lost = true, 0, map[int]time.Duration{}, map[int]bool{}
 	h.step(0, event.HostsChanged{Hosts: known})
+	endpoint := wire.Endpoint{Name: simEndpoint.Endpoint, Incarnation: simEndpoint.Incarnation}
+	if c.questions {
+		endpoint.Software = "v1"
+	}
+	h.step(0, event.EndpointsListed{List: wire.EndpointList{Endpoints: []wire.Endpoint{endpoint}}})
 }
 
 func (h *simHost) step(now time.Duration, ev event.Event) {
@@ -121,13 +127,17 @@
 	h.component.Step(now, ev, &out)
 }
 
-// send sends the waiting requests that the gate allows and returns their number.
-func (h *simHost) send(now time.Duration) int {
+// send sends the waiting requests that the gate allows, and returns their number with that of the questions before them.
+func (h *simHost) send(now time.Duration, questions bool) int {
 	sent := 0
 	for h.waiting >= 1 && h.gate.Allowance(now, simEndpoint, limit.Requests).Allows() {
 		h.gate.Take(now, simEndpoint, limit.Requests, 1)
 		h.waiting--
 		sent++
+		if questions {
+			h.gate.Take(now, simEndpoint, limit.Polls, 1)
+			sent++
+		}
 	}
 	return sent
 }
@@ -207,6 +217,11 @@
 	"hosts join one after the other": {hosts: 8, perSecond: 3, demand: constant(4), alive: func(host int, now time.Duration) bool {
 		return now >= time.Duration(host)*3*time.Second
 	}},
+	"questions":                   {hosts: 8, perSecond: 0.5, demand: constant(1), questions: true},
+	"questions of many hosts":     {hosts: 15, perSecond: 1, demand: constant(2), questions: true},
+	"questions, then all at once": {hosts: 8, perSecond: 1.2, demand: bursts(8, 8), questions: true},
+	"questions and orders":        {hosts: 4, perSecond: 0.5, demand: bursts(4, 8), questions: true, orders: true},
+	"questions and orders, 2/s":   {hosts: 8, perSecond: 2, demand: bursts(8, 8), questions: true, orders: true},
 	"hosts restart in turns": {hosts: 8, perSecond: 3, demand: constant(4), alive: func(host int, now time.Duration) bool {
 		down := 5*time.Second + time.Duration(host)*4*time.Second
 		return now < down || now > down+1500*time.Millisecond
@@ -248,6 +263,7 @@
 			}
 			return 0
 		}}, 0.9, 0},
+		"questions": {fleetCase{hosts: 8, perSecond: 2, demand: constant(2), questions: true}, 0.9, 0},
 		"one owner beside small senders": {fleetCase{hosts: 8, perSecond: 4, demand: func(host int, _ time.Duration) float64 {
 			if host == 0 {
 				return 10
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -80,9 +80,11 @@
 	senders   int // hosts that have a share
 }
 
-// maxSenders returns the greatest number of hosts among which a limit is shared. Each may have saved one request, so that
-// more of them could exceed a low limit by sending what they have saved at the same time.
-func maxSenders(perSecond float64) int { return int(sendersSeconds*perSecond) + minSenders }
+// maxSenders returns the greatest number of hosts among which a limit is shared. Each may have saved one request, and sends
+// the question before it at the same time, so that more of them could exceed a low limit by sending what they have saved.
+func (l *limit) maxSenders() int {
+	return (int(sendersSeconds*l.perSecond) + minSenders) / l.atOnce
+}
 
 // share returns this host's share of a limit: what it wants, as far as the hosts that want more have no less.
 func (p *Component) share(l *limit) share {
@@ -103,7 +105,7 @@
 			senders = append(senders, host)
 		}
 	}
-	senders = ranks.Top(l.endpoint.Endpoint, senders, maxSenders(l.perSecond))
+	senders = ranks.Top(l.endpoint.Endpoint, senders, l.maxSenders())
 	if !slices.Contains(senders, p.Self) {
 		return share{}
 	}
@@ -146,7 +148,7 @@
 		l.bucket.set(now, 0, 0)
 		return
 	}
-	saved := savedSeconds*l.perSecond + savedRequests - float64(s.senders)
+	saved := savedSeconds*l.perSecond + savedRequests - float64(s.senders*l.atOnce)
 	l.bucket.set(now, s.perSecond, 1+s.perSecond/l.perSecond*max(saved, 0))
 }
 
