crash: take news of crashes before this host's start

A host that started after a request had been given up sent it on, up to its own three crashes, and had each plain server of a small service crash once more. Callers got NoEndpoint and OutcomeUnknown for seconds from all hosts.

A crash is kept at its time on this host's clock, which begins at the process's start: a crash before it has a negative time. It was compared with the time at which the endpoint last answered, read from a map that holds none: 0. So every crash before the host's start was dropped as one that an answer had refuted, also when heartbeats told it again. The lookup now says whether there is a time, and an answer before the start is kept as such. TestHostLearnsOfCrashesBeforeItsStart: "verdict 0, want 2" before, passes; the test of such a host that existed runs at the first minute of its clock, and simulated fleets share one clock.

Others that compare ages with a zero time: internal/route and internal/fleet (loads) and internal/reach (other hosts' last word) drop news of the first second only, which the next heartbeat brings anew.

--- a/internal/crash/component.go
+++ b/internal/crash/component.go
@@ -92,7 +92,7 @@
 
 // addCrash adds a crash to the record of a request, logs what follows and reports whether the crash is new.
 func (p *Component) addCrash(now time.Duration, id ID, c crashed, out *event.Batch) bool {
-	if c.at < p.alive[c.endpoint] {
+	if alive, ok := p.alive[c.endpoint]; ok && c.at < alive { // both may be before the start of this process, thus below 0
 		return false
 	}
 	r := p.records[id]
@@ -201,7 +201,9 @@
 
 // markAlive drops the crashes of an endpoint before a time at which it lived, and reports whether there were any.
 func (p *Component) markAlive(endpoint wire.LeaveMark, at time.Duration) bool {
-	p.alive[endpoint] = max(p.alive[endpoint], at)
+	if alive, ok := p.alive[endpoint]; !ok || at > alive {
+		p.alive[endpoint] = at
+	}
 	dropped := false
 	for _, r := range p.records {
 		dropped = p.dropCrashes(r, func(c crashed) bool { return c.endpoint == endpoint && c.at < at }) || dropped
--- a/internal/crash/component_test.go
+++ b/internal/crash/component_test.go
@@ -186,6 +186,37 @@
 	return aged
 }
 
+// A host that had started after a request was given up took no news of crashes before its own start, and had the request crash
+// three endpoints more.
+func TestHostLearnsOfCrashesBeforeItsStart(t *testing.T) {
+	cases := map[string]struct {
+		alive []wire.CrashNews // before the news of the crashes
+		want  crash.Verdict
+	}{
+		"crashes only": {nil, crash.GivenUp},
+		"an endpoint had answered before its crash": {[]wire.CrashNews{{Endpoint: "e2", Incarnation: "1", Answered: true, AgeMS: 8000}}, crash.GivenUp},
+		"an endpoint has answered since":            {[]wire.CrashNews{{Endpoint: "e2", Incarnation: "1", Answered: true, AgeMS: 1000}}, crash.Suspect},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			old := newRig()
+			old.run(id, "e1")
+			old.run(id, "e2")
+			old.run(id, "e3")
+			old.now += 5 * time.Second
+			var heartbeat wire.Beat
+			old.watch.FillBeat(old.now, &heartbeat)
+			started := newRig()
+			started.now = 200 * time.Millisecond
+			started.step(event.BeatSeen{Host: "h2", Beat: wire.Beat{Crashes: c.alive}})
+			started.step(event.BeatSeen{Host: "h2", Beat: heartbeat})
+			if got := started.watch.Verdict(started.now, id); got != c.want {
+				t.Errorf("verdict %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // A host that started while many connections broke did not hear of the request that had been given up, and sent it on.
 func TestHeartbeatsTellOfGivenUpRequestsFirst(t *testing.T) {
 	r, joiner := newRig(), newRig()
