serve: a graceful stop answers a request whose bytes are on their way

- The accepting ended 50 ms after the stop whether or not the queue was empty, so that a process that was not scheduled for that time reset what waited.
It now accepts what waits at that moment, however late it gets to it.
- A connection counted as unused one second after it was made, by the clock: a pause of the process used the second up, and a connection that was older was closed with the stop.
It now has 20 checks of 50 ms after the stop, and a pause counts as one.
- It was closed although its request lay unread in the socket, which resets it.
- For net/http a connection is new or idle until the whole head is read, so that a head in two parts was cut.
The connection now notes the first byte that is read.
- SetKeepAlivesEnabled(false) closes idle connections at once, those too whose next request is being read.
It isn't called any more: answers say Connection: close once the server drains, and an idle connection is ended after five checks without a byte.

The end of a waiting connection is a read deadline and not a close: bytes that are read in that instant are answered.

Ruled out: an early end of the wait for all connections (the accepting holds a count of its own), and the exit before bytes are sent (the kernel sends them after close).

--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -1,29 +1,39 @@
 package serve
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
-	// backlogTime is the time for which a listener that is closed still accepts the connections that callers have made.
+	// backlogTime is the time after Close in which connections are accepted whenever they were made.
 	backlogTime = 50 * time.Millisecond
-	// unusedTime is the time for which a connection may stay without a request once the listener is closed.
-	unusedTime = time.Second
+	// newChecks and idleChecks are the checks after Close for which a connection may stay without a byte of its first request,
+	// and of a further one. Checks are counted, not time, so that a pause of the process doesn't use them up.
+	newChecks  = 20
+	idleChecks = 5
+
+	notCounted = -1
 )
 
 // stopListener is a listener whose Close lets it accept the connections that wait, and that knows when all connections that
-// it has accepted are closed. Its methods may be called concurrently.
+// it has accepted are closed. Its methods may be called concurrently, Accept by one goroutine.
 type stopListener struct {
 	*net.TCPListener
 
-	open     sync.WaitGroup // connections, and the accepting itself
-	accepted sync.Once      // the accepting has ended
-	mu       sync.Mutex
-	closing  bool
-	unused   map[net.Conn]time.Time // connections without a request yet, and since when
+	open    sync.WaitGroup // connections, and the accepting itself
+	ended   sync.Once      // the accepting
+	rest    int            // connections to accept before the accepting ends, notCounted before backlogTime is over
+	mu      sync.Mutex
+	closing bool
+	waiting map[*acceptedConn]int // connections without a byte of their next request, and the checks that remain
 }
 
 func newStopListener(address string) (*stopListener, error) {
@@ -31,29 +41,58 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &stopListener{TCPListener: listener.(*net.TCPListener), unused: map[net.Conn]time.Time{}}
+	l := &stopListener{TCPListener: listener.(*net.TCPListener), rest: notCounted, waiting: map[*acceptedConn]int{}}
 	l.open.Add(1)
 	return l, nil
 }
 
-// Accept returns the next connection. After Close it returns those that wait and then net.ErrClosed.
+// Accept returns the next connection. After Close it returns those that are made within backlogTime, those that wait at its
+// end, however late the process gets to them, and then net.ErrClosed.
 func (l *stopListener) Accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
-	if err == nil {
-		l.open.Add(1)
-		return &acceptedConn{TCPConn: conn, closed: l.open.Done}, nil
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.closing {
-		return nil, err
+	for l.rest != 0 {
+		conn, err := l.AcceptTCP()
+		if err == nil {
+			if l.rest > 0 {
+				l.rest--
+			}
+			l.open.Add(1)
+			return &acceptedConn{TCPConn: conn, closed: l.open.Done}, nil
+		}
+		if !l.isClosing() {
+			return nil, err
+		}
+		l.rest = 0
+		if errors.Is(err, os.ErrDeadlineExceeded) && l.SetDeadline(time.Now().Add(backlogTime)) == nil {
+			l.rest = l.queued()
+		}
 	}
 	_ = l.TCPListener.Close()
-	l.accepted.Do(l.open.Done)
+	l.ended.Do(l.open.Done)
 	return nil, net.ErrClosed
 }
 
-// Close ends the accepting within backlogTime.
+// queued returns the number of connections that wait to be accepted.
+func (l *stopListener) queued() int {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = int(info.Unacked) // for a listener, the length of its queue
+		}
+	})
+	return n
+}
+
+func (l *stopListener) isClosing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closing
+}
+
+// Close ends the accepting.
 func (l *stopListener) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -63,23 +102,31 @@
 
 // track follows the state of a connection; it is the ConnState of the server.
 func (l *stopListener) track(conn net.Conn, state http.ConnState) {
+	c := conn.(*acceptedConn)
+	c.begun.Store(false)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if state == http.StateNew {
-		l.unused[conn] = time.Now()
-	} else {
-		delete(l.unused, conn)
+	switch state {
+	case http.StateNew:
+		l.waiting[c] = newChecks
+	case http.StateIdle:
+		l.waiting[c] = idleChecks
+	default:
+		delete(l.waiting, c)
 	}
 }
 
-// closeUnused closes the connections on which no request has come for unusedTime.
-func (l *stopListener) closeUnused() {
+// endWaiting ends the connections on which no byte of a request has come for the checks that they have.
+func (l *stopListener) endWaiting() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for conn, since := range l.unused {
-		if time.Since(since) > unusedTime {
-			_ = conn.Close()
-			delete(l.unused, conn)
+	for conn, checks := range l.waiting {
+		switch {
+		case conn.begun.Load() || conn.unread():
+		case checks > 0:
+			l.waiting[conn] = checks - 1
+		default:
+			conn.endWaiting()
 		}
 	}
 }
@@ -94,11 +141,54 @@
 	return done
 }
 
-// acceptedConn is a connection that reports when it is closed.
+// acceptedConn is a connection that knows whether a request has begun and reports when it is closed.
 type acceptedConn struct {
 	*net.TCPConn
 	once   sync.Once
 	closed func()
+	begun  atomic.Bool // a byte has been read since the last change of state; set with mu held
+	mu     sync.Mutex
+	ending bool // the read of the next request was made to fail
+}
+
+// Read reads from the connection.
+func (c *acceptedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.begun.Load() {
+		c.begin()
+	}
+	return n, err
+}
+
+func (c *acceptedConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun.Store(true)
+	if c.ending { // while the first bytes were being read
+		c.ending = false
+		_ = c.SetReadDeadline(time.Now().Add(headerReadTimeout))
+	}
+}
+
+// endWaiting lets the read of the next request fail, unless it has begun. The server closes the connection then.
+func (c *acceptedConn) endWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.begun.Load() {
+		c.ending = true
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// unread reports whether bytes have come that have not been read.
+func (c *acceptedConn) unread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	return n > 0
 }
 
 // Close closes the connection.
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	headerReadTimeout   = 5 * time.Second
-	bodyReadTimeout     = 30 * time.Second
-	idleTimeout         = 2 * time.Minute
-	unusedCheckInterval = 50 * time.Millisecond
-	errorWriteTimeout   = 5 * time.Second // for writing an error response
-	maxHeadBytes        = 256 << 10       // bytes of a request head; the limit of the site configuration applies afterwards
-	maxTotalBodyBytes   = 64 << 20        // of all request bodies in memory
+	headerReadTimeout = 5 * time.Second
+	bodyReadTimeout   = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	waitCheckInterval = 50 * time.Millisecond
+	errorWriteTimeout = 5 * time.Second // for writing an error response
+	maxHeadBytes      = 256 << 10       // bytes of a request head; the limit of the site configuration applies afterwards
+	maxTotalBodyBytes = 64 << 20        // of all request bodies in memory
 )
 
 // Server serves callers' requests. Its exported fields are set before Run.
@@ -87,6 +87,7 @@
 	case event.BeginDrain:
 		s.draining.Store(true)
 	case event.StopListening:
+		s.draining.Store(true)
 		close(s.closing)
 		return true
 	}
@@ -117,20 +118,20 @@
 		return errors.Wrap(err, "serving callers")
 	case <-s.closing:
 	}
-	if s.stop(ctx, server, listener) {
+	if stop(ctx, listener) {
 		s.Post(event.ListenerClosed{})
 	}
 	<-ctx.Done()
 	return nil
 }
 
-// stop closes the listener and waits until all connections are closed. It returns false when ctx ends first. It doesn't use
-// Server.Shutdown, which closes a connection whose request is read after Shutdown has begun, without an answer.
-func (s *Server) stop(ctx context.Context, server *http.Server, listener *stopListener) bool {
+// stop closes the listener and waits until all connections are closed. It returns false when ctx ends first. It uses neither
+// Server.Shutdown, which closes a connection whose request is read after Shutdown has begun, without an answer, nor
+// Server.SetKeepAlivesEnabled, which closes one whose next request is being read.
+func stop(ctx context.Context, listener *stopListener) bool {
 	if err := listener.Close(); err != nil {
 		return false // the listener has failed before
 	}
-	server.SetKeepAlivesEnabled(false)
 	done := listener.allClosed()
 	for {
 		select {
@@ -138,8 +139,8 @@
 			return true
 		case <-ctx.Done():
 			return false
-		case <-time.After(unusedCheckInterval):
-			listener.closeUnused()
+		case <-time.After(waitCheckInterval):
+			listener.endWaiting()
 		}
 	}
 }
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -93,6 +93,11 @@
 	if _, err := io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 		return err
 	}
+	return readOK(conn)
+}
+
+// readOK reads an answer with status 200.
+func readOK(conn net.Conn) error {
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return err
