items: the engine of a test names its content type

Two changes met: a run takes an answer for a text only when it is a stream of events, and the stand-in of TestQuestionOfAConnectionDialedAheadIsCounted named no type, which servers always do; the test then waited for ever. Its checks are unchanged.

--- a/internal/items/ahead_test.go
+++ b/internal/items/ahead_test.go
@@ -35,6 +35,7 @@
 		return
 	}
 	first := e.count(&e.items) == 1
+	w.Header().Set("Content-Type", eventStreamType)
 	_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
 	_ = http.NewResponseController(w).Flush()
 	if first {
