--- a/figbed/internal/estate/store.go
+++ b/figbed/internal/estate/store.go
@@ -3,7 +3,9 @@
 package estate
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
 	"strconv"
@@ -27,6 +29,8 @@
 	writeDelay        time.Duration
 	callDelay         time.Duration // before each call is handled
 	callCount         int
+	rawMu             sync.Mutex
+	rawSpecs          []string // texts of PutRaw; a spec "raw spec N" stands for number N
 }
 
 type entry struct {
@@ -73,6 +77,15 @@
 	s.putObject(kind, name, func(e *entry) { e.Spec = data })
 }
 
+// PutRaw creates or replaces an object whose spec is answered as the given text, which encoding/json may refuse.
+func (s *Store) PutRaw(kind, name, spec string) {
+	s.rawMu.Lock()
+	s.rawSpecs = append(s.rawSpecs, spec)
+	placeholder := fmt.Sprintf("raw spec %d", len(s.rawSpecs)-1)
+	s.rawMu.Unlock()
+	s.Put(kind, name, placeholder)
+}
+
 // Get returns an object's spec and status, or nil for both if the object does not exist.
 func (s *Store) Get(kind, name string) (spec, status json.RawMessage) {
 	s.mu.Lock()
@@ -204,7 +217,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, e)
+	s.writeJSON(w, http.StatusOK, e)
 }
 
 // pageSize is the number of objects on a page of a list. It is small so that tests get lists of several pages.
@@ -228,7 +241,7 @@
 		}
 		page.Items = append(page.Items, s.objects[kind][name])
 	}
-	writeJSON(w, http.StatusOK, page)
+	s.writeJSON(w, http.StatusOK, page)
 }
 
 func sortedNames(m map[string]*entry) []string {
@@ -256,13 +269,13 @@
 			return
 		}
 		if len(events) > 0 {
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
+			s.writeJSON(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeJSON(w, http.StatusOK, map[string]any{"events": []watchEvent{}, "as_of": asOf})
+			s.writeJSON(w, http.StatusOK, map[string]any{"events": []watchEvent{}, "as_of": asOf})
 			return
 		case <-r.Context().Done():
 			return
@@ -307,7 +320,7 @@
 	if lost {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, status, stored)
+	s.writeJSON(w, status, stored)
 }
 
 func (s *Store) applyWrite(method, kind, name, subresource string, input entry) (status int, stored *entry, lost bool) {
@@ -353,6 +366,22 @@
 	return true
 }
 
+// writeJSON writes an answer with the texts of PutRaw.
+func (s *Store) writeJSON(w http.ResponseWriter, status int, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // unreachable: all parts were encoded before
+	}
+	s.rawMu.Lock()
+	for i, raw := range s.rawSpecs {
+		text = bytes.ReplaceAll(text, fmt.Appendf(nil, `"raw spec %d"`, i), []byte(raw))
+	}
+	s.rawMu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(text) // the caller may have disconnected
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
