view: the rest of a long odd entry is neither kept nor sent on

Hosts: an object has up to 1 MB, and each host kept an odd entry whole and sent it on in each push and in the answer to each pull. With 16 or more of 1 MB the answer to the pull of a host that starts is longer than a frame may be (16 MB), and the link that it is for ends, again after each attempt.

Now only the first 4 KB of an entry that can't be decoded are kept and sent on. Entries up to that length are decoded once, as before; a longer one is decoded when it is read from the store, if it is new. Hosts that get it by a push say that it ends too soon; the host that read it says why it is odd.

Failed before: TestLongOddEntriesAreNotSentOn, "a push of 21 objects and bytes, want 21 objects of at most 4096". The end of the link is read in the code (internal/peer Encode, link.send), not run.

--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"strconv"
@@ -132,9 +133,8 @@
 	e, err := p.Decoder.Endpoint(name, o.Value)
 	if err != nil {
 		delete(p.endpoints, name)
-		if reason := shorten(err.Error()); p.refused[name] != reason { // its writer may renew it every second
-			p.refused[name] = reason
-			reportUndecodable(o.Name, err, out)
+		if len(o.Value) != maxOddBytes || p.refused[name] == "" { // one that was cut here is reported already
+			p.refuse(name, err, out)
 		}
 		return
 	}
@@ -142,6 +142,39 @@
 	p.endpoints[name] = e
 }
 
+// refuse reports why an entry can't be decoded, once: its writer may renew it every second.
+func (p *Component) refuse(name string, err error, out *event.Batch) {
+	if reason := shorten(err.Error()); p.refused[name] != reason {
+		p.refused[name] = reason
+		reportUndecodable(PrefixEndpoints+name, err, out)
+	}
+}
+
+// cutOddEntries returns objects read from the store with only the start of long entries that can't be decoded, so that
+// their rest is neither kept nor sent to other hosts.
+func (p *Component) cutOddEntries(c *prefixCache, objects []wire.Object, out *event.Batch) []wire.Object {
+	if c.prefix != PrefixEndpoints {
+		return objects
+	}
+	cloned := false
+	for i, o := range objects {
+		if o.Deleted || len(o.Value) <= maxOddBytes || o.Revision <= c.objects[o.Name].Revision {
+			continue
+		}
+		name := strings.TrimPrefix(o.Name, PrefixEndpoints)
+		_, err := p.Decoder.Endpoint(name, o.Value)
+		if err == nil {
+			continue
+		}
+		p.refuse(name, err, out)
+		if !cloned {
+			objects, cloned = slices.Clone(objects), true
+		}
+		objects[i].Value = bytes.Clone(o.Value[:maxOddBytes])
+	}
+	return objects
+}
+
 // storeRecentlyRecovered reports whether expired entries may still be renewed after the store's recovery.
 func (p *Component) storeRecentlyRecovered(now time.Duration) bool {
 	return p.recoveredAt != 0 && now-p.recoveredAt < expiryGrace
--- a/internal/view/cache.go
+++ b/internal/view/cache.go
@@ -105,6 +105,7 @@
 		if p.hasHubs() && c.listed {
 			c.nextCall = now + watchPause
 		}
+		e.List.Objects = p.cutOddEntries(c, e.List.Objects, out)
 		p.mergeAnswer(now, c, e.List, out)
 	case kinds.HistoryGone:
 		p.storeAnswered(now, out)
@@ -135,6 +136,7 @@
 		return // older than the cache
 	}
 	p.reportUnreadable(c, e.List.Unreadable, out)
+	e.List.Objects = p.cutOddEntries(c, e.List.Objects, out)
 	changed := c.replace(e.List)
 	c.syncedRevision = max(c.syncedRevision, e.List.Revision)
 	if len(changed) > 0 && c.inFlight {
--- a/internal/view/large_test.go
+++ b/internal/view/large_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -192,3 +194,33 @@
 		})
 	}
 }
+
+// Guards against odd entries of 1 MB each that make a push longer than a frame may be, by which links between hosts end again
+// and again.
+func TestLongOddEntriesAreNotSentOn(t *testing.T) {
+	r := newRig(t, "h1", "h2")
+	long := "undecodable" + strings.Repeat("[", 1<<20)
+	entries := []wire.Object{object("Endpoints/e1", 3, "Live")}
+	for i := range 20 {
+		entries = append(entries, object("Endpoints/x"+strconv.Itoa(i), 4, long))
+	}
+	r.answer(PrefixEndpoints, "", list(5, entries...))
+	lines := 0
+	for _, e := range effectsOf[event.Log](r.out.Effects) {
+		if e.(event.Log).Event == "ObjectRefused" {
+			lines++
+		}
+	}
+	if diff := cmp.Diff([]string{"e1"}, r.endpoints()); diff != "" || lines != 20 {
+		t.Errorf("%d lines, want 20; endpoints (-want +got):\n%s", lines, diff)
+	}
+	r.step(event.PeerReceived{Host: "h2", Message: wire.Message{Pull: &wire.Pull{Prefixes: []string{PrefixEndpoints}, After: []uint64{0}}}})
+	push := r.out.Effects[0].(event.SendPeer).Message.Push
+	size := 0
+	for _, o := range push.Objects {
+		size += len(o.Value)
+	}
+	if len(push.Objects) != 21 || size > 21*maxOddBytes {
+		t.Errorf("a push of %d objects and %d bytes, want 21 objects of at most %d", len(push.Objects), size, maxOddBytes)
+	}
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -53,6 +53,8 @@
 	// only after a few intervals. It needs the hosts that start at the same time at once, because they take over
 	// copies and batch jobs.
 	startupDelay = time.Second
+	// maxOddBytes is the maximum length of what is kept of an entry that can't be decoded.
+	maxOddBytes = 4 << 10
 	// unavailableAfter is the time without an answer after which the store counts as unavailable.
 	unavailableAfter = 1500 * time.Millisecond
 )
