reach: a host's last word from an endpoint counts though it was before this host's start

A host that has just started knew of no other that reaches endpoints until the second heartbeat of each: the age that a heartbeat names lies before the start of its own clock then, and only times above 0 counted. So it could neither find out that it is cut off nor pass calls on for up to about half a second longer. Whether a host has heard of an endpoint is now kept beside the time.

TestRelaysThatHeardBeforeTheStart failed before ("want h1, got nil" 0.2 s after the start, with a word 0.3 s old) and passes.

--- a/internal/reach/component.go
+++ b/internal/reach/component.go
@@ -67,7 +67,8 @@
 type hostLinks struct {
 	cutOff    bool
 	stopping  bool          // it takes no calls of others
-	contactAt time.Duration // on this host's clock, 0 for none
+	heard     bool          // it has heard of an endpoint
+	contactAt time.Duration // on this host's clock, below 0 before its start
 }
 
 // Step applies one event.
@@ -160,7 +161,7 @@
 	}
 	known := hostLinks{cutOff: links != nil && links.CutOff, stopping: p.hosts[host].stopping}
 	if links != nil && links.ContactMS >= 0 {
-		known.contactAt = now - time.Duration(links.ContactMS)*time.Millisecond
+		known.heard, known.contactAt = true, now-time.Duration(links.ContactMS)*time.Millisecond
 	}
 	p.hosts[host] = known
 }
@@ -179,7 +180,7 @@
 	var names []string
 	for _, h := range p.Membership.Alive(now) {
 		links, ok := p.hosts[h.Name]
-		if ok && h.Name != p.Self && !links.cutOff && !links.stopping && links.contactAt > 0 && now-links.contactAt < relayContact {
+		if ok && h.Name != p.Self && !links.cutOff && !links.stopping && links.heard && now-links.contactAt < relayContact {
 			names = append(names, h.Name)
 		}
 	}
--- a/internal/reach/component_test.go
+++ b/internal/reach/component_test.go
@@ -351,6 +351,24 @@
 	}
 }
 
+// A host that had just started passed nothing on: other hosts had last heard from endpoints before its start.
+func TestRelaysThatHeardBeforeTheStart(t *testing.T) {
+	cases := map[string]struct {
+		contactMS int64
+		want      []string
+	}{"never": {-1, nil}, "before the start": {300, []string{"h1"}}, "long before the start": {2600, nil}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2, 5)
+			f.now = 200 * time.Millisecond
+			f.step("h0", event.BeatSeen{Host: "h1", Beat: wire.Beat{Links: &wire.Links{ContactMS: c.contactMS}}})
+			if diff := cmp.Diff(c.want, f.parts["h0"].Relays(f.now)); diff != "" {
+				t.Errorf("relays (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A connection that was in use, on which nothing was asked, counted as a word from its endpoint.
 func TestReusedConnectionIsNoWord(t *testing.T) {
 	for name, reused := range map[string]bool{"New": false, "Reused": true} {
