--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -184,6 +184,35 @@
 	}
 }
 
+// A call for a score that was not answered before the next tick was made again, so that most texts were scored twice.
+func TestScoreIsCalledForOnce(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	head := testHead(1, 1, noHints)
+	head.Items[0].ScorePath = "/s/x"
+	r.submit("j1", head)
+	run := take[event.RunItem](r)[0]
+	r.step(event.ItemEnded{Job: "j1", Item: run.Item, Attempt: run.Attempt, Events: 3, Versions: []uint64{1}})
+	for _, c := range []struct {
+		name string
+		ev   event.Event
+		want int
+	}{
+		{"under way", event.Tick{}, 1},
+		{"still under way", event.Tick{}, 1},
+		{"failed", event.ItemScored{Job: "j1", Item: 0, Kind: kinds.DeadlineExceeded}, 1},
+		{"after a pause", event.Tick{}, 2},
+		{"under way again", event.Tick{}, 2},
+		{"scored", event.ItemScored{Job: "j1", Item: 0, Status: 200}, 2},
+		{"done", event.Tick{}, 2},
+	} {
+		r.now += scoreRetryPause
+		r.step(c.ev)
+		if diff := cmp.Diff(c.want, len(take[event.ScoreItem](r))); diff != "" {
+			t.Errorf("%s: calls (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
+
 // The call that scores a text fails as often as its route allows, or is refused. Only failures count towards that limit.
 func TestFailuresOfScores(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -133,6 +133,12 @@
 		return
 	}
 	it.state = scoring
+	p.score(now, j, it, out)
+}
+
+// score calls for the score of an item's text.
+func (p *Component) score(now time.Duration, j *job, it *item, out *event.Batch) {
+	it.stateTime = 0 // the call is under way
 	out.Emit(event.ScoreItem{Job: j.head.ID, Item: it.index, Deadline: min(now+scoreTimeout, j.head.GiveUp)})
 }
 
@@ -186,8 +192,7 @@
 	for _, it := range j.items {
 		switch {
 		case it.state == scoring && it.stateTime != 0 && now >= it.stateTime:
-			it.stateTime = 0
-			out.Emit(event.ScoreItem{Job: j.head.ID, Item: it.index, Deadline: min(now+scoreTimeout, j.head.GiveUp)})
+			p.score(now, j, it, out)
 		case now < j.head.GiveUp:
 		case it.state == waiting || it.state == scoring:
 			p.giveUpItem(now, j, it, "Late", out)
