soak: hosts change from the production build to this one and back

What a mixed fleet keeps was played by a script outside the repository only, without ends of jobs and without a fleet that really changes from one build to the other. The soak has the fault HostBuild: a host is stopped gracefully and started as the other build, one at a time. DrawUpgrade draws an upgrade of all hosts in a random order and then the way back, with keys that are withdrawn, limits, servers that drain, crash and start again, and a kill while both builds run. In these runs a caller also submits long jobs and ends them soon after; no item of them may begin 3 s after the acknowledgement (UNASKED).

--- a/figbed/internal/proc/build.go
+++ b/figbed/internal/proc/build.go
@@ -10,6 +10,9 @@
 	"github.com/pkg/errors"
 )
 
+// BuildName is the build that the programs under test tell.
+const BuildName = "under-test"
+
 var built struct {
 	once     sync.Once
 	dir      string
@@ -32,9 +35,13 @@
 }
 
 // Program returns the path of a program of the workspace (figd, figctl or figbed). The programs are built once for each
-// test binary, with the race detector when the test itself is built with it.
+// test binary, with the race detector when the test itself is built with it, and tell BuildName as their build. An absolute
+// path is returned as it is.
 func Program(t T, name string) string {
 	t.Helper()
+	if filepath.IsAbs(name) {
+		return name
+	}
 	built.once.Do(func() { built.err = buildPrograms() })
 	if built.err != nil {
 		t.Fatal(built.err)
@@ -51,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	args := []string{"build", "-tags", "skew", "-o", built.dir + "/"}
+	args := []string{"build", "-tags", "skew", "-ldflags", "-X main.linkedBuild=" + BuildName, "-o", built.dir + "/"}
 	if RaceEnabled {
 		args = append(args, "-race")
 	}
--- a/figbed/internal/soak/check.go
+++ b/figbed/internal/soak/check.go
@@ -31,7 +31,7 @@
 	}
 	var violations []string
 	for _, check := range []func(h *History, runs map[string][]Run) []string{
-		checkCalls, checkRuns, checkJobs, checkReads, checkSettled, checkReports, checkOrders, checkDrains, checkLimits, checkCrashes, checkSoftware, checkLinks,
+		checkCalls, checkRuns, checkJobs, checkReads, checkSettled, checkReports, checkOrders, checkDrains, checkLimits, checkCrashes, checkSoftware, checkLinks, checkEnds,
 	} {
 		violations = append(violations, check(&h, runs)...)
 	}
@@ -52,7 +52,7 @@
 	var violations []string
 	for _, j := range h.Jobs {
 		for _, item := range j.Items {
-			if !j.Accepted.IsZero() && !listed[j.ID][item] {
+			if !j.Accepted.IsZero() && j.Ending.IsZero() && !listed[j.ID][item] {
 				violations = append(violations, fmt.Sprintf("LOST: item %s of the accepted job %s is not listed", item, j.ID))
 			}
 		}
@@ -85,7 +85,7 @@
 // hostStopping reports whether the call's host was gracefully stopped and restarted while the call was in flight.
 func (h *History) hostStopping(c Call) bool {
 	return slices.ContainsFunc(h.Spans, func(s Span) bool {
-		return s.Fault.Kind == HostStop && s.Fault.Target == c.Host && s.From.Before(c.Ended) && s.To.After(c.Sent)
+		return slices.Contains(stopKinds, s.Fault.Kind) && s.Fault.Target == c.Host && s.From.Before(c.Ended) && s.To.After(c.Sent)
 	})
 }
 
--- a/figbed/internal/soak/check_links.go
+++ b/figbed/internal/soak/check_links.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -87,7 +88,7 @@
 // stopsDuring reports whether the host of a call is stopped while it lasts, or was shortly before.
 func (h *History) stopsDuring(c Call) bool {
 	for _, s := range h.Spans {
-		if s.Fault.Kind == HostStop && s.Fault.Target == c.Host && s.From.Before(c.Ended) && s.To.After(c.Sent.Add(-disruptionRecovery)) {
+		if slices.Contains(stopKinds, s.Fault.Kind) && s.Fault.Target == c.Host && s.From.Before(c.Ended) && s.To.After(c.Sent.Add(-disruptionRecovery)) {
 			return true
 		}
 	}
--- a/figbed/internal/soak/draw.go
+++ b/figbed/internal/soak/draw.go
@@ -15,6 +15,7 @@
 const (
 	HostKill     FaultKind = "HostKill"     // the host's process is killed and restarted
 	HostStop     FaultKind = "HostStop"     // the host's process gets SIGTERM and is restarted
+	HostBuild    FaultKind = "HostBuild"    // the host's process gets SIGTERM, and the next one is of another build: buildOld or buildNew, by Amount
 	HostFreeze   FaultKind = "HostFreeze"   // the host's process is suspended with SIGSTOP and resumed with SIGCONT
 	HostCut      FaultKind = "HostCut"      // no bytes pass between the host and the other hosts or the platform
 	HostCutIn    FaultKind = "HostCutIn"    // bytes that the other hosts and the platform send to the host are held back
@@ -43,7 +44,10 @@
 
 // plannedKinds are the kinds during which every time limit holds: planned work of the operator, what servers and callers do
 // that harms neither hosts nor connections, and lost links to servers, since others reach them.
-var plannedKinds = []FaultKind{HostStop, HostNoLinks, ServerDrain, ServerLimit, ServerAnew, ServerCrash, KeyChange}
+var plannedKinds = []FaultKind{HostStop, HostBuild, HostNoLinks, ServerDrain, ServerLimit, ServerAnew, ServerCrash, KeyChange}
+
+// stopKinds are the kinds that stop a host gracefully.
+var stopKinds = []FaultKind{HostStop, HostBuild}
 
 // linkFaults are the ways in which a host loses its links to servers.
 var linkFaults = []Impairment{{HoldRequests: true, HoldResponses: true}, {Break: true}, {Refuse: true}}
--- a/figbed/internal/soak/history.go
+++ b/figbed/internal/soak/history.go
@@ -29,6 +29,8 @@
 	MinVersion uint64    // oldest weight version that may generate its texts
 	Statuses   []int     // status of each submission, 0 if no response came
 	Accepted   time.Time // time of the response with status 202; zero if there was none
+	Ending     time.Time // time from which the job may be ended; zero for one that is not
+	Ended      time.Time // time of the response with status 200 to its end; zero if there was none
 }
 
 // Result is the result of a job's item as a reader received it.
@@ -81,6 +83,7 @@
 	Limits        []Limit
 	Arrivals      map[string][]estate.Arrival // by server
 	Crashes       []estate.Crash              // of all servers, in order
+	Starts        []Start
 }
 
 // Limit is the period in which a server named a limit.
--- a/figbed/internal/soak/inject.go
+++ b/figbed/internal/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -29,7 +30,9 @@
 	store := &b.platform.Store
 	switch f.Kind {
 	case HostKill, HostStop:
-		return r.restartHost(f)
+		return r.restartHost(f, r.testbed.takeProcess(f.Target))
+	case HostBuild:
+		return r.replaceHost(f)
 	case HostFreeze:
 		p := b.process(f.Target)
 		p.Signal(syscall.SIGSTOP)
@@ -106,13 +109,12 @@
 	set(r.faultCounts[kind] > 0)
 }
 
-// restartHost kills or gracefully stops a host's process and starts a new one.
-func (r *runner) restartHost(f Fault) (violation string) {
-	p := r.testbed.takeProcess(f.Target)
+// restartHost kills or gracefully stops a host's process p and starts a new one. It does nothing when p is nil.
+func (r *runner) restartHost(f Fault, p *proc.Process) (violation string) {
 	if p == nil {
 		return ""
 	}
-	if f.Kind == HostStop {
+	if slices.Contains(stopKinds, f.Kind) {
 		violation = r.testbed.stopProcess(f.Target, p)
 	} else {
 		p.Kill()
--- a/figbed/internal/soak/load.go
+++ b/figbed/internal/soak/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -119,6 +120,7 @@
 	name   string
 	random *rand.Rand
 	client *http.Client
+	groups int // of each job; 0 for groupsPerJob
 }
 
 func (t *trainer) run(ctx context.Context) {
@@ -138,14 +140,14 @@
 
 // submit sends a job to random hosts until one accepts it. It returns false after jobTimeout.
 func (t *trainer) submit(ctx context.Context, id string) bool {
-	minVersion := t.runner.minVersion()
+	minVersion, groups := t.runner.minVersion(), cmp.Or(t.groups, groupsPerJob)
 	job := Job{ID: id, MinVersion: uint64(minVersion)}
-	for i := range estate.ItemsPerGroup * groupsPerJob {
+	for i := range estate.ItemsPerGroup * groups {
 		job.Items = append(job.Items, fmt.Sprintf("%s-%d", id, i))
 	}
 	index := 0
 	t.runner.recorder.update(func(h *History) { index, h.Jobs = len(h.Jobs), append(h.Jobs, job) })
-	body := estate.JobBody(id, groupsPerJob, minVersion)
+	body := estate.JobBody(id, groups, minVersion)
 	for deadline := time.Now().Add(jobTimeout); ctx.Err() == nil && time.Now().Before(deadline); sleep(ctx, retryInterval) {
 		attempt := 0
 		t.runner.recorder.update(func(h *History) {
@@ -236,7 +238,7 @@
 	var ids []string
 	for _, j := range h.Jobs {
 		missing := slices.ContainsFunc(j.Items, func(item string) bool { return !listed[j.ID][item] })
-		if !j.Accepted.IsZero() && missing {
+		if !j.Accepted.IsZero() && j.Ending.IsZero() && missing {
 			ids = append(ids, j.ID)
 		}
 	}
--- a/figbed/internal/soak/soak.go
+++ b/figbed/internal/soak/soak.go
@@ -34,6 +34,9 @@
 	Port  int // first of a range of ports that must be free on the hosts' loopback addresses
 	// Faults replaces the faults drawn from the seed, unless it is nil.
 	Faults []Fault
+	// OldPrograms is the folder with figd of another build, which all hosts run at first; "" for none. The faults then
+	// include those of DrawUpgrade.
+	OldPrograms string
 }
 
 // runner holds the state of a run.
@@ -50,12 +53,13 @@
 	reported      []string          // violations reported so far
 	limited       map[string]bool   // servers that name a limit
 	restarts      map[string]int    // of engines, by name
+	replacing     sync.Mutex        // held while a host changes its build, so that one does at a time
 }
 
 // Run performs the soak, fails t for each violated guarantee, and returns the history.
 func (s Soak) Run(t proc.T) History {
 	rec := &recorder{history: History{Started: time.Now(), Events: streamEvents, Window: usageWindow, WithdrawnKeys: map[string]time.Time{}}}
-	r := &runner{t: t, soak: s, recorder: rec, testbed: newTestbed(t, s.Hosts, s.Port, rec), faultCounts: map[FaultKind]int{}, limited: map[string]bool{}, restarts: map[string]int{}, configVersion: initialVersion, weightVersion: initialVersion}
+	r := &runner{t: t, soak: s, recorder: rec, testbed: newTestbed(t, s.Hosts, s.Port, s.OldPrograms, rec), faultCounts: map[FaultKind]int{}, limited: map[string]bool{}, restarts: map[string]int{}, configVersion: initialVersion, weightVersion: initialVersion}
 	r.testbed.start()
 	r.mu.Lock()
 	r.testbed.platform.Configure(initialVersion, estate.Key, r.rotatingKey())
@@ -63,6 +67,9 @@
 	faults := s.Faults
 	if faults == nil {
 		faults = DrawFaults(s.Seed, s.Hosts, plainServerCount+engineCount, s.Span)
+		if s.OldPrograms != "" {
+			faults = merge(faults, DrawUpgrade(s.Seed, s.Hosts, s.Span))
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -73,6 +80,7 @@
 	load.Wait()
 	r.verifyRecovery()
 	h := r.snapshot()
+	h.Starts = r.testbed.told()
 	r.report(append(CheckHistory(h), CheckCompleteness(h)...))
 	t.Logf("Seed=%d Faults=%d Calls=%d Jobs=%d Reads=%d Runs=%d Reports=%d Broken=%d",
 		s.Seed, len(faults), len(h.Calls), len(h.Jobs), len(h.Reads), len(h.Runs), len(h.Reports), len(r.reported))
@@ -98,6 +106,10 @@
 	}
 	a := &auditor{trainer{runner: r, random: r.newRandom(3000), client: newClient()}}
 	wg.Go(func() { a.run(ctx) })
+	if r.soak.OldPrograms != "" {
+		e := &ender{trainer{runner: r, name: "e", random: r.newRandom(3000), client: newClient(), groups: endedJobGroups}}
+		wg.Go(func() { e.run(ctx) })
+	}
 	return &wg
 }
 
@@ -194,7 +206,7 @@
 	h := r.recorder.clone()
 	for host := 1; host <= r.soak.Hosts; host++ {
 		for _, j := range h.Jobs {
-			if !j.Accepted.IsZero() {
+			if !j.Accepted.IsZero() && j.Ending.IsZero() {
 				reader.read(j.ID, host, 0)
 			}
 		}
--- a/figbed/internal/soak/testbed.go
+++ b/figbed/internal/soak/testbed.go
@@ -53,11 +53,14 @@
 	folder        string
 	hosts         int
 	recorder      *recorder
+	oldPrograms   string                   // folder, "" for none
 	hostProxies   map[int][]*ImpairedProxy // by host
 	serverProxies []*ImpairedProxy         // one per server, in the platform's order
 
 	mu           sync.Mutex
 	processes    map[int]*proc.Process
+	builds       map[int]int // by host: buildOld or buildNew
+	starts       []startedHost
 	stopped      map[int]bool // by host; set while the process is stopped by a fault
 	activeFaults []Fault
 }
@@ -71,10 +74,10 @@
 	return shortStreamEvents
 }
 
-func newTestbed(t proc.T, hosts, port int, rec *recorder) *testbed {
+func newTestbed(t proc.T, hosts, port int, oldPrograms string, rec *recorder) *testbed {
 	b := &testbed{
 		t: t, folder: t.TempDir(), hosts: hosts, recorder: rec, hostProxies: map[int][]*ImpairedProxy{},
-		processes: map[int]*proc.Process{}, stopped: map[int]bool{},
+		oldPrograms: oldPrograms, builds: map[int]int{}, processes: map[int]*proc.Process{}, stopped: map[int]bool{},
 	}
 	b.platform = &estate.Platform{
 		Port: port, BindIP: bindIP,
@@ -166,10 +169,12 @@
 		b.t.Errorf("writing the settings of host-%d: %v", host, err)
 		return
 	}
+	build, program := b.programOf(host)
 	env := []string{"FIGSHIFT_SKEW=" + b.clockSkewFile(host)}
-	p := proc.StartWith(b.t, env, fmt.Sprintf("host-%d", host), "figd", "platform", settings)
+	p := proc.StartWith(b.t, env, fmt.Sprintf("host-%d", host), program, "platform", settings)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.starts = append(b.starts, startedHost{host: host, build: build, process: p})
 	b.processes[host], b.stopped[host] = p, false
 }
 
--- a/figbed/soak.go
+++ b/figbed/soak.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/google/subcommands"
@@ -22,6 +23,7 @@
 	hosts   int
 	port    int
 	output  string
+	oldBin  string
 }
 
 func (*soakCommand) Name() string { return "soak" }
@@ -37,14 +39,22 @@
 	f.Float64Var(&c.minutes, "minutes", 1, "`minutes` per seed in which faults begin")
 	f.IntVar(&c.hosts, "hosts", 4, "`number` of hosts")
 	f.IntVar(&c.port, "port", 9800, "first of twenty `ports` that are free on the hosts' loopback addresses")
+	f.StringVar(&c.oldBin, "old-bin", "", "`directory` with figd of another build, from which and back to which the hosts change one by one")
 	f.StringVar(&c.output, "output", "", "`file` to which the figures of each seed are appended, as input for report")
 }
 
 func (c *soakCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	proc.UseProgramDir(c.binDir)
+	oldBin := c.oldBin
+	if oldBin != "" {
+		var err error
+		if oldBin, err = filepath.Abs(oldBin); err != nil {
+			return exitStatus(err)
+		}
+	}
 	failed := 0
 	for seed := c.seed; seed < c.seed+uint64(c.seeds); seed++ {
-		s := soak.Soak{Seed: seed, Span: time.Duration(c.minutes * float64(time.Minute)), Hosts: c.hosts, Port: c.port}
+		s := soak.Soak{Seed: seed, Span: time.Duration(c.minutes * float64(time.Minute)), Hosts: c.hosts, Port: c.port, OldPrograms: oldBin}
 		console := &proc.Console{Out: os.Stdout}
 		var h soak.History
 		err := console.Run(func() { h = s.Run(console) })
