--- a/figbed/internal/soak/check_reads.go
+++ b/figbed/internal/soak/check_reads.go
@@ -10,7 +10,7 @@
 const settleLimit = time.Second
 
 // checkSettled checks that no host has nothing at a position later than settleLimit after a reader got it. A host that was
-// suspended in between may answer late.
+// suspended in between may answer late, and the releases up to afdc893 did at any time.
 func checkSettled(h *History, _ map[string][]Run) (violations []string) {
 	firstRead := map[position]time.Time{}
 	for _, read := range h.Reads {
@@ -22,7 +22,7 @@
 		}
 	}
 	for _, read := range h.Reads {
-		if read.Status != 200 || len(read.Results) > 0 || h.suspended(read.Host, read.At.Add(-settleLimit), read.At) {
+		if read.Status != 200 || len(read.Results) > 0 || h.suspended(read.Host, read.At.Add(-settleLimit), read.At) || h.ranOld(read.Host, read.At) {
 			continue
 		}
 		first, ok := firstRead[position{read.Job, read.After}]
@@ -39,3 +39,13 @@
 		return s.Fault.Kind == HostFreeze && s.Fault.Target == host && s.From.Before(to) && s.To.After(from)
 	})
 }
+
+// ranOld reports whether a host's process at some time was of the other build.
+func (h *History) ranOld(host int, at time.Time) (old bool) {
+	for _, start := range h.Starts { // in order
+		if start.Host == host && !start.At.After(at) {
+			old = start.Old
+		}
+	}
+	return old
+}
--- a/figbed/internal/soak/check_test.go
+++ b/figbed/internal/soak/check_test.go
@@ -134,6 +134,18 @@
 				h.Spans = append(h.Spans, Span{Fault: Fault{Kind: HostFreeze, Target: 3}, From: at(2), To: at(3.5)})
 			}, nil,
 		},
+		"position is empty at a host of the production build": {
+			func(h *History) {
+				h.Reads = append(h.Reads, Read{Job: "j1", Host: 3, At: at(4.1), Status: 200, After: 1, Total: 2})
+				h.Starts = []Start{{Host: 3, At: at(0)}, {Host: 3, At: at(3), Old: true}, {Host: 3, At: at(5)}}
+			}, nil,
+		},
+		"position is empty at a host that was upgraded": {
+			func(h *History) {
+				h.Reads = append(h.Reads, Read{Job: "j1", Host: 3, At: at(4.1), Status: 200, After: 1, Total: 2})
+				h.Starts = []Start{{Host: 3, At: at(0), Old: true}, {Host: 3, At: at(3)}}
+			}, []string{"LOST: host-3 has nothing at position 1 of job j1"},
+		},
 		"requests before the limit binds": {func(h *History) { h.Arrivals["plain-1"] = arrivals("plain-1", 40, 2) }, nil},
 		"requests after the limit":        {func(h *History) { h.Arrivals["plain-1"] = arrivals("plain-1", 40, 20) }, nil},
 		"requests to a new instance": {func(h *History) {
--- a/figbed/internal/soak/testbed.go
+++ b/figbed/internal/soak/testbed.go
@@ -174,7 +174,7 @@
 	p := proc.StartWith(b.t, env, fmt.Sprintf("host-%d", host), program, "platform", settings)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.starts = append(b.starts, startedHost{host: host, build: build, process: p})
+	b.starts = append(b.starts, startedHost{at: time.Now(), host: host, build: build, process: p})
 	b.processes[host], b.stopped[host] = p, false
 }
 
--- a/figbed/internal/soak/upgrade.go
+++ b/figbed/internal/soak/upgrade.go
@@ -21,6 +21,7 @@
 // Start is one start of a host's process.
 type Start struct {
 	Host  int
+	At    time.Time
 	Old   bool   // the process was of the other build, from Soak.OldPrograms
 	Build string // as the process told it; "" if it did not
 }
@@ -80,6 +81,7 @@
 
 // startedHost is a process that the testbed has started.
 type startedHost struct {
+	at          time.Time
 	host, build int
 	process     *proc.Process
 }
@@ -111,7 +113,7 @@
 	defer b.mu.Unlock()
 	var starts []Start
 	for _, s := range b.starts {
-		start := Start{Host: s.host, Old: s.build == buildOld}
+		start := Start{Host: s.host, At: s.at, Old: s.build == buildOld}
 		if m := toldBuild.FindStringSubmatch(s.process.Output()); m != nil {
 			start.Build = m[1]
 		}
