--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -23,6 +23,7 @@
 	HeaderLastEventID    = "Last-Event-Id"
 	HeaderResumes        = "Resumes"
 	HeaderLimit          = "Server-Limit"
+	headerLeaving        = "Server-Leaving"
 )
 
 // Run is a request that a server started to process.
@@ -76,6 +77,7 @@
 	rejected      int
 	eventInterval time.Duration
 	draining      bool
+	saysLeaving   bool    // in every answer
 	limit         float64 // named in every answer, 0 for none
 	arrivals      []Arrival
 	instance      string // name of this start
@@ -163,7 +165,7 @@
 // was draining.
 func (s *Server) StartAnew() {
 	s.mu.Lock()
-	s.draining, s.startMS = false, time.Now().UnixMilli()
+	s.draining, s.saysLeaving, s.startMS = false, false, time.Now().UnixMilli()
 	s.restarts++
 	s.mu.Unlock()
 	s.register()
--- a/figbed/internal/estate/trouble.go
+++ b/figbed/internal/estate/trouble.go
@@ -115,11 +115,21 @@
 	return fmt.Sprintf("%s/%d", s.instance, s.restarts)
 }
 
-// recordArrival records an arrival and names the limit in the answer.
+// SayLeaving has the server say in every answer that it leaves, while its entry is unchanged, until it starts anew.
+func (s *Server) SayLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saysLeaving = true
+}
+
+// recordArrival records an arrival, and names in the answer the limit and that the server leaves.
 func (s *Server) recordArrival(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.arrivals = append(s.arrivals, Arrival{At: time.Now(), Instance: s.start(), Path: r.URL.Path})
+	if s.saysLeaving {
+		w.Header().Set(headerLeaving, "1")
+	}
 	if s.limit > 0 {
 		w.Header().Set(HeaderLimit, strconv.FormatFloat(s.limit, 'f', -1, 64))
 	}
