--- a/internal/items/broken_test.go
+++ b/internal/items/broken_test.go
@@ -125,7 +125,7 @@
 // run runs an item of which the first events are held.
 func (e *stoppingEngine) run(held int) (status int, reason string, text *itemText) {
 	x := &Executor{HTTP: conns.Transport(time.Second, 1, time.Second), Now: func() time.Duration { return 0 }, Post: func(event.Event) bool { return true }}
-	x.Names = HeaderNames{HeaderNames: call.HeaderNames{Request: "Request", Stamp: "Stamp", NotRun: "Not-Run"}, LastEvent: "Last-Event-Id"}
+	x.Names = HeaderNames{HeaderNames: call.HeaderNames{Request: "Request", Stamp: "Stamp", NotRun: "Not-Run"}, LastEvent: "Last-Event-Id", GeneratedVersion: "Weight-Versions"}
 	text = &itemText{}
 	for n, data := range []string{"one", "two"}[:held] {
 		text.add(fmt.Sprint(n+1), []byte(data), 0, "")
