figbed: a process test of servers that break off their answers

A success must be the server's whole answer, and each text hold each event once. The stand-in server has a function for it.

--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -56,6 +56,9 @@
 	CrashesUnder func(path string, body []byte) bool
 	CrashDelay   time.Duration
 	RestartTime  time.Duration
+	// Break returns the bytes that are sent in place of the answer to a request that runs, before its connection is closed. The
+	// answer is sound when it reports false, and when Break is nil.
+	Break func(r *http.Request) (answer string, broken bool)
 	// RegisterDelay is the time from a restart until the store has the new start's entry.
 	RegisterDelay time.Duration
 	// EventsOf returns the number of events in an item's stream. When nil, every stream has Events events.
@@ -229,6 +232,12 @@
 		s.crash(instance, r.URL.Path)
 		panic(http.ErrAbortHandler)
 	}
+	if s.Break != nil {
+		if answer, broken := s.Break(r); broken {
+			sendBroken(w, answer)
+			return
+		}
+	}
 	w.Header().Set(HeaderResponseStamp, s.Name+"."+r.Header.Get(HeaderAttemptID))
 	w.Header().Set("Figshift-Server-Load", fmt.Sprintf("1,0,%d", s.Slots))
 	if len(s.Models) > 0 {
--- a/figbed/internal/estate/trouble.go
+++ b/figbed/internal/estate/trouble.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -78,6 +79,16 @@
 	s.register()
 }
 
+// sendBroken sends bytes in place of an answer and closes the connection.
+func sendBroken(w http.ResponseWriter, answer string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // the connections of http.Server can be hijacked
+	}
+	_, _ = io.WriteString(conn, answer) // the caller may have closed the connection
+	_ = conn.Close()
+}
+
 // Crashes returns the crashes of the server, in order.
 func (s *Server) Crashes() []Crash {
 	s.mu.Lock()
