swap: without a read slot the outcome of an order is known

TestSwap/no_read_slot failed once under load ('OutcomeUnknown', want RateLimited): the time ran out while the weight store was asked and not between two questions, and an order that was never sent counted as one that may have arrived. The new case, a store that does not answer, failed before and passes.

--- a/internal/swap/executor.go
+++ b/internal/swap/executor.go
@@ -136,7 +136,8 @@
 	return nil
 }
 
-// acquireReadSlot waits until the weight store grants a slot for one engine to read a version.
+// acquireReadSlot waits until the weight store grants a slot for one engine to read a version. Without one no order is sent, so that
+// its outcome is known even when the store has not answered.
 func (x *Executor) acquireReadSlot(ctx context.Context, e event.SwapEngine) error {
 	body, err := json.Marshal(wire.WeightRead{Model: e.Model, Version: e.Version})
 	if err != nil {
@@ -149,6 +150,9 @@
 		}
 		var slot wire.WeightRead
 		err = x.doJSON(x.readTransport(), r, &slot)
+		if ctx.Err() != nil {
+			return kinds.New(kinds.RateLimited, "no read slot in time")
+		}
 		if kinds.KindOf(err) != kinds.RateLimited {
 			return err
 		}
--- a/internal/swap/executor_test.go
+++ b/internal/swap/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +24,7 @@
 	ordersFail   bool // orders are accepted but not executed
 	loseAnswers  bool // answers to orders are lost after the orders took effect
 	slotRefusals int  // refused requests before a read slot is granted
+	silent       bool // a request for a read slot gets no answer
 	orders       []string
 }
 
@@ -34,6 +36,13 @@
 	case wire.PathState:
 		_ = json.NewEncoder(w).Encode(s.state)
 	case wire.PathWeights:
+		if s.silent {
+			s.mu.Unlock()
+			_, _ = io.Copy(io.Discard, r.Body) // the end of the connection is noticed after the body
+			<-r.Context().Done()
+			s.mu.Lock()
+			return
+		}
 		if s.slotRefusals > 0 {
 			s.slotRefusals--
 			w.WriteHeader(http.StatusTooManyRequests)
@@ -79,6 +88,7 @@
 		"answer lost":             {&engineStub{loseAnswers: true}, time.Minute, 0, kinds.OutcomeUnknown, 1},
 		"waits for a read slot":   {&engineStub{slotRefusals: 2}, time.Minute, 2, "", 1},
 		"no read slot":            {&engineStub{slotRefusals: 1000}, time.Minute, 0, kinds.RateLimited, 0},
+		"no answer about a slot":  {&engineStub{silent: true}, time.Minute, 0, kinds.RateLimited, 0},
 		"lease has ended":         {&engineStub{}, 0, 0, kinds.NotHolder, 0},
 	}
 	for name, c := range cases {
