items: a reader of stored chunks gets what another reader has just read

When another reader of the same host added a chunk between the two, the store was asked for the one after it: that there is none says nothing about the page. The page is now taken from the cache after the store's answer.

--- a/internal/items/pages.go
+++ b/internal/items/pages.go
@@ -141,19 +141,17 @@
 	}
 	j := x.remoteJobs.state(job)
 	deadline := time.Now().Add(wait)
-	for repeated := false; ; {
-		page := x.remoteJobs.page(j, after)
-		if !page.Unfinished() {
-			return page, nil
-		}
+	page := x.remoteJobs.page(j, after)
+	for repeated := false; page.Unfinished(); {
 		asked := time.Now()
 		found, err := x.readMoreChunks(ctx, j)
 		if err != nil {
 			return wire.JobPage{}, err
 		}
+		page = x.remoteJobs.page(j, after) // another reader may have added the chunk before the one that was asked for
 		page.AgeMS = ageMS(asked)
 		switch {
-		case found:
+		case found || !page.Unfinished():
 		case time.Now().Add(pollInterval).After(deadline) || ctx.Err() != nil:
 			if repeated || x.isCurrent(page) {
 				return page, nil
@@ -163,6 +161,7 @@
 			_ = retry.Sleep(ctx, pollInterval) // the next round sees that ctx has ended
 		}
 	}
+	return page, nil
 }
 
 // ageMS returns the time since a moment in ms, rounded up and at least 1.
