items: a read is refused before its reader leaves

Readers left without an answer. A read is now refused (503) 1.3 s after its wait. Its calls go on within their own bounds, so that what they read is cached, and a reader that leaves doesn't make the store look out of reach to the relay, which counts a cancelled call as a failed one. TestReadIsAnsweredWhileTheReaderWaits failed before in six cases ('the read took 4.6s ..., want less than 2.5s') and passes.

--- a/internal/items/pages.go
+++ b/internal/items/pages.go
@@ -16,6 +16,8 @@
 	maxPageBytes = 900 << 10
 	// pollInterval is the interval at which storedPage asks the store for a chunk that a reader waits for.
 	pollInterval = 400 * time.Millisecond
+	// maxOvertime is the time beyond its wait after which a read is refused. Readers give up soon after.
+	maxOvertime = 1300 * time.Millisecond
 )
 
 // Sources of a page of results.
@@ -49,11 +51,30 @@
 // in this order. It waits up to wait for a first result. Its error has kind StoreUnavailable when the page is empty and the
 // store has not said recently enough that more is listed nowhere. It may be called concurrently.
 func (x *Executor) Page(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, error) {
-	page, source, err := x.findPage(ctx, id, after, wait)
-	if err == nil && page.Unfinished() && x.ObserveEmpty != nil {
-		x.ObserveEmpty(EmptyPage{Job: id, After: after, Source: source, Age: time.Duration(page.AgeMS) * time.Millisecond})
+	type answer struct {
+		page   wire.JobPage
+		source string
+		err    error
+	}
+	answered := make(chan answer, 1)
+	// The calls of a read that is refused go on within their own bounds: what they read is cached.
+	go func(ctx context.Context) {
+		page, source, err := x.findPage(ctx, id, after, wait)
+		answered <- answer{page, source, err}
+	}(context.WithoutCancel(ctx))
+	timer := time.NewTimer(wait + maxOvertime)
+	defer timer.Stop()
+	select {
+	case a := <-answered:
+		if a.err == nil && a.page.Unfinished() && x.ObserveEmpty != nil {
+			x.ObserveEmpty(EmptyPage{Job: id, After: after, Source: a.source, Age: time.Duration(a.page.AgeMS) * time.Millisecond})
+		}
+		return a.page, a.err
+	case <-timer.C:
+		return wire.JobPage{}, kinds.New(kinds.StoreUnavailable, "job %s was not read in time", id)
+	case <-ctx.Done():
+		return wire.JobPage{}, kinds.New(kinds.StoreUnavailable, "the reader of job %s has left", id)
 	}
-	return page, err
 }
 
 func (x *Executor) findPage(ctx context.Context, id string, after int, wait time.Duration) (page wire.JobPage, source string, err error) {
