view: the grace of expired entries is not begun anew at each host

After an outage of the store, entries that have expired are kept for 1.7 s, so that a stopped endpoint gets nothing 2 s after its end. A push now tells how long ago the recovery was. Older builds ignore the field; without it nothing changes.

--- a/internal/view/peers.go
+++ b/internal/view/peers.go
@@ -36,11 +36,11 @@
 	if p.hasHubs() && !p.isHub() {
 		return
 	}
-	p.pushTo(slices.Sorted(maps.Keys(p.lastHeartbeat)), c, changed, p.storeRecentlyRecovered(now), out)
+	p.pushTo(now, slices.Sorted(maps.Keys(p.lastHeartbeat)), c, changed, p.storeRecentlyRecovered(now), out)
 }
 
 // forward sends changes that came from another hub to the hosts of this zone, which are not connected to that hub.
-func (p *Component) forward(from string, c *prefixCache, changed []wire.Object, recovered bool, out *event.Batch) {
+func (p *Component) forward(now time.Duration, from string, c *prefixCache, changed []wire.Object, recovered bool, out *event.Batch) {
 	if !p.isHub() {
 		return
 	}
@@ -50,14 +50,14 @@
 			own = append(own, host)
 		}
 	}
-	p.pushTo(own, c, changed, recovered, out)
+	p.pushTo(now, own, c, changed, recovered, out)
 }
 
-func (p *Component) pushTo(hosts []string, c *prefixCache, changed []wire.Object, recovered bool, out *event.Batch) {
+func (p *Component) pushTo(now time.Duration, hosts []string, c *prefixCache, changed []wire.Object, recovered bool, out *event.Batch) {
 	if len(changed) == 0 {
 		return
 	}
-	push := wire.Push{Prefix: c.prefix, Revision: c.newestRevision, Returned: recovered}
+	push := wire.Push{Prefix: c.prefix, Revision: c.newestRevision, Returned: recovered, ReturnedMS: p.recoveryAgeMS(now)}
 	for _, o := range changed {
 		if o.Deleted {
 			o.Value = nil
@@ -69,6 +69,14 @@
 	}
 }
 
+// recoveryAgeMS returns the time since the store's recovery, 0 when that is not recent.
+func (p *Component) recoveryAgeMS(now time.Duration) int64 {
+	if !p.storeRecentlyRecovered(now) {
+		return 0
+	}
+	return (now - p.recoveredAt).Milliseconds()
+}
+
 func (p *Component) handlePeerMessage(now time.Duration, e event.PeerReceived, out *event.Batch) {
 	switch {
 	case e.Message.Pull != nil:
@@ -88,7 +96,7 @@
 		if c == nil {
 			continue
 		}
-		push := wire.Push{Prefix: prefix, After: pull.After[i], Revision: c.newestRevision, Returned: p.storeRecentlyRecovered(now)}
+		push := wire.Push{Prefix: prefix, After: pull.After[i], Revision: c.newestRevision, Returned: p.storeRecentlyRecovered(now), ReturnedMS: p.recoveryAgeMS(now)}
 		for _, o := range c.sorted() {
 			if o.Revision > push.After {
 				push.Objects = append(push.Objects, o)
@@ -110,9 +118,9 @@
 		return
 	}
 	if push.Returned && !p.storeRecentlyRecovered(now) {
-		p.recoveredAt = now
+		p.recoveredAt = max(now-time.Duration(push.ReturnedMS)*time.Millisecond, 1) // 0 is for none
 	}
 	changed := c.updateAll(push.Objects)
-	p.forward(from, c, changed, push.Returned, out)
+	p.forward(now, from, c, changed, push.Returned, out)
 	p.apply(now, c, changed, push.Returned, out)
 }
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -205,6 +205,8 @@
 	Objects  []Object
 	// Returned reports that the store has just started to answer the sender again.
 	Returned bool `json:",omitempty" msgpack:",omitempty"`
+	// ReturnedMS is how long ago that was, 0 when the sender does not tell.
+	ReturnedMS int64 `json:",omitempty" msgpack:",omitempty"`
 }
 
 // Pull asks a peer for the objects under each of Prefixes that changed after the revision at the same index of After.
