clock: readings that have waited are not the time of day

A reading of another host's clock is dated by its arrival. A host that goes on after a pause reads heartbeats that have waited meanwhile: the readings of all peers were seconds old, their median was far from the host's own right clock, and the host went by the median until new readings came (sent each 3 s). A reading is now taken only if the heartbeat echoes one that this host has sent in the last 3 s; what was known of the peer's clock before still holds. After shorter pauses a reading can still be late by up to that; heartbeats of hosts that echo none are taken as before. TestReadingsThatWaitedAreNotTheTimeOfDay failed before ('the agreed time is -3s off') and passes.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -16,6 +16,10 @@
 // because it is not delayed, while those of other hosts can be in flight for up to some 100 ms at a busy host.
 const maxSkew = 500 * time.Millisecond
 
+// maxReadingAge is the age above which a reading is not taken. Heartbeats wait while a host is suspended; between hosts that exchange
+// few of them, what they echo is up to 2.4 s old.
+const maxReadingAge = 3 * time.Second
+
 // sendInterval is the interval at which this host sends its own reading, each time in heartbeatsPerSend consecutive
 // heartbeats, since some hosts receive only one of several heartbeats. Clocks drift by less than a millisecond in this
 // interval, and a jump is detected after one interval at most.
@@ -47,7 +51,7 @@
 		p.ownEpoch, p.ownKnown = e.Unix-now, true
 		p.updateAgreed(now, out)
 	case event.BeatSeen:
-		if e.Beat.UnixMS != 0 {
+		if e.Beat.UnixMS != 0 && (!e.Anchored || now-e.Anchor <= maxReadingAge) {
 			p.recordPeer(e.Host, time.Duration(e.Beat.UnixMS)*time.Millisecond-now)
 		}
 	case event.HostLost:
