relay: a caller that leaves doesn't change the way to the store

A direct call that ended because its caller had left, as a read whose reader disconnects, counted as a failed one: the calls of the whole host then went through other hosts until a probe a second later. Ruled out: calls that time out, which still count. TestCallerThatLeavesDoesNotChangeTheWay failed before ('direct calls count as failing') and passes.

--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -126,7 +126,9 @@
 	if s.useDirect() {
 		a, err := execute(ctx, s.Direct, c)
 		kind := kinds.KindOf(err)
-		s.recordOutcome(kind)
+		if ctx.Err() != context.Canceled { // a caller that leaves says nothing about the store
+			s.recordOutcome(kind)
+		}
 		if kind != kinds.StoreRefused && (kind != kinds.StoreUnavailable || c.Op == opPut || c.Op == opDelete) {
 			return a, err
 		}
