limit: news that waited on its way lifts no limit that was named since

News of a limit's end is dated by its arrival less the age that its sender told. A heartbeat that waits for seconds, on a link that is cut or at a host that is paused, makes an old end newer than a limit that the endpoint has named since: the host then sends more than the limit. A heartbeat that echoes one sent more than 3 s ago now lifts nothing; an end is told for 10 s, and the host's own answers tell it as well. News that names a limit is taken as before, since too late a date only keeps the limit. TestNewsThatWaitedLiftsNoLaterLimit failed before ('limited: false, want true') and passes.

--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -28,6 +28,9 @@
 	newsTolerance = 50 * time.Millisecond
 	// liftNewsTime is the time for which the end of a limit is told to other hosts.
 	liftNewsTime = 10 * time.Second
+	// maxBeatAge is the age above which a heartbeat lifts no limit. Heartbeats wait while a host is paused; between hosts that
+	// exchange few of them, what they echo is up to 2.4 s old.
+	maxBeatAge = 3 * time.Second
 )
 
 // fleet is the hosts among which limits are shared.
@@ -221,7 +224,11 @@
 func (p *Component) handleHeartbeat(now time.Duration, e event.BeatSeen, out *event.Batch) {
 	wasLost := p.fleet.lost[e.Host]
 	p.fleet.setLost(e.Host, false)
+	waited := e.Anchored && now-e.Anchor > maxBeatAge
 	for _, news := range e.Beat.Limits {
+		if waited && news.Lifted {
+			continue // its age is not known; it is told for liftNewsTime
+		}
 		p.handleNews(now, e.Host, news, out)
 	}
 	if wasLost || len(e.Beat.Limits) > 0 {
