items: what a takeover has listed is read under the table's lock

No failure was seen; the tests of package items pass, those of positions and owners under the race detector.

--- a/internal/items/api.go
+++ b/internal/items/api.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	if j := x.jobTable.get(id); j != nil && j.owned {
+	if x.jobTable.owns(id) {
 		body, ok := x.jobTable.body(id, item)
 		if !ok {
 			return nil, job.Organisation, kinds.New(kinds.NotFound, "item %s is already listed or not part of job %s", item, id)
--- a/internal/items/jobs.go
+++ b/internal/items/jobs.go
@@ -111,6 +111,20 @@
 	return 0
 }
 
+// progress returns the items whose results are listed, in order, and the number of known chunks of a job.
+func (jt *jobTable) progress(id string) (listed []int, chunks int) {
+	jt.mu.Lock()
+	defer jt.mu.Unlock()
+	j := jt.jobs[id]
+	if j == nil {
+		return nil, 0
+	}
+	for _, r := range j.listed {
+		listed = append(listed, r.Item)
+	}
+	return listed, j.chunks
+}
+
 // markComplete records that the store, asked at a time, had no chunk of that number, which is the next one.
 func (jt *jobTable) markComplete(id string, number int, at time.Time) {
 	jt.mu.Lock()
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -86,13 +86,10 @@
 		x.jobTable.appendChunk(e.Job, n, chunk.Results, time.Time{}) // chunks that are already known change nothing
 	}
 	x.jobTable.markComplete(e.Job, len(chunks), asked)
-	if len(j.listed) < len(job.Items) {
+	done.Listed, done.Chunks = x.jobTable.progress(e.Job)
+	if len(done.Listed) < len(job.Items) {
 		x.restoreTexts(ctx, j)
 	}
-	for _, r := range j.listed {
-		done.Listed = append(done.Listed, r.Item)
-	}
-	done.Chunks = j.chunks
 	done.Held = j.heldItems()
 	done.Head = x.head(job)
 	x.jobTable.setOwned(e.Job, true)
