--- a/review/rig2/rig/estate.go
+++ b/review/rig2/rig/estate.go
@@ -50,6 +50,11 @@
 	Store   *Store
 	Servers []*Server
 	Fronts  []*Front
+	// Names are those of the hosts that take callers, those of the hosts with a disk come after them; nil for a default.
+	Names []string
+	// Silent reports whether the store gives a host no answers now; nil for never.
+	Silent func(host string) bool
+	Extra  []any // routes beside the usual ones, in the first configuration
 
 	folder string
 	all    []*Front // with the hosts that have a disk
@@ -58,6 +63,7 @@
 	begun  time.Time
 	mu     sync.Mutex
 	runs   []*Run
+	listed map[string]time.Time // when a host last listed a kind
 	ports  int
 }
 
@@ -83,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Estate{Store: NewStore(), folder: folder, record: record, begun: time.Now()}, nil
+	return &Estate{Store: NewStore(), folder: folder, record: record, begun: time.Now(), listed: map[string]time.Time{}}, nil
 }
 
 // Note writes a line to the record.
@@ -124,16 +130,7 @@
 // Start starts the platform, its servers and the daemons, and waits until all daemons are ready. The servers' fields are
 // set before.
 func (e *Estate) Start(fronts, stores int) error {
-	cloud, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	platform := http.NewServeMux()
-	platform.Handle("/api/objects/", e.Store)
-	platform.HandleFunc("/usage", e.duty)
-	platform.HandleFunc("/scale", e.duty)
-	go func() { _ = (&http.Server{Handler: platform}).Serve(cloud) }()
-	e.configure()
+	e.Configure(7, e.Extra...)
 	for i, s := range e.Servers {
 		s.Began, s.Ended = e.began, e.ended
 		if err := s.Start(fmt.Sprintf("127.77.2.%d", i+1), e.Store); err != nil {
@@ -149,17 +146,26 @@
 		if i >= fronts {
 			f.Name = fmt.Sprintf("store-zone-%d-1", i-fronts+1)
 		}
+		if i < len(e.Names) {
+			f.Name = e.Names[i]
+		}
 		if i == 0 {
 			if e.ports, err = freePorts(f.IP); err != nil {
 				return err
 			}
 		}
-		if err := f.writeSettings(template, i < fronts, cloud.Addr().String()); err != nil {
+		platform, err := e.servePlatform(f.Name, fmt.Sprintf("127.77.3.%d", i+1))
+		if err != nil {
+			return err
+		}
+		settings := func(first bool) error { return f.writeSettings(template, i < fronts, platform, first) }
+		if err := settings(true); err != nil {
 			return err
 		}
 		if err := f.Run(command); err != nil {
 			return err
 		}
+		time.AfterFunc(startWait/10, func() { _ = settings(false) }) // the first start is over
 		e.all = append(e.all, f)
 		if i < fronts {
 			e.Fronts = append(e.Fronts, f)
@@ -176,7 +182,71 @@
 	}
 }
 
-func (e *Estate) configure() {
+// Readers returns the hosts that have listed the objects of a kind within the last three seconds.
+func (e *Estate) Readers(kind string) map[string]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	readers := map[string]bool{}
+	for _, f := range e.Fronts {
+		if at, ok := e.listed[kind+" "+f.Name]; ok && time.Since(at) < 3*time.Second {
+			readers[f.Name] = true
+		}
+	}
+	return readers
+}
+
+// servePlatform serves the platform at an address for one host, so that the host is known in a call, and returns the address.
+func (e *Estate) servePlatform(host, ip string) (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/api/objects/", func(w http.ResponseWriter, r *http.Request) {
+		kind := strings.TrimPrefix(r.URL.Path, "/api/objects/")
+		if r.Method == http.MethodGet && !strings.Contains(kind, "/") && !r.URL.Query().Has("watch") {
+			e.mu.Lock()
+			e.listed[kind+" "+host] = time.Now()
+			e.mu.Unlock()
+		}
+		quiet := &quietWriter{ResponseWriter: w, r: r, silent: func() bool { return e.Silent != nil && e.Silent(host) }}
+		quiet.wait()
+		e.Store.ServeHTTP(quiet, r)
+	})
+	mux.HandleFunc("/usage", e.duty)
+	mux.HandleFunc("/scale", e.duty)
+	go func() { _ = (&http.Server{Handler: mux}).Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// quietWriter writes nothing any more once the host gets no answers.
+type quietWriter struct {
+	http.ResponseWriter
+	r      *http.Request
+	silent func() bool
+}
+
+func (q *quietWriter) wait() {
+	if q.silent() {
+		<-q.r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// WriteHeader writes the head unless the host gets no answers.
+func (q *quietWriter) WriteHeader(status int) {
+	q.wait()
+	q.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body unless the host gets no answers.
+func (q *quietWriter) Write(p []byte) (int, error) {
+	q.wait()
+	return q.ResponseWriter.Write(p)
+}
+
+// Configure writes a version of the configuration, with some routes beside the usual ones.
+func (e *Estate) Configure(version int, extra ...any) {
 	route := func(name, prefix, kind, service string, priority, timeout, target, attempts int, public bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": Host, "path_prefix": prefix, "kind": kind, "service": service, "priority": priority, "timeout_ms": timeout,
@@ -186,10 +256,10 @@
 	drafts := route("drafts", Drafts, "rollout", engines, 1, 10000, 400, 3, false)
 	drafts["run_deadline_ms"], drafts["max_queue_s"], drafts["single_version"] = 7500, 20, false
 	e.Store.Put("config", "main", map[string]any{
-		"version": 7,
-		"routes": []any{
+		"version": version,
+		"routes": append([]any{
 			drafts, route("scores", Scores, "safe", plain, 2, 3000, 800, 4, true), route("lookups", Lookups, "safe", plain, 2, 1500, 150, 2, false),
-		},
+		}, extra...),
 		"services": []any{
 			map[string]any{"name": engines, "health_path": "/healthz", "max_conns": 140, "engine": map[string]any{"slots": 8, "models": []any{map[string]any{"name": Model}}}},
 			map[string]any{"name": plain, "health_path": "/healthz", "max_conns": 110},
@@ -199,6 +269,14 @@
 	})
 }
 
+// ExtraRoute is a further route to the plain service.
+func ExtraRoute(name, prefix string) any {
+	return map[string]any{
+		"name": name, "host": Host, "path_prefix": prefix, "kind": "safe", "service": plain, "priority": 2, "timeout_ms": 1500,
+		"target_latency_ms": 150, "max_attempts": 2, "public": false,
+	}
+}
+
 // duty takes a call of a duty.
 func (e *Estate) duty(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
@@ -246,13 +324,13 @@
 }
 
 // writeSettings fills in the template as the platform does.
-func (f *Front) writeSettings(template string, front bool, platform string) error {
+func (f *Front) writeSettings(template string, front bool, platform string, first bool) error {
 	zone := strings.Join(strings.Split(f.Name, "-")[1:3], "-")
 	port := func(n int) string { return strconv.Itoa(f.e.ports + n) }
 	values := map[string]string{
 		"node": f.Name, "zone": zone, "machine_class": "front", "ip": f.IP, "listen.front": f.IP + ":" + port(0), "listen.ready": f.IP + ":" + port(1),
 		"internal_ports": port(2) + "," + port(17), "platform.address": platform, "cloud.address": platform, "limits.memory_mb": "284",
-		"limits.cpu_share": "0.4", "limits.cores": "1", "bootstrap": "true", "bounds.grace_s": "8", "bounds.lease_ms": "3000",
+		"limits.cpu_share": "0.4", "limits.cores": "1", "bootstrap": strconv.FormatBool(first), "bounds.grace_s": "8", "bounds.lease_ms": "3000",
 		"bounds.usage_window_s": "5", "bounds.usage_late_s": "10", "bounds.status_s": "120", "bounds.settle_ms": "1000",
 	}
 	if !front {
@@ -260,8 +338,17 @@
 	}
 	text := regexp.MustCompile(`{{([a-z_.]+)}}`).ReplaceAllStringFunc(template, func(m string) string { return values[strings.Trim(m, "{}")] })
 	text = strings.Replace(text, "MetricsPort = 9100", "MetricsPort = "+port(18), 1) // another program may have that one here
+	// The daemons of a deployment know each other by the address of the store, which here is another one for each of them.
+	text += "Deployment = review\n"
 	f.settings = filepath.Join(f.e.folder, f.Name+".ini")
-	return os.WriteFile(f.settings, []byte(text), 0o600)
+	return replaceFile(f.settings, text)
+}
+
+func replaceFile(name, text string) error {
+	if err := os.WriteFile(name+".new", []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(name+".new", name)
 }
 
 // Run starts the daemon's process, and again whenever it has ended, until the case is over.
--- a/review/rig2/rig/server.go
+++ b/review/rig2/rig/server.go
@@ -42,6 +42,7 @@
 	slots   chan struct{}
 
 	mu      sync.Mutex
+	leaving bool
 	waiting int
 	running int
 	version uint64
@@ -66,13 +67,25 @@
 func (s *Server) register() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	state := "ready"
+	if s.leaving {
+		state = "draining"
+	}
 	entry := map[string]any{
-		"service": s.Service, "address": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots, "state": "ready", "cold_left_ms": 0,
+		"service": s.Service, "address": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots, "state": state, "cold_left_ms": 0,
 		"stage": "hybrid", "models": s.models(), "sequence": 4, "born": s.born,
 	}
 	s.store.Put("servers", s.Name, entry)
 }
 
+// Drain has the server report that it is draining, and returns once the store has accepted that. It goes on serving.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.register()
+}
+
 func (s *Server) models() []map[string]any {
 	if s.Model == "" {
 		return []map[string]any{}
@@ -87,6 +100,11 @@
 		w.Header().Set("Figshift-Attempt-Id", id)
 	}
 	w.Header().Set("Figshift-Instance-Id", s.Name)
+	s.mu.Lock()
+	if s.leaving {
+		w.Header().Set("Connection", "close")
+	}
+	s.mu.Unlock()
 	if expected := r.Header.Get("Figshift-Expect-Instance"); expected != "" && expected != s.Name {
 		s.refuse(w, http.StatusMisdirectedRequest)
 		return
