--- a/review/rig2/rig/estate.go
+++ b/review/rig2/rig/estate.go
@@ -55,6 +55,8 @@
 	// Silent reports whether the store gives a host no answers now; nil for never.
 	Silent func(host string) bool
 	Extra  []any // routes beside the usual ones, in the first configuration
+	// Restart is the time from the end of a daemon's process to the start of the next one.
+	Restart time.Duration
 
 	folder string
 	all    []*Front // with the hosts that have a disk
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Estate{Store: NewStore(), folder: folder, record: record, begun: time.Now(), listed: map[string]time.Time{}}, nil
+	return &Estate{Store: NewStore(), folder: folder, record: record, begun: time.Now(), listed: map[string]time.Time{}, Restart: 500 * time.Millisecond}, nil
 }
 
 // Note writes a line to the record.
@@ -116,6 +118,7 @@
 func (e *Estate) began(r *Run) {
 	e.mu.Lock()
 	e.runs = append(e.runs, r)
+	r.Number = uint64(len(e.runs))
 	e.mu.Unlock()
 	e.Note("server %s begins %s after event %d", r.Server, r.ID, r.From)
 }
@@ -378,7 +381,7 @@
 			err := f.cmd.Wait()
 			f.e.Note("process %s ended: %v", f.Name, err)
 			close(f.exited)
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(f.e.Restart)
 			if f.e.over.Load() || start() != nil {
 				return
 			}
--- a/review/rig2/rig/server.go
+++ b/review/rig2/rig/server.go
@@ -20,7 +20,8 @@
 // Run is the work of a server on one request, from its start to its end.
 type Run struct {
 	ID, Server string
-	From       int // the last event that the caller had
+	From       int    // the last event that the caller had
+	Number     uint64 // of all runs
 	Start, End time.Time
 	Finished   bool // the whole answer was sent
 }
@@ -221,7 +222,7 @@
 	w.Header().Set("Figshift-Response-Stamp", Stamp(id, s.Name))
 	w.Header().Set("Figshift-Server-Load", load)
 	if s.Model != "" {
-		finished = s.stream(w, r, id, run.From)
+		finished = s.stream(w, r, id, run.From, run.Number)
 		return
 	}
 	select {
@@ -240,12 +241,12 @@
 // Stamp is a server's signature of its answer to a request.
 func Stamp(id, server string) string { return "stamp." + id + "." + server }
 
-// EventData is the data of event n of a stream.
-func EventData(id string, n int) string {
-	return fmt.Sprintf("%s:%d:%s", id, n, strings.Repeat("x", 300))
+// EventData is the data of event n of a stream, as a run made it under a version of the weights.
+func EventData(id string, n int, run, version uint64) string {
+	return fmt.Sprintf("%s:%d:%d:%d:%s", id, n, run, version, strings.Repeat("x", 300))
 }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, from int) bool {
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, from int, run uint64) bool {
 	s.mu.Lock()
 	version := s.version
 	s.mu.Unlock()
@@ -265,7 +266,7 @@
 			version = now
 			_, _ = fmt.Fprintf(w, "figshift-weight-versions: %d\n", version)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(id, n)); err != nil || flush.Flush() != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(id, n, run, version)); err != nil || flush.Flush() != nil {
 			return false
 		}
 	}
