--- a/review/rig2/rig/estate.go
+++ b/review/rig2/rig/estate.go
@@ -180,6 +180,9 @@
 			return nil
 		}
 		if time.Now().After(deadline) {
+			for _, f := range e.Fronts {
+				e.Note("%s, misses %d: %v", f.Name, f.misses, f.Log("Event=Readiness"))
+			}
 			return fmt.Errorf("the daemons aren't ready")
 		}
 	}
@@ -309,7 +312,7 @@
 // freePorts returns the first of 21 ports that are free.
 func freePorts(ip string) (int, error) {
 	for range 50 {
-		first := 20000 + rand.IntN(20000)
+		first := 20000 + rand.IntN(10000) // below the ports that the system gives to connections
 		free := true
 		for p := first; p < first+21; p++ {
 			l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(p)))
