--- a/review/rig2/rig/estate.go
+++ b/review/rig2/rig/estate.go
@@ -537,7 +537,7 @@
 	os.Exit(code)
 }
 
-// Servers of a small deployment: eight model servers and five of the plain service.
+// AddServers adds the servers of a small deployment: eight model servers and five of the plain service.
 func (e *Estate) AddServers(gap, work time.Duration, eventsOf func(id string) int) {
 	for i := range 8 {
 		e.Servers = append(e.Servers, &Server{
