--- a/review/rig2/rig/estate.go
+++ b/review/rig2/rig/estate.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -43,6 +44,7 @@
 	Broken    = 1
 	Unplayed  = 2
 	startWait = 30 * time.Second
+	longest   = 100 * time.Second // of a case
 )
 
 // Estate is the deployment of one case.
@@ -91,7 +93,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Estate{Store: NewStore(), folder: folder, record: record, begun: time.Now(), listed: map[string]time.Time{}, Restart: 500 * time.Millisecond}, nil
+	e := &Estate{Store: NewStore(), folder: folder, record: record, begun: time.Now(), listed: map[string]time.Time{}, Restart: 500 * time.Millisecond}
+	go e.endEarly()
+	return e, nil
+}
+
+// endEarly ends the case with all its processes when it is told to stop, and when it takes too long.
+func (e *Estate) endEarly() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case s := <-told:
+		e.Finish(Unplayed, "not played: %v", s)
+	case <-time.After(longest):
+		e.Finish(Unplayed, "not played: not done after %v", longest)
+	}
 }
 
 // Note writes a line to the record.
