figbed/proofs: crowds of clients that don't behave

Two hosts of 100 MB and 300 descriptors are loaded by crowds: heads, bodies, submissions, requests and connections that are large, many, slow or never whole. They run one at a time, after the other tests.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,8 @@
 CLUSTERS ?= 12
 MEASURES ?= 6
 MEASURING := ^(TestPolicy.*|TestStragglers.*|TestIdleThrough.*|TestOverload.*|TestLotSizes)$$
+# Tests that measure the memory of a whole process run one at a time.
+CROWDS := ^TestCrowd
 KNOWN_RED := $(shell sed -n 's/^Test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 SKIPRED := $(if $(KNOWN_RED),^($(KNOWN_RED))$$|)
@@ -37,8 +39,9 @@
 
 test: lint vet known-red
 	go test -count=$(COUNT) -timeout 20m $(SKIP) $(UNITS)
-	go test -count=$(COUNT) -timeout 20m -p 1 -parallel $(CLUSTERS) -skip '$(SKIPRED)$(MEASURING)' $(PROCESSES)
+	go test -count=$(COUNT) -timeout 20m -p 1 -parallel $(CLUSTERS) -skip '$(SKIPRED)$(CROWDS)|$(MEASURING)' $(PROCESSES)
 	go test -count=$(COUNT) -timeout 20m -parallel $(MEASURES) -run '$(MEASURING)' $(SKIP) ./figbed/proofs/
+	go test -count=$(COUNT) -timeout 20m -run '$(CROWDS)' $(SKIP) ./figbed/proofs/
 
 race: known-red
 	go test -race -count=3 -timeout 60m -parallel $(CLUSTERS) $(SKIP) ./figbed/proofs/
--- /dev/null
+++ b/figbed/internal/crowd/crowd.go
@@ -0,0 +1,134 @@
+// Package crowd provides clients that load a server without behaving as HTTP clients should: they send requests that are large,
+// slow or never whole, and read no answers.
+package crowd
+
+import (
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout = 5 * time.Second
+	// settleTime is the time without a sent byte after which a crowd counts as settled.
+	settleTime = time.Second
+)
+
+// ClientMark stands in the first part of a payload for the number of the client.
+const ClientMark = "{client}"
+
+// Crowd is a number of clients that send the same bytes, each on one connection that it keeps open. Its exported fields are set
+// before Start.
+type Crowd struct {
+	Address string // host:port
+	Clients int
+	Payload []Part
+	Piece   int           // bytes of each write, 0 for those of a part
+	Pause   time.Duration // between two writes
+	Reads   bool          // the clients read what the server sends, and close when the server does
+
+	stopped  chan struct{}
+	running  sync.WaitGroup
+	lastSent atomic.Int64 // time of the last sent piece, in ns since the Unix epoch
+	refused  atomic.Int64 // clients that could not connect or whose connection was closed by the server
+}
+
+// Part is a part of a payload: a text and how often it is sent.
+type Part struct {
+	Text  string
+	Times int
+}
+
+// Start connects the clients and lets them send.
+func (c *Crowd) Start() {
+	c.stopped = make(chan struct{})
+	c.lastSent.Store(time.Now().UnixNano())
+	for client := range c.Clients {
+		c.running.Add(1)
+		go func() {
+			defer c.running.Done()
+			c.runClient(strconv.Itoa(client))
+		}()
+	}
+}
+
+// Settled reports whether no client has sent anything for settleTime.
+func (c *Crowd) Settled() bool { return time.Since(time.Unix(0, c.lastSent.Load())) > settleTime }
+
+// Refused returns the number of clients that the server turned away or whose connection it closed.
+func (c *Crowd) Refused() int { return int(c.refused.Load()) }
+
+// Stop closes the clients' connections.
+func (c *Crowd) Stop() {
+	close(c.stopped)
+	c.running.Wait()
+}
+
+func (c *Crowd) runClient(name string) {
+	conn, err := net.DialTimeout("tcp", c.Address, dialTimeout)
+	if err != nil {
+		c.refused.Add(1)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	unblock := make(chan struct{})
+	defer close(unblock)
+	go func() {
+		select {
+		case <-c.stopped:
+			_ = conn.Close() // ends a write that blocks
+		case <-unblock:
+		}
+	}()
+	switch {
+	case !c.send(conn, name):
+		c.refused.Add(1)
+	case c.Reads:
+		_, _ = io.Copy(io.Discard, conn)
+	default:
+		<-c.stopped
+	}
+}
+
+// send sends the payload and reports whether the whole of it was sent.
+func (c *Crowd) send(conn net.Conn, name string) bool {
+	for i, part := range c.Payload {
+		if i == 0 {
+			part.Text = strings.ReplaceAll(part.Text, ClientMark, name)
+		}
+		for range part.Times {
+			if !c.sendText(conn, part.Text) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (c *Crowd) sendText(conn net.Conn, text string) bool {
+	size := c.Piece
+	if size == 0 {
+		size = len(text)
+	}
+	for rest := text; len(rest) > 0; {
+		n := min(size, len(rest))
+		if _, err := io.WriteString(conn, rest[:n]); err != nil {
+			return false
+		}
+		c.lastSent.Store(time.Now().UnixNano())
+		rest = rest[n:]
+		if c.Pause == 0 {
+			continue
+		}
+		select {
+		case <-time.After(c.Pause):
+		case <-c.stopped:
+			return false
+		}
+	}
+	return true
+}
--- a/figbed/internal/estate/estate.go
+++ b/figbed/internal/estate/estate.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -49,6 +50,11 @@
 	PlatformAddressFor func(host int) string
 	// BindIP returns the IP that a host's internal listeners bind to. When nil, they bind to IP(host).
 	BindIP func(host int) string
+	// MemoryMB is the memory of a host; 200 when 0. MaxFDs is the number of descriptors that a host's process may open; the
+	// setting is left out when 0.
+	MemoryMB, MaxFDs int
+	// Limits are the limits in the configuration, by name, in addition to or in place of the usual ones.
+	Limits map[string]any
 
 	address   string
 	stopFuncs []func()
@@ -107,11 +113,18 @@
 			map[string]any{"name": "plain"},
 			map[string]any{"name": "engines", "engine": map[string]any{"models": []any{map[string]any{"name": Model}}}},
 		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+		"limits":  p.limits(),
 		"tenants": []any{map[string]any{"name": Tenant, "api_keys": keys}},
 	})
 }
 
+// limits returns the limits in the configuration.
+func (p *Platform) limits() map[string]any {
+	limits := map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20}
+	maps.Copy(limits, p.Limits)
+	return limits
+}
+
 // SetTargetVersion sets the target weight version of the model.
 func (p *Platform) SetTargetVersion(version int) {
 	p.Store.Put("versions", Model, map[string]any{"model": Model, "version": version})
@@ -158,6 +171,9 @@
 // ReadinessAddress returns the address of a host's readiness listener, which the load balancer polls.
 func (p *Platform) ReadinessAddress(host int) string { return fmt.Sprintf("%s:%d", IP(host), p.Port+1) }
 
+// HostAPIAddress returns the address at which a host serves the other hosts.
+func (p *Platform) HostAPIAddress(host int) string { return fmt.Sprintf("%s:%d", IP(host), p.Port+5) }
+
 // MetricsAddress returns the address of a host's metrics listener.
 func (p *Platform) MetricsAddress(host int) string { return fmt.Sprintf("%s:%d", IP(host), p.Port+6) }
 
@@ -184,7 +200,7 @@
 Store = %s
 Cloud = %s
 MetricsPort = %d
-MemoryMB = 200
+MemoryMB = %d
 CPUShare = 1
 Cores = 1
 FirstStart = false
@@ -195,6 +211,9 @@
 KeepResultsS = 120
 LogLevel = info
 LogPerSecond = 60
-`, host, (host-1)%zoneCount+1, class, IP(host), bind, p.ClientAddress(host), p.ReadinessAddress(host), p.Port+4, p.Port+9, address, address, p.Port+6)
+`, host, (host-1)%zoneCount+1, class, IP(host), bind, p.ClientAddress(host), p.ReadinessAddress(host), p.Port+4, p.Port+9, address, address, p.Port+6, cmp.Or(p.MemoryMB, 200))
+	if p.MaxFDs > 0 {
+		text += fmt.Sprintf("MaxFDs = %d\n", p.MaxFDs)
+	}
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/figbed/internal/proc/cost.go
+++ b/figbed/internal/proc/cost.go
@@ -32,6 +32,16 @@
 	}
 }
 
+// OpenFDs returns the number of descriptors that the process has open.
+func (p *Process) OpenFDs() int {
+	p.t.Helper()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+	if err != nil {
+		p.t.Fatalf("%s: %v", p.Name, err)
+	}
+	return len(entries)
+}
+
 func (p *Process) readProcFile(name string) string {
 	p.t.Helper()
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", p.PID(), name))
--- /dev/null
+++ b/figbed/proofs/crowd_test.go
@@ -0,0 +1,264 @@
+package proofs
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/figshift/figshift/figbed/internal/crowd"
+	"github.com/figshift/figshift/figbed/internal/estate"
+	"github.com/figshift/figshift/figbed/internal/proc"
+)
+
+// Limits of the hosts on which crowds are played.
+const (
+	crowdMemoryMB    = 100
+	crowdMaxFDs      = 300
+	crowdHeaderBytes = 16 << 10
+	crowdBodyBytes   = 1 << 20
+	crowdSettleTime  = 30 * time.Second // in which a crowd has sent what it can
+	crowdAnswerTime  = 30 * time.Second // in which an ordinary call is answered
+)
+
+// crowdFleet is a fleet of two small hosts.
+type crowdFleet struct {
+	*platformFleet
+	peakFDs []int // by host
+	calls   int
+}
+
+func startCrowdFleet(t *testing.T) *crowdFleet {
+	t.Helper()
+	large := strings.Repeat("l", 8<<20)
+	answerLarge := func(r *http.Request) (answer string, broken bool) {
+		if r.URL.Path != estate.Lookup+"large" {
+			return "", false
+		}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", estate.HeaderAttemptID, r.Header.Get(estate.HeaderAttemptID), len(large), large), true
+	}
+	plain1, plain2 := newPlainServer("p1", "zone-1"), newPlainServer("p2", "zone-2")
+	plain1.Break, plain2.Break = answerLarge, answerLarge
+	platform := &estate.Platform{
+		MemoryMB: crowdMemoryMB, MaxFDs: crowdMaxFDs,
+		Limits: map[string]any{"max_header_bytes": crowdHeaderBytes, "max_body_bytes": crowdBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		Servers: []*estate.Server{
+			plain1, plain2,
+			newEngine("e1", "zone-1", 5, 5*time.Millisecond), newEngine("e2", "zone-2", 5, 5*time.Millisecond),
+		},
+	}
+	return &crowdFleet{platformFleet: startFleetOn(t, 2, platform), peakFDs: make([]int, 2)}
+}
+
+// play lets crowds load host-1, all at once, and checks that the hosts live, stay within their limits and answer ordinary calls,
+// while the crowds are there and afterwards.
+func (f *crowdFleet) play(crowds ...*crowd.Crowd) {
+	f.t.Helper()
+	for _, c := range crowds {
+		c.Start()
+	}
+	proc.WaitUntil(f.t, crowdSettleTime, "the crowd has sent what it can", func() bool {
+		f.countFDs()
+		for _, c := range crowds {
+			if !c.Settled() {
+				return false
+			}
+		}
+		return true
+	})
+	f.awaitAnswers("beside the crowd")
+	for _, c := range crowds {
+		f.t.Logf("%d of %d clients were turned away", c.Refused(), c.Clients)
+		c.Stop()
+	}
+	f.awaitAnswers("after the crowd")
+	f.checkLimits()
+}
+
+func (f *crowdFleet) countFDs() {
+	for i, h := range f.hosts {
+		if !h.Exited() {
+			f.peakFDs[i] = max(f.peakFDs[i], h.OpenFDs())
+		}
+	}
+}
+
+// awaitAnswers waits until each host has answered that it is ready and an ordinary call.
+func (f *crowdFleet) awaitAnswers(when string) {
+	f.t.Helper()
+	for host := range f.hosts {
+		answer := ""
+		ok := proc.Poll(crowdAnswerTime, func() bool {
+			f.countFDs()
+			if f.hosts[host].Exited() || !f.isReady(host+1) {
+				return false
+			}
+			f.calls++
+			status, text := f.call(host+1, http.MethodPost, estate.Lookup+"x", fmt.Sprintf("ordinary-%d", f.calls), estate.Key, []byte("body"))
+			answer = fmt.Sprintf("status %d, %s", status, strings.TrimSpace(text))
+			return status == http.StatusOK
+		})
+		if !ok {
+			f.t.Errorf("host-%d answered no ordinary call within %v %s; the last answer: %s", host+1, crowdAnswerTime, when, answer)
+		}
+	}
+}
+
+// checkLimits checks that the hosts live and have stayed within their memory and descriptors.
+func (f *crowdFleet) checkLimits() {
+	f.t.Helper()
+	for i, h := range f.hosts {
+		if h.Exited() {
+			f.t.Errorf("host-%d ended", i+1)
+			continue
+		}
+		peak := h.Cost().PeakBytes >> 20
+		f.t.Logf("host-%d: at most %d MB, %d descriptors", i+1, peak, f.peakFDs[i])
+		if peak > crowdMemoryMB {
+			f.t.Errorf("host-%d used %d MB of memory and has %d MB", i+1, peak, crowdMemoryMB)
+		}
+		if f.peakFDs[i] > crowdMaxFDs {
+			f.t.Errorf("host-%d had %d open descriptors and may have %d", i+1, f.peakFDs[i], crowdMaxFDs)
+		}
+	}
+}
+
+// crowdRequest returns an ordinary request for a path.
+func crowdRequest(method, path string) crowd.Request {
+	return crowd.Request{Method: method, Path: path, Host: estate.Host, Fields: "Authorization: Bearer " + estate.Key + "\r\nFigshift-Attempt-Id: crowd-" + crowd.ClientMark + "\r\n"}
+}
+
+func (f *crowdFleet) door(clients int, payload []crowd.Part) *crowd.Crowd {
+	return &crowd.Crowd{Address: f.ClientAddress(1), Clients: clients, Payload: payload}
+}
+
+// Guards against heads over the limit that took the memory of a host before their size was checked.
+func TestCrowdOfLargeHeads(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(f.door(60, crowdRequest("GET", estate.Lookup+"x").ShortFields(200<<10, false)))
+}
+
+// Guards against heads over the limit at the address that tells whether a host is ready.
+func TestCrowdOfLargeHeadsAtReadiness(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(&crowd.Crowd{Address: f.ReadinessAddress(1), Clients: 60, Payload: crowdRequest("GET", "/api/readyz").ShortFields(200<<10, false)})
+}
+
+// Guards against heads over the limit at the address of the metrics.
+func TestCrowdOfLargeHeadsAtMetrics(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(&crowd.Crowd{Address: f.MetricsAddress(1), Clients: 60, Payload: crowdRequest("GET", "/metrics").ShortFields(200<<10, false)})
+}
+
+// Guards against heads over the limit at the address for other hosts.
+func TestCrowdOfLargeHeadsAtHostAPI(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(&crowd.Crowd{Address: f.HostAPIAddress(1), Clients: 60, Payload: crowdRequest("GET", "/jobs").ShortFields(200<<10, false)})
+}
+
+// Guards against heads inside the limit of which many together took the memory of a host.
+func TestCrowdOfHeadsWithoutEnd(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(f.door(600, crowdRequest("GET", estate.Lookup+"x").ShortFields(15<<10, false)))
+}
+
+// Guards against heads that are kept while their bodies are awaited.
+func TestCrowdOfHeadsWithStoppedBodies(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(f.door(300, crowdRequest("POST", estate.Lookup+"x").Begun(15<<10)))
+}
+
+// Guards against bodies that stop just short of their end and together took the memory of a host.
+func TestCrowdOfUnfinishedBodies(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(f.door(200, crowdRequest("POST", estate.Lookup+"x").Body(crowdBodyBytes)))
+}
+
+// Guards against unfinished bodies in small pieces.
+func TestCrowdOfBodiesInPieces(t *testing.T) {
+	f := startCrowdFleet(t)
+	c := f.door(200, crowdRequest("POST", estate.Lookup+"x").Body(crowdBodyBytes))
+	c.Piece = 1 << 10
+	f.play(c)
+}
+
+// Guards against unfinished bodies in chunks.
+func TestCrowdOfBodiesInChunks(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(f.door(200, crowdRequest("POST", estate.Lookup+"x").Chunks(crowdBodyBytes, 1<<10)))
+}
+
+// Guards against bodies that are read for a path without a route.
+func TestCrowdOfBodiesWithoutRoute(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(f.door(200, crowdRequest("POST", "/nothing/x").Body(crowdBodyBytes)))
+}
+
+// Guards against bodies far over the limit, with a length and in chunks.
+func TestCrowdOfLargeBodies(t *testing.T) {
+	f := startCrowdFleet(t)
+	request := crowdRequest("POST", estate.Lookup+"x")
+	f.play(f.door(20, request.Body(64<<20)), f.door(20, request.Chunks(64<<20, 1<<10)))
+}
+
+// Guards against submissions over the limit for bodies.
+func TestCrowdOfLargeSubmissions(t *testing.T) {
+	f := startCrowdFleet(t)
+	request := crowdRequest("POST", estate.Rollouts+"x")
+	f.play(f.door(5, request.Body(31<<20)), f.door(5, request.Chunks(31<<20, 1<<10)))
+}
+
+// Guards against submissions that are read without a known key.
+func TestCrowdOfSubmissionsWithoutKey(t *testing.T) {
+	f := startCrowdFleet(t)
+	request := crowdRequest("POST", estate.Rollouts+"x")
+	request.Fields = "Figshift-Attempt-Id: crowd-" + crowd.ClientMark + "\r\n"
+	f.play(f.door(200, request.Body(crowdBodyBytes)))
+}
+
+// Guards against submissions whose few bytes for an item become many when they are decoded.
+func TestCrowdOfEmptyItems(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(f.door(10, crowdRequest("POST", estate.Rollouts+"x").List(`{"items":[`, func(int) string { return "{}" }, `]}`, crowdBodyBytes)))
+}
+
+// Guards against submissions of items that are small and sound but more than a host can hold.
+func TestCrowdOfSmallItems(t *testing.T) {
+	f := startCrowdFleet(t)
+	item := func(i int) string { return fmt.Sprintf(`{"id":"i%d","path":"%sx","body":""}`, i, estate.Rollouts) }
+	f.play(f.door(10, crowdRequest("POST", estate.Rollouts+"x").List(`{"items":[`, item, `]}`, crowdBodyBytes)))
+}
+
+// Guards against requests that are sent ahead by clients that read no answers, and take the endpoints from ordinary callers.
+func TestCrowdOfRequestsSentAhead(t *testing.T) {
+	f := startCrowdFleet(t)
+	const clients = 100
+	f.play(f.door(clients, crowdRequest("GET", estate.Lookup+"x").SentAhead(2<<20)))
+	runs := 0
+	for _, s := range f.Servers {
+		for _, r := range s.Runs() {
+			if strings.HasPrefix(r.ID, "crowd") {
+				runs++
+			}
+		}
+	}
+	if runs > clients {
+		f.t.Errorf("%d requests of %d clients that had read no answer ran", runs, clients)
+	}
+}
+
+// Guards against large answers that nobody reads.
+func TestCrowdOfUnreadAnswers(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(f.door(100, crowdRequest("GET", estate.Lookup+"large").SentAhead(1)))
+}
+
+// Guards against connections that take the descriptors which a host needs for its own calls.
+func TestCrowdOfConnections(t *testing.T) {
+	f := startCrowdFleet(t)
+	idle, request := f.door(300, nil), crowdRequest("POST", estate.Lookup+"x")
+	slow := f.door(300, request.Body(1000))
+	slow.Piece, slow.Pause = 50, 200*time.Millisecond
+	f.play(idle, slow)
+}
--- a/figbed/proofs/platform_helpers_test.go
+++ b/figbed/proofs/platform_helpers_test.go
@@ -39,8 +39,14 @@
 
 func startPlatformFleet(t *testing.T, hosts int, servers ...*estate.Server) *platformFleet {
 	t.Helper()
-	f := &platformFleet{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 20 * time.Second}}
-	f.Platform = &estate.Platform{Servers: servers, Port: firstPlatformPort + portsPerPlatform*int(lastPortRange.Add(1))}
+	return startFleetOn(t, hosts, &estate.Platform{Servers: servers})
+}
+
+// startFleetOn starts hosts on a simulated platform, to which it gives a range of ports.
+func startFleetOn(t *testing.T, hosts int, platform *estate.Platform) *platformFleet {
+	t.Helper()
+	f := &platformFleet{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 20 * time.Second}, Platform: platform}
+	f.Port = firstPlatformPort + portsPerPlatform*int(lastPortRange.Add(1))
 	if err := f.Start(); err != nil {
 		t.Fatal(err)
 	}
