gate, budget: heads and bodies of clients draw on one budget of memory

Callers saw: a host whose clients sent heads over the limit, or many heads or bodies inside it, ran out of memory. 60 heads of 200 KB took 239 MB on a host of 100 MB, 200 bodies short of their last byte 144 MB. Cause: net/http parses a head, up to a constant of 256 KB (1 MB at the other listeners), before the configured limit is checked; no listener counts heads; bodies were counted as read, not as allocated, against a constant for all sizes of host. Change: connections of all HTTP listeners go through internal/gate. It gives the server one head at a time, refuses one over max_header_bytes with 431, and charges what its fields will hold before they are parsed. Bodies are charged before their buffer is allocated. When the budget, 0.35 of the host's memory, is spent, internal/budget ends the clients that hold the most for the longest, if that outweighs what the newcomer asks for (Heaviest; the baseline Newcomer refuses whoever comes); an eighth is for claims of up to 64 KB. A refusal is written before the connection is closed and is true: nothing has run.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/figshift/figshift/internal/batch"
+	"github.com/figshift/figshift/internal/budget"
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/conns"
@@ -26,6 +27,7 @@
 	"github.com/figshift/figshift/internal/drain"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/flow"
+	"github.com/figshift/figshift/internal/gate"
 	"github.com/figshift/figshift/internal/items"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
@@ -60,13 +62,14 @@
 	// gcPercent trades processor time for memory, which is the scarcer resource on the hosts.
 	gcPercent = 60
 	// memoryLimitShare is the fraction of a host's memory at which the garbage collector runs more often.
-	memoryLimitShare  = 0.7
+	memoryLimitShare = 0.7
+	// clientMemoryShare is the fraction of a host's memory that clients can make the process hold.
+	clientMemoryShare = 0.35
 	storeTimeout      = time.Second
 	storeReadTimeout  = 1500 * time.Millisecond
 	dialTimeout       = 500 * time.Millisecond
 	maxIdleConns      = 16
 	idleConnTimeout   = 10 * time.Second
-	readHeaderTimeout = 2 * time.Second
 	// orderAnswerTimeout bounds the wait for the answer to an order or a report, so that one whose answer is lost is
 	// repeated before it is due. Repeating is safe: the platform recognises a repeated report, and an engine reports
 	// whether it had accepted the order.
@@ -97,6 +100,7 @@
 	jobExecutor    *items.Executor
 	limits         *limit.Component
 	links          *reach.Component
+	clientMemory   *budget.Budget
 	flowComponent  *flow.Component
 	batchComponent *batch.Component
 }
@@ -140,6 +144,7 @@
 	d.loop.Prepare()
 	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.advertisedAddress(peerPort), Incarnation: id.incarnation, Power: int(settings.Cores * 100), Build: id.build}
 	d.secret = deploymentSecret(settings)
+	d.clientMemory = d.newClientMemory(int64(float64(settings.MemoryMB) * clientMemoryShare * (1 << 20)))
 	transport := conns.Transport(dialTimeout, maxIdleConns, idleConnTimeout)
 	d.store = &platform.Store{Address: settings.Store, HTTP: &http.Client{Transport: transport}}
 	d.addPlatformOperations(stdout)
@@ -202,19 +207,27 @@
 	d.addActor(exit.run)
 	d.addActor(d.watchSignals)
 	d.addActor((&settingsReloader{file: d.file, settings: d.settings, logs: d.logs, log: d.log}).run)
-	d.addActor(d.listen(net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.MetricsPort)), metrics))
+	d.addActor(d.listen(net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.MetricsPort)), metrics, d.newGate("Metrics")))
 	d.addComponent(&drain.Component{Grace: d.settings.Grace, MaxWait: d.settings.Grace - stopMargin})
 	gaugeBuild(scope, d.build)
 	d.log.Info("Started", zap.String("Build", d.build))
 }
 
-// listen returns an actor that serves h at address.
-func (d *platformDaemon) listen(address string, h http.Handler) func(ctx context.Context) error {
+// listen returns an actor that serves h at address to the clients that a gate admits.
+func (d *platformDaemon) listen(address string, h http.Handler, admits *gate.Gate) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
-		server := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		listener, err := admits.Listen(address)
+		if err != nil {
+			return errors.Wrap(err, "listening at "+address)
+		}
+		server := &http.Server{Handler: h}
+		go admits.Run(ctx)
+		stop := context.AfterFunc(ctx, func() {
+			admits.Stop()
+			_ = server.Close()
+		})
 		defer stop()
-		if err := server.ListenAndServe(); ctx.Err() == nil {
+		if err := admits.Serve(server, listener); ctx.Err() == nil {
 			return errors.Wrap(err, "listening at "+address)
 		}
 		return nil
@@ -320,18 +333,19 @@
 	hostAPIMux.HandleFunc(items.PathCopies, hostAPI.ServeCopies)
 	hostAPIMux.HandleFunc(items.PathSubmit, hostAPI.ServeSubmit)
 	hostAPIMux.Handle(relay.Path, &relay.Server{Direct: d.store, Secret: hex.EncodeToString(d.secret)})
-	d.addActor(d.listen(d.bindAddress(hostAPIPort), hostAPIMux))
+	d.addActor(d.listen(d.bindAddress(hostAPIPort), hostAPIMux, d.newGate("Hosts")))
 	jobAPI := &platform.JobAPI{Jobs: d.jobExecutor}
 	server := &serve.Server{
 		Address: d.settings.Listen, Executor: d.callExecutor, Post: d.loop.Post, Now: d.loop.Now,
 		Handlers: map[string]http.Handler{platform.PathJobs: jobAPI, platform.PathItems: jobAPI},
 		Protocol: platform.CallerProtocol{JobAPI: jobAPI},
+		Gate:     d.newGate("Callers"),
 	}
 	server.Prepare()
 	hostAPIMux.HandleFunc(wire.PathPass, server.ServePassed)
 	d.addExecutor(server)
 	d.addActor(server.Run)
-	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz)))
+	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz), d.newGate("Readiness")))
 }
 
 // addDuties adds the work that one host does for all: weight versions, endpoint scaling, usage reports and the
--- a/figd/requests.go
+++ b/figd/requests.go
@@ -6,6 +6,7 @@
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/crash"
 	"github.com/figshift/figshift/internal/flow"
+	"github.com/figshift/figshift/internal/gate"
 	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/serve"
 )
@@ -39,6 +40,7 @@
 		Post:     d.loop.Post,
 		Now:      d.loop.Now,
 		Handlers: d.handlers,
+		Gate:     &gate.Gate{Budget: d.newClientMemory(clientMemory)},
 	}
 	server.Prepare()
 	d.addExecutor(server)
--- a/internal/kinds/kinds.go
+++ b/internal/kinds/kinds.go
@@ -37,6 +37,8 @@
 	ConfigInvalid      Kind = "ConfigInvalid"
 	CredentialInvalid  Kind = "CredentialInvalid"
 	RateLimited        Kind = "RateLimited"
+	MemoryShort        Kind = "MemoryShort"
+	BodyTooSlow        Kind = "BodyTooSlow"
 	EndpointsLimited   Kind = "EndpointsLimited"
 	EndpointsCrashed   Kind = "EndpointsCrashed"
 	StreamUnresumable  Kind = "StreamUnresumable"
@@ -91,6 +93,8 @@
 	ConfigInvalid:      {http.StatusUnprocessableEntity, NotRun, false},
 	CredentialInvalid:  {http.StatusUnauthorized, NotRun, false},
 	RateLimited:        {http.StatusTooManyRequests, NotRun, true},
+	MemoryShort:        {http.StatusServiceUnavailable, NotRun, true},
+	BodyTooSlow:        {http.StatusRequestTimeout, NotRun, false},
 	EndpointsLimited:   {http.StatusServiceUnavailable, NotRun, true},
 	EndpointsCrashed:   {http.StatusBadGateway, NotRun, false},
 	StreamUnresumable:  {http.StatusServiceUnavailable, NotRun, true},
--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/figshift/figshift/internal/gate"
 )
 
 const (
@@ -27,6 +29,7 @@
 // it has accepted are closed. Its methods may be called concurrently, Accept by one goroutine.
 type stopListener struct {
 	*net.TCPListener
+	gate *gate.Gate
 
 	open    sync.WaitGroup // connections, and the accepting itself
 	ended   sync.Once      // the accepting
@@ -36,12 +39,12 @@
 	waiting map[*acceptedConn]int // connections without a byte of their next request, and the checks that remain
 }
 
-func newStopListener(address string) (*stopListener, error) {
+func newStopListener(address string, admits *gate.Gate) (*stopListener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	l := &stopListener{TCPListener: listener.(*net.TCPListener), rest: notCounted, waiting: map[*acceptedConn]int{}}
+	l := &stopListener{TCPListener: listener.(*net.TCPListener), gate: admits, rest: notCounted, waiting: map[*acceptedConn]int{}}
 	l.open.Add(1)
 	return l, nil
 }
@@ -55,8 +58,11 @@
 			if l.rest > 0 {
 				l.rest--
 			}
-			l.open.Add(1)
-			return &acceptedConn{TCPConn: conn, closed: l.open.Done}, nil
+			if admitted := l.gate.Admit(conn); admitted != nil {
+				l.open.Add(1)
+				return &acceptedConn{Conn: admitted, closed: l.open.Done}, nil
+			}
+			continue
 		}
 		if !l.isClosing() {
 			return nil, err
@@ -122,7 +128,7 @@
 	defer l.mu.Unlock()
 	for conn, checks := range l.waiting {
 		switch {
-		case conn.begun.Load() || conn.unread():
+		case conn.begun.Load() || conn.Unread():
 		case checks > 0:
 			l.waiting[conn] = checks - 1
 		default:
@@ -143,7 +149,7 @@
 
 // acceptedConn is a connection that knows whether a request has begun and reports when it is closed.
 type acceptedConn struct {
-	*net.TCPConn
+	*gate.Conn
 	once   sync.Once
 	closed func()
 	begun  atomic.Bool // a byte has been read since the last change of state; set with mu held
@@ -153,7 +159,7 @@
 
 // Read reads from the connection.
 func (c *acceptedConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if n > 0 && !c.begun.Load() {
 		c.begin()
 	}
@@ -180,19 +186,8 @@
 	}
 }
 
-// unread reports whether bytes have come that have not been read.
-func (c *acceptedConn) unread() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
-	return n > 0
-}
-
 // Close closes the connection.
 func (c *acceptedConn) Close() error {
 	defer c.once.Do(c.closed)
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
--- a/internal/serve/pass.go
+++ b/internal/serve/pass.go
@@ -10,6 +10,7 @@
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/gate"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/relay"
 	"github.com/figshift/figshift/internal/wire"
@@ -30,12 +31,11 @@
 		return
 	}
 	var passed wire.PassedCall
-	body, err := s.readBody(w, r, active.site.Limits.MaxBodyBytes+passOverhead)
+	body, err := gate.ReadBody(w, r, active.site.Limits.MaxBodyBytes+passOverhead)
 	if err != nil {
 		refusePassed(w, kinds.KindOf(err))
 		return
 	}
-	defer s.bodyBytes.Add(-int64(len(body)))
 	if msgpack.Unmarshal(body, &passed) != nil || passed.DeadlineMS <= 0 {
 		refusePassed(w, kinds.BadRequest)
 		return
--- a/internal/serve/request.go
+++ b/internal/serve/request.go
@@ -5,13 +5,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +16,7 @@
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/gate"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
@@ -60,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := s.readBody(w, r, active.site.Limits.MaxBodyBytes)
+	body, err := gate.ReadBody(w, r, active.site.Limits.MaxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +70,6 @@
 		in.arrived.KeyHash = keys.Hash(key)
 	}
 	if err := in.resolve(now, r, key, active); err != nil {
-		s.bodyBytes.Add(-int64(len(body)))
 		return nil, err
 	}
 	return in, nil
@@ -84,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := s.readBody(w, r, active.site.Limits.MaxBodyBytes)
+	body, err := gate.ReadBody(w, r, active.site.Limits.MaxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -173,46 +170,3 @@
 	}
 	return nil
 }
-
-// readBody reads the complete body, so that the request can be retried. The calling function must subtract its length
-// from s.bodyBytes when the body is no longer used.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, kinds.New(kinds.BodyTooLarge, "the body exceeds %d bytes", limit)
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	counted := &countedReader{source: http.MaxBytesReader(w, r.Body, limit), total: &s.bodyBytes}
-	body, err := io.ReadAll(counted)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	if err == nil {
-		return body, nil
-	}
-	s.bodyBytes.Add(-counted.bytesRead)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, kinds.New(kinds.BodyTooLarge, "the body exceeds %d bytes", limit)
-	case errors.Is(err, errBodyBytesExceeded):
-		return nil, kinds.New(kinds.QueueFull, "too many request bodies in memory")
-	}
-	return nil, kinds.New(kinds.BadRequest, "the request body could not be read")
-}
-
-var errBodyBytesExceeded = errors.New("request bodies in memory exceed the limit")
-
-// countedReader adds the bytes that it reads to total and fails when total exceeds maxTotalBodyBytes.
-type countedReader struct {
-	source    io.Reader
-	total     *atomic.Int64
-	bytesRead int64
-}
-
-// Read reads from source.
-func (c *countedReader) Read(p []byte) (int, error) {
-	n, err := c.source.Read(p)
-	c.bytesRead += int64(n)
-	if c.total.Add(int64(n)) > maxTotalBodyBytes {
-		return n, errBodyBytesExceeded
-	}
-	return n, err
-}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -12,19 +12,16 @@
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/gate"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/route"
 	"github.com/figshift/figshift/internal/wire"
 )
 
 const (
-	headerReadTimeout = 5 * time.Second
-	bodyReadTimeout   = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
+	headerReadTimeout = 5 * time.Second // of a request that begins while the daemon stops
 	waitCheckInterval = 50 * time.Millisecond
 	errorWriteTimeout = 5 * time.Second // for writing an error response
-	maxHeadBytes      = 256 << 10       // bytes of a request head; the limit of the site configuration applies afterwards
-	maxTotalBodyBytes = 64 << 20        // of all request bodies in memory
 )
 
 // Server serves callers' requests. Its exported fields are set before Run.
@@ -35,12 +32,12 @@
 	Now      func() time.Duration
 	Handlers map[string]http.Handler // by path prefix, for requests that figshift answers itself
 	Protocol Protocol                // nil means figshift's own protocol
+	Gate     *gate.Gate              // bounds the callers; nil for no bound but the limits of requests
 
 	lastRequest atomic.Uint64
 	active      atomic.Pointer[activeSite]
 	ready       atomic.Pointer[event.Ready]
 	draining    atomic.Bool
-	bodyBytes   atomic.Int64
 	closing     chan struct{}
 }
 
@@ -74,7 +71,12 @@
 }
 
 // Prepare is called once, before the other methods.
-func (s *Server) Prepare() { s.closing = make(chan struct{}) }
+func (s *Server) Prepare() {
+	s.closing = make(chan struct{})
+	if s.Gate == nil {
+		s.Gate = &gate.Gate{}
+	}
+}
 
 // Do carries out the effects for the listener. It reports true for StopListening only, since other executors need the
 // other effects too.
@@ -82,6 +84,7 @@
 	switch e := effect.(type) {
 	case event.UseSite:
 		s.active.Store(&activeSite{site: e.Site, routes: route.NewRoutes(e.Site)})
+		s.Gate.SetLimits(gate.Limits{HeadBytes: e.Site.Limits.MaxHeaderBytes})
 	case event.Ready:
 		s.ready.Store(&e)
 	case event.BeginDrain:
@@ -97,20 +100,18 @@
 // Run serves until ctx ends. After StopListening it closes the listener, waits for the open requests and posts
 // ListenerClosed. It returns an error when it can't listen or serve.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := newStopListener(s.Address)
+	listener, err := newStopListener(s.Address, s.Gate)
 	if err != nil {
 		return errors.Wrap(err, "listening for callers")
 	}
-	server := &http.Server{
-		Handler:           s,
-		ReadHeaderTimeout: headerReadTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeadBytes,
-		ConnState:         listener.track,
-	}
+	server := &http.Server{Handler: s, ConnState: listener.track}
+	go s.Gate.Run(ctx)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	defer func() { _ = server.Close() }()
+	go func() { failed <- s.Gate.Serve(server, listener) }()
+	defer func() {
+		s.Gate.Stop()
+		_ = server.Close()
+	}()
 	select {
 	case <-ctx.Done():
 		return nil
@@ -215,7 +216,6 @@
 		s.writeRefusal(w, event.AnswerRequest{Kind: kinds.KindOf(err), Detail: errorDetail(err)}, id)
 		return
 	}
-	defer s.bodyBytes.Add(-int64(len(in.exchange.Body)))
 	sink := &httpSink{writer: w, control: http.NewResponseController(w), noChunks: !r.ProtoAtLeast(1, 1)}
 	in.exchange.Request, in.exchange.Sink = request, sink
 	in.arrived.Request = request
