gate, figd: connections of clients have a bound below the process's descriptors

Callers saw: with 600 connections of which half had begun a body and half had sent nothing, a host had 625 descriptors open where it may have 300; where the limit is enforced, an ordinary caller timed out and the host lost its own calls to the store. Cause: no listener bounds its connections, so that none are left for endpoints, the store, other hosts and files. Change: MaxFDs, which the platform fills in, is split: half for callers, an eighth for other hosts, a sixteenth for the balancer, a thirty-second for metrics. At its bound a gate closes the connection that has been waited for the longest, and turns the newcomer away only when all are being answered. It waits for the closed one up to 100 ms, so that accepting doesn't outrun closing.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -207,7 +207,7 @@
 	d.addActor(exit.run)
 	d.addActor(d.watchSignals)
 	d.addActor((&settingsReloader{file: d.file, settings: d.settings, logs: d.logs, log: d.log}).run)
-	d.addActor(d.listen(net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.MetricsPort)), metrics, d.newGate("Metrics")))
+	d.addActor(d.listen(net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.MetricsPort)), metrics, d.newGate("Metrics", metricsConns)))
 	d.addComponent(&drain.Component{Grace: d.settings.Grace, MaxWait: d.settings.Grace - stopMargin})
 	gaugeBuild(scope, d.build)
 	d.log.Info("Started", zap.String("Build", d.build))
@@ -333,19 +333,19 @@
 	hostAPIMux.HandleFunc(items.PathCopies, hostAPI.ServeCopies)
 	hostAPIMux.HandleFunc(items.PathSubmit, hostAPI.ServeSubmit)
 	hostAPIMux.Handle(relay.Path, &relay.Server{Direct: d.store, Secret: hex.EncodeToString(d.secret)})
-	d.addActor(d.listen(d.bindAddress(hostAPIPort), hostAPIMux, d.newGate("Hosts")))
+	d.addActor(d.listen(d.bindAddress(hostAPIPort), hostAPIMux, d.newGate("Hosts", hostConns)))
 	jobAPI := &platform.JobAPI{Jobs: d.jobExecutor}
 	server := &serve.Server{
 		Address: d.settings.Listen, Executor: d.callExecutor, Post: d.loop.Post, Now: d.loop.Now,
 		Handlers: map[string]http.Handler{platform.PathJobs: jobAPI, platform.PathItems: jobAPI},
 		Protocol: platform.CallerProtocol{JobAPI: jobAPI},
-		Gate:     d.newGate("Callers"),
+		Gate:     d.newGate("Callers", callerConns),
 	}
 	server.Prepare()
 	hostAPIMux.HandleFunc(wire.PathPass, server.ServePassed)
 	d.addExecutor(server)
 	d.addActor(server.Run)
-	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz), d.newGate("Readiness")))
+	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz), d.newGate("Readiness", readinessConns)))
 }
 
 // addDuties adds the work that one host does for all: weight versions, endpoint scaling, usage reports and the
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -167,6 +167,29 @@
 	}
 }
 
+// A crowd of connections took all descriptors, and a new client was turned away.
+func TestConnectionsAtTheBound(t *testing.T) {
+	g := newBoundGate(t, testLimit, 4)
+	for range 4 {
+		g.dial(t)
+	}
+	g.await(t, "all are admitted", func() bool { return g.admitted() == 4 })
+	conn := g.dial(t)
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") // a failed write is seen by the answer
+	if diff := cmp.Diff("200 0 0", answer(bufio.NewReader(conn))); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if n := g.admitted(); n != 4 {
+		t.Errorf("%d connections are open, want 4", n)
+	}
+}
+
+func (g *testGate) admitted() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns)
+}
+
 // Heads inside the limit were not counted, and many of them took more memory than there was.
 func TestHeadsAreCounted(t *testing.T) {
 	const limit = 1 << 20
