gate: a client that sends requests ahead gets one answer a connection

Callers saw: 100 clients that sent 2 MB of requests ahead and read no answer had 2,315 requests run at the endpoints, in their organisation's share; ordinary calls were refused meanwhile. Cause: each request of a connection is served as soon as the one before is answered, whether or not anybody reads. Change: when more has come before any of an answer was written, the answer closes the connection. A client that waits for its answers can't have sent more by then. HTTP/1.1 lets a server close after any answer, and what was sent ahead has not run.

--- a/internal/gate/conn.go
+++ b/internal/gate/conn.go
@@ -259,7 +259,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reason != "" {
+	if len(c.early) > 0 || c.reason != "" {
 		answer.Set("Connection", "close")
 	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -232,7 +232,7 @@
 	return nil
 }
 
-// answerWriter closes the connection after the answer to a client that is turned away.
+// answerWriter closes the connection after the answer to a request whose client did not wait for it.
 type answerWriter struct {
 	http.ResponseWriter
 	conn *Conn
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -167,6 +167,35 @@
 	}
 }
 
+// Requests that a client sent ahead without reading an answer all ran.
+func TestRequestsSentAhead(t *testing.T) {
+	g := newTestGate(t, testLimit)
+	conn := g.dial(t)
+	_, _ = io.WriteString(conn, strings.Repeat("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n", 100)) // a failed write is seen by the answer
+	g.await(t, "more has come", func() bool { return g.sentEarly() })
+	close(g.release)
+	reader := bufio.NewReader(conn)
+	for i, want := range []string{"200 0 0", ""} {
+		if diff := cmp.Diff(want, answer(reader)); diff != "" {
+			t.Errorf("answer %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+func (g *testGate) sentEarly() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		c.mu.Lock()
+		early := len(c.early) > 0
+		c.mu.Unlock()
+		if early {
+			return true
+		}
+	}
+	return false
+}
+
 // A crowd of connections took all descriptors, and a new client was turned away.
 func TestConnectionsAtTheBound(t *testing.T) {
 	g := newBoundGate(t, testLimit, 4)
