config, gate: the configured times for heads and idle connections are in force

Callers saw: header_timeout_ms and idle_timeout_ms of the configuration were read nowhere; heads had 5 s, idle connections 2 minutes. Change: Limits.HeaderTimeout and Limits.IdleTimeout, which follow a changed configuration as the limit for heads does.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -131,6 +131,8 @@
 type Limits struct {
 	MaxBodyBytes       int64
 	MaxHeaderBytes     int
+	HeaderTimeout      time.Duration // for the whole head of a request, from its first byte
+	IdleTimeout        time.Duration // for the next request on a connection
 	QueuePerDaemon     int
 	QueuePerOrg        int
 	ConcurrencyPerNode int // requests that one daemon runs at once on one endpoint
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -13,6 +13,8 @@
 		Limits: Limits{
 			MaxBodyBytes:       4 << 20,
 			MaxHeaderBytes:     32 << 10,
+			HeaderTimeout:      5 * time.Second,
+			IdleTimeout:        2 * time.Minute,
 			QueuePerDaemon:     2000,
 			QueuePerOrg:        500,
 			ConcurrencyPerNode: 16,
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -65,6 +65,8 @@
 
 	"Limits.MaxBodyBytes":       integerRule(1<<10, 1<<30),
 	"Limits.MaxHeaderBytes":     integerRule(1<<10, 1<<20),
+	"Limits.HeaderTimeout":      durationRule(time.Second, time.Hour),
+	"Limits.IdleTimeout":        durationRule(time.Second, time.Hour),
 	"Limits.QueuePerDaemon":     integerRule(1, maxCount),
 	"Limits.QueuePerOrg":        integerRule(1, maxCount),
 	"Limits.ConcurrencyPerNode": integerRule(1, 10_000),
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -196,6 +196,82 @@
 	return false
 }
 
+// Connections that were slow or idle stayed for constant times, whatever the limits said, and large bodies had 30 s.
+func TestTimes(t *testing.T) {
+	cases := map[string]struct {
+		sent   string
+		more   string // sent before each of the sweeps
+		kept   int    // sweeps after which the connection is still there
+		ended  int    // sweeps after which it is not
+		answer string
+	}{
+		"Idle":       {"", "", 15, 16, ""},
+		"Head":       {"GET / HT", "", 3, 4, "408 "},
+		"HeadInBits": {"GET / HT", "T", 3, 4, "408 "},
+		"Body":       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n\r\nb", "", 30, 31, "408 "},
+		"SlowBody":   {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n\r\nb", strings.Repeat("b", minBodyRate), 40, 0, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newTestGate(t, testLimit)
+			conn := g.dial(t)
+			_, _ = io.WriteString(conn, c.sent) // a failed write is seen by the answer
+			reading := func() bool { return g.reads(len(c.sent)) }
+			g.await(t, "the bytes were read", reading)
+			for range c.kept {
+				_, _ = io.WriteString(conn, c.more)
+				g.await(t, "the bytes were read", func() bool { return !g.unread() })
+				g.sweep()
+			}
+			if g.ended() {
+				t.Fatalf("ended within %d sweeps", c.kept)
+			}
+			if c.ended == 0 {
+				return
+			}
+			for range c.ended - c.kept {
+				g.sweep()
+			}
+			if diff := cmp.Diff(c.answer, answer(bufio.NewReader(conn))); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// reads reports whether the only connection has read bytes, or has been accepted when there are none.
+func (g *testGate) reads(n int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		waits, _, _ := c.waitState()
+		return n == 0 || waits == waitsHead || waits == waitsBody
+	}
+	return false
+}
+
+func (g *testGate) unread() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if c.Unread() {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *testGate) ended() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if _, _, ended := c.waitState(); ended {
+			return true
+		}
+	}
+	return len(g.conns) == 0
+}
+
 // A crowd of connections took all descriptors, and a new client was turned away.
 func TestConnectionsAtTheBound(t *testing.T) {
 	g := newBoundGate(t, testLimit, 4)
--- a/internal/serve/caller_test.go
+++ b/internal/serve/caller_test.go
@@ -11,7 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/figshift/figshift/internal/budget"
+	"github.com/figshift/figshift/internal/event"
 )
 
 // streamUntilCancelled returns a handler that streams segments until the daemon cancels the request, then closes ended.
@@ -106,3 +109,26 @@
 	other.Close()
 	ts.await(t, func() bool { return ts.server.Gate.Budget.Held(budget.Bodies) == 0 })
 }
+
+// The limit for heads in a changed configuration was not in force below the parsing of a head.
+func TestHeadLimitFollowsTheConfiguration(t *testing.T) {
+	ts := newTestServer(t, service(t, "a", func(http.ResponseWriter, *http.Request) {}))
+	header := http.Header{"X-Long": {strings.Repeat("x", 8<<10)}}
+	for _, step := range []struct {
+		limit, status int
+	}{{16 << 10, http.StatusOK}, {4 << 10, http.StatusRequestHeaderFieldsTooLarge}, {16 << 10, http.StatusOK}} {
+		site := testSite()
+		site.Limits.MaxHeaderBytes = step.limit
+		ts.loop.Post(event.ConfigInForce{Site: site})
+		ts.await(t, func() bool { return ts.server.active.Load().site.Limits.MaxHeaderBytes == step.limit })
+		var resp *http.Response
+		ts.await(t, func() bool {
+			var err error
+			resp, _, err = ts.request(t, http.MethodPost, "/lookup", "", header)
+			return err == nil
+		})
+		if diff := cmp.Diff(step.status, resp.StatusCode); diff != "" {
+			t.Errorf("status with a limit of %d (-want +got):\n%s", step.limit, diff)
+		}
+	}
+}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -84,7 +84,8 @@
 	switch e := effect.(type) {
 	case event.UseSite:
 		s.active.Store(&activeSite{site: e.Site, routes: route.NewRoutes(e.Site)})
-		s.Gate.SetLimits(gate.Limits{HeadBytes: e.Site.Limits.MaxHeaderBytes})
+		limits := e.Site.Limits
+		s.Gate.SetLimits(gate.Limits{HeadBytes: limits.MaxHeaderBytes, HeadTime: limits.HeaderTimeout, IdleTime: limits.IdleTimeout})
 	case event.Ready:
 		s.ready.Store(&e)
 	case event.BeginDrain:
