platform, items: submissions keep to max_body_bytes and the budget, and need a key first

Callers saw: 10 submissions of 31 MB that stopped short of their end took 744 MB on a host of 100 MB whose configuration allows bodies of 1 MB; 200 of 1 MB without a key took 309 MB. Cause: the batch job API had a limit of 32 MB of its own, no total, and read a submission before it checked the key. The host to which a submission is forwarded did the same. Change: the key is checked before the body is read; the body keeps to max_body_bytes and is charged like any other, on the forwarding host also for the copy that is sent, on the other host for the one that is decoded. A host that is short of memory answers MemoryShort: nothing runs. TestCrowdOfUnfinishedSubmissions, the same with a key, is new and was not run on.

--- a/figbed/proofs/crowd_test.go
+++ b/figbed/proofs/crowd_test.go
@@ -217,6 +217,12 @@
 	f.play(f.door(200, request.Body(crowdBodyBytes)))
 }
 
+// Guards against submissions with a known key that stop just short of their end.
+func TestCrowdOfUnfinishedSubmissions(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(f.door(200, crowdRequest("POST", estate.Rollouts+"x").Body(crowdBodyBytes)))
+}
+
 // Guards against submissions whose few bytes for an item become many when they are decoded.
 func TestCrowdOfEmptyItems(t *testing.T) {
 	f := startCrowdFleet(t)
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -342,6 +342,7 @@
 		Gate:     d.newGate("Callers", callerConns),
 	}
 	server.Prepare()
+	jobAPI.MaxBytes, hostAPI.MaxBytes = server.MaxBodyBytes, server.MaxBodyBytes
 	hostAPIMux.HandleFunc(wire.PathPass, server.ServePassed)
 	d.addExecutor(server)
 	d.addActor(server.Run)
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/figshift/figshift/internal/budget"
 	"github.com/figshift/figshift/internal/kinds"
@@ -13,6 +14,25 @@
 // process hold no more than twice what it has sent.
 const firstBlock = 4 << 10
 
+// memoryRetryAfter is the time after which a request that got no memory may come again.
+const memoryRetryAfter = 500 * time.Millisecond
+
+// RetryAfter returns the time after which a request that ReadBody or a claim has refused may come again, 0 when it may not.
+func RetryAfter(kind kinds.Kind) time.Duration {
+	if kind == kinds.MemoryShort {
+		return memoryRetryAfter
+	}
+	return 0
+}
+
+// SkipBody leaves the rest of a request's body unread. The connection is closed after the answer.
+func SkipBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		From(r.Context()).EndBody(false)
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // ReadBody reads the whole body of a request of at most the given number of bytes. The memory is held by the claim of its
 // connection until the request has been answered. Its errors have kinds BodyTooLarge, MemoryShort and BadRequest; the connection is
 // then closed after the answer.
--- a/internal/items/peers.go
+++ b/internal/items/peers.go
@@ -31,6 +31,7 @@
 	HTTP     http.RoundTripper
 	Unshared http.RoundTripper // opens a connection for each call, since a kept one may be silent; nil for HTTP
 	Executor *Executor
+	MaxBytes func() int64 // greatest size of a submission, 0 before a configuration has been loaded
 }
 
 // Page reads a page of a job at a host. The host waits up to wait for a first result. Page returns false when the host
--- a/internal/items/submit.go
+++ b/internal/items/submit.go
@@ -9,8 +9,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/figshift/figshift/internal/budget"
 	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/gate"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/relay"
 )
@@ -22,8 +24,9 @@
 	// takes milliseconds.
 	acceptTimeout = 500 * time.Millisecond
 	// answerTimeout is the time for the whole response, which waits for the store.
-	answerTimeout      = 4 * time.Second
-	maxSubmissionBytes = 32 << 20
+	answerTimeout = 4 * time.Second
+	// forwardOverhead is what a forwarded submission may have beyond the caller's, in bytes.
+	forwardOverhead = 16 << 10
 	// maxForwards is the number of hosts that a submission is forwarded to before this host takes it. Each host that is
 	// gone costs acceptTimeout, and callers wait only some seconds.
 	maxForwards = 2
@@ -44,6 +47,7 @@
 // taken the job. SubmitRouted may be called concurrently.
 func (x *Executor) SubmitRouted(ctx context.Context, c JobCall, body []byte) event.JobAnswer {
 	mayRun := false
+	claim := gate.From(ctx).Claim()
 	for range maxForwards {
 		placement := x.callReducer(ctx, event.JobCalled{Call: event.JobPlace, KeyHash: c.KeyHash, Host: c.Host, Path: c.Path, Job: c.Job}, nil)
 		if placement.Kind != "" {
@@ -52,8 +56,12 @@
 		if placement.Host == "" {
 			break
 		}
+		if err := claim.Grow(budget.Bodies, int64(len(body))); err != nil { // for the copy that is sent
+			return withoutFalseNotRun(refusedMemory(err), mayRun)
+		}
 		start := x.Now()
 		answer, sent, err := x.Peers.Submit(ctx, placement.Host, c, body)
+		claim.Shrink(budget.Bodies, int64(len(body)))
 		if err != nil && ctx.Err() != nil {
 			return event.JobAnswer{Kind: kinds.OutcomeUnknown} // the caller has left; the other host carries on
 		}
@@ -66,6 +74,12 @@
 	return withoutFalseNotRun(x.SubmitLocal(ctx, c, body), mayRun)
 }
 
+// refusedMemory returns the answer to a submission that got no memory.
+func refusedMemory(err error) event.JobAnswer {
+	kind := kinds.KindOf(err)
+	return event.JobAnswer{Kind: kind, RetryAfter: gate.RetryAfter(kind)}
+}
+
 // withoutFalseNotRun replaces an answer that says that nothing runs by OutcomeUnknown when a host that did not answer
 // may run the job.
 func withoutFalseNotRun(answer event.JobAnswer, mayRun bool) event.JobAnswer {
@@ -128,17 +142,35 @@
 		http.Error(w, "unknown secret", http.StatusForbidden)
 		return
 	}
+	limit := p.MaxBytes()
+	if limit == 0 {
+		gate.SkipBody(w, r)
+		writeAnswer(w, event.JobAnswer{Kind: kinds.NotReady})
+		return
+	}
 	var forwarded forwardedSubmission
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSubmissionBytes))
-	if err != nil || msgpack.Unmarshal(body, &forwarded) != nil {
-		http.Error(w, "malformed or oversized submission", http.StatusBadRequest)
+	body, err := gate.ReadBody(w, r, limit+forwardOverhead)
+	if err == nil {
+		err = gate.From(r.Context()).Claim().Grow(budget.Bodies, int64(len(body))) // for the decoded copy
+	}
+	if err != nil {
+		writeAnswer(w, refusedMemory(err))
+		return
+	}
+	if msgpack.Unmarshal(body, &forwarded) != nil {
+		http.Error(w, "malformed submission", http.StatusBadRequest)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush() // on a closed connection the write of the body fails too
-	answer, err := msgpack.Marshal(p.Executor.SubmitLocal(r.Context(), forwarded.Call, forwarded.Body))
+	writeAnswer(w, p.Executor.SubmitLocal(r.Context(), forwarded.Call, forwarded.Body))
+}
+
+// writeAnswer sends the answer to a forwarded submission. Without one, the outcome is unknown to the other host.
+func writeAnswer(w http.ResponseWriter, a event.JobAnswer) {
+	answer, err := msgpack.Marshal(a)
 	if err != nil {
-		return // the empty body leaves the outcome unknown
+		return
 	}
 	_, _ = w.Write(answer) // the other host may have closed the connection
 }
--- a/internal/items/submit_test.go
+++ b/internal/items/submit_test.go
@@ -151,7 +151,7 @@
 			t.Parallel()
 			x, _, _ := newExecutor(t)
 			fakeReducer(x, "", c.ownAnswer)
-			receiver := &PeerClient{Secret: secret, Executor: x}
+			receiver := &PeerClient{Secret: secret, Executor: x, MaxBytes: func() int64 { return 1 << 20 }}
 			resume := make(chan struct{})
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if c.suspended {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -169,6 +169,16 @@
 	s.serveCaller(w, r)
 }
 
+// MaxBodyBytes returns the greatest size of a request's body, 0 before a configuration has been loaded. It may be called
+// concurrently.
+func (s *Server) MaxBodyBytes() int64 {
+	active := s.active.Load()
+	if active == nil {
+		return 0
+	}
+	return active.site.Limits.MaxBodyBytes
+}
+
 // Readyz answers with status 200 while the daemon accepts callers' requests, otherwise with 503 and the reason. It may be
 // called concurrently.
 func (s *Server) Readyz(w http.ResponseWriter, _ *http.Request) {
@@ -214,7 +224,8 @@
 	id := s.Executor.RequestID(request)
 	in, err := s.readRequest(w, r)
 	if err != nil {
-		s.writeRefusal(w, event.AnswerRequest{Kind: kinds.KindOf(err), Detail: errorDetail(err)}, id)
+		kind := kinds.KindOf(err)
+		s.writeRefusal(w, event.AnswerRequest{Kind: kind, Detail: errorDetail(err), RetryAfter: gate.RetryAfter(kind)}, id)
 		return
 	}
 	sink := &httpSink{writer: w, control: http.NewResponseController(w), noChunks: !r.ProtoAtLeast(1, 1)}
