platform, items: the items of a submission are counted and checked as they are decoded

Callers saw: 10 submissions of 1 MB of empty items took 581 MB on a host of 100 MB; 10 of 1 MB of small sound ones took 260 MB there and 135 MB at the other host, and no ordinary call was answered for 30 s, also after the crowd had gone. Cause: a few bytes of an item become hundreds when it is decoded, and again in the table of jobs and in the reducer. All items were decoded before any was checked, and nothing bounded what accepted jobs hold together. Change: a submission is decoded item by item; what each will hold is charged first, and one without id or path, or with the id of another, ends the decoding (400). Jobs in memory may hold 0.15 of the host's memory when a further one is submitted: more than that is refused, with MemoryShort (503, nothing runs) when others hold it and 413 when it never fits. TestCrowdOfFittingSubmissions is new: of 20 jobs of 4,575 items, those that fit are accepted.

--- a/figbed/proofs/crowd_test.go
+++ b/figbed/proofs/crowd_test.go
@@ -236,6 +236,13 @@
 	f.play(f.door(10, crowdRequest("POST", estate.Rollouts+"x").List(`{"items":[`, item, `]}`, crowdBodyBytes)))
 }
 
+// Guards against submissions of many small items that fit one by one but not all together.
+func TestCrowdOfFittingSubmissions(t *testing.T) {
+	f := startCrowdFleet(t)
+	item := func(i int) string { return fmt.Sprintf(`{"id":"i%d","path":"%sx","body":""}`, i, estate.Rollouts) }
+	f.play(f.door(20, crowdRequest("POST", estate.Rollouts+"x").List(`{"items":[`, item, `]}`, crowdBodyBytes/5)))
+}
+
 // Guards against requests that are sent ahead by clients that read no answers, and take the endpoints from ordinary callers.
 func TestCrowdOfRequestsSentAhead(t *testing.T) {
 	f := startCrowdFleet(t)
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -65,11 +65,14 @@
 	memoryLimitShare = 0.7
 	// clientMemoryShare is the fraction of a host's memory that clients can make the process hold.
 	clientMemoryShare = 0.35
-	storeTimeout      = time.Second
-	storeReadTimeout  = 1500 * time.Millisecond
-	dialTimeout       = 500 * time.Millisecond
-	maxIdleConns      = 16
-	idleConnTimeout   = 10 * time.Second
+	// jobMemoryShare is the fraction of a host's memory that batch jobs may hold when a further one is submitted.
+	jobMemoryShare = 0.15
+
+	storeTimeout     = time.Second
+	storeReadTimeout = 1500 * time.Millisecond
+	dialTimeout      = 500 * time.Millisecond
+	maxIdleConns     = 16
+	idleConnTimeout  = 10 * time.Second
 	// orderAnswerTimeout bounds the wait for the answer to an order or a report, so that one whose answer is lost is
 	// repeated before it is due. Repeating is safe: the platform recognises a repeated report, and an engine reports
 	// whether it had accepted the order.
@@ -322,7 +325,7 @@
 		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayedStore, Calls: d.callExecutor, Names: platform.ItemNames(),
 		HTTP:       conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), nil, maxIdleConns, idleConnTimeout),
 		Identified: conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), platform.CallNames().Identity, maxIdleConns, idleConnTimeout), Peers: hostAPI, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
-		Settle: d.settings.Settle, ObserveEmpty: d.observeEmptyPage,
+		Settle: d.settings.Settle, ObserveEmpty: d.observeEmptyPage, MaxJobBytes: int64(float64(d.settings.MemoryMB) * jobMemoryShare * (1 << 20)),
 	}
 	d.jobExecutor.Prepare()
 	hostAPI.Executor = d.jobExecutor
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -30,8 +30,12 @@
 	Peers       Peers
 	Post        func(event.Event) bool
 	Now         func() time.Duration
-	// Decode parses the body of a submission that arrived at unixMS, in ms since the Unix epoch. Its errors have a kind.
-	Decode func(c JobCall, body []byte, unixMS int64) (wire.Job, error)
+	// Decode parses the body of a submission that arrived at unixMS, in ms since the Unix epoch. It calls hold with the text of
+	// each item before it decodes it, and returns its error. Its errors have a kind.
+	Decode func(c JobCall, body []byte, unixMS int64, hold func(item []byte) error) (wire.Job, error)
+	// MaxJobBytes bounds what the jobs in memory hold when a further one is submitted, without the texts of their items; 0 for no
+	// bound.
+	MaxJobBytes int64
 	// Settle is the time after which a position that a reader has got at any host is shown to all readers, 0 for the default.
 	Settle time.Duration
 	// ObserveEmpty is called with each empty page that a reader gets; nil for none.
--- a/internal/items/jobs.go
+++ b/internal/items/jobs.go
@@ -24,6 +24,7 @@
 	mu     sync.Mutex
 	jobs   map[string]*jobState
 	owners map[string]event.JobSeen // by job, also of jobs that are not in jobs
+	held   int64                    // bytes of jobs, without texts
 }
 
 // jobState is one job with the texts of its unlisted items and the listed results that are known here.
@@ -35,6 +36,7 @@
 	chunkStarts []int         // positions in listed at which the chunks begin
 	changed     chan struct{} // closed when listed grows
 	owned       bool          // this host runs the job
+	bytes       int64         // held by the job, without texts
 	// completeAt is a time at which the store had no chunk beyond the known ones, zero for none.
 	completeAt time.Time
 }
@@ -69,6 +71,8 @@
 		j.texts = append(j.texts, &itemText{})
 	}
 	jt.jobs[job.ID] = j
+	j.bytes = jobBytes(&j.job)
+	jt.held += j.bytes
 	return j
 }
 
@@ -81,6 +85,9 @@
 func (jt *jobTable) drop(id string) {
 	jt.mu.Lock()
 	defer jt.mu.Unlock()
+	if j := jt.jobs[id]; j != nil {
+		jt.held -= j.bytes
+	}
 	delete(jt.jobs, id)
 }
 
--- a/internal/items/submit.go
+++ b/internal/items/submit.go
@@ -74,7 +74,7 @@
 	return withoutFalseNotRun(x.SubmitLocal(ctx, c, body), mayRun)
 }
 
-// refusedMemory returns the answer to a submission that got no memory.
+// refusedMemory returns the answer to a submission that got no memory or can't be decoded.
 func refusedMemory(err error) event.JobAnswer {
 	kind := kinds.KindOf(err)
 	return event.JobAnswer{Kind: kind, RetryAfter: gate.RetryAfter(kind)}
@@ -92,9 +92,14 @@
 // SubmitLocal accepts a submission to be run by this host. The answer's kind is "" once the job is stored. It may be
 // called concurrently.
 func (x *Executor) SubmitLocal(ctx context.Context, c JobCall, body []byte) event.JobAnswer {
-	job, err := x.Decode(c, body, x.UnixMS())
+	claim := gate.From(ctx).Claim()
+	hold := func(item []byte) error { return claim.Grow(budget.Jobs, itemCost(item)) }
+	job, err := x.Decode(c, body, x.UnixMS(), hold)
 	if err != nil {
-		return event.JobAnswer{Kind: kinds.KindOf(err)}
+		return refusedMemory(err)
+	}
+	if kind := x.jobTable.admit(&job, x.MaxJobBytes); kind != "" {
+		return event.JobAnswer{Kind: kind, RetryAfter: gate.RetryAfter(kind)}
 	}
 	return x.Submit(ctx, c, job)
 }
--- a/internal/items/submit_test.go
+++ b/internal/items/submit_test.go
@@ -19,7 +19,7 @@
 )
 
 // decodeModelName is a Decode function for bodies that consist of the name of the job's model.
-func decodeModelName(c JobCall, body []byte, _ int64) (wire.Job, error) {
+func decodeModelName(c JobCall, body []byte, _ int64, _ func([]byte) error) (wire.Job, error) {
 	if string(body) == "malformed" {
 		return wire.Job{}, kinds.New(kinds.BadRequest, "malformed")
 	}
