conns, items, orders, call: a status that ends no request is no answer

Seen on other systems: a server in trouble sent an answer whose status was 000, and the client got it as an answer. But an item took such bytes for a refusal when they said Not-Run, and believed the limit in their head; an order took 000 and 999 for what its protocol makes of an unknown status, and what their head said of the engine; and the connection was used again by items and calls. Cause: only calls compared the status with the range of HTTP. Change: conns.EndsRequest, for calls, items and orders: outside of 200 to 599 a run is broken, an order's outcome unknown, nothing in the head counts, and a kept connection is closed. Evidence: TestStatusThatEndsNoRequestSaysNothingOfAnItem fails before for 000, 099, 600 and 999, TestBrokenAnswersOfEngines for two of its three new cases. The identity question, polls, the store and pages of results compare with the status that they want and were right. That calls close the connection has no test of its own.

--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
@@ -18,12 +19,12 @@
 	maxSegmentBytes = 1 << 20  // of one encoded segment, with the empty lines before it
 	headerTrue      = "true"
 	headerOne       = "1"
-	maxStatus       = 599 // greatest one in HTTP (RFC 9110, section 15)
 )
 
 // handleResponse checks the head of an endpoint's response, posts AttemptHead and forwards or reports the response.
 func (a *attempt) handleResponse(resp *http.Response) {
-	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+	if !conns.EndsRequest(resp.StatusCode) {
+		_ = a.conn.Conn.Close() // a whole answer may still come on it
 		a.fail(event.ReasonBroken)
 		return
 	}
--- a/internal/items/foreign_test.go
+++ b/internal/items/foreign_test.go
@@ -40,17 +40,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			address, connections := lateEngine(t, late)
-			var posted []event.Event
-			x := &Executor{
-				HTTP: conns.Transport(time.Second, 1, time.Second), Now: func() time.Duration { return 0 },
-				Post:  func(ev event.Event) bool { posted = append(posted, ev); return true },
-				Names: HeaderNames{HeaderNames: call.HeaderNames{Request: "Request", Stamp: "Stamp", NotRun: "Not-Run", Limit: "Limit"}},
-			}
-			j := &jobState{}
-			for i := range 3 {
-				j.job.Items = append(j.job.Items, wire.JobItem{ID: fmt.Sprintf("item-%d", i), Path: "/p"})
-				j.texts = append(j.texts, &itemText{})
-			}
+			x, posted := foreignExecutor()
+			j := foreignJob()
 			var got []string
 			for i := range j.texts {
 				_, reason := x.runRequest(context.Background(), j, event.RunItem{Item: i, Address: address}, j.texts[i], "", func() {})
@@ -60,8 +51,8 @@
 			if diff := cmp.Diff(want, got); diff != "" {
 				t.Errorf("ends of the runs (-want +got):\n%s", diff)
 			}
-			if len(posted) != 2 {
-				t.Errorf("%d answers tell of the engine, want only those that are its own: %v", len(posted), posted)
+			if len(*posted) != 2 {
+				t.Errorf("%d answers tell of the engine, want only those that are its own: %v", len(*posted), *posted)
 			}
 			if n := connections.Load(); n != 2 {
 				t.Errorf("%d connections, want another one for the item after the foreign answer", n)
@@ -143,3 +134,51 @@
 		t.Errorf("reasons by whether the connection was in use before (-want +got):\n%s", diff)
 	}
 }
+
+// An engine's bytes with a status that ends no request were read as its answer to an item: as a refusal, and for the limit that
+// their head named.
+func TestStatusThatEndsNoRequestSaysNothingOfAnItem(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			address, connections := lateEngine(t, status+" None\r\nRequest: item-1\r\nStamp: s\r\nNot-Run: 1\r\nLimit: 5\r\nContent-Length: 0\r\n\r\n")
+			x, posted := foreignExecutor()
+			j := foreignJob()
+			var got []string
+			for i := range j.texts {
+				status, reason := x.runRequest(context.Background(), j, event.RunItem{Item: i, Address: address}, j.texts[i], "", func() {})
+				got = append(got, fmt.Sprintf("%d %q after %d events", status, reason, j.texts[i].events))
+			}
+			want := []string{`200 "" after 1 events`, `0 "Broken" after 0 events`, `200 "" after 1 events`}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("ends of the runs (-want +got):\n%s", diff)
+			}
+			if len(*posted) != 2 {
+				t.Errorf("%d answers tell of the engine, want 2: %v", len(*posted), *posted)
+			}
+			if n := connections.Load(); n != 2 {
+				t.Errorf("%d connections, want another one after the bytes that were no answer", n)
+			}
+		})
+	}
+}
+
+// foreignExecutor returns an executor and what it posts.
+func foreignExecutor() (x *Executor, posted *[]event.Event) {
+	posted = &[]event.Event{}
+	return &Executor{
+		HTTP: conns.Transport(time.Second, 1, time.Second), Now: func() time.Duration { return 0 },
+		Post:  func(ev event.Event) bool { *posted = append(*posted, ev); return true },
+		Names: HeaderNames{HeaderNames: call.HeaderNames{Request: "Request", Stamp: "Stamp", NotRun: "Not-Run", Limit: "Limit"}},
+	}, posted
+}
+
+// foreignJob returns a job of three items.
+func foreignJob() *jobState {
+	j := &jobState{}
+	for i := range 3 {
+		j.job.Items = append(j.job.Items, wire.JobItem{ID: fmt.Sprintf("item-%d", i), Path: "/p"})
+		j.texts = append(j.texts, &itemText{})
+	}
+	return j
+}
--- a/internal/orders/endless_test.go
+++ b/internal/orders/endless_test.go
@@ -60,6 +60,9 @@
 		"order, endless interim":    {ok + "\r\n{}", "...HTTP/1.1 103 Hints\r\n" + more + "\r\n", kinds.OutcomeUnknown, 1},
 		"order, endless body":       {ok + "\r\n{}", "HTTP/1.1 202 Accepted\r\n\r\n..." + more, "", 1},
 		"order refused without end": {ok + "\r\n{}", "HTTP/1.1 409 Conflict\r\n\r\n..." + more, kinds.EndpointRefused, 1},
+		"state, status 000":         {"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}", "", kinds.EndpointRefused, 0},
+		"order, status 000":         {ok + "\r\n{}", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", kinds.OutcomeUnknown, 1},
+		"order, status 999":         {ok + "\r\n{}", "HTTP/1.1 999 None\r\nContent-Length: 0\r\n\r\n", kinds.OutcomeUnknown, 1},
 		"order, no HTTP":            {ok + "\r\n{}", "garbage\r\n\r\n", kinds.OutcomeUnknown, 1},
 	}
 	for name, c := range cases {
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -167,7 +167,9 @@
 		return EngineState{}, kinds.New(kinds.EndpointRefused, "%s: %v", stateCall.Target, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	readHead(response)
+	if conns.EndsRequest(response.StatusCode) {
+		readHead(response)
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize))
 	if err != nil || response.StatusCode != http.StatusOK {
 		return EngineState{}, kinds.New(kinds.EndpointRefused, "%s: status %d, %v", stateCall.Target, response.StatusCode, err)
@@ -216,7 +218,7 @@
 		return dialer.sendError(call.Target, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if seen != nil {
+	if seen != nil && conns.EndsRequest(response.StatusCode) {
 		seen(response)
 	}
 	return x.decodeAnswer(call.Target, response, reply)
@@ -224,6 +226,9 @@
 
 func (x *Executor) decodeAnswer(target string, response *http.Response, reply any) error {
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize))
+	if !conns.EndsRequest(response.StatusCode) {
+		return kinds.New(kinds.OutcomeUnknown, "%s: status %d is no answer", target, response.StatusCode)
+	}
 	if response.StatusCode/100 != 2 {
 		return kinds.New(x.protocol().Kind(response.StatusCode), "%s: status %d", target, response.StatusCode)
 	}
