gate, platform: pages of results are charged until they are read

Callers saw (the test): 500 clients that asked for a page of 0.8 MB and read nothing took 128 MB on a host of 100 MB that allows them by its descriptors. Cause: a page, and what it is encoded to, is held for as long as its client takes, and was not counted. Change: Conn.BeginAnswer charges the answer before it is written; a client that doesn't read may be ended in favour of others, as one that doesn't send may.

--- a/figbed/internal/crowd/crowd.go
+++ b/figbed/internal/crowd/crowd.go
@@ -3,12 +3,14 @@
 package crowd
 
 import (
+	"errors"
 	"io"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -30,11 +32,13 @@
 	Piece   int           // bytes of each write, 0 for those of a part
 	Pause   time.Duration // between two writes
 	Reads   bool          // the clients read what the server sends, and close when the server does
+	// ReceiveBuffer is the size of a client's receive buffer in bytes, 0 for the system's.
+	ReceiveBuffer int
 
 	stopped  chan struct{}
 	running  sync.WaitGroup
 	lastSent atomic.Int64 // time of the last sent piece, in ns since the Unix epoch
-	refused  atomic.Int64 // clients that could not connect or whose connection was closed by the server
+	refused  atomic.Int64 // clients that could not connect or could not send everything
 }
 
 // Part is a part of a payload: a text and how often it is sent.
@@ -59,7 +63,8 @@
 // Settled reports whether no client has sent anything for settleTime.
 func (c *Crowd) Settled() bool { return time.Since(time.Unix(0, c.lastSent.Load())) > settleTime }
 
-// Refused returns the number of clients that the server turned away or whose connection it closed.
+// Refused returns the number of clients that could not connect or could not send everything. Others that were refused have not
+// noticed it.
 func (c *Crowd) Refused() int { return int(c.refused.Load()) }
 
 // Stop closes the clients' connections.
@@ -69,7 +74,8 @@
 }
 
 func (c *Crowd) runClient(name string) {
-	conn, err := net.DialTimeout("tcp", c.Address, dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout, Control: c.setReceiveBuffer}
+	conn, err := dialer.Dial("tcp", c.Address)
 	if err != nil {
 		c.refused.Add(1)
 		return
@@ -94,6 +100,18 @@
 	}
 }
 
+// setReceiveBuffer sets the receive buffer of a socket before it is connected.
+func (c *Crowd) setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	if c.ReceiveBuffer == 0 {
+		return nil
+	}
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, c.ReceiveBuffer)
+	})
+	return errors.Join(err, failed)
+}
+
 // send sends the payload and reports whether the whole of it was sent.
 func (c *Crowd) send(conn net.Conn, name string) bool {
 	for i, part := range c.Payload {
--- a/figbed/internal/estate/estate.go
+++ b/figbed/internal/estate/estate.go
@@ -171,6 +171,9 @@
 // ReadinessAddress returns the address of a host's readiness listener, which the load balancer polls.
 func (p *Platform) ReadinessAddress(host int) string { return fmt.Sprintf("%s:%d", IP(host), p.Port+1) }
 
+// PeerAddress returns the address of a host's listener for the heartbeats of other hosts.
+func (p *Platform) PeerAddress(host int) string { return fmt.Sprintf("%s:%d", IP(host), p.Port+4) }
+
 // HostAPIAddress returns the address at which a host serves the other hosts.
 func (p *Platform) HostAPIAddress(host int) string { return fmt.Sprintf("%s:%d", IP(host), p.Port+5) }
 
--- a/figbed/internal/proc/cost.go
+++ b/figbed/internal/proc/cost.go
@@ -32,14 +32,23 @@
 	}
 }
 
-// OpenFDs returns the number of descriptors that the process has open.
-func (p *Process) OpenFDs() int {
-	p.t.Helper()
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+// Held is what a process holds.
+type Held struct {
+	PeakBytes uint64 // peak resident memory
+	FDs       int    // open descriptors
+}
+
+// Held returns what the process holds, false when it has ended.
+func (p *Process) Held() (held Held, ok bool) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
 	if err != nil {
-		p.t.Fatalf("%s: %v", p.Name, err)
+		return held, false
+	}
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+	if err != nil {
+		return held, false
 	}
-	return len(entries)
+	return Held{PeakBytes: procValue(string(status), "VmHWM:") << 10, FDs: len(fds)}, true
 }
 
 func (p *Process) readProcFile(name string) string {
--- a/figbed/proofs/crowd_test.go
+++ b/figbed/proofs/crowd_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,6 +31,12 @@
 }
 
 func startCrowdFleet(t *testing.T) *crowdFleet {
+	t.Helper()
+	return startCrowdFleetWith(t, crowdMaxFDs)
+}
+
+// startCrowdFleetWith is startCrowdFleet with another number of descriptors.
+func startCrowdFleetWith(t *testing.T, maxFDs int) *crowdFleet {
 	t.Helper()
 	large := strings.Repeat("l", 8<<20)
 	answerLarge := func(r *http.Request) (answer string, broken bool) {
@@ -40,17 +47,26 @@
 	}
 	plain1, plain2 := newPlainServer("p1", "zone-1"), newPlainServer("p2", "zone-2")
 	plain1.Break, plain2.Break = answerLarge, answerLarge
+	engine1, engine2 := newEngine("e1", "zone-1", 5, time.Millisecond), newEngine("e2", "zone-2", 5, time.Millisecond)
+	engine1.EventsOf, engine2.EventsOf = crowdEvents, crowdEvents
 	platform := &estate.Platform{
-		MemoryMB: crowdMemoryMB, MaxFDs: crowdMaxFDs,
+		MemoryMB: crowdMemoryMB, MaxFDs: maxFDs,
 		Limits: map[string]any{"max_header_bytes": crowdHeaderBytes, "max_body_bytes": crowdBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		Servers: []*estate.Server{
-			plain1, plain2,
-			newEngine("e1", "zone-1", 5, 5*time.Millisecond), newEngine("e2", "zone-2", 5, 5*time.Millisecond),
+			plain1, plain2, engine1, engine2,
 		},
 	}
 	return &crowdFleet{platformFleet: startFleetOn(t, 2, platform), peakFDs: make([]int, 2)}
 }
 
+// crowdEvents returns the number of events of an item's stream.
+func crowdEvents(id string) int {
+	if strings.HasPrefix(id, "long") {
+		return 400
+	}
+	return 5
+}
+
 // play lets crowds load host-1, all at once, and checks that the hosts live, stay within their limits and answer ordinary calls,
 // while the crowds are there and afterwards.
 func (f *crowdFleet) play(crowds ...*crowd.Crowd) {
@@ -69,18 +85,22 @@
 	})
 	f.awaitAnswers("beside the crowd")
 	for _, c := range crowds {
-		f.t.Logf("%d of %d clients were turned away", c.Refused(), c.Clients)
+		f.t.Logf("%d of %d clients could not send everything", c.Refused(), c.Clients)
 		c.Stop()
 	}
 	f.awaitAnswers("after the crowd")
 	f.checkLimits()
 }
 
+// fds returns the number of descriptors that the host of an index has open.
+func (f *crowdFleet) fds(i int) int {
+	held, _ := f.hosts[i].Held() // none when it has ended
+	return held.FDs
+}
+
 func (f *crowdFleet) countFDs() {
-	for i, h := range f.hosts {
-		if !h.Exited() {
-			f.peakFDs[i] = max(f.peakFDs[i], h.OpenFDs())
-		}
+	for i := range f.hosts {
+		f.peakFDs[i] = max(f.peakFDs[i], f.fds(i))
 	}
 }
 
@@ -118,8 +138,8 @@
 		if peak > crowdMemoryMB {
 			f.t.Errorf("host-%d used %d MB of memory and has %d MB", i+1, peak, crowdMemoryMB)
 		}
-		if f.peakFDs[i] > crowdMaxFDs {
-			f.t.Errorf("host-%d had %d open descriptors and may have %d", i+1, f.peakFDs[i], crowdMaxFDs)
+		if f.peakFDs[i] > f.MaxFDs {
+			f.t.Errorf("host-%d had %d open descriptors and may have %d", i+1, f.peakFDs[i], f.MaxFDs)
 		}
 	}
 }
@@ -267,6 +287,49 @@
 	f.play(f.door(100, crowdRequest("GET", estate.Lookup+"large").SentAhead(1)))
 }
 
+// Guards against pages of results, and bodies of items, that are held for clients which read slowly or not at all.
+func TestCrowdOfUnreadPages(t *testing.T) {
+	f := startCrowdFleetWith(t, 1200)
+	var items []string
+	for i := range 2 {
+		items = append(items, fmt.Sprintf(`{"id":"long-%d-%s","path":"%sx","headers":{"Figshift-Model":"%s"},"body":"Yg=="}`, i, strings.Repeat("x", 1000), estate.Rollouts, estate.Model))
+	}
+	if status, text := f.call(1, http.MethodPost, estate.Rollouts+"pages", "pages", estate.Key, []byte(`{"items":[`+strings.Join(items, ",")+`]}`)); status != http.StatusAccepted {
+		t.Fatalf("submission: status %d (%s)", status, text)
+	}
+	proc.WaitUntil(t, crowdSettleTime, "the items are listed", func() bool {
+		page, _ := f.listResults(1, "pages", 0)
+		return len(page.Results) == len(items)
+	})
+	c := f.door(500, crowdRequest("GET", "/api/lots/pages?after=0").SentAhead(1))
+	c.ReceiveBuffer = 4 << 10
+	f.play(c)
+}
+
+// Guards against connections to the listener for heartbeats that take a host's descriptors.
+func TestCrowdAtPeers(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.play(&crowd.Crowd{Address: f.PeerAddress(1), Clients: 400}, &crowd.Crowd{Address: f.PeerAddress(1), Clients: 100, Payload: []crowd.Part{{Text: "\x80\x00\x0f\xff", Times: 1}}})
+}
+
+// Guards against a crowd that keeps a host from ending when it is told to stop.
+func TestCrowdAtAStop(t *testing.T) {
+	f := startCrowdFleet(t)
+	request := crowdRequest("POST", estate.Lookup+"x")
+	slow := f.door(20, request.Body(1000))
+	slow.Piece, slow.Pause = 10, 100*time.Millisecond
+	crowds := []*crowd.Crowd{f.door(20, nil), f.door(20, request.ShortFields(10<<10, false)), f.door(20, request.Body(crowdBodyBytes)), f.door(20, request.SentAhead(1<<20)), slow}
+	for _, c := range crowds {
+		c.Start()
+		defer c.Stop()
+	}
+	proc.WaitUntil(t, crowdSettleTime, "the crowd has connected", func() bool { return f.fds(0) > 80 })
+	f.hosts[0].Signal(syscall.SIGTERM)
+	if code := f.hosts[0].ExitCode(crowdSettleTime); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
 // Guards against connections that take the descriptors which a host needs for its own calls.
 func TestCrowdOfConnections(t *testing.T) {
 	f := startCrowdFleet(t)
--- a/internal/gate/conn.go
+++ b/internal/gate/conn.go
@@ -39,6 +39,7 @@
 	waitsIdle        // the first byte of the next request
 	waitsHead
 	waitsBody
+	waitsReader // an answer is being read by the client
 )
 
 // Stages of reading.
@@ -230,6 +231,18 @@
 	c.await(waitsNot)
 }
 
+// BeginAnswer holds the bytes of an answer until the client has read it. Its error is that of Claim.Grow; nothing is held then.
+func (c *Conn) BeginAnswer(bytes int64) error {
+	if c == nil {
+		return nil
+	}
+	if err := c.claim.Grow(budget.Answers, bytes); err != nil {
+		return err
+	}
+	c.await(waitsReader)
+	return nil
+}
+
 // beginIdle is called when a request has been answered.
 func (c *Conn) beginIdle() {
 	if c == nil {
@@ -393,7 +406,7 @@
 	}
 	past := time.Unix(1, 0)
 	_ = c.TCPConn.SetReadDeadline(past) // fails on a closed connection only
-	if reason == ReasonUnread {
+	if waits, _, _ := c.waitState(); reason == ReasonUnread || waits == waitsReader {
 		_ = c.TCPConn.SetWriteDeadline(past)
 	}
 }
