peer: handshakes that run are bounded in number

Callers saw: 500 connections to the listener for heartbeats had 526 descriptors open at a host that may have 300. Cause: a connection that proves nothing stays for the 2 s of a handshake, and their number had no bound. Change: 32 at a time; the oldest is closed for a new one, so that a crowd doesn't keep hosts out, whose handshakes take milliseconds.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 // idleTimeout is the time without a received frame after which an inbound connection is closed.
 const idleTimeout = 15 * time.Second
 
+// maxHandshakes bounds the inbound connections that have not proved that they are hosts.
+const maxHandshakes = 32
+
 // Mesh sends on one outgoing connection to each peer and receives on the connections that peers open.
 // Its exported fields are set before Prepare.
 type Mesh struct {
@@ -39,6 +43,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	inboundConns map[string]int // number of open inbound connections by host and incarnation
+	handshakes   []net.Conn     // inbound connections whose handshake runs, in the order of their arrival
 	frames       frameCache
 }
 
@@ -118,6 +123,7 @@
 		}
 		if err == nil {
 			pause = 0
+			m.handshakeBegun(conn)
 			go m.serve(ctx, conn)
 			continue
 		}
@@ -137,6 +143,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	hello, err := m.handshake().accept(conn)
+	m.handshakeEnded(conn)
 	if err != nil {
 		m.count("PeersRefused", "Reason", "Handshake")
 		m.logDebug("PeerRefused", conn.RemoteAddr().String(), err)
@@ -149,6 +156,23 @@
 	m.logDebug("PeerEnded", hello.Host, err)
 }
 
+// handshakeBegun records a connection whose handshake begins. With maxHandshakes others, it closes the oldest of them.
+func (m *Mesh) handshakeBegun(conn net.Conn) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if len(m.handshakes) == maxHandshakes {
+		_ = m.handshakes[0].Close() // its handshake fails and is counted
+		m.handshakes = m.handshakes[1:]
+	}
+	m.handshakes = append(m.handshakes, conn)
+}
+
+func (m *Mesh) handshakeEnded(conn net.Conn) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.handshakes = slices.DeleteFunc(m.handshakes, func(c net.Conn) bool { return c == conn })
+}
+
 func (m *Mesh) receive(conn net.Conn, peer event.PeerUp) error {
 	r := bufio.NewReader(&countingReader{conn: conn, mesh: m})
 	for {
