gate: unread bytes of a connection are bounded and charged

Change: listeners ask for a receive buffer of 64 KB, which each connection is charged for, besides its own 20 KB; claims of up to 128 KB, before 64 KB, are served from the reserve, so that a small request on its connection still is. Not shown by a test: the resident memory of a process doesn't include these bytes.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -12,7 +12,7 @@
 const (
 	// smallBytes is what a claim may hold to be served from the part of the budget that is reserved for small claims, which is
 	// 1/reservedPart of it.
-	smallBytes   = 64 << 10
+	smallBytes   = 128 << 10
 	reservedPart = 8
 	// roomTimeout bounds the wait for the memory of claims that were ended to make room.
 	roomTimeout = 2 * time.Second
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -19,8 +19,10 @@
 const sweepInterval = time.Second
 
 const (
-	// connBytes is what an open connection holds: its goroutine and buffers.
-	connBytes = 20 << 10
+	// receiveBuffer bounds what the system holds of a connection that has not been read, in bytes.
+	receiveBuffer = 64 << 10
+	// connBytes is what an open connection holds: its goroutine and buffers, and what has not been read.
+	connBytes = 20<<10 + receiveBuffer
 	// closeWait bounds the wait for a connection that was closed to make room for another.
 	closeWait = 100 * time.Millisecond
 )
--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -40,11 +40,11 @@
 }
 
 func newStopListener(address string, admits *gate.Gate) (*stopListener, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := gate.Listen(address)
 	if err != nil {
 		return nil, err
 	}
-	l := &stopListener{TCPListener: listener.(*net.TCPListener), gate: admits, rest: notCounted, waiting: map[*acceptedConn]int{}}
+	l := &stopListener{TCPListener: listener, gate: admits, rest: notCounted, waiting: map[*acceptedConn]int{}}
 	l.open.Add(1)
 	return l, nil
 }
