admin, train, figd: all listeners and bodies of a daemon draw on its budget

The daemon that isn't run by the platform had the same faults as its callers' listener had: the operators' listener took any number of connections, and trainers' calls were read before they were counted. Now both go through the gate and its budget of 64 MB. By the same mechanism as the listeners that the crowds' tests load; no test of its own.

--- a/figd/clients.go
+++ b/figd/clients.go
@@ -17,8 +17,11 @@
 	metricsConns   = 1.0 / 32
 )
 
-// clientMemory is the memory that clients can make a daemon hold that isn't told its host's memory, in bytes.
-const clientMemory = 64 << 20
+// Bounds of a daemon that isn't told the memory and descriptors of its host.
+const (
+	clientMemory  = 64 << 20 // that clients can make it hold, in bytes
+	operatorConns = 64
+)
 
 // newClientMemory returns the memory that clients may make the process hold.
 func (d *daemon) newClientMemory(limit int64) *budget.Budget {
@@ -37,10 +40,10 @@
 	return "false"
 }
 
-// newGate returns the gate of a listener, whose connections may take a fraction of the process's descriptors.
-func (d *platformDaemon) newGate(listener string, share float64) *gate.Gate {
+// newGate returns the gate of a listener, with a bound for its connections.
+func (d *daemon) newGate(listener string, maxConns int) *gate.Gate {
 	return &gate.Gate{
-		Budget: d.clientMemory, MaxConns: max(1, int(float64(d.maxFDs())*share)),
+		Budget: d.clientMemory, MaxConns: maxConns,
 		TurnedAway: func(reason string, count int) {
 			d.metrics().Tagged(map[string]string{"Listener": listener, "Reason": reason}).Counter("ClientsTurnedAway").Inc(int64(count))
 			d.log.Warn("ClientsTurnedAway", zap.String("Listener", listener), zap.String("Reason", reason), zap.Int("Count", count))
@@ -48,6 +51,9 @@
 	}
 }
 
+// connsOf returns the number of connections that make up a fraction of the process's descriptors.
+func (d *platformDaemon) connsOf(share float64) int { return max(1, int(float64(d.maxFDs())*share)) }
+
 // maxFDs returns the number of descriptors that the process may open.
 func (d *platformDaemon) maxFDs() int {
 	if d.settings.MaxFDs > 0 {
--- a/figd/daemon.go
+++ b/figd/daemon.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/figshift/figshift/internal/budget"
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/event"
@@ -28,6 +29,8 @@
 	group   run.Group
 	ready   *readiness // readiness, as queried by the listeners
 	closers []io.Closer
+	// clientMemory is the memory that clients of all listeners may make the process hold.
+	clientMemory *budget.Budget
 
 	// Set by addCluster, read by the other areas.
 	trust   event.Trust
--- a/figd/main.go
+++ b/figd/main.go
@@ -120,6 +120,7 @@
 	d := &daemon{process: process, identity: id, state: &reduce.State{}, handlers: map[string]httpHandler{}}
 	d.loop = &loop.Loop{State: d.state, TickEvery: tickInterval, IdleEvery: idleTickInterval, QueueSize: eventQueueSize}
 	d.loop.Prepare()
+	d.clientMemory = d.newClientMemory(clientMemory)
 	if err := d.addOperations(stderr); err != nil {
 		return nil, err
 	}
--- a/figd/operations.go
+++ b/figd/operations.go
@@ -49,6 +49,7 @@
 		Ready:      d.ready.Ready,
 		Status:     collector.Status,
 		Metrics:    metrics,
+		Gate:       d.newGate("Operators", operatorConns),
 		OnRefused: func(kind kinds.Kind) {
 			scope.Tagged(map[string]string{"Kind": string(kind)}).Counter("OperatorRefused").Inc(1)
 		},
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -19,7 +19,6 @@
 	"go.uber.org/zap"
 
 	"github.com/figshift/figshift/internal/batch"
-	"github.com/figshift/figshift/internal/budget"
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/config"
 	"github.com/figshift/figshift/internal/conns"
@@ -103,7 +102,6 @@
 	jobExecutor    *items.Executor
 	limits         *limit.Component
 	links          *reach.Component
-	clientMemory   *budget.Budget
 	flowComponent  *flow.Component
 	batchComponent *batch.Component
 }
@@ -210,7 +208,7 @@
 	d.addActor(exit.run)
 	d.addActor(d.watchSignals)
 	d.addActor((&settingsReloader{file: d.file, settings: d.settings, logs: d.logs, log: d.log}).run)
-	d.addActor(d.listen(net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.MetricsPort)), metrics, d.newGate("Metrics", metricsConns)))
+	d.addActor(d.listen(net.JoinHostPort(d.settings.Bind, strconv.Itoa(d.settings.MetricsPort)), metrics, d.newGate("Metrics", d.connsOf(metricsConns))))
 	d.addComponent(&drain.Component{Grace: d.settings.Grace, MaxWait: d.settings.Grace - stopMargin})
 	gaugeBuild(scope, d.build)
 	d.log.Info("Started", zap.String("Build", d.build))
@@ -336,20 +334,20 @@
 	hostAPIMux.HandleFunc(items.PathCopies, hostAPI.ServeCopies)
 	hostAPIMux.HandleFunc(items.PathSubmit, hostAPI.ServeSubmit)
 	hostAPIMux.Handle(relay.Path, &relay.Server{Direct: d.store, Secret: hex.EncodeToString(d.secret)})
-	d.addActor(d.listen(d.bindAddress(hostAPIPort), hostAPIMux, d.newGate("Hosts", hostConns)))
+	d.addActor(d.listen(d.bindAddress(hostAPIPort), hostAPIMux, d.newGate("Hosts", d.connsOf(hostConns))))
 	jobAPI := &platform.JobAPI{Jobs: d.jobExecutor}
 	server := &serve.Server{
 		Address: d.settings.Listen, Executor: d.callExecutor, Post: d.loop.Post, Now: d.loop.Now,
 		Handlers: map[string]http.Handler{platform.PathJobs: jobAPI, platform.PathItems: jobAPI},
 		Protocol: platform.CallerProtocol{JobAPI: jobAPI},
-		Gate:     d.newGate("Callers", callerConns),
+		Gate:     d.newGate("Callers", d.connsOf(callerConns)),
 	}
 	server.Prepare()
 	jobAPI.MaxBytes, hostAPI.MaxBytes = server.MaxBodyBytes, server.MaxBodyBytes
 	hostAPIMux.HandleFunc(wire.PathPass, server.ServePassed)
 	d.addExecutor(server)
 	d.addActor(server.Run)
-	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz), d.newGate("Readiness", readinessConns)))
+	d.addActor(d.listen(d.settings.Ready, http.HandlerFunc(server.Readyz), d.newGate("Readiness", d.connsOf(readinessConns))))
 }
 
 // addDuties adds the work that one host does for all: weight versions, endpoint scaling, usage reports and the
--- a/figd/requests.go
+++ b/figd/requests.go
@@ -6,7 +6,6 @@
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/crash"
 	"github.com/figshift/figshift/internal/flow"
-	"github.com/figshift/figshift/internal/gate"
 	"github.com/figshift/figshift/internal/limit"
 	"github.com/figshift/figshift/internal/serve"
 )
@@ -40,7 +39,7 @@
 		Post:     d.loop.Post,
 		Now:      d.loop.Now,
 		Handlers: d.handlers,
-		Gate:     &gate.Gate{Budget: d.newClientMemory(clientMemory)},
+		Gate:     d.newGate("Callers", 0),
 	}
 	server.Prepare()
 	d.addExecutor(server)
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figshift/figshift/internal/gate"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -27,7 +27,6 @@
 
 const (
 	statusTimeout      = 2 * time.Second
-	headerTimeout      = 5 * time.Second
 	writeTimeout       = 10 * time.Second
 	maxHeaderBytes     = 16 << 10
 	minCredentialBytes = 16
@@ -41,6 +40,7 @@
 	Status     func(ctx context.Context) (wire.Status, error)
 	Metrics    http.Handler
 	OnRefused  func(kind kinds.Kind) // called with the kind of each refused or failed request; may be nil
+	Gate       *gate.Gate            // bounds the clients; nil for no bound but the limits of requests
 }
 
 // ReadCredential returns the operators' credential, which is the first line of a file without surrounding white space.
@@ -72,19 +72,23 @@
 
 // Run serves until ctx ends. It fails if it can't listen on Address.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.Address)
+	admits := s.Gate
+	if admits == nil {
+		admits = &gate.Gate{}
+	}
+	admits.SetLimits(gate.Limits{HeadBytes: maxHeaderBytes})
+	listener, err := admits.Listen(s.Address)
 	if err != nil {
 		return errors.Wrap(err, "operators' listener")
 	}
-	server := &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		WriteTimeout:      writeTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	server := &http.Server{Handler: s.Handler(), WriteTimeout: writeTimeout}
+	go admits.Run(ctx)
+	stop := context.AfterFunc(ctx, func() {
+		admits.Stop()
+		_ = server.Close()
+	})
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := admits.Serve(server, listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "operators' listener")
 	}
 	return nil
--- a/internal/train/handler.go
+++ b/internal/train/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/figshift/figshift/internal/block"
+	"github.com/figshift/figshift/internal/gate"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
@@ -123,7 +123,7 @@
 // forward reads the request's body into target, which points into c.body, and forwards the call to the holder and its
 // answer to the trainer.
 func (c *rolloutCall) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, name string, target any) error {
-	if err := readBody(r, target); err != nil {
+	if err := readBody(w, r, target); err != nil {
 		return err
 	}
 	answer, err := c.call(ctx, name)
@@ -135,10 +135,10 @@
 	return nil
 }
 
-func readBody(r *http.Request, v any) error {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+func readBody(w http.ResponseWriter, r *http.Request, v any) error {
+	data, err := gate.ReadBody(w, r, maxBody)
 	if err != nil {
-		return kinds.New(kinds.BadRequest, "read the body: %v", err)
+		return err
 	}
 	if err := json.Unmarshal(data, v); err != nil {
 		return kinds.New(kinds.BadRequest, "decode the body: %v", err)
--- a/internal/train/lots.go
+++ b/internal/train/lots.go
@@ -54,7 +54,7 @@
 // serveLot hands over a lot. It gets the holder's grant, reads the blocks, and writes the response only if the grant is
 // still valid then.
 func (c *rolloutCall) serveLot(ctx context.Context, w http.ResponseWriter, r *http.Request) error {
-	if err := readBody(r, &c.body.Lot); err != nil {
+	if err := readBody(w, r, &c.body.Lot); err != nil {
 		return err
 	}
 	requestedAt := c.handler.Calls.Now()
