items: a job that no object of the store can hold is refused at once

By reading: a job whose stored form is over value_bytes was sent to the store again and again for 3 s, and its outcome was unknown.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -323,7 +323,7 @@
 		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayedStore, Calls: d.callExecutor, Names: platform.ItemNames(),
 		HTTP:       conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), nil, maxIdleConns, idleConnTimeout),
 		Identified: conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), platform.CallNames().Identity, maxIdleConns, idleConnTimeout), Peers: hostAPI, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
-		Settle: d.settings.Settle, ObserveEmpty: d.observeEmptyPage, MaxJobBytes: int64(float64(d.settings.MemoryMB) * jobMemoryShare * (1 << 20)),
+		Settle: d.settings.Settle, ObserveEmpty: d.observeEmptyPage, MaxStoredBytes: int64(d.settings.ValueBytes), MaxJobBytes: int64(float64(d.settings.MemoryMB) * jobMemoryShare * (1 << 20)),
 	}
 	d.jobExecutor.Prepare()
 	hostAPI.Executor = d.jobExecutor
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -33,6 +33,8 @@
 	// Decode parses the body of a submission that arrived at unixMS, in ms since the Unix epoch. It calls hold with the text of
 	// each item before it decodes it, and returns its error. Its errors have a kind.
 	Decode func(c JobCall, body []byte, unixMS int64, hold func(item []byte) error) (wire.Job, error)
+	// MaxStoredBytes is the greatest size of a stored object, 0 when it isn't known.
+	MaxStoredBytes int64
 	// MaxJobBytes bounds what the jobs in memory hold when a further one is submitted, without the texts of their items; 0 for no
 	// bound.
 	MaxJobBytes int64
--- a/internal/items/memory.go
+++ b/internal/items/memory.go
@@ -23,18 +23,30 @@
 
 // jobBytes returns what a job holds for as long as it is in the table, in bytes.
 func jobBytes(job *wire.Job) int64 {
-	total := int64(0)
+	total := textBytes(job) + itemBytes*int64(len(job.Items))
+	for i := range job.Items {
+		total += int64(2 * quoteBytes * len(job.Items[i].Headers))
+	}
+	return total
+}
+
+// storedBytes returns the least size of the object that stores a job, in bytes: its texts in base64.
+func storedBytes(job *wire.Job) int64 { return textBytes(job) * 4 / 3 }
+
+// textBytes returns the length of all texts of a job's items.
+func textBytes(job *wire.Job) int64 {
+	total := 0
 	for i := range job.Items {
 		item := &job.Items[i]
-		total += itemBytes + int64(len(item.ID)+len(item.Path)+len(item.Group)+len(item.Body))
+		total += len(item.ID) + len(item.Path) + len(item.Group) + len(item.Body)
 		for name, value := range item.Headers {
-			total += int64(2*quoteBytes + len(name) + len(value))
+			total += len(name) + len(value)
 		}
 		if r := item.Reward; r != nil {
-			total += int64(len(r.ID) + len(r.Host) + len(r.Path) + len(r.Body))
+			total += len(r.ID) + len(r.Host) + len(r.Path) + len(r.Body)
 		}
 	}
-	return total
+	return int64(total)
 }
 
 // admit returns why a submitted job is refused for what the jobs hold, "" when it is not. The limit is in bytes, 0 for none. A job
