soak: crowds of clients that don't behave

HostCrowd: 250 clients load a host beside the callers and trainers, in eight ways, none of which ever is a whole request. The new rule MEMORY requires that no process uses more memory or descriptors than its host has; EXIT and RECOVER say the rest. Crowds are drawn apart, so that the faults of a seed stay as they were.

--- a/figbed/internal/soak/draw.go
+++ b/figbed/internal/soak/draw.go
@@ -23,6 +23,7 @@
 	HostSlow     FaultKind = "HostSlow"     // the host's connections with the other hosts and the platform are delayed
 	HostReset    FaultKind = "HostReset"    // the host's connections with the other hosts and the platform are reset repeatedly
 	HostNoStore  FaultKind = "HostNoStore"  // the platform does not respond to the host
+	HostCrowd    FaultKind = "HostCrowd"    // clients that don't behave load the host; Amount chooses one of crowdKinds
 	HostNoLinks  FaultKind = "HostNoLinks"  // the host reaches no server; Amount chooses one of linkFaults
 	ClockJump    FaultKind = "ClockJump"    // the host's wall clock is wrong
 	StoreRefuse  FaultKind = "StoreRefuse"  // the platform's object store answers every call with status 503
--- a/figbed/internal/soak/inject.go
+++ b/figbed/internal/soak/inject.go
@@ -38,6 +38,8 @@
 		p.Signal(syscall.SIGSTOP)
 		time.Sleep(f.Duration)
 		p.Signal(syscall.SIGCONT)
+	case HostCrowd:
+		r.sendCrowd(f)
 	case HostReset:
 		resetRepeatedly(f.Duration, b.hostProxies[f.Target]...)
 	case ClockJump:
--- a/figbed/internal/soak/soak.go
+++ b/figbed/internal/soak/soak.go
@@ -66,7 +66,7 @@
 	r.mu.Unlock()
 	faults := s.Faults
 	if faults == nil {
-		faults = DrawFaults(s.Seed, s.Hosts, plainServerCount+engineCount, s.Span)
+		faults = merge(DrawFaults(s.Seed, s.Hosts, plainServerCount+engineCount, s.Span), DrawCrowds(s.Seed, s.Hosts, s.Span))
 		if s.OldPrograms != "" {
 			faults = merge(faults, DrawUpgrade(s.Seed, s.Hosts, s.Span))
 		}
@@ -150,7 +150,11 @@
 	}
 }
 
-func (r *runner) check() { r.report(append(CheckHistory(r.snapshot()), r.testbed.restartExited()...)) }
+func (r *runner) check() {
+	r.report(CheckHistory(r.snapshot()))
+	r.report(r.testbed.overLimits())
+	r.report(r.testbed.restartExited())
+}
 
 // snapshot returns the history up to now. It leaves out responses that callers got after it started to collect the servers'
 // runs, since the runs behind such responses may be missing from it.
--- a/figbed/internal/soak/testbed.go
+++ b/figbed/internal/soak/testbed.go
@@ -80,7 +80,7 @@
 		oldPrograms: oldPrograms, builds: map[int]int{}, processes: map[int]*proc.Process{}, stopped: map[int]bool{},
 	}
 	b.platform = &estate.Platform{
-		Port: port, BindIP: bindIP,
+		Port: port, BindIP: bindIP, MemoryMB: hostMemoryMB, MaxFDs: hostMaxFDs,
 		PlatformAddressFor: func(host int) string { return fmt.Sprintf("%s:%d", estate.IP(host), port+platformPortOffset) },
 	}
 	for n := range plainServerCount {
