gate: a refusal of a head is written once

Seen by TestLimitsInCalm while it was written: a head that came too slowly got three answers 408, one for each further read of the server, which passes over the first error in a field. Bytes that nobody asked for follow the first answer. Change: the refusal is written once for a connection.

--- a/internal/gate/conn.go
+++ b/internal/gate/conn.go
@@ -67,6 +67,7 @@
 	head    headScan
 	left    int64 // bytes of the body that have not been given to the server
 	charged int64 // for the head
+	refused bool  // the refusal was written
 
 	writing atomic.Int64 // 1 + the sweep at which the write that runs began, 0 for none
 	aheadN  atomic.Int64 // length of ahead
@@ -190,7 +191,9 @@
 // connection. An answer that can't be written is left out.
 func (c *Conn) refuse(reason string) error {
 	c.markEnded(reason)
-	if status, ok := refusals[reason]; ok && c.head.bytes > 0 {
+	if status, ok := refusals[reason]; ok && c.head.bytes > 0 && !c.refused {
+		c.refused = true // the server may read once more
+
 		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(lingerTime))
 		retry := ""
 		if status == http.StatusServiceUnavailable {
