flow: the size of a call's body says nothing of how long it runs

Cause: the expected run of a request grows with its cost, in which each four bytes of a body count as a token; a call that costs 5,000 times as much as the mean of some 5 ms was expected to last 25 s. Change: calls are expected to last the mean of their pool; generations as before, whose tokens are work. Weighed: no extrapolation beyond the greatest cost measured, which refuses the second large call.

--- a/internal/admit/throughput.go
+++ b/internal/admit/throughput.go
@@ -29,6 +29,14 @@
 	return p.meanTokens > 0 && p.meanSeconds > 0 && now-p.lastAt <= measurementLifetime
 }
 
+// MeanRun returns the mean duration of an attempt, 0 while the throughput is unknown.
+func (p *Throughput) MeanRun(now time.Duration) time.Duration {
+	if !p.known(now) {
+		return 0
+	}
+	return fromSeconds(p.meanSeconds)
+}
+
 // EstimateRun estimates how long an attempt of the given cost takes, 0 while the throughput is unknown.
 func (p *Throughput) EstimateRun(now time.Duration, tokens int) time.Duration {
 	if !p.known(now) {
--- a/internal/flow/estimate.go
+++ b/internal/flow/estimate.go
@@ -36,7 +36,10 @@
 
 // missesDeadline reports whether a request that starts after the given wait is expected to miss its deadline.
 func (p *Component) missesDeadline(now time.Duration, r *request, wait time.Duration) bool {
-	run := p.throughput(r).EstimateRun(now, r.item.Cost)
+	run := p.throughput(r).MeanRun(now) // what the size of a call's body says of its run isn't known
+	if r.generation {
+		run = p.throughput(r).EstimateRun(now, r.item.Cost)
+	}
 	return now+scaleDuration(wait, waitMargin)+scaleDuration(run, runMargin) > r.deadline
 }
 
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -121,6 +121,21 @@
 	wantAnswers(t, send(13, "Ledger", time.Second))
 }
 
+// A call with a large body was refused after calls with small ones, since its run was expected to last longer by as much.
+func TestLargeCallIsNotTooLate(t *testing.T) {
+	g := newRig()
+	small := arrival(1, "Ledger", "/lookup")
+	small.Tokens = 50
+	first := g.startRunning(t, small)
+	g.now += 5 * time.Millisecond
+	g.step(attemptDone(first, kinds.Ran, ""))
+	large := arrival(2, "Ledger", "/lookup")
+	large.Tokens, large.Deadline = 250_000, g.now+time.Second
+	effects := g.step(large)
+	wantAnswers(t, effects)
+	requireStarted(t, effects)
+}
+
 func TestDeadlineInQueue(t *testing.T) {
 	g := newRig()
 	for i := range uint64(2) {
