figbed/proofs: single requests at the limits are served in calm

TestLimitsInCalm: on two hosts of 100 MB, a head of max_header_bytes in short fields, at once and slowly; a body of max_body_bytes, in one piece and in small ones, slowly; both together; a submission of 1 MB.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 MEASURES ?= 6
 MEASURING := ^(TestPolicy.*|TestStragglers.*|TestIdleThrough.*|TestOverload.*|TestLotSizes)$$
 # Tests that measure the memory of a whole process run one at a time.
-CROWDS := ^TestCrowd
+CROWDS := ^(TestCrowd|TestLimitsInCalm)
 KNOWN_RED := $(shell sed -n 's/^Test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 SKIPRED := $(if $(KNOWN_RED),^($(KNOWN_RED))$$|)
--- a/figbed/internal/crowd/crowd.go
+++ b/figbed/internal/crowd/crowd.go
@@ -18,6 +18,8 @@
 	dialTimeout = 5 * time.Second
 	// settleTime is the time without a sent byte after which a crowd counts as settled.
 	settleTime = time.Second
+	// answerBytes is what Ask returns of an answer.
+	answerBytes = 1 << 10
 )
 
 // ClientMark stands in the first part of a payload for the number of the client.
@@ -73,6 +75,24 @@
 	c.running.Wait()
 }
 
+// Ask lets a single client of the given name send the payload and returns the beginning of the answer, or an error, within a time.
+func (c *Crowd) Ask(name string, within time.Duration) string {
+	c.stopped = make(chan struct{})
+	conn, err := net.DialTimeout("tcp", c.Address, dialTimeout)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(within)) // a connection without one is ended by the test's own timeout
+	c.send(conn, name)
+	answer := make([]byte, answerBytes)
+	n, err := io.ReadAtLeast(conn, answer, len("HTTP/1.1 200"))
+	if err != nil {
+		return string(answer[:n]) + err.Error()
+	}
+	return string(answer[:n])
+}
+
 func (c *Crowd) runClient(name string) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: c.setReceiveBuffer}
 	conn, err := dialer.Dial("tcp", c.Address)
--- a/figbed/proofs/crowd_test.go
+++ b/figbed/proofs/crowd_test.go
@@ -338,3 +338,48 @@
 	slow.Piece, slow.Pause = 50, 200*time.Millisecond
 	f.play(idle, slow)
 }
+
+// Guards against limits that refuse a single request which keeps to those of the configuration.
+func TestLimitsInCalm(t *testing.T) {
+	f := startCrowdFleet(t)
+	lookup := crowdRequest("POST", estate.Lookup+"x")
+	length := func(n int) crowd.Request {
+		r := lookup
+		r.Fields += fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n", n)
+		return r
+	}
+	close := lookup
+	close.Fields += "Connection: close\r\n"
+	slowly := func(n int) []crowd.Part { return []crowd.Part{{Text: "b", Times: n}} }
+	body := func(n int) crowd.Part { return crowd.Part{Text: strings.Repeat("b", n), Times: 1} }
+	job := func(i int) string {
+		return fmt.Sprintf(`{"id":"i%d","path":"%sx","headers":{"Figshift-Model":"%s"},"body":"%s","tokens":10,"group":"g"}`, i, estate.Rollouts, estate.Model, strings.Repeat("YmJi", 150))
+	}
+	submission := crowdRequest("POST", estate.Rollouts+"x")
+	submission.Fields += "Connection: close\r\n"
+	cases := map[string]struct {
+		payload []crowd.Part
+		piece   int
+		pause   time.Duration
+		want    string
+	}{
+		"HeadOfShortFields":  {close.ShortFields(crowdHeaderBytes, true), 0, 0, "200"},
+		"SlowHead":           {close.ShortFields(crowdHeaderBytes, true), crowdHeaderBytes / 25, 100 * time.Millisecond, "200"},
+		"GreatestBody":       {append(length(crowdBodyBytes).ShortFields(300, true), body(crowdBodyBytes)), 0, 0, "200"},
+		"SlowBody":           {append(length(12).ShortFields(300, true), slowly(12)...), 0, 500 * time.Millisecond, "200"},
+		"BodyInSmallPieces":  {append(length(crowdBodyBytes).ShortFields(300, true), body(crowdBodyBytes)), 2 << 10, time.Millisecond, "200"},
+		"HeadAndBodyAtLimit": {append(length(crowdBodyBytes).ShortFields(crowdHeaderBytes, true), body(crowdBodyBytes)), 0, 0, "200"},
+		"LargeSubmission":    {submission.List(`{"target_groups":1,"items":[`, job, `]}`, crowdBodyBytes), 0, 0, "202"},
+	}
+	for name, c := range cases {
+		for host := range f.hosts {
+			t.Run(fmt.Sprintf("%s/host-%d", name, host+1), func(t *testing.T) {
+				got := (&crowd.Crowd{Address: f.ClientAddress(host + 1), Payload: c.payload, Piece: c.piece, Pause: c.pause}).Ask(name+fmt.Sprint(host), crowdAnswerTime)
+				if !strings.HasPrefix(got, "HTTP/1.1 "+c.want) {
+					t.Errorf("answer %q, want status %s", got, c.want)
+				}
+			})
+		}
+	}
+	f.checkLimits()
+}
