gate: nothing follows the refusal of a head

Change: what it writes after a refusal is dropped. Evidence: TestTimes and TestRequests, which now read on after a refusal, fail before with a second answer.

--- a/internal/gate/conn.go
+++ b/internal/gate/conn.go
@@ -67,8 +67,8 @@
 	head    headScan
 	left    int64 // bytes of the body that have not been given to the server
 	charged int64 // for the head
-	refused bool  // the refusal was written
 
+	refused atomic.Bool  // the refusal of a head was written
 	writing atomic.Int64 // 1 + the sweep at which the write that runs began, 0 for none
 	aheadN  atomic.Int64 // length of ahead
 
@@ -191,8 +191,7 @@
 // connection. An answer that can't be written is left out.
 func (c *Conn) refuse(reason string) error {
 	c.markEnded(reason)
-	if status, ok := refusals[reason]; ok && c.head.bytes > 0 && !c.refused {
-		c.refused = true // the server may read once more
+	if status, ok := refusals[reason]; ok && c.head.bytes > 0 && !c.refused.Swap(true) {
 
 		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(lingerTime))
 		retry := ""
@@ -294,8 +293,11 @@
 	return n > 0
 }
 
-// Write writes to the connection.
+// Write writes to the connection. What the server makes of a head that was refused before its end is dropped.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.refused.Load() {
+		return len(p), nil
+	}
 	c.writing.Store(1 + c.gate.sweeps.Load())
 	defer c.writing.Store(0)
 	return c.TCPConn.Write(p)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -130,6 +130,9 @@
 				if diff := cmp.Diff(c.want, got); diff != "" {
 					t.Errorf("answer (-want +got):\n%s", diff)
 				}
+				if got[0] == '4' && answer(reader) != "" {
+					t.Error("a second answer after a refusal")
+				}
 			})
 		}
 	}
@@ -232,8 +235,9 @@
 			for range c.ended - c.kept {
 				g.sweep()
 			}
-			if diff := cmp.Diff(c.answer, answer(bufio.NewReader(conn))); diff != "" {
-				t.Errorf("answer (-want +got):\n%s", diff)
+			reader := bufio.NewReader(conn)
+			if diff := cmp.Diff([]string{c.answer, ""}, []string{answer(reader), answer(reader)}); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
 			}
 		})
 	}
