figbed/proofs: a crowd that comes again and again, beside larger calls

TestCrowdBesideLargerCalls: 140 clients with bodies of 256 KB that never end come again whenever they are turned away, beside ordinary calls with 512 KB, which the reserve for small clients doesn't serve.

--- a/figbed/internal/crowd/crowd.go
+++ b/figbed/internal/crowd/crowd.go
@@ -18,6 +18,8 @@
 	dialTimeout = 5 * time.Second
 	// settleTime is the time without a sent byte after which a crowd counts as settled.
 	settleTime = time.Second
+	// againPause is the time after which a client comes again.
+	againPause = 20 * time.Millisecond
 	// answerBytes is what Ask returns of an answer.
 	answerBytes = 1 << 10
 )
@@ -34,13 +36,16 @@
 	Piece   int           // bytes of each write, 0 for those of a part
 	Pause   time.Duration // between two writes
 	Reads   bool          // the clients read what the server sends, and close when the server does
+	// Again lets clients whose connection the server has closed come again. It implies Reads.
+	Again bool
 	// ReceiveBuffer is the size of a client's receive buffer in bytes, 0 for the system's.
 	ReceiveBuffer int
 
-	stopped  chan struct{}
-	running  sync.WaitGroup
-	lastSent atomic.Int64 // time of the last sent piece, in ns since the Unix epoch
-	refused  atomic.Int64 // clients that could not connect or could not send everything
+	stopped   chan struct{}
+	running   sync.WaitGroup
+	lastSent  atomic.Int64 // time of the last sent piece, in ns since the Unix epoch
+	connected atomic.Int64 // connections made
+	refused   atomic.Int64 // clients that could not connect or could not send everything
 }
 
 // Part is a part of a payload: a text and how often it is sent.
@@ -57,13 +62,30 @@
 		c.running.Add(1)
 		go func() {
 			defer c.running.Done()
-			c.runClient(strconv.Itoa(client))
+			for c.runClient(strconv.Itoa(client)); c.Again && !c.isStopped(); c.runClient(strconv.Itoa(client)) {
+				time.Sleep(againPause)
+			}
 		}()
 	}
 }
 
-// Settled reports whether no client has sent anything for settleTime.
-func (c *Crowd) Settled() bool { return time.Since(time.Unix(0, c.lastSent.Load())) > settleTime }
+func (c *Crowd) isStopped() bool {
+	select {
+	case <-c.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+// Settled reports whether no client has sent anything for settleTime. A crowd that comes again has settled once it has connected as
+// often as it has clients.
+func (c *Crowd) Settled() bool {
+	if c.Again && c.connected.Load() >= int64(c.Clients) {
+		return true
+	}
+	return time.Since(time.Unix(0, c.lastSent.Load())) > settleTime
+}
 
 // Refused returns the number of clients that could not connect or could not send everything. Others that were refused have not
 // noticed it.
@@ -100,6 +122,7 @@
 		c.refused.Add(1)
 		return
 	}
+	c.connected.Add(1)
 	defer func() { _ = conn.Close() }()
 	unblock := make(chan struct{})
 	defer close(unblock)
@@ -113,7 +136,7 @@
 	switch {
 	case !c.send(conn, name):
 		c.refused.Add(1)
-	case c.Reads:
+	case c.Reads || c.Again:
 		_, _ = io.Copy(io.Discard, conn)
 	default:
 		<-c.stopped
--- a/figbed/proofs/crowd_test.go
+++ b/figbed/proofs/crowd_test.go
@@ -28,6 +28,7 @@
 	*platformFleet
 	peakFDs []int // by host
 	calls   int
+	body    string // of ordinary calls
 }
 
 func startCrowdFleet(t *testing.T) *crowdFleet {
@@ -56,7 +57,7 @@
 			plain1, plain2, engine1, engine2,
 		},
 	}
-	return &crowdFleet{platformFleet: startFleetOn(t, 2, platform), peakFDs: make([]int, 2)}
+	return &crowdFleet{platformFleet: startFleetOn(t, 2, platform), peakFDs: make([]int, 2), body: "body"}
 }
 
 // crowdEvents returns the number of events of an item's stream.
@@ -83,7 +84,9 @@
 		}
 		return true
 	})
+	began := time.Now()
 	f.awaitAnswers("beside the crowd")
+	f.t.Logf("answered beside the crowd after %v", time.Since(began).Round(time.Millisecond))
 	for _, c := range crowds {
 		f.t.Logf("%d of %d clients could not send everything", c.Refused(), c.Clients)
 		c.Stop()
@@ -115,7 +118,7 @@
 				return false
 			}
 			f.calls++
-			status, text := f.call(host+1, http.MethodPost, estate.Lookup+"x", fmt.Sprintf("ordinary-%d", f.calls), estate.Key, []byte("body"))
+			status, text := f.call(host+1, http.MethodPost, estate.Lookup+"x", fmt.Sprintf("ordinary-%d", f.calls), estate.Key, []byte(f.body))
 			answer = fmt.Sprintf("status %d, %s", status, strings.TrimSpace(text))
 			return status == http.StatusOK
 		})
@@ -195,6 +198,15 @@
 	f.play(f.door(200, crowdRequest("POST", estate.Lookup+"x").Body(crowdBodyBytes)))
 }
 
+// Guards against a crowd that comes again and again and holds all memory for bodies, so that only the smallest calls are answered.
+func TestCrowdBesideLargerCalls(t *testing.T) {
+	f := startCrowdFleet(t)
+	f.body = strings.Repeat("b", crowdBodyBytes/2)
+	c := f.door(140, crowdRequest("POST", estate.Lookup+"x").Body(crowdBodyBytes/4))
+	c.Again = true
+	f.play(c)
+}
+
 // Guards against unfinished bodies in small pieces.
 func TestCrowdOfBodiesInPieces(t *testing.T) {
 	f := startCrowdFleet(t)
