budget: a client that has just come doesn't outweigh those who are waited for

Callers saw: beside 3,000 idle connections on a host of 284 MB and 4,100 descriptors, an ordinary call was answered after 14.9 s, when the first idle ones were closed. Cause, new with the budget: a connection asks for its memory before its client is awaited, and a claim that has never been awaited counted as held since the clock began. So it outweighed all others and was refused. Change: a claim counts from when it was opened. The crowds' configuration now keeps idle connections for 300 s, so that their end doesn't help.

--- a/figbed/proofs/crowd_test.go
+++ b/figbed/proofs/crowd_test.go
@@ -52,7 +52,7 @@
 	engine1.EventsOf, engine2.EventsOf = crowdEvents, crowdEvents
 	platform := &estate.Platform{
 		MemoryMB: crowdMemoryMB, MaxFDs: maxFDs,
-		Limits: map[string]any{"max_header_bytes": crowdHeaderBytes, "max_body_bytes": crowdBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		Limits: map[string]any{"max_header_bytes": crowdHeaderBytes, "max_body_bytes": crowdBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 300_000},
 		Servers: []*estate.Server{
 			plain1, plain2, engine1, engine2,
 		},
@@ -138,8 +138,8 @@
 		}
 		peak := h.Cost().PeakBytes >> 20
 		f.t.Logf("host-%d: at most %d MB, %d descriptors", i+1, peak, f.peakFDs[i])
-		if peak > crowdMemoryMB && !proc.RaceEnabled { // the detector's own memory counts too
-			f.t.Errorf("host-%d used %d MB of memory and has %d MB", i+1, peak, crowdMemoryMB)
+		if peak > uint64(f.MemoryMB) && !proc.RaceEnabled { // the detector's own memory counts too
+			f.t.Errorf("host-%d used %d MB of memory and has %d MB", i+1, peak, f.MemoryMB)
 		}
 		if f.peakFDs[i] > f.MaxFDs {
 			f.t.Errorf("host-%d had %d open descriptors and may have %d", i+1, f.peakFDs[i], f.MaxFDs)
@@ -324,6 +324,12 @@
 	f.play(&crowd.Crowd{Address: f.PeerAddress(1), Clients: 400}, &crowd.Crowd{Address: f.PeerAddress(1), Clients: 100, Payload: []crowd.Part{{Text: "\x80\x00\x0f\xff", Times: 1}}})
 }
 
+// Guards against idle connections that take the memory of clients, so that no new one was admitted until they were closed as idle.
+func TestCrowdOfIdleConnections(t *testing.T) {
+	f := startCrowdFleetWith(t, 1500)
+	f.play(f.door(600, nil))
+}
+
 // Guards against a crowd that keeps a host from ending when it is told to stop.
 func TestCrowdAtAStop(t *testing.T) {
 	f := startCrowdFleet(t)
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -75,7 +75,7 @@
 	if b == nil {
 		return nil
 	}
-	return &Claim{budget: b, end: end}
+	return &Claim{budget: b, end: end, since: b.Now()}
 }
 
 // room returns the bytes that a claim may get now if it then holds the given number.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -42,15 +42,18 @@
 		age     int64
 		want    kinds.Kind
 		ended   int
+		// unawaited newcomers ask for memory before their clients are awaited.
+		unawaited bool
 	}{
-		"Baseline":          {Newcomer{}, true, share, 10, kinds.MemoryShort, 0},
-		"HeldLonger":        {Heaviest{}, true, share, 10, "", 1},
-		"TwoForOne":         {Heaviest{}, true, 2 * share, 10, "", 2},
-		"CameAtOnce":        {Heaviest{}, true, share, 0, kinds.MemoryShort, 0},
-		"BeingAnswered":     {Heaviest{}, false, share, 10, kinds.MemoryShort, 0},
-		"SmallFromReserve":  {Newcomer{}, false, smallBytes, 0, "", 0},
-		"MoreThanThereIs":   {Heaviest{}, true, testLimit, 10, kinds.BodyTooLarge, 0},
-		"HeavierThanOthers": {Heaviest{}, true, 12 * share, 0, kinds.MemoryShort, 0},
+		"Baseline":          {Newcomer{}, true, share, 10, kinds.MemoryShort, 0, false},
+		"HeldLonger":        {Heaviest{}, true, share, 10, "", 1, false},
+		"NotYetAwaited":     {Heaviest{}, true, share, 10, "", 1, true},
+		"TwoForOne":         {Heaviest{}, true, 2 * share, 10, "", 2, false},
+		"CameAtOnce":        {Heaviest{}, true, share, 0, kinds.MemoryShort, 0, false},
+		"BeingAnswered":     {Heaviest{}, false, share, 10, kinds.MemoryShort, 0, false},
+		"SmallFromReserve":  {Newcomer{}, false, smallBytes, 0, "", 0, false},
+		"MoreThanThereIs":   {Heaviest{}, true, testLimit, 10, kinds.BodyTooLarge, 0, false},
+		"HeavierThanOthers": {Heaviest{}, true, 12 * share, 0, kinds.MemoryShort, 0, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -66,7 +69,9 @@
 			}
 			clock.now = c.age
 			newcomer := open(b)
-			newcomer.Await(true)
+			if !c.unawaited {
+				newcomer.Await(true)
+			}
 			if diff := cmp.Diff(c.want, kinds.KindOf(newcomer.Grow(Bodies, c.bytes))); diff != "" {
 				t.Errorf("error (-want +got):\n%s", diff)
 			}
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -11,7 +11,7 @@
 	// guarded by budget.mu
 	held   [purposes]int64
 	total  int64
-	since  int64 // when the client began to be awaited
+	since  int64 // when the client came, or began to be awaited
 	ended  bool  // end was or will be called
 	closed bool
 }
