batch: a host that stops gives its open jobs away at once

Cause: the drain waited for the items of ended jobs too, of which one had lost the answer to the call for its score, and gave all jobs away only at its end. Change: the drain waits for open jobs only, 0.3 s for their runs and results and 0.7 s for the copies of texts, and gives them away as a host without links does: to the host that has the copies, which takes them at its next tick.

--- a/internal/batch/component.go
+++ b/internal/batch/component.go
@@ -53,7 +53,8 @@
 	endCalls          map[string][]uint64       // Seq of the calls that wait for the end of a job to be stored, by job
 	now               time.Duration
 	stopping          bool
-	drained           bool
+	stoppingSince     time.Duration
+	drained           bool // the open jobs were given away
 	handover          handover
 	flushingSince     time.Duration            // when the flush of the text copies began, 0 before
 	stoppingHosts     map[string]bool          // by their last heartbeats
@@ -149,7 +150,7 @@
 		delete(p.informed, e.Host)
 	case event.CopiesFlushed:
 		if p.stopping {
-			p.finishDrain(out)
+			p.finishDrain(now, out)
 		} else {
 			p.finishHandover(now, out)
 		}
@@ -215,7 +216,7 @@
 		p.listResults(now, j, out)
 	}
 	p.dispatch(now, out)
-	p.continueDrain(out)
+	p.continueDrain(now, out)
 	p.continueHandover(now, out)
 }
 
--- a/internal/batch/handover.go
+++ b/internal/batch/handover.go
@@ -9,7 +9,7 @@
 	"github.com/figshift/figshift/internal/ranks"
 )
 
-// settleTimeout bounds how long a host that is cut off waits until its runs have stopped before it gives its jobs away.
+// settleTimeout bounds how long a host that is cut off or stops waits until its runs have stopped before it gives its jobs away.
 const settleTimeout = 300 * time.Millisecond
 
 // handover is the state of giving this host's jobs to hosts that reach endpoints. Its zero value means that none is under
@@ -81,17 +81,22 @@
 		if !j.canBeGivenAway() {
 			continue
 		}
-		out.Emit(event.Log{Level: "info", Event: "JobGivenAway", Fields: []event.Field{
-			{Key: "Job", Value: j.head.ID}, {Key: "To", Value: j.copyHost}, {Key: "Left", Value: strconv.Itoa(j.unlisted)},
-		}})
-		p.announce(event.JobSeen{Job: j.head.ID, Epoch: j.epoch, Next: j.copyHost}, out)
-		out.Emit(event.CopyJob{Job: j.head.ID})
-		delete(p.jobs, j.head.ID)
-		k := p.ensureKnown(j.head.ID)
-		k.Host, k.Incarnation, k.orphanedAt, k.Next, k.newsAt = "", "", now, j.copyHost, now
+		p.giveAway(now, j, out)
 	}
 }
 
+// giveAway announces a job without an owner, to be taken by the host that has copies of its texts, and forgets it.
+func (p *Component) giveAway(now time.Duration, j *job, out *event.Batch) {
+	out.Emit(event.Log{Level: "info", Event: "JobGivenAway", Fields: []event.Field{
+		{Key: "Job", Value: j.head.ID}, {Key: "To", Value: j.copyHost}, {Key: "Left", Value: strconv.Itoa(j.unlisted)},
+	}})
+	p.announce(event.JobSeen{Job: j.head.ID, Epoch: j.epoch, Next: j.copyHost}, out)
+	out.Emit(event.CopyJob{Job: j.head.ID})
+	delete(p.jobs, j.head.ID)
+	k := p.ensureKnown(j.head.ID)
+	k.Host, k.Incarnation, k.orphanedAt, k.Next, k.newsAt = "", "", now, j.copyHost, now
+}
+
 // reachingHost returns the host that takes a route's jobs while this one is cut off, "" for this one.
 func (p *Component) reachingHost(now time.Duration, route string) string {
 	for _, host := range ranks.Order(route, p.availableHosts(now)) {
