relay: writes go on through the next host when one is turned away as well

Cause: a host that had failed stayed first, and a host that knew that its own calls fail made those of others all the same. Change: a host through which a call has failed comes last for 2 s; one whose own calls fail refuses at once, so that nothing is done and the next is asked.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -333,7 +333,7 @@
 	hostAPIMux.Handle(items.PathJob, hostAPI)
 	hostAPIMux.HandleFunc(items.PathCopies, hostAPI.ServeCopies)
 	hostAPIMux.HandleFunc(items.PathSubmit, hostAPI.ServeSubmit)
-	hostAPIMux.Handle(relay.Path, &relay.Server{Direct: d.store, Secret: hex.EncodeToString(d.secret)})
+	hostAPIMux.Handle(relay.Path, &relay.Server{Direct: d.store, Secret: hex.EncodeToString(d.secret), Serves: d.relayedStore.Serves})
 	d.addActor(d.listen(d.bindAddress(hostAPIPort), hostAPIMux, d.newGate("Hosts", d.connsOf(hostConns))))
 	jobAPI := &platform.JobAPI{Jobs: d.jobExecutor}
 	server := &serve.Server{
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -109,6 +109,45 @@
 	}
 }
 
+// While the store was silent to some hosts, each write began with the first of the others by name. When that one was turned away too,
+// every write ended there with an unknown outcome.
+func TestWritesGoOnThroughTheNextHost(t *testing.T) {
+	silent, served := &stubStore{kind: kinds.StoreUnavailable}, &stubStore{}
+	s := newTestStore(t, &stubStore{kind: kinds.StoreRefused}, silent, served)
+	var got []kinds.Kind
+	for range 3 {
+		_, err := s.Put(context.Background(), wire.ObjectPut{Name: "Lots/a"})
+		got = append(got, kinds.KindOf(err))
+	}
+	if diff := cmp.Diff([]kinds.Kind{kinds.StoreUnavailable, "", ""}, got); diff != "" {
+		t.Errorf("outcomes of three writes (-want +got):\n%s", diff)
+	}
+	served.kind, silent.kind = kinds.StoreUnavailable, ""
+	got = nil
+	for range 2 {
+		_, err := s.Put(context.Background(), wire.ObjectPut{Name: "Lots/a"})
+		got = append(got, kinds.KindOf(err))
+	}
+	if diff := cmp.Diff([]kinds.Kind{kinds.StoreUnavailable, ""}, got); diff != "" {
+		t.Errorf("outcomes of two writes after the hosts have changed places (-want +got):\n%s", diff)
+	}
+}
+
+// A host that was turned away itself made the calls of others all the same, and so left their outcome unknown.
+func TestHostThatIsNotServedRefusesAtOnce(t *testing.T) {
+	first, second := &stubStore{kind: kinds.StoreUnavailable}, &stubStore{}
+	s := newTestStore(t, &stubStore{kind: kinds.StoreRefused}, second)
+	mux := http.NewServeMux()
+	mux.Handle(Path, &Server{Direct: first, Secret: testSecret, Serves: func() bool { return false }})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	s.Hosts.hosts = append([]hostAddress{{name: "-", address: server.Listener.Addr().String()}}, s.Hosts.hosts...)
+	_, err := s.Put(context.Background(), wire.ObjectPut{Name: "Lots/a"})
+	if diff := cmp.Diff([]int{0, 1}, []int{first.calls, second.calls}); diff != "" || err != nil {
+		t.Errorf("error %v, calls (-want +got):\n%s", err, diff)
+	}
+}
+
 // A read whose answer was lost on the direct call is repeated through another host.
 func TestReadWithLostAnswerIsRelayed(t *testing.T) {
 	s := newTestStore(t, &stubStore{kind: kinds.StoreUnavailable}, &stubStore{})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/objapi"
 )
 
@@ -18,6 +19,9 @@
 type Server struct {
 	Direct objapi.Store
 	Secret string
+	// Serves reports whether this host's direct calls work, as far as known; nil for always. While they don't, a call is refused
+	// at once, so that the other host goes on to the next.
+	Serves func() bool
 }
 
 // ServeHTTP answers one call. It may be called concurrently.
@@ -34,7 +38,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), relayTimeout)
 	defer cancel()
-	a, _ := execute(ctx, s.Direct, c) // the answer holds the kind of the error
+	a := answer{Kind: kinds.StoreRefused}
+	if s.Serves == nil || s.Serves() {
+		a, _ = execute(ctx, s.Direct, c) // the answer holds the kind of the error
+	}
 	data, err := msgpack.Marshal(a)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -27,6 +28,8 @@
 	relayTimeout = 700 * time.Millisecond
 	// maxRelays is the maximum number of other hosts that are tried for one call.
 	maxRelays = 3
+	// failPause is the time for which a host through which a call failed comes after the others.
+	failPause = 2 * time.Second
 	// probeInterval is the interval at which a probe calls the store directly while direct calls fail.
 	probeInterval = time.Second
 	// probeTimeout is the timeout of such a probe.
@@ -70,9 +73,10 @@
 	Observe func(call string, kind kinds.Kind, took time.Duration)
 
 	mu            sync.Mutex
-	directFailing bool      // whether the last direct call failed
-	lastProbe     time.Time // time of the last probe while direct calls fail
-	preferred     string    // address of the host that answered last
+	directFailing bool                 // whether the last direct call failed
+	lastProbe     time.Time            // time of the last probe while direct calls fail
+	preferred     string               // address of the host that answered last
+	failedAt      map[string]time.Time // when a host last got no answer from the store, by address
 }
 
 // Get returns the object called name.
@@ -154,6 +158,9 @@
 	return false
 }
 
+// Serves reports whether direct calls work, as far as known. It may be called concurrently.
+func (s *Store) Serves() bool { return s.useDirect() }
+
 // probe tests direct calls by reading an object that need not exist.
 func (s *Store) probe() {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -163,7 +170,7 @@
 }
 
 func (s *Store) recordOutcome(kind kinds.Kind) {
-	directFailing := kind == kinds.StoreRefused || kind == kinds.StoreUnavailable
+	directFailing := isFailure(kind)
 	s.mu.Lock()
 	changed := s.directFailing != directFailing
 	if changed && directFailing {
@@ -182,16 +189,14 @@
 	last := answer{Kind: kinds.StoreRefused}
 	for _, address := range s.candidates() {
 		a, sent := s.callHost(ctx, address, c)
+		s.noteRelay(address, a.Kind)
 		if !sent {
 			continue
 		}
 		if a.Kind == kinds.StoreUnavailable && (c.Op == opPut || c.Op == opDelete) {
 			return a, answerError(a, c)
 		}
-		if a.Kind != kinds.StoreRefused && a.Kind != kinds.StoreUnavailable {
-			s.mu.Lock()
-			s.preferred = address
-			s.mu.Unlock()
+		if !isFailure(a.Kind) {
 			return a, answerError(a, c)
 		}
 		last = a
@@ -206,14 +211,45 @@
 	return kinds.New(a.Kind, "%s %s through another host", c.Op, c.Name)
 }
 
+// isFailure reports whether a kind says that the store has not answered.
+func isFailure(kind kinds.Kind) bool {
+	return kind == kinds.StoreRefused || kind == kinds.StoreUnavailable
+}
+
+// noteRelay records whether the store has answered a call through a host.
+func (s *Store) noteRelay(address string, kind kinds.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !isFailure(kind) {
+		s.preferred = address
+		delete(s.failedAt, address)
+		return
+	}
+	if s.preferred == address {
+		s.preferred = ""
+	}
+	if s.failedAt == nil {
+		s.failedAt = map[string]time.Time{}
+	}
+	s.failedAt[address] = time.Now()
+}
+
+// candidates returns the hosts to try: the one that answered last, then the others, and those that have failed within failPause at
+// the end, the one that failed first before the others.
 func (s *Store) candidates() []string {
 	all := s.Hosts.addresses()
 	s.mu.Lock()
-	preferred := s.preferred
-	s.mu.Unlock()
-	if i := slices.Index(all, preferred); i > 0 {
-		all[0], all[i] = all[i], all[0]
-	}
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.failedAt, func(_ string, at time.Time) bool { return time.Since(at) > failPause })
+	slices.SortStableFunc(all, func(a, b string) int {
+		switch s.preferred {
+		case a:
+			return -1
+		case b:
+			return 1
+		}
+		return s.failedAt[a].Compare(s.failedAt[b])
+	})
 	return all[:min(len(all), maxRelays)]
 }
 
