relay: a list that isn't answered in time is asked for through other hosts

Cause: a reader waited 1.5 s for its own call, and then asked the first three hosts by name, one after the other, other readers among them. In calm the calls are the same.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -55,6 +55,22 @@
 	return wire.EndpointList{}, s.err()
 }
 
+// addTestHost adds a host that relays to a store which answers with a kind, "silent" for none, and tells when it is asked.
+func addTestHost(t *testing.T, s *Store, kind kinds.Kind, asked chan<- struct{}) {
+	t.Helper()
+	relay := &Server{Direct: &stubStore{kind: kind}, Secret: testSecret}
+	if kind == "silent" {
+		relay.Direct = &silentLists{}
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		relay.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	s.Hosts.hosts = append(s.Hosts.hosts, hostAddress{name: address, address: address})
+}
+
 // newTestStore returns a Store whose direct calls go to own and that can relay calls to a server for each of others.
 func newTestStore(t *testing.T, own *stubStore, others ...*stubStore) *Store {
 	t.Helper()
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -117,7 +118,11 @@
 // do makes a call and reports its outcome to Observe.
 func (s *Store) do(ctx context.Context, c call) (answer, error) {
 	start := time.Now()
-	a, err := s.dispatch(ctx, c)
+	send := s.dispatch
+	if c.Op == opList {
+		send = s.list
+	}
+	a, err := send(ctx, c)
 	if s.Observe != nil {
 		s.Observe(c.Op, kinds.KindOf(err), time.Since(start))
 	}
@@ -187,7 +192,7 @@
 // has not made the call.
 func (s *Store) relay(ctx context.Context, c call) (answer, error) {
 	last := answer{Kind: kinds.StoreRefused}
-	for _, address := range s.candidates() {
+	for _, address := range s.candidates(maxRelays, false) {
 		a, sent := s.callHost(ctx, address, c)
 		s.noteRelay(address, a.Kind)
 		if !sent {
@@ -234,10 +239,14 @@
 	s.failedAt[address] = time.Now()
 }
 
-// candidates returns the hosts to try: the one that answered last, then the others, and those that have failed within failPause at
-// the end, the one that failed first before the others.
-func (s *Store) candidates() []string {
+// candidates returns at most the given number of hosts to try: the one that answered last, then the others, and those that have failed within failPause at
+// the end, the one that failed first before the others. The others are sorted by name, or mixed, so that hosts that call at the same
+// time don't all ask the same ones.
+func (s *Store) candidates(most int, mixed bool) []string {
 	all := s.Hosts.addresses()
+	if mixed {
+		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.failedAt, func(_ string, at time.Time) bool { return time.Since(at) > failPause })
@@ -250,7 +259,7 @@
 		}
 		return s.failedAt[a].Compare(s.failedAt[b])
 	})
-	return all[:min(len(all), maxRelays)]
+	return all[:min(len(all), most)]
 }
 
 // callHost makes a call through one host; sent is false if that host certainly did not make the call.
