--- a/internal/gate/conn.go
+++ b/internal/gate/conn.go
@@ -1,12 +1,8 @@
 package gate
 
 import (
-	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,20 +13,11 @@
 )
 
 const (
-	// fieldBytes is what a field of a head holds besides its text: an entry of a map and of a list, in the request and in the copy
-	// that is forwarded.
-	fieldBytes = 160
-	// headSlack is what the lines of a head may have beyond the limit, which counts names and values.
-	headSlack = 4
 	// bodySweeps is the number of sweeps after which a body must have come at minBodyRate bytes a sweep, and writeSweeps the number
 	// for which a client may read nothing of what is written to it.
 	bodySweeps  = 30
 	minBodyRate = 1 << 10
 	writeSweeps = 10
-	// lingerTime and lingerBytes bound what is read and dropped after a refusal, so that a reset doesn't take the refusal with it.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 256 << 10
-	lingerBlock = 2 << 10
 )
 
 // What a connection waits for.
@@ -42,16 +29,6 @@
 	waitsReader // an answer is being read by the client
 )
 
-// Stages of reading.
-const (
-	readsHead = iota
-	readsNext // a request without a body has been read: at most the next one's first byte may be read
-	readsBody
-	readsChunks
-)
-
-var errTurnedAway = errors.New("the client was turned away")
-
 // Conn is the connection of a client. It gives the server one head at a time, so that each is counted before it is parsed. Its
 // methods may be called as those of net.Conn.
 type Conn struct {
@@ -93,116 +70,6 @@
 	return c.claim
 }
 
-// Read reads from the connection, at most to the end of a head, of a body, or of the first byte of the next request.
-func (c *Conn) Read(p []byte) (int, error) {
-	switch c.stage {
-	case readsHead:
-		return c.readHead(p)
-	case readsBody:
-		if c.left == 0 {
-			return c.readEarly(p)
-		}
-		n, err := c.readSome(p[:min(int64(len(p)), c.left)])
-		if c.left -= int64(n); c.left == 0 {
-			c.await(waitsNot)
-		}
-		c.count(n)
-		return n, err
-	case readsChunks:
-		n, err := c.readSome(p)
-		c.count(n)
-		return n, err
-	}
-	return c.readEarly(p)
-}
-
-// readEarly reads the first byte of the next request while one is being answered, as the server does to notice a closed connection.
-func (c *Conn) readEarly(p []byte) (int, error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	n, err := c.readSome(p[:1])
-	if n > 0 {
-		c.mu.Lock()
-		c.early = []byte{p[0]}
-		c.mu.Unlock()
-	}
-	return n, err
-}
-
-// readSome reads what has been read ahead, or else from the connection.
-func (c *Conn) readSome(p []byte) (int, error) {
-	if len(c.ahead) > 0 {
-		n := copy(p, c.ahead)
-		c.setAhead(c.ahead[n:])
-		return n, nil
-	}
-	n, err := c.TCPConn.Read(p)
-	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.endReason() != "" {
-		err = errTurnedAway
-	}
-	return n, err
-}
-
-func (c *Conn) setAhead(rest []byte) {
-	if len(rest) == 0 {
-		rest = nil
-	}
-	c.ahead = rest
-	c.aheadN.Store(int64(len(rest)))
-}
-
-func (c *Conn) readHead(p []byte) (int, error) {
-	n, err := c.readSome(p)
-	if errors.Is(err, errTurnedAway) {
-		return 0, c.refuse(c.endReason())
-	}
-	if n == 0 {
-		return n, err
-	}
-	if c.head.bytes == 0 {
-		c.await(waitsHead)
-	}
-	end := c.head.scan(p[:n])
-	if end < n {
-		c.setAhead(append(append([]byte(nil), p[end:n]...), c.ahead...))
-		n = end
-	}
-	if c.head.bytes-c.head.lines*headSlack > c.gate.currentLimits().HeadBytes {
-		return 0, c.refuse(ReasonHeadSize)
-	}
-	cost := int64(2*c.head.bytes + fieldBytes*c.head.lines)
-	if c.claim.Grow(budget.Heads, cost-c.charged) != nil {
-		return 0, c.refuse(ReasonMemory)
-	}
-	c.charged = cost
-	if c.head.ended {
-		c.stage = readsNext
-	}
-	return n, err
-}
-
-// refusals are the statuses with which requests are refused before they are read.
-var refusals = map[string]int{
-	ReasonMemory: http.StatusServiceUnavailable, ReasonHeadSize: http.StatusRequestHeaderFieldsTooLarge, ReasonHeadTime: http.StatusRequestTimeout,
-}
-
-// refuse answers a request whose head has not been read whole, and returns the error of Read that lets the server close the
-// connection. An answer that can't be written is left out.
-func (c *Conn) refuse(reason string) error {
-	c.markEnded(reason)
-	if status, ok := refusals[reason]; ok && c.head.bytes > 0 && !c.refused.Swap(true) {
-
-		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(lingerTime))
-		retry := ""
-		if status == http.StatusServiceUnavailable {
-			retry = "Retry-After: 1\r\n"
-		}
-		_, _ = fmt.Fprintf(c.TCPConn, "HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), retry)
-	}
-	return &net.OpError{Op: "read", Net: "tcp", Err: errTurnedAway} // the server adds no answer of its own to a failed read
-}
-
 // beginRequest is called before a request is handled.
 func (c *Conn) beginRequest(r *http.Request) {
 	if c == nil {
@@ -233,18 +100,6 @@
 	c.await(waitsNot)
 }
 
-// BeginAnswer holds the bytes of an answer until the client has read it. Its error is that of Claim.Grow; nothing is held then.
-func (c *Conn) BeginAnswer(bytes int64) error {
-	if c == nil {
-		return nil
-	}
-	if err := c.claim.Grow(budget.Answers, bytes); err != nil {
-		return err
-	}
-	c.await(waitsReader)
-	return nil
-}
-
 // beginIdle is called when a request has been answered.
 func (c *Conn) beginIdle() {
 	if c == nil {
@@ -267,18 +122,6 @@
 	}
 }
 
-// endAfterAnswer lets the answer close the connection when the client has sent more before it has got any of it.
-func (c *Conn) endAfterAnswer(answer http.Header) {
-	if c == nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.early) > 0 || c.reason != "" {
-		answer.Set("Connection", "close")
-	}
-}
-
 // Unread reports whether bytes have come that have not been read.
 func (c *Conn) Unread() bool {
 	if c.aheadN.Load() > 0 {
@@ -293,19 +136,6 @@
 	return n > 0
 }
 
-// Write writes to the connection. What the server makes of a head that was refused before its end is dropped.
-func (c *Conn) Write(p []byte) (int, error) {
-	if c.refused.Load() {
-		return len(p), nil
-	}
-	c.writing.Store(1 + c.gate.sweeps.Load())
-	defer c.writing.Store(0)
-	return c.TCPConn.Write(p)
-}
-
-// ReadFrom copies from a reader to the connection.
-func (c *Conn) ReadFrom(r io.Reader) (int64, error) { return io.Copy(struct{ io.Writer }{c}, r) }
-
 // SetReadDeadline sets the deadline of reads, unless the client was turned away.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -316,49 +146,6 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// SetLinger sets what Close does with bytes that have not been sent. With 0 seconds it closes the connection at once.
-func (c *Conn) SetLinger(seconds int) error {
-	c.mu.Lock()
-	c.abrupt = seconds == 0
-	c.mu.Unlock()
-	return c.TCPConn.SetLinger(seconds)
-}
-
-// Close closes the connection. What the client still sends after a refusal is dropped for a while.
-func (c *Conn) Close() error {
-	var err error
-	c.once.Do(func() {
-		c.claim.Reset(budget.Connections)
-		c.linger()
-		err = c.TCPConn.Close()
-		c.gate.remove(c)
-		c.claim.Close()
-		close(c.done)
-	})
-	return err
-}
-
-func (c *Conn) linger() {
-	c.mu.Lock()
-	refused := c.unfinished || refusals[c.reason] != 0
-	abrupt := c.abrupt || c.waits == waitsIdle || c.gate.stopped.Load()
-	c.mu.Unlock()
-	if !refused || abrupt {
-		return
-	}
-	if c.TCPConn.CloseWrite() != nil || c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
-		return // the client has closed the connection
-	}
-	block := make([]byte, lingerBlock)
-	for total := 0; total < lingerBytes; {
-		n, err := c.TCPConn.Read(block)
-		if err != nil {
-			return
-		}
-		total += n
-	}
-}
-
 // await sets what the connection waits for.
 func (c *Conn) await(waits int) {
 	c.mu.Lock()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -233,30 +233,3 @@
 	}
 	return nil
 }
-
-// answerWriter closes the connection after the answer to a request whose client did not wait for it.
-type answerWriter struct {
-	http.ResponseWriter
-	conn *Conn
-	head bool // the head was written
-}
-
-// Unwrap returns the server's writer, for http.ResponseController.
-func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader writes the head of an answer.
-func (w *answerWriter) WriteHeader(status int) {
-	if !w.head && status >= http.StatusOK {
-		w.head = true
-		w.conn.endAfterAnswer(w.Header())
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write writes bytes of an answer's body.
-func (w *answerWriter) Write(p []byte) (int, error) {
-	if !w.head {
-		w.WriteHeader(http.StatusOK)
-	}
-	return w.ResponseWriter.Write(p)
-}
