serve, gate: a refusal that is known from the head doesn't wait for the body

Callers saw: a request without a route, or with a path that is refused, was answered only once its body had come, up to 256 KB of it; with a client that stops, after half a minute. Cause: the body was read first; and the server reads the rest of a body before it sends an answer that keeps the connection. Change: a body of more than 64 KB or in chunks isn't read without a route; after any refusal the rest isn't waited for, and the connection is closed after the answer. An unknown key of a call is still found after its body only, as the reducer has the keys; the body is within the budget.

--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -25,12 +25,15 @@
 	return 0
 }
 
-// SkipBody leaves the rest of a request's body unread. The connection is closed after the answer.
+// SkipBody leaves the rest of a request's body unread, if there is any: the answer isn't kept back until it has come. The connection
+// is closed after the answer.
 func SkipBody(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength != 0 {
-		From(r.Context()).EndBody(false)
-		w.Header().Set("Connection", "close")
+	conn := From(r.Context())
+	if r.ContentLength == 0 || conn == nil || !conn.awaitsBody() {
+		return
 	}
+	conn.EndBody(false)
+	w.Header().Set("Connection", "close")
 }
 
 // ReadBody reads the whole body of a request of at most the given number of bytes. The memory is held by the claim of its
--- a/internal/gate/conn.go
+++ b/internal/gate/conn.go
@@ -89,6 +89,13 @@
 	c.await(waitsBody)
 }
 
+// awaitsBody reports whether the body of a request has not been read to its end.
+func (c *Conn) awaitsBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unfinished
+}
+
 // EndBody is called when the body of a request is not read any further. Whole tells whether it has been read to its end.
 func (c *Conn) EndBody(whole bool) {
 	if c == nil {
--- a/internal/serve/caller_test.go
+++ b/internal/serve/caller_test.go
@@ -132,3 +132,38 @@
 		}
 	}
 }
+
+// A refusal that was known from the head was kept back until the client had sent the body.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	cases := map[string]struct {
+		path, length string
+		status       int
+	}{
+		"NoRoute":       {"/nothing", "Content-Length: 100000", http.StatusNotFound},
+		"NoRouteChunks": {"/nothing", "Transfer-Encoding: chunked", http.StatusNotFound},
+		"DotSegments":   {"/lookup/../x", "Content-Length: 1000", http.StatusBadRequest},
+		"TooLong":       {"/lookup", "Content-Length: 100000000", http.StatusRequestEntityTooLarge},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ts := newTestServer(t, service(t, "a", func(http.ResponseWriter, *http.Request) {}))
+			conn, err := net.Dial("tcp", strings.TrimPrefix(ts.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Api-Key: %s\r\n%s\r\n\r\n1\r\n", c.path, testKey, c.length) // a failed write is seen by the answer
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(c.status, resp.StatusCode); diff != "" || !resp.Close {
+				t.Errorf("closes: %v, status (-want +got):\n%s", resp.Close, diff)
+			}
+		})
+	}
+}
--- a/internal/serve/request.go
+++ b/internal/serve/request.go
@@ -29,6 +29,7 @@
 	hashedPrefixBytes   = 256
 	digestBytes         = 16
 	maxGenerationTokens = 1 << 20 // greatest MaxTokens
+	shortBody           = 64 << 10
 )
 
 // incomingRequest is a caller's request after reading and checking.
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := gate.ReadBody(w, r, active.site.Limits.MaxBodyBytes)
+	body, err := readRoutedBody(w, r, active)
 	if err != nil {
 		return nil, err
 	}
@@ -81,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := gate.ReadBody(w, r, active.site.Limits.MaxBodyBytes)
+	body, err := readRoutedBody(w, r, active)
 	if err != nil {
 		return nil, err
 	}
@@ -98,6 +99,16 @@
 	return in, nil
 }
 
+// readRoutedBody reads the body of a request. A long one isn't read for a path without a route.
+func readRoutedBody(w http.ResponseWriter, r *http.Request, active *activeSite) ([]byte, error) {
+	if r.ContentLength < 0 || r.ContentLength > shortBody {
+		if _, ok := active.routes.Match(r.Host, r.URL.Path); !ok {
+			return nil, kinds.New(kinds.RouteUnknown, "no route for %s", r.URL.Path)
+		}
+	}
+	return gate.ReadBody(w, r, active.site.Limits.MaxBodyBytes)
+}
+
 // digest returns the Digest of a request.
 func digest(r *http.Request, target string, body []byte) string {
 	h := sha256.New()
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -224,6 +224,7 @@
 	id := s.Executor.RequestID(request)
 	in, err := s.readRequest(w, r)
 	if err != nil {
+		gate.SkipBody(w, r)
 		kind := kinds.KindOf(err)
 		s.writeRefusal(w, event.AnswerRequest{Kind: kind, Detail: errorDetail(err), RetryAfter: gate.RetryAfter(kind)}, id)
 		return
