items: the owner of a job that another host stored is read from the store

A host that is cut off in one direction takes a submission that the forwarding host then takes itself; it begins the job while its own write of it waits. Cause: when its write then meets the other's record, the host read the owner from its own table of jobs, where the job names itself. So it went on as a second owner, and listed results. Change: the owner after a conflict is read from the store. Evidence: TestOwnerIsReadFromTheStore fails before.

--- /dev/null
+++ b/internal/items/record_test.go
@@ -0,0 +1,41 @@
+package items
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// A host that had begun a job before it was stored, while another host stored it, took its own copy of the job for the store's record,
+// which names itself, and listed results beside the owner.
+func TestOwnerIsReadFromTheStore(t *testing.T) {
+	store := &memoryStore{objects: map[string]wire.Object{}}
+	var kept event.JobKept
+	x := &Executor{Host: "h2", Incarnation: "1", Store: store, Now: func() time.Duration { return time.Minute }}
+	x.Post = func(ev event.Event) bool {
+		kept = ev.(event.JobKept)
+		return true
+	}
+	x.Prepare()
+	own := testJob()
+	own.Host, own.Incarnation = "h2", "1"
+	stored := own
+	stored.Host, stored.Incarnation = "h1", "7"
+	value, err := encode(stored)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.objects[wire.PrefixJobs+own.ID] = wire.Object{Name: wire.PrefixJobs + own.ID, Version: 1, Writer: "h1/7/1", Value: value}
+	x.jobTable.add(own)
+	x.storeJob(context.Background(), event.KeepJob{Seq: 3, Job: own.ID, Host: "h2", Incarnation: "1", Budget: time.Second})
+	want := event.JobKept{Seq: 3, Job: own.ID, Kind: kinds.Conflict, Owner: event.JobSeen{Job: own.ID, Host: "h1", Incarnation: "7"}, Organisation: stored.Organisation}
+	if diff := cmp.Diff(want, kept); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+}
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -36,7 +36,11 @@
 // does not answer.
 func (x *Executor) currentOwner(ctx context.Context, id string) (currentOwner event.JobSeen, organisation string) {
 	currentOwner = event.JobSeen{Job: id}
-	job, err := x.loadJobCached(ctx, id)
+	var job wire.Job // the store's: this host may run the job with itself as the owner, before it is stored
+	object, err := x.get(ctx, wire.PrefixJobs+id)
+	if err == nil {
+		err = decode(object.Value, &job)
+	}
 	if err != nil {
 		return currentOwner, ""
 	}
