batch: another host that began a job before it was stored is not its owner

Change: a host that runs a job doesn't go by a claim of its own epoch or an earlier one. The store decides, by the outcome of the write of the job, or by a higher epoch.

--- a/internal/batch/news.go
+++ b/internal/batch/news.go
@@ -85,7 +85,10 @@
 	k.mayTakeOver = k.mayTakeOver || n.Host == "" || n.Host == from
 	before := k.JobSeen
 	ended := k.Ended || n.Ended
-	if n.Host != "" && (n.Epoch > k.Epoch || k.Host == "" || n.Epoch == k.Epoch && isAuthoritative(from, n)) {
+	// Of two hosts that began a job before it was stored, each takes itself for the owner until the store has told. Meanwhile neither
+	// may take the other's texts for those of its own runs.
+	rival := p.runs(n.Job, n.Epoch) && n.Host != p.Self.Name
+	if n.Host != "" && !rival && (n.Epoch > k.Epoch || k.Host == "" || n.Epoch == k.Epoch && isAuthoritative(from, n)) {
 		k.Host, k.Incarnation, k.Epoch, k.orphanedAt = n.Host, n.Incarnation, n.Epoch, 0
 		k.Next, k.Route, k.Items = cmp.Or(n.Next, k.Next), cmp.Or(n.Route, k.Route), max(n.Items, k.Items)
 	}
@@ -119,6 +122,12 @@
 	}
 }
 
+// runs reports whether this host runs a job in an epoch, or in a later one.
+func (p *Component) runs(job string, epoch uint64) bool {
+	j := p.jobs[job]
+	return j != nil && !j.ended && j.unlisted > 0 && epoch <= j.epoch
+}
+
 // checkNamedOwner reads the store's record of a job that this host does not run although another host takes it for the
 // owner. Two hosts that started the job before it was stored may each take the other for its owner, and neither hears of
 // the owner that was stored when that one is gone.
