--- a/figbed/proofs/crowd_test.go
+++ b/figbed/proofs/crowd_test.go
@@ -223,8 +223,8 @@
 		r.Fields += fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n", n)
 		return r
 	}
-	close := lookup
-	close.Fields += "Connection: close\r\n"
+	closing := lookup
+	closing.Fields += "Connection: close\r\n"
 	slowly := func(n int) []crowd.Part { return []crowd.Part{{Text: "b", Times: n}} }
 	body := func(n int) crowd.Part { return crowd.Part{Text: strings.Repeat("b", n), Times: 1} }
 	job := func(i int) string {
@@ -238,8 +238,8 @@
 		pause   time.Duration
 		want    string
 	}{
-		"HeadOfShortFields":  {close.ShortFields(crowdHeaderBytes, true), 0, 0, "200"},
-		"SlowHead":           {close.ShortFields(crowdHeaderBytes, true), crowdHeaderBytes / 25, 100 * time.Millisecond, "200"},
+		"HeadOfShortFields":  {closing.ShortFields(crowdHeaderBytes, true), 0, 0, "200"},
+		"SlowHead":           {closing.ShortFields(crowdHeaderBytes, true), crowdHeaderBytes / 25, 100 * time.Millisecond, "200"},
 		"GreatestBody":       {append(length(crowdBodyBytes).ShortFields(300, true), body(crowdBodyBytes)), 0, 0, "200"},
 		"SlowBody":           {append(length(12).ShortFields(300, true), slowly(12)...), 0, 500 * time.Millisecond, "200"},
 		"BodyInSmallPieces":  {append(length(crowdBodyBytes).ShortFields(300, true), body(crowdBodyBytes)), 2 << 10, time.Millisecond, "200"},
