--- a/figbed/internal/soak/crowd.go
+++ b/figbed/internal/soak/crowd.go
@@ -85,8 +85,11 @@
 	return faults
 }
 
-// sendCrowd lets a crowd load a host for the duration of the fault.
+// sendCrowd lets a crowd load a host for the duration of the fault, unless the host runs a build that may not bear it.
 func (r *runner) sendCrowd(f Fault) {
+	if build, _ := r.testbed.programOf(f.Target); build == buildOld {
+		return
+	}
 	c := crowdKinds[f.Amount%len(crowdKinds)].make(r.testbed.platform, f.Target)
 	c.Start()
 	time.Sleep(f.Duration)
