--- a/figbed/internal/estate/estate.go
+++ b/figbed/internal/estate/estate.go
@@ -48,6 +48,8 @@
 	// PlatformAddressFor returns the address at which a host reaches the platform. When nil, hosts use the platform's own
 	// address.
 	PlatformAddressFor func(host int) string
+	// HostName returns the name of a host. When nil, hosts are named host-1 and so on.
+	HostName func(host int) string
 	// BindIP returns the IP that a host's internal listeners bind to. When nil, they bind to IP(host).
 	BindIP func(host int) string
 	// MemoryMB is the memory of a host; 200 when 0. MaxFDs is the number of descriptors that a host's process may open; the
@@ -70,7 +72,7 @@
 	}
 	p.address = listener.Addr().String()
 	mux := http.NewServeMux()
-	mux.Handle("/api/objects/", &p.Store)
+	mux.Handle(objectsPath, &p.Store)
 	mux.HandleFunc("/usage", p.handleUsage)
 	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(listener) }()
@@ -189,9 +191,13 @@
 	if p.BindIP != nil {
 		bind = p.BindIP(host)
 	}
+	name := fmt.Sprintf("host-%d", host)
+	if p.HostName != nil {
+		name = p.HostName(host)
+	}
 	file := filepath.Join(folder, fmt.Sprintf("host%d.ini", host))
 	text := fmt.Sprintf(`[Host]
-Host = host-%d
+Host = %s
 Zone = zone-%d
 Class = %s
 IP = %s
@@ -214,7 +220,7 @@
 KeepResultsS = 120
 LogLevel = info
 LogPerSecond = 60
-`, host, (host-1)%zoneCount+1, class, IP(host), bind, p.ClientAddress(host), p.ReadinessAddress(host), p.Port+4, p.Port+9, address, address, p.Port+6, cmp.Or(p.MemoryMB, 200))
+`, name, (host-1)%zoneCount+1, class, IP(host), bind, p.ClientAddress(host), p.ReadinessAddress(host), p.Port+4, p.Port+9, address, address, p.Port+6, cmp.Or(p.MemoryMB, 200))
 	if p.MaxFDs > 0 {
 		text += fmt.Sprintf("MaxFDs = %d\n", p.MaxFDs)
 	}
--- a/figbed/internal/estate/store.go
+++ b/figbed/internal/estate/store.go
@@ -166,9 +166,12 @@
 	s.notifyWatchers()
 }
 
+// objectsPath is the path of the object API, which a kind follows.
+const objectsPath = "/api/objects/"
+
 // ServeHTTP handles one call of the object API.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, objectsPath), "/")
 	if s.injectFault(w, r) {
 		return
 	}
