view: a host whose proof is old reads the store itself

Hedged lists mended silence, but lean on other hosts that answer and on a reader that knows that it isn't served. Cause that was left: three hosts read for all, and when these hang while their heartbeats go on, nobody takes their place.

Heartbeats tell the age of the sender's proof that it knows all changes. A host whose newest proof is older than 0.65 of ApplyMS lists directly, 3 ms after the one before it in an order of all hosts, and waits longer after each read that fails. Why it works: the bound no longer needs a reader, only the host's own path to the store.

--- a/figbed/internal/estate/estate.go
+++ b/figbed/internal/estate/estate.go
@@ -218,6 +218,7 @@
 UsageWindowS = 2
 UsageLateS = 4
 KeepResultsS = 120
+ApplyMS = 2000
 LogLevel = info
 LogPerSecond = 60
 `, name, (host-1)%zoneCount+1, class, IP(host), bind, p.ClientAddress(host), p.ReadinessAddress(host), p.Port+4, p.Port+9, address, address, p.Port+6, cmp.Or(p.MemoryMB, 200))
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -240,7 +240,7 @@
 func (d *platformDaemon) addStoreAndPeers() {
 	d.keys = &keys.Table{}
 	d.members = &member.Component{Self: d.self, AdmitAll: true, ConnectZones: true}
-	d.viewComponent = &view.Component{Host: d.self.Name, Zone: d.self.Zone, Decoder: platform.Decoder{Settings: d.settings}, Keys: d.keys}
+	d.viewComponent = &view.Component{Host: d.self.Name, Zone: d.self.Zone, Decoder: platform.Decoder{Settings: d.settings}, Keys: d.keys, ApplyBound: d.settings.ApplyBound}
 	d.links = &reach.Component{Self: d.self.Name, Membership: d.members}
 	d.leaseComponent = &lease.Component{Self: d.self, Membership: d.members, Links: d.links}
 	d.members.BeatFillers = []member.BeatFiller{d.viewComponent, d.leaseComponent, d.links}
--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -44,6 +44,7 @@
 type ListObjects struct {
 	Call   ObjectCall
 	Prefix string
+	Direct bool // not through another host
 }
 
 // WatchObjects is a long poll for changes under a prefix after a revision.
--- a/internal/objapi/executor.go
+++ b/internal/objapi/executor.go
@@ -24,6 +24,11 @@
 	Endpoints(ctx context.Context) (wire.EndpointList, error)
 }
 
+// DirectLister is a Store that may make calls through other hosts. ListDirect doesn't; it is refused at once while direct calls fail.
+type DirectLister interface {
+	ListDirect(ctx context.Context, prefix string) (wire.ObjectList, error)
+}
+
 const (
 	callsPerSecond     = 50
 	callBurst          = 100
@@ -208,13 +213,21 @@
 		timeout: x.ReadTimeout,
 		run: func(ctx context.Context) event.Event {
 			sent := x.Now()
-			list, err := x.Store.List(ctx, e.Prefix)
+			list, err := x.lister(e)(ctx, e.Prefix)
 			return event.ObjectsDone{Call: e.Call, Prefix: e.Prefix, List: list, Kind: x.countResult("list", err), SentAt: sent}
 		},
 		refusal: event.ObjectsDone{Call: e.Call, Prefix: e.Prefix, Kind: kinds.StoreUnavailable},
 	}
 }
 
+// lister returns how a list is read. A store that makes no calls through other hosts reads each directly.
+func (x *Executor) lister(e event.ListObjects) func(ctx context.Context, prefix string) (wire.ObjectList, error) {
+	if s, ok := x.Store.(DirectLister); ok && e.Direct {
+		return s.ListDirect
+	}
+	return x.Store.List
+}
+
 func (x *Executor) watch(e event.WatchObjects) call {
 	return call{
 		kind:    "watch",
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -104,6 +104,16 @@
 	return a.List, err
 }
 
+// ListDirect returns the objects under prefix by a direct call. It is refused at once while direct calls fail.
+func (s *Store) ListDirect(ctx context.Context, prefix string) (wire.ObjectList, error) {
+	if !s.useDirect() {
+		return wire.ObjectList{}, kinds.New(kinds.StoreRefused, "direct calls fail")
+	}
+	list, err := s.Direct.List(ctx, prefix)
+	s.recordOutcome(kinds.KindOf(err))
+	return list, err
+}
+
 // Watch calls the store directly only: while that fails, the hosts that do watch push the changes.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (wire.ObjectList, error) {
 	list, err := s.Direct.Watch(ctx, prefix, after, wait)
--- a/internal/view/cache.go
+++ b/internal/view/cache.go
@@ -31,6 +31,12 @@
 	relists    bool   // is listed again periodically
 	relistSeq  uint64 // number of the periodic list in flight, 0 for none
 	nextRelist time.Duration
+
+	proven        bool          // whether provenAt is known
+	provenAt      time.Duration // all changes that the store had accepted by then are known
+	freshAt       time.Duration // the same, as estimated
+	nextStaleRead time.Duration
+	staleReads    int // since freshAt
 }
 
 func newPrefixCache(prefix string, relists bool) *prefixCache {
@@ -106,7 +112,7 @@
 			c.nextCall = now + watchPause
 		}
 		e.List.Objects = p.cutOddEntries(c, e.List.Objects, out)
-		p.mergeAnswer(now, c, e.List, out)
+		p.mergeAnswer(now, c, e, out)
 	case kinds.HistoryGone:
 		p.storeAnswered(now, out)
 		c.listed = false
@@ -138,6 +144,7 @@
 	p.reportUnreadable(c, e.List.Unreadable, out)
 	e.List.Objects = p.cutOddEntries(c, e.List.Objects, out)
 	changed := c.replace(e.List)
+	c.prove(e.SentAt)
 	c.syncedRevision = max(c.syncedRevision, e.List.Revision)
 	if len(changed) > 0 && c.inFlight {
 		c.inFlight, c.callSeq = false, 0 // the watch has missed a change: do not wait for its answer
@@ -178,7 +185,8 @@
 	return false
 }
 
-func (p *Component) mergeAnswer(now time.Duration, c *prefixCache, list wire.ObjectList, out *event.Batch) {
+func (p *Component) mergeAnswer(now time.Duration, c *prefixCache, e event.ObjectsDone, out *event.Batch) {
+	list := e.List
 	var changed []wire.Object
 	if c.listed {
 		changed = c.updateAll(list.Objects)
@@ -196,6 +204,7 @@
 	if c.listed {
 		p.pushChanges(now, c, changed, out)
 	}
+	c.prove(e.SentAt)
 	c.listed = true
 	c.syncedRevision = max(c.syncedRevision, list.Revision)
 	p.apply(now, c, changed, p.storeRecentlyRecovered(now), out)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -75,6 +75,9 @@
 	Zone    string
 	Decoder Decoder
 	Keys    *keys.Table // filled by this component
+	// ApplyBound is the time within which a change in the store is in force on each host that reaches it. 0 leaves the reading to
+	// few hosts, however old what they tell.
+	ApplyBound time.Duration
 
 	initialised bool
 	caches      []*prefixCache
@@ -113,6 +116,7 @@
 	case event.BeatSeen:
 		p.lastHeartbeat[e.Host] = now
 		p.pullMissing(now, e, out)
+		p.takeAges(now, e)
 	case event.HostLost:
 		delete(p.lastHeartbeat, e.Host)
 	case event.HostsChanged:
@@ -150,6 +154,7 @@
 	for _, c := range p.caches {
 		p.callStore(now, c, out)
 		p.relist(now, c, out)
+		p.readStale(now, c, out)
 		if c.listed && !p.readsStore(c) {
 			c.failures = 0 // no further call is made whose answer would reset it
 		}
@@ -280,7 +285,8 @@
 }
 
 // FillBeat adds the component's state to a heartbeat.
-func (p *Component) FillBeat(_ time.Duration, heartbeat *wire.Beat) {
+func (p *Component) FillBeat(now time.Duration, heartbeat *wire.Beat) {
+	heartbeat.Ages = p.ages(now)
 	heartbeat.Ready = p.ready.Ready
 	heartbeat.Positions = make([]uint64, len(p.caches))
 	for i, c := range p.caches {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -100,6 +100,9 @@
 	Demand  []Demand     `msgpack:",omitempty"`
 	// Positions holds the highest known revision of each kind of object that every host follows.
 	Positions []uint64 `json:",omitempty" msgpack:",omitempty"`
+	// Ages holds, for each of Positions, the time in ms since which the store may have accepted changes that the sender doesn't
+	// know; -1 if that is not known.
+	Ages []int64 `json:",omitempty" msgpack:",omitempty"`
 	// Jobs lists the batch jobs that the sender runs and whose results are not all listed yet.
 	Jobs []JobNews `json:",omitempty" msgpack:",omitempty"`
 	// Runs counts the items that the sender runs on each engine.
