flow, serve: requests that would outlive a planned stop are refused

Cause: nothing compared a request's run with the time that the stopping process had left. Reads of jobs that wait for a first result were cut in the same way.

Change: while a host stops, what would outlive it is refused as Stopping (not run) on arrival, in the queue, before another attempt and when another host passes it on. 0.25 s before the process ends everything left is answered, with 502 where it may have run. It works since no request depends on the process living longer than is known.

Evidence: TestRequestsLateInAStopAreAnswered failed before (9 of 9 requests and 3 of 3 waiting reads that were whole after 6.8, 7.0 and 7.2 s got no answer); after, all are answered, and none that was refused ran. In internal/flow 9 cases fail without the change.

--- a/figd/platform.go
+++ b/figd/platform.go
@@ -58,6 +58,8 @@
 	balancerDelay = 2500 * time.Millisecond
 	// stopMargin is what remains of the platform's grace period when a graceful stop is aborted.
 	stopMargin = 500 * time.Millisecond
+	// answerMargin is the time before that at which the last requests are answered.
+	answerMargin = 250 * time.Millisecond
 	// gcPercent trades processor time for memory, which is the scarcer resource on the hosts.
 	gcPercent = 60
 	// memoryLimitShare is the fraction of a host's memory at which the garbage collector runs more often.
@@ -140,7 +142,7 @@
 // added here.
 func newPlatformDaemon(file string, settings platform.Settings, id identity, stdout io.Writer) *platformDaemon {
 	d := &platformDaemon{file: file, settings: settings, daemon: &daemon{identity: id, state: &reduce.State{}}}
-	d.process = config.Process{Host: settings.Host, Zone: settings.Zone, BalancerDelay: balancerDelay, LogLevel: settings.LogLevel}
+	d.process = config.Process{Host: settings.Host, Zone: settings.Zone, BalancerDelay: balancerDelay, StopTime: settings.Grace - stopMargin - answerMargin, LogLevel: settings.LogLevel}
 	d.loop = &loop.Loop{State: d.state, TickEvery: tickInterval, IdleEvery: idleTickInterval, QueueSize: eventQueueSize}
 	d.loop.Prepare()
 	d.self = event.Host{Name: settings.Host, Zone: settings.Zone, Address: d.advertisedAddress(peerPort), Incarnation: id.incarnation, Power: int(settings.Cores * 100), Build: id.build}
@@ -341,6 +343,7 @@
 		Handlers: map[string]http.Handler{platform.PathJobs: jobAPI, platform.PathItems: jobAPI},
 		Protocol: platform.CallerProtocol{JobAPI: jobAPI},
 		Gate:     d.newGate("Callers", d.connsOf(callerConns)),
+		StopTime: d.process.StopTime,
 	}
 	server.Prepare()
 	jobAPI.MaxBytes, hostAPI.MaxBytes = server.MaxBodyBytes, server.MaxBodyBytes
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	DataFolder     string // "" to keep nothing on disk
 	LogLevel       string
 	BalancerDelay  time.Duration // time between reporting not ready and closing the callers' listener
+	StopTime       time.Duration // time from the request to stop until the last answer; 0 for no bound
 	QueuePolicy    string        // QueueFair or QueueFIFO; "" for QueueFair
 	PickPolicy     string        // PickAffinity or PickRoundRobin; "" for PickAffinity
 }
--- a/internal/flow/arrive.go
+++ b/internal/flow/arrive.go
@@ -175,6 +175,9 @@
 	if p.givenUp(now, r) {
 		return kinds.EndpointsCrashed
 	}
+	if p.outlivesStop(now, r) {
+		return kinds.Stopping
+	}
 	if p.relayed(now, r) {
 		return p.makeRoom(now, r, out)
 	}
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -30,7 +30,7 @@
 		} else {
 			endpoint = p.pickEndpoint(now, r)
 		}
-		return endpoint != nil || relay != "" || p.cannotFinishInTime(now, r) || p.givenUp(now, r) || p.unplaceable(now, r)
+		return endpoint != nil || relay != "" || p.cannotFinishInTime(now, r) || p.outlivesStop(now, r) || p.givenUp(now, r) || p.unplaceable(now, r)
 	}
 	for {
 		item, ok := p.Queue.Pop(fits)
@@ -49,6 +49,11 @@
 			p.finish(now, r, kinds.DeadlineTooShort, out)
 			continue
 		}
+		if p.outlivesStop(now, r) {
+			p.Queue.Correct(r.item, 0)
+			p.finish(now, r, kinds.Stopping, out)
+			continue
+		}
 		if relay != "" {
 			p.startRelayed(now, r, relay, out)
 			continue
@@ -299,7 +304,7 @@
 		return false
 	}
 	backoff := retry.Backoff(p.Random, p.site.Retry.Backoff, r.attempts)
-	if now+backoff >= r.deadline || !p.budget.Take(r.route.Name) {
+	if now+backoff >= r.deadline || p.outlivesStop(now+backoff, r) || !p.budget.Take(r.route.Name) {
 		return false
 	}
 	if r.relay != "" {
--- a/internal/flow/component.go
+++ b/internal/flow/component.go
@@ -95,7 +95,7 @@
 	case event.DrainEndpoint:
 		p.markLeaving(now, e.Mark, out)
 	case event.StopAsked:
-		p.drain.begin(now, p.Process.BalancerDelay, out)
+		p.drain.begin(now, p.Process.BalancerDelay, p.Process.StopTime, out)
 	case event.ListenerClosed:
 		p.drain.closed = true
 	case event.AuthoriseCall:
@@ -201,6 +201,7 @@
 func (p *Component) tick(now time.Duration, out *event.Batch) {
 	p.checkTrust(now, out)
 	p.fireTimers(now, out)
+	p.endAtStop(now, out)
 	p.checkOverdue(now)
 	if !p.DisablePolling {
 		p.poller.tick(now, &p.table, p.Limits, out)
--- a/internal/flow/estimate.go
+++ b/internal/flow/estimate.go
@@ -36,11 +36,15 @@
 
 // missesDeadline reports whether a request that starts after the given wait is expected to miss its deadline.
 func (p *Component) missesDeadline(now time.Duration, r *request, wait time.Duration) bool {
-	run := p.throughput(r).MeanRun(now) // what the size of a call's body says of its run isn't known
+	return now+scaleDuration(wait, waitMargin)+scaleDuration(p.estimateRun(now, r), runMargin) > r.deadline
+}
+
+// estimateRun estimates how long an attempt takes, 0 while that is unknown.
+func (p *Component) estimateRun(now time.Duration, r *request) time.Duration {
 	if r.generation {
-		run = p.throughput(r).EstimateRun(now, r.item.Cost)
+		return p.throughput(r).EstimateRun(now, r.item.Cost)
 	}
-	return now+scaleDuration(wait, waitMargin)+scaleDuration(run, runMargin) > r.deadline
+	return p.throughput(r).MeanRun(now) // what the size of a call's body says of its run isn't known
 }
 
 // cannotFinishInTime reports whether a request is expected to miss its deadline even if it started now. It is false
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -33,12 +33,17 @@
 	Handlers map[string]http.Handler // by path prefix, for requests that figshift answers itself
 	Protocol Protocol                // nil means figshift's own protocol
 	Gate     *gate.Gate              // bounds the callers; nil for no bound but the limits of requests
+	// StopTime is the time from BeginDrain after which requests that Handlers and the Protocol serve are ended, 0 for never. The
+	// reducer ends the others.
+	StopTime time.Duration
 
 	lastRequest atomic.Uint64
 	active      atomic.Pointer[activeSite]
 	ready       atomic.Pointer[event.Ready]
 	draining    atomic.Bool
 	closing     chan struct{}
+	ending      context.Context // ends StopTime after BeginDrain
+	end         context.CancelFunc
 }
 
 // Protocol defines the form of callers' requests and of error responses. Its methods may be called concurrently.
@@ -73,6 +78,7 @@
 // Prepare is called once, before the other methods.
 func (s *Server) Prepare() {
 	s.closing = make(chan struct{})
+	s.ending, s.end = context.WithCancel(context.Background())
 	if s.Gate == nil {
 		s.Gate = &gate.Gate{}
 	}
@@ -90,6 +96,9 @@
 		s.ready.Store(&e)
 	case event.BeginDrain:
 		s.draining.Store(true)
+		if s.StopTime > 0 {
+			time.AfterFunc(s.StopTime, s.end)
+		}
 	case event.StopListening:
 		s.draining.Store(true)
 		close(s.closing)
@@ -163,12 +172,26 @@
 		}
 	}
 	if h := s.localHandler(r); h != nil {
-		h.ServeHTTP(w, r)
+		s.serveLocal(w, r, h)
 		return
 	}
 	s.serveCaller(w, r)
 }
 
+// serveLocal lets a handler answer a request. Its context ends with StopTime, so that the handler answers before the process ends.
+func (s *Server) serveLocal(w http.ResponseWriter, r *http.Request, h http.Handler) {
+	if s.ending.Err() != nil {
+		gate.SkipBody(w, r)
+		s.writeRefusal(w, event.AnswerRequest{Kind: kinds.Stopping}, "")
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	stop := context.AfterFunc(s.ending, cancel)
+	defer stop()
+	h.ServeHTTP(w, r.WithContext(ctx))
+}
+
 // MaxBodyBytes returns the greatest size of a request's body, 0 before a configuration has been loaded. It may be called
 // concurrently.
 func (s *Server) MaxBodyBytes() int64 {
