items, budget, conns: what engines make a host hold has a bound for all together

Cause: each answer had a bound, their sum had none. 100 runs of 8 MB are 800 MB on a host of 284.

Change: a second budget, a tenth of the host's memory, for the lines, events and texts of items and their copies. When it is spent the largest give way: the run ends as cut, the text is made again. A run whose text was dropped ends at its next event. Heads of answers are bounded by 32 KB (64 before), answers of other hosts by 16 MB. It works since memory is granted before it is allocated, and what is large gives way to what is small.

TestReadEvents now begins with a text that holds the events before, as a run does: an event that doesn't follow the text is refused, so that the case "continues" needs one.

--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -59,6 +59,9 @@
 	// Break returns the bytes that are sent in place of the answer to a request that runs, before its connection is closed. The
 	// answer is sound when it reports false, and when Break is nil.
 	Break func(r *http.Request) (answer string, broken bool)
+	// Endless returns what is sent in place of the answer to a request that runs, until the caller closes: first, and then
+	// more(0), more(1) and so on. The answer is sound when more is nil, and when Endless is nil.
+	Endless func(r *http.Request) (first string, more func(n int) string)
 	// RegisterDelay is the time from a restart until the store has the new start's entry.
 	RegisterDelay time.Duration
 	// EventsOf returns the number of events in an item's stream. When nil, every stream has Events events.
@@ -238,6 +241,12 @@
 			return
 		}
 	}
+	if s.Endless != nil {
+		if first, more := s.Endless(r); more != nil {
+			sendEndless(w, first, more)
+			return
+		}
+	}
 	w.Header().Set(HeaderResponseStamp, s.Name+"."+r.Header.Get(HeaderAttemptID))
 	w.Header().Set("Figshift-Server-Load", fmt.Sprintf("1,0,%d", s.Slots))
 	if len(s.Models) > 0 {
--- a/figbed/internal/estate/trouble.go
+++ b/figbed/internal/estate/trouble.go
@@ -89,6 +89,26 @@
 	_ = conn.Close()
 }
 
+// sendEndless sends bytes until the caller closes the connection.
+func sendEndless(w http.ResponseWriter, first string, more func(n int) string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // the connections of http.Server can be hijacked
+	}
+	defer func() { _ = conn.Close() }()
+	part := first
+	for n := 0; ; n++ {
+		if _, err := io.WriteString(conn, part); err != nil {
+			return
+		}
+		part = more(n)
+		time.Sleep(endlessPause)
+	}
+}
+
+// endlessPause is the pause between two parts of an answer without end, which leaves processor time to others.
+const endlessPause = 2 * time.Millisecond
+
 // Crashes returns the crashes of the server, in order.
 func (s *Server) Crashes() []Crash {
 	s.mu.Lock()
--- a/figd/clients.go
+++ b/figd/clients.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// newAnswerMemory returns the memory that engines may make the process hold of their answers.
+func (d *daemon) newAnswerMemory(limit int64) *budget.Budget {
+	return &budget.Budget{
+		Limit: limit, Policy: budget.Largest{}, Now: func() int64 { return d.loop.Now().Milliseconds() },
+		Refused: func(_ budget.Purpose, ended bool) {
+			d.metrics().Tagged(map[string]string{"Ended": boolName(ended)}).Counter("AnswerMemoryRefused").Inc(1)
+		},
+	}
+}
+
 func boolName(b bool) string {
 	if b {
 		return "true"
--- a/figd/platform.go
+++ b/figd/platform.go
@@ -66,6 +66,8 @@
 	memoryLimitShare = 0.7
 	// clientMemoryShare is the fraction of a host's memory that clients can make the process hold.
 	clientMemoryShare = 0.35
+	// answerMemoryShare is the fraction of a host's memory that engines can make the process hold of their answers to items.
+	answerMemoryShare = 0.1
 	// jobMemoryShare is the fraction of a host's memory that batch jobs may hold when a further one is submitted.
 	jobMemoryShare = 0.15
 
@@ -325,6 +327,7 @@
 		Host: d.self.Name, Incarnation: d.incarnation, Store: d.relayedStore, Calls: d.callExecutor, Names: platform.ItemNames(),
 		HTTP:       conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), nil, maxIdleConns, idleConnTimeout),
 		Identified: conns.IdentifyingTransport(conns.DialerFrom(d.sourceIP(), dialTimeout), platform.CallNames().Identity, maxIdleConns, idleConnTimeout), Peers: hostAPI, Post: d.loop.Post, Now: d.loop.Now, Decode: platform.DecodeJob,
+		Memory: d.newAnswerMemory(int64(float64(d.settings.MemoryMB) * answerMemoryShare * (1 << 20))),
 		Settle: d.settings.Settle, ObserveEmpty: d.observeEmptyPage, MaxStoredBytes: int64(d.settings.ValueBytes), MaxJobBytes: int64(float64(d.settings.MemoryMB) * jobMemoryShare * (1 << 20)),
 	}
 	d.jobExecutor.Prepare()
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -1,4 +1,4 @@
-// Package budget bounds the memory that clients can make a process hold.
+// Package budget bounds the memory that others can make a process hold: clients, or endpoints.
 package budget
 
 import (
@@ -28,15 +28,16 @@
 	Bodies                     // bodies of requests
 	Jobs                       // batch jobs, as decoded
 	Answers                    // answers that are written
+	Received                   // answers that are read, as far as they are kept
 	purposes
 )
 
 // String returns the name of a purpose.
 func (p Purpose) String() string {
-	return [...]string{"Connections", "Heads", "Bodies", "Jobs", "Answers"}[p]
+	return [...]string{"Connections", "Heads", "Bodies", "Jobs", "Answers", "Received"}[p]
 }
 
-// Budget is the memory that clients may make the process hold. Its exported fields are set before use. Its methods may be called
+// Budget is the memory that others may make the process hold. Its exported fields are set before use. Its methods may be called
 // concurrently.
 type Budget struct {
 	Limit  int64        // bytes
--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -16,6 +16,13 @@
 	closed bool
 }
 
+// OnEnd sets what is called when others need the memory, in place of what Open was given. It is called before Await.
+func (c *Claim) OnEnd(end func()) {
+	if c != nil {
+		c.end = end
+	}
+}
+
 // Grow holds further bytes, before they are allocated. It may wait for the memory of other clients. Its error has kind
 // MemoryShort when others hold the memory, and BodyTooLarge when the claim would hold more than there ever is.
 func (c *Claim) Grow(p Purpose, bytes int64) error {
--- a/internal/budget/policy.go
+++ b/internal/budget/policy.go
@@ -1,6 +1,9 @@
 package budget
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Policy chooses which claims give way when the budget is spent.
 type Policy interface {
@@ -42,5 +45,16 @@
 	return others
 }
 
+// Largest lets those give way that hold the most, if that is more than what the newcomer asks for. It suits memory that is held for
+// as long as the sound ones need it, however long that is.
+type Largest struct{}
+
+// Yield returns the others that are larger than the newcomer, the largest first.
+func (Largest) Yield(_ int64, newcomer Candidate, others []Candidate) []Candidate {
+	others = slices.DeleteFunc(others, func(c Candidate) bool { return c.Bytes <= newcomer.Bytes })
+	slices.SortFunc(others, func(a, b Candidate) int { return cmp.Compare(b.Bytes, a.Bytes) })
+	return others
+}
+
 // weight returns the bytes times the units of time for which they are held, the begun one included.
 func (c Candidate) weight(now int64) int64 { return c.Bytes * (now - c.Since + 1) }
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -25,7 +25,7 @@
 )
 
 // MaxHeaderBytes is the maximum size of a response's head; an endpoint in trouble may send one without end.
-const MaxHeaderBytes = 64 << 10
+const MaxHeaderBytes = 32 << 10
 
 // Dialer returns a dialer whose connections fail within seconds after the peer stops responding.
 func Dialer(timeout time.Duration) *net.Dialer {
--- a/internal/items/broken_test.go
+++ b/internal/items/broken_test.go
@@ -46,7 +46,7 @@
 					if ends := n == len(whole) || unframed; (reason == "") != ends {
 						t.Errorf("stopped after %q: status %d, reason %q, %d events", whole[:n], status, reason, text.events)
 					}
-					if got := "\n" + string(text.data); !strings.HasPrefix("\none\ntwo\nthree\nfour", got) && !strings.HasPrefix("\nthree\nfour", got) {
+					if got := "\n" + string(text.text.data); !strings.HasPrefix("\none\ntwo\nthree\nfour", got) && !strings.HasPrefix("\nthree\nfour", got) {
 						t.Errorf("stopped after %q: the text is %q", whole[:n], got)
 					}
 				}
--- a/internal/items/copies.go
+++ b/internal/items/copies.go
@@ -23,6 +23,7 @@
 	copyInterval = 300 * time.Millisecond
 	copyTimeout  = 600 * time.Millisecond
 	maxCopyBytes = 32 << 20 // of one message
+	maxCopyParts = 4 << 20  // of the texts of one job in a message, beyond which only one more goes
 )
 
 // CopyOutcome is what became of a message with copies.
@@ -142,9 +143,13 @@
 		missing.Body = &job
 	}
 	missing.Chunks = j.since(progress.chunks)
+	size := 0
 	for i, t := range j.texts {
 		if part, ok := t.since(i, progress); ok {
 			missing.Parts = append(missing.Parts, part)
+			if size += len(part.Data); size > maxCopyParts {
+				break // the others go with the next message
+			}
 		}
 	}
 	return missing, missing.Body != nil || len(missing.Chunks) > 0 || len(missing.Parts) > 0
@@ -183,7 +188,7 @@
 		return textCopy{}, false
 	}
 	return textCopy{
-		Item: i, From: from, Events: t.events, Last: t.lastID, Versions: slices.Clone(t.versions), Software: t.software, Data: slices.Clone(t.data[offset:]),
+		Item: i, From: from, Events: t.events, Last: t.lastID, Versions: slices.Clone(t.versions), Software: t.software, Data: slices.Clone(t.text.data[offset:]),
 		resets: t.resets,
 	}, true
 }
@@ -223,12 +228,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if part.From == 0 {
-		t.data, t.events = nil, 0
+		t.text.drop()
+		t.events = 0
 	}
 	if part.From != t.events || part.From > 0 && part.Software != t.software {
 		return false
 	}
-	t.data = append(t.data, part.Data...)
+	if t.hold(part.Data) != nil {
+		return false
+	}
 	t.events, t.lastID, t.versions, t.software = part.Events, part.Last, part.Versions, part.Software
 	return true
 }
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/figshift/figshift/internal/budget"
 	"github.com/figshift/figshift/internal/call"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/objapi"
@@ -38,6 +39,8 @@
 	// MaxJobBytes bounds what the jobs in memory hold when a further one is submitted, without the texts of their items; 0 for no
 	// bound.
 	MaxJobBytes int64
+	// Memory bounds what engines can make the host hold of their answers, nil for no bound.
+	Memory *budget.Budget
 	// Settle is the time after which a position that a reader has got at any host is shown to all readers, 0 for the default.
 	Settle time.Duration
 	// ObserveEmpty is called with each empty page that a reader gets; nil for none.
@@ -96,6 +99,7 @@
 // Prepare initialises the executor. It is called once, before the other methods.
 func (x *Executor) Prepare() {
 	x.jobTable.prepare()
+	x.jobTable.memory = x.Memory
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	x.submissions = map[uint64]wire.Job{}
 	x.storing = map[uint64]wire.Job{}
--- a/internal/items/items_test.go
+++ b/internal/items/items_test.go
@@ -305,7 +305,7 @@
 	if diff := cmp.Diff(want, copied.heldItems()[:1]); diff != "" {
 		t.Errorf("held (-want +got):\n%s", diff)
 	}
-	if got := string(copied.texts[0].data); got != "a\nb" {
+	if got := string(copied.texts[0].text.data); got != "a\nb" {
 		t.Errorf("text of item 0 = %q", got)
 	}
 	if copied.chunks != 1 || copied.listed[0].Item != 2 {
@@ -356,7 +356,7 @@
 			if copied == nil {
 				t.Fatal("the receiver does not hold the job")
 			}
-			if diff := cmp.Diff(string(text.data), string(copied.texts[0].data)); diff != "" {
+			if diff := cmp.Diff(string(text.text.data), string(copied.texts[0].text.data)); diff != "" {
 				t.Errorf("copied text (-want +got):\n%s", diff)
 			}
 		})
@@ -386,13 +386,13 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			x := &Executor{Names: HeaderNames{HeaderNames: call.HeaderNames{}, GeneratedVersion: "Versions"}}
-			itemText := &itemText{}
+			itemText := &itemText{lastID: c.lastID}
 			err := x.readEvents(strings.NewReader(c.body), itemText, c.lastID, madeBy{weights: 3}, func() {})
 			if (err != nil) != c.fails {
 				t.Errorf("error %v, want one: %v", err, c.fails)
 			}
 			_, _, versions := itemText.state()
-			if diff := cmp.Diff([]any{c.itemText, c.versions}, []any{string(itemText.data), versions}); diff != "" {
+			if diff := cmp.Diff([]any{c.itemText, c.versions}, []any{string(itemText.text.data), versions}); diff != "" {
 				t.Errorf("text and versions (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/items/jobs.go
+++ b/internal/items/jobs.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/figshift/figshift/internal/budget"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -25,6 +26,7 @@
 	jobs   map[string]*jobState
 	owners map[string]event.JobSeen // by job, also of jobs that are not in jobs
 	held   int64                    // bytes of jobs, without texts
+	memory *budget.Budget           // for texts, nil for no bound
 }
 
 // jobState is one job with the texts of its unlisted items and the listed results that are known here.
@@ -44,7 +46,7 @@
 // itemText is what the runs of an item have generated so far.
 type itemText struct {
 	mu        sync.Mutex
-	data      []byte
+	text      heldBytes
 	events    int
 	lastID    string    // id of the last event
 	startedAt time.Time // when a run here got the first event; not set for a copied text, which counts as long
@@ -52,6 +54,8 @@
 	software  string    // version of the engines' software that generated the text
 	resets    int
 	score     string
+	memory    *budget.Budget // that the text draws on, nil for no bound
+	receiving *budget.Claim  // of what a run has received of the next event
 }
 
 func (jt *jobTable) prepare() {
@@ -68,7 +72,7 @@
 	}
 	j := &jobState{job: job, changed: make(chan struct{})}
 	for range job.Items {
-		j.texts = append(j.texts, &itemText{})
+		j.texts = append(j.texts, &itemText{memory: jt.memory})
 	}
 	jt.jobs[job.ID] = j
 	j.bytes = jobBytes(&j.job)
@@ -87,6 +91,9 @@
 	defer jt.mu.Unlock()
 	if j := jt.jobs[id]; j != nil {
 		jt.held -= j.bytes
+		for _, t := range j.texts {
+			t.reset()
+		}
 	}
 	delete(jt.jobs, id)
 }
@@ -270,7 +277,7 @@
 	t := j.texts[i]
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := wire.JobResult{Item: i, Down: down, Text: string(t.data), Versions: slices.Clone(t.versions), Score: t.score}
+	r := wire.JobResult{Item: i, Down: down, Text: string(t.text.data), Versions: slices.Clone(t.versions), Score: t.score}
 	if down {
 		r.Score = ""
 	}
@@ -280,8 +287,7 @@
 func (t *itemText) reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.data, t.events, t.lastID, t.versions, t.software, t.score = nil, 0, "", nil, "", ""
-	t.resets++
+	t.clear()
 }
 
 // prepare drops the text unless an engine with a version of the software can go on with it.
@@ -299,21 +305,29 @@
 }
 
 // add appends the data of one event, separated by a newline from the one before. Version is that of the weights, 0 for not
-// known.
-func (t *itemText) add(id string, data []byte, version uint64, software string) {
+// known. The text must not have been dropped since the event before, nor may it be dropped for this one.
+func (t *itemText) add(id string, data []byte, version uint64, software string) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !isNextEvent(t.lastID, id) {
+		return errTextDropped
+	}
+	var separator []byte
 	if t.events > 0 {
-		t.data = append(t.data, '\n')
-	} else {
+		separator = []byte{'\n'}
+	}
+	if err := t.hold(separator, data); err != nil {
+		return err
+	}
+	if t.events == 0 {
 		t.startedAt, t.software = time.Now(), software
 	}
-	t.data = append(t.data, data...)
 	t.events++
 	t.lastID = id
 	if version != 0 && !slices.Contains(t.versions, version) {
 		t.versions = append(t.versions, version)
 	}
+	return nil
 }
 
 func (t *itemText) state() (events int, lastID string, versions []uint64) {
--- a/internal/items/peers.go
+++ b/internal/items/peers.go
@@ -19,7 +19,9 @@
 	headerEnded = "Figshift-Job-Ended"
 	// PathJob is the path of the calls about a job between hosts: GET reads a page of its results, HEAD asks whether the
 	// host runs it, and DELETE tells that it was ended.
-	PathJob         = "/jobs"
+	PathJob = "/jobs"
+	// maxPeerAnswer is the maximum size of an answer: another process may have the host's address.
+	maxPeerAnswer   = 16 << 20
 	peerCallTimeout = 800 * time.Millisecond // of one call, in addition to the time that a read waits for results
 )
 
@@ -56,7 +58,7 @@
 		return page, false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerAnswer))
 	if err != nil || resp.StatusCode != http.StatusOK || msgpack.Unmarshal(body, &page) != nil {
 		return page, false
 	}
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -33,6 +34,7 @@
 	errEndlessEvent = errors.New("an event is too long")
 	errEndlessText  = errors.New("the stream is too long")
 	errNoEvent      = errors.New("the stream has no event")
+	errTextDropped  = errors.New("the text before the event was dropped")
 )
 
 // run runs an item once at an engine, which continues after the events that are held here. It cancels ctx when the
@@ -50,7 +52,10 @@
 	}
 	t.prepare(e.Software)
 	eventsBefore, lastID, _ := t.state()
-	var silent atomic.Bool
+	var silent, tooLarge atomic.Bool
+	t.receiving = x.Memory.Open(func() { tooLarge.Store(true); cancel() })
+	defer t.receiving.Close()
+	t.receiving.Await(true)
 	watchdog := time.AfterFunc(e.Silence, func() { silent.Store(true); cancel() })
 	defer watchdog.Stop()
 	engine := wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}
@@ -67,12 +72,12 @@
 	})
 	if done.Reason != "" && done.Reason != event.ReasonRefused && silent.Load() {
 		done.Reason = event.ReasonSilent
-	} else if done.Reason != "" && done.Reason != event.ReasonRefused && ctx.Err() != nil {
+	} else if done.Reason != "" && done.Reason != event.ReasonRefused && ctx.Err() != nil && !tooLarge.Load() {
 		done.Reason = event.ReasonStopped
 	}
 	done.Events, _, done.Versions = t.state()
 	_, done.Software = t.began()
-	done.New = done.Events - eventsBefore
+	done.New = max(0, done.Events-eventsBefore) // 0 when the text was dropped
 	done.Took = x.Now() - start
 	return done
 }
@@ -213,11 +218,11 @@
 func (x *Executor) readEvents(body io.Reader, t *itemText, lastID string, by madeBy, onEvent func()) error {
 	r := bufio.NewReaderSize(body, readBufferBytes)
 	versionField := strings.ToLower(x.Names.GeneratedVersion) + ":"
-	var data []byte
+	longLine, data := heldBytes{claim: t.receiving}, heldBytes{claim: t.receiving}
 	id, pending := "", false
 	eventBytes, textBytes := 0, 0
 	for {
-		line, err := readLine(r)
+		line, err := readLine(r, &longLine)
 		eventBytes += len(line) + 1
 		textBytes += len(line) + 1
 		if eventBytes > maxEventBytes {
@@ -244,9 +249,12 @@
 				return errMissingEvent
 			}
 			if lastID != id {
-				t.add(id, data, by.weights, by.software)
+				if err := t.add(id, data.data, by.weights, by.software); err != nil {
+					return errors.Wrap(err, "keeping the text")
+				}
 			}
-			lastID, data, id, pending, eventBytes = id, nil, "", false, 0
+			lastID, id, pending, eventBytes = id, "", false, 0
+			data.drop()
 			onEvent()
 		case bytes.HasPrefix(line, []byte(versionField)):
 			by.weights, _ = strconv.ParseUint(string(bytes.TrimSpace(line[len(versionField):])), 10, 64)
@@ -255,10 +263,14 @@
 			id, pending = string(bytes.TrimSpace(line[3:])), true
 		case bytes.HasPrefix(line, []byte("data:")):
 			value := bytes.TrimPrefix(line[5:], []byte(" "))
-			if data != nil {
-				data = append(data, '\n')
+			var separator []byte
+			if data.data != nil {
+				separator = []byte{'\n'}
 			}
-			data, pending = append(data, value...), true
+			if err := data.append(slices.Concat(separator, value)...); err != nil {
+				return errors.Wrap(err, "keeping an event")
+			}
+			pending = true
 		}
 	}
 }
@@ -276,8 +288,10 @@
 	return err == nil && number == lastNumber+1
 }
 
-// readLine returns the next line without its line ending. A line without an ending is an error.
-func readLine(r *bufio.Reader) ([]byte, error) {
+// readLine returns the next line without its line ending, which is valid until the next one is read. A line without an ending is an
+// error. Long holds one that doesn't fit into the reader.
+func readLine(r *bufio.Reader, long *heldBytes) ([]byte, error) {
+	long.drop()
 	line, err := r.ReadSlice('\n')
 	if err == nil {
 		return bytes.TrimRight(line, "\r\n"), nil
@@ -288,13 +302,17 @@
 		}
 		return nil, err
 	}
-	longLine := append([]byte(nil), line...)
-	for err == bufio.ErrBufferFull && len(longLine) < maxLineBytes {
+	for err == bufio.ErrBufferFull && len(long.data) < maxLineBytes {
+		if err := long.append(line...); err != nil {
+			return nil, err
+		}
 		line, err = r.ReadSlice('\n')
-		longLine = append(longLine, line...)
 	}
 	if err != nil {
 		return nil, io.ErrUnexpectedEOF
 	}
-	return bytes.TrimRight(longLine, "\r\n"), nil
+	if err := long.append(line...); err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(long.data, "\r\n"), nil
 }
--- a/internal/items/software_test.go
+++ b/internal/items/software_test.go
@@ -48,7 +48,7 @@
 			if diff := cmp.Diff([]string{c.asked}, engine.asked); diff != "" {
 				t.Errorf("last event asked (-want +got):\n%s", diff)
 			}
-			if diff := cmp.Diff(c.text, string(text.data)); diff != "" {
+			if diff := cmp.Diff(c.text, string(text.text.data)); diff != "" {
 				t.Errorf("text (-want +got):\n%s", diff)
 			}
 			if diff := cmp.Diff(c.engine, done.Software); diff != "" {
--- a/internal/items/submit.go
+++ b/internal/items/submit.go
@@ -133,7 +133,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	acceptTimer.Stop()
-	respBody, err := io.ReadAll(resp.Body)
+	respBody, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerAnswer))
 	if err == nil && resp.StatusCode != http.StatusOK {
 		return answer, false, kinds.New(kinds.Forbidden, "host %s answered %d", host, resp.StatusCode)
 	}
--- a/internal/items/texts.go
+++ b/internal/items/texts.go
@@ -163,5 +163,5 @@
 	if t.events == 0 || now.Sub(t.startedAt) < minTextAge {
 		return textCopy{}, false
 	}
-	return textCopy{Item: i, Events: t.events, Last: t.lastID, Versions: slices.Clone(t.versions), Software: t.software, Data: slices.Clone(t.data)}, true
+	return textCopy{Item: i, Events: t.events, Last: t.lastID, Versions: slices.Clone(t.versions), Software: t.software, Data: slices.Clone(t.text.data)}, true
 }
--- a/internal/items/texts_test.go
+++ b/internal/items/texts_test.go
@@ -73,7 +73,7 @@
 	if diff := cmp.Diff(want, done.Held); diff != "" {
 		t.Errorf("held (-want +got):\n%s", diff)
 	}
-	if got := string(other.jobTable.get("j1").texts[0].data); got != "a\nb\ne" {
+	if got := string(other.jobTable.get("j1").texts[0].text.data); got != "a\nb\ne" {
 		t.Errorf("text %q", got)
 	}
 }
