origin, flow: a stream is unknown only when all hosts have said so

Cause: a host that nobody answered, or that took nobody for alive, treated a stream as one that nobody knows. Where its old list told no software versions, the stream went on at any endpoint. Where versions are told it is refused, before and after.

Change: without a known origin a stream goes on at endpoints without a version only if every host that could be asked has said that it doesn't know it, or if there is no other host. It works since the host that passed the first event on, or one that it told, says so when it answers.

The cases of origin and flow fail without the change, since what they ask for isn't told.

--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -45,6 +45,7 @@
 	Service       string
 	Zone          string
 	Software      string // version of the server's software; "v1" when empty
+	Untold        bool   // the server's entry doesn't tell the version of its software
 	Models        []string
 	Slots         int
 	Events        int           // events per stream
@@ -153,8 +154,12 @@
 	for _, m := range s.Models {
 		models = append(models, map[string]any{"name": m, "version": s.versions[m]})
 	}
+	software := s.Software
+	if s.Untold {
+		software = ""
+	}
 	s.store.Put("servers", s.instance, map[string]any{
-		"service": s.Service, "address": s.address, "zone": s.Zone, "version": s.Software, "slots": s.Slots,
+		"service": s.Service, "address": s.address, "zone": s.Zone, "version": software, "slots": s.Slots,
 		"state": state, "stage": "hybrid", "models": models, "sequence": 7, "born": s.startMS,
 	})
 }
--- a/figbed/proofs/configuration_test.go
+++ b/figbed/proofs/configuration_test.go
@@ -87,20 +87,24 @@
 	platform := &estate.Platform{Servers: []*estate.Server{newPlainServer("p1", "zone-1"), newPlainServer("p2", "zone-2")}}
 	names := namesWithReadersFirst(t, hosts)
 	platform.HostName = func(host int) string { return names[host-1] }
-	platform.PlatformAddressFor = func(host int) string {
-		for len(f.doors) < host {
-			door, err := platform.OpenDoor()
-			if err != nil {
-				t.Fatal(err)
-			}
-			f.doors = append(f.doors, door)
-		}
-		return f.doors[host-1].Address
-	}
+	platform.PlatformAddressFor = func(host int) string { return f.door(t, platform, host).Address }
 	f.platformFleet = startFleetOn(t, hosts, platform)
 	return f
 }
 
+// door returns a host's way to the platform.
+func (f *fleetWithDoors) door(t *testing.T, platform *estate.Platform, host int) *estate.Door {
+	t.Helper()
+	for len(f.doors) < host {
+		door, err := platform.OpenDoor()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.doors = append(f.doors, door)
+	}
+	return f.doors[host-1]
+}
+
 // namesWithReadersFirst returns sorted names of which the first are the hosts that read the configuration for all.
 func namesWithReadersFirst(t *testing.T, hosts int) []string {
 	t.Helper()
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -160,6 +160,7 @@
 type StreamSought struct {
 	Organisation string
 	ID           string
+	Unsure       bool // a host that may know the origin has not answered
 }
 
 // AttemptDone ends an attempt. Run says whether the endpoint ran this attempt. Whole reports whether its answer was
--- a/internal/flow/rejoin_test.go
+++ b/internal/flow/rejoin_test.go
@@ -112,6 +112,35 @@
 	}
 }
 
+// A host whose list of endpoints was old, and told no versions yet, took a stream up that had begun at a version through another host,
+// from which no answer came.
+func TestUnknownStreamIsRefusedWhileOtherHostsDoNotAnswer(t *testing.T) {
+	cases := map[string]struct {
+		crowd, asks, unsure bool
+		kind                kinds.Kind
+	}{
+		"alone":                           {false, false, false, ""},
+		"nobody is alive":                 {true, false, false, kinds.StreamUnresumable},
+		"one does not answer":             {true, true, true, kinds.StreamUnresumable},
+		"all say that they don't know it": {true, true, false, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g, origins := newStreamRig(rigEndpoint("a"))
+			origins.crowd, origins.asks = c.crowd, c.asks
+			effects := g.step(resumed(1, "elsewhere"))
+			if c.asks {
+				effects = append(effects, g.step(event.StreamSought{Organisation: "Ledger", ID: "elsewhere", Unsure: c.unsure})...)
+			}
+			if c.kind != "" {
+				wantAnswers(t, effects, c.kind)
+				return
+			}
+			requireStarted(t, effects)
+		})
+	}
+}
+
 // A host of an earlier version passed on a call that takes a stream up again without saying which software version began it, and
 // the receiver sent it to any.
 func TestPassedStreamIsBoundByTheReceiver(t *testing.T) {
--- a/internal/flow/stream.go
+++ b/internal/flow/stream.go
@@ -57,7 +57,7 @@
 // for it, and a kind when the stream can't go on.
 func (p *Component) bindResumed(now time.Duration, r *request, out *event.Batch) (kinds.Kind, bool) {
 	if r.arrived.Resumes == "" {
-		return p.bindTo(r, origin.Origin{}, false), true
+		return p.bindTo(r, origin.Origin{}, false, true), true // nobody can be asked
 	}
 	stream := origin.Stream{Organisation: r.organisation, ID: r.arrived.Resumes}
 	at, ok := p.Origins.Lookup(now, stream)
@@ -65,17 +65,18 @@
 		r.phase = seeking
 		return "", false
 	}
-	return p.bindTo(r, at, ok), true
+	return p.bindTo(r, at, ok, p.Origins.Alone()), true
 }
 
 // bindTo sends a request to the service and software version at which its stream began, or returns why the stream can't go on.
-// A stream of which nobody knows where it began goes on only where no endpoint tells its version.
-func (p *Component) bindTo(r *request, at origin.Origin, known bool) kinds.Kind {
+// A stream of which nobody knows where it began goes on only where no endpoint tells its version. Sure tells that no host that could
+// be asked failed to answer: this one's list of endpoints may be old.
+func (p *Component) bindTo(r *request, at origin.Origin, known, sure bool) kinds.Kind {
 	switch {
 	case known && slices.Contains(servicesOf(r), at.Service):
 		r.service, r.pool = at.Service, route.ServicePool(at.Service)
 		r.bind(at.Software)
-	case !known && p.withoutVersions(r):
+	case !known && sure && p.withoutVersions(r):
 		r.bind(withoutVersion)
 	default:
 		return kinds.StreamUnresumable
@@ -93,7 +94,7 @@
 		if r.phase != seeking || r.organisation != e.Organisation || r.arrived.Resumes != e.ID {
 			continue
 		}
-		if kind := p.bindTo(r, at, known); kind != "" {
+		if kind := p.bindTo(r, at, known, !e.Unsure); kind != "" {
 			p.finish(now, r, kind, out)
 			continue
 		}
--- a/internal/flow/stream_test.go
+++ b/internal/flow/stream_test.go
@@ -17,6 +17,7 @@
 type fakeOrigins struct {
 	known map[origin.Stream]origin.Origin
 	asks  bool // other hosts can be asked
+	crowd bool // there are other hosts
 }
 
 func (f *fakeOrigins) Began(_ time.Duration, s origin.Stream, at origin.Origin, _ *event.Batch) {
@@ -28,6 +29,8 @@
 	return at, ok
 }
 
+func (f *fakeOrigins) Alone() bool { return !f.crowd }
+
 func (f *fakeOrigins) Seek(time.Duration, origin.Stream, *event.Batch) bool { return f.asks }
 
 func softwareEndpoint(name, software string) wire.Endpoint {
--- a/internal/origin/component.go
+++ b/internal/origin/component.go
@@ -103,6 +103,12 @@
 	return p.seek(now, stream, p.askable(now), "", out)
 }
 
+// Alone reports whether this is the only host that there is. It isn't known to be before the hosts are.
+func (p *Component) Alone() bool {
+	_, known := p.zones[p.Self.Name]
+	return known && len(p.zones) == 1
+}
+
 // seek asks hosts for a stream's origin, on behalf of this host when asker is "".
 func (p *Component) seek(now time.Duration, stream Stream, hosts []string, asker string, out *event.Batch) bool {
 	p.lazyInit()
@@ -195,10 +201,13 @@
 	if r := p.streams[stream]; r != nil {
 		news = newsOf(stream, r.origin)
 	}
+	unsure := news.Unknown && len(s.waiting) > 0
 	for _, host := range slices.Sorted(maps.Keys(s.askers)) {
-		p.send(host, news, out)
+		if !unsure {
+			p.send(host, news, out)
+		}
 	}
-	out.Raise(event.StreamSought{Organisation: stream.Organisation, ID: stream.ID})
+	out.Raise(event.StreamSought{Organisation: stream.Organisation, ID: stream.ID, Unsure: unsure})
 }
 
 func (p *Component) expireSearches(now time.Duration, out *event.Batch) {
--- a/internal/origin/component_test.go
+++ b/internal/origin/component_test.go
@@ -23,13 +23,14 @@
 	parts  map[string]*Component
 	silent map[string]bool // hosts that are suspended or cut off
 	sought map[string]int  // searches that have ended, by host
+	unsure map[string]bool // whether a host that may know the stream did not answer the last one, by host
 }
 
 // Alive returns all hosts. A host that has just died still counts as alive.
 func (f *fleet) Alive(time.Duration) []event.Host { return f.hosts }
 
 func newFleet(zones, hostsPerZone int, hubs ...string) *fleet {
-	f := &fleet{parts: map[string]*Component{}, silent: map[string]bool{}, sought: map[string]int{}}
+	f := &fleet{parts: map[string]*Component{}, silent: map[string]bool{}, sought: map[string]int{}, unsure: map[string]bool{}}
 	for z := range zones {
 		for h := range hostsPerZone {
 			f.hosts = append(f.hosts, event.Host{Name: fmt.Sprintf("z%dh%d", z, h), Zone: fmt.Sprintf("z%d", z)})
@@ -54,8 +55,9 @@
 	var out event.Batch
 	act(f.parts[host], &out)
 	for _, raised := range out.Raised {
-		if _, ok := raised.(event.StreamSought); ok {
+		if e, ok := raised.(event.StreamSought); ok {
 			f.sought[host]++
+			f.unsure[host] = e.Unsure
 		}
 	}
 	for _, effect := range out.Effects {
@@ -148,6 +150,9 @@
 			if f.sought["z1h1"] != 1 || len(f.parts["z1h1"].sought) != 0 {
 				t.Errorf("%d searches ended, %d are open", f.sought["z1h1"], len(f.parts["z1h1"].sought))
 			}
+			if unsure := c.after > 0; f.unsure["z1h1"] != unsure {
+				t.Errorf("a host that may know the stream did not answer: %v, want %v", f.unsure["z1h1"], unsure)
+			}
 		})
 	}
 }
@@ -159,6 +164,10 @@
 	if f.parts["z0h0"].Seek(0, stream, &out) {
 		t.Error("a host without others asked")
 	}
+	alone, one := f.parts["z0h0"].Alone(), newFleet(1, 2).parts["z0h0"].Alone()
+	if unknown := (&Component{Self: f.hosts[0]}).Alone(); !alone || one || unknown {
+		t.Errorf("alone: %v; with another host: %v; before the hosts are known: %v", alone, one, unknown)
+	}
 }
 
 // The first version that is told of a stream stays: another one would mix the two.
--- a/internal/origin/memory.go
+++ b/internal/origin/memory.go
@@ -23,6 +23,8 @@
 	// Seek asks other hosts for a stream's origin. It returns false when there is nobody to ask; else
 	// event.StreamSought follows, once Lookup knows the origin or no host does.
 	Seek(now time.Duration, stream Stream, out *event.Batch) bool
+	// Alone reports whether there is no other host at which a stream can have begun.
+	Alone() bool
 }
 
 // Forgetful is a Memory that knows no stream. It is the baseline of Component.
@@ -34,5 +36,8 @@
 // Lookup returns false.
 func (Forgetful) Lookup(time.Duration, Stream) (Origin, bool) { return Origin{}, false }
 
+// Alone returns true.
+func (Forgetful) Alone() bool { return true }
+
 // Seek returns false.
 func (Forgetful) Seek(time.Duration, Stream, *event.Batch) bool { return false }
