limit: items and orders of a host that has just started wait for the limits that others know

Cause: a host that has started knows no limit. Calls wait for the first heartbeats, items and orders did not, and a burst of them went out before the first answer named the limit.

Change: the gate gives items and orders nothing for endpoints without a known limit until half of the other hosts, three at most, have told theirs, or for 2 s. It works since heartbeats list every limit that a host knows.

Evidence: five new cases of TestSumOfAllHostsStaysWithinLimit with hosts that are down for 0.3 or 1.5 s.

--- a/internal/limit/component.go
+++ b/internal/limit/component.go
@@ -32,6 +32,7 @@
 	sent      map[wire.LeaveMark]*Recent // requests that this host has sent
 	fleet     fleet
 	endpoints []wire.Endpoint // as listed
+	startup   startup
 }
 
 // Backlog knows of requests that wait on this host.
@@ -61,6 +62,7 @@
 
 // Step applies one event.
 func (p *Component) Step(now time.Duration, ev event.Event, out *event.Batch) {
+	p.startup.begin(now)
 	switch e := ev.(type) {
 	case event.EndpointAnswered:
 		p.handleAnswered(now, e, out)
@@ -159,6 +161,9 @@
 // Allowance returns what this host may send to an endpoint from now on.
 func (p *Component) Allowance(now time.Duration, endpoint wire.LeaveMark, source Source) Allowance {
 	l := p.limits[endpoint]
+	if l == nil && (source == Items || source == Orders) && !p.startup.knowsLimits(now, len(p.fleet.hosts)-1) {
+		return Allowance{Limited: true} // calls wait by themselves, and polls are few
+	}
 	if l == nil || l.lifted {
 		return Allowance{}
 	}
--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -24,6 +24,7 @@
 	simulationStep    = 10 * time.Millisecond
 	heartbeatInterval = 600 * time.Millisecond
 	hostLostAfter     = 1500 * time.Millisecond
+	startWait         = 2 * time.Second // for which calls wait for heartbeats at most after the start of a host
 )
 
 // fleetCase describes a simulated fleet that sends to one endpoint with a limit.
@@ -39,6 +40,7 @@
 	lostBeats float64 // fraction of the heartbeats that don't arrive
 	orders    bool    // host 0 sends an order of two calls each second, as far as it may
 	questions bool    // each request has a new connection, on which the endpoint is asked for its incarnation first
+	items     bool    // the requests are runs of items, which are sent from the start of a host on
 	baseline  bool    // no host keeps to the limit
 }
 
@@ -52,6 +54,8 @@
 	heardAt   map[int]time.Duration
 	lost      map[int]bool
 	refused   int
+	known     []event.Host
+	startedAt time.Duration
 }
 
 // AddWants implements limit.Backlog.
@@ -78,7 +82,7 @@
 				continue
 			}
 			if !h.started {
-				h.start(hosts, c)
+				h.start(now, hosts, c)
 			}
 			offset := time.Duration(i) * heartbeatInterval / time.Duration(c.hosts)
 			if (now+offset)%heartbeatInterval < simulationStep {
@@ -88,7 +92,7 @@
 			if rate := c.demand(i, now); random.Float64() < rate*simulationStep.Seconds() {
 				h.waiting++
 			}
-			sent := h.send(now, c.questions)
+			sent := h.send(now, c)
 			if c.orders && i == 0 && now%time.Second == 0 && h.gate.Allowance(now, simEndpoint, limit.Orders).Allows() {
 				h.gate.Take(now, simEndpoint, limit.Orders, 2)
 				sent += 2
@@ -103,7 +107,7 @@
 	return arrivals, byHost
 }
 
-func (h *simHost) start(hosts []*simHost, c fleetCase) {
+func (h *simHost) start(now time.Duration, hosts []*simHost, c fleetCase) {
 	var known []event.Host
 	for _, o := range hosts {
 		known = append(known, event.Host{Name: o.name})
@@ -113,13 +117,14 @@
 	if c.baseline {
 		h.gate = limit.Unlimited{}
 	}
+	h.known, h.startedAt = known, now
 	h.started, h.waiting, h.heardAt, h.lost = true, 0, map[int]time.Duration{}, map[int]bool{}
-	h.step(0, event.HostsChanged{Hosts: known})
+	h.step(now, event.HostsChanged{Hosts: known})
 	endpoint := wire.Endpoint{Name: simEndpoint.Endpoint, Incarnation: simEndpoint.Incarnation}
 	if c.questions {
 		endpoint.Software = "v1"
 	}
-	h.step(0, event.EndpointsListed{List: wire.EndpointList{Endpoints: []wire.Endpoint{endpoint}}})
+	h.step(now, event.EndpointsListed{List: wire.EndpointList{Endpoints: []wire.Endpoint{endpoint}}})
 }
 
 func (h *simHost) step(now time.Duration, ev event.Event) {
@@ -128,13 +133,20 @@
 }
 
 // send sends the waiting requests that the gate allows, and returns their number with that of the questions before them.
-func (h *simHost) send(now time.Duration, questions bool) int {
+func (h *simHost) send(now time.Duration, c fleetCase) int {
+	source := limit.Requests
+	if c.items {
+		source = limit.Items
+	}
+	if others := len(h.known) - 1; !c.items && len(h.heardAt) < min((others+1)/2, 3) && now < h.startedAt+startWait {
+		return 0 // as calls wait after the start of a host
+	}
 	sent := 0
-	for h.waiting >= 1 && h.gate.Allowance(now, simEndpoint, limit.Requests).Allows() {
-		h.gate.Take(now, simEndpoint, limit.Requests, 1)
+	for h.waiting >= 1 && h.gate.Allowance(now, simEndpoint, source).Allows() {
+		h.gate.Take(now, simEndpoint, source, 1)
 		h.waiting--
 		sent++
-		if questions {
+		if c.questions {
 			h.gate.Take(now, simEndpoint, limit.Polls, 1)
 			sent++
 		}
@@ -194,6 +206,14 @@
 	}
 }
 
+// restarts returns which hosts are alive when each of the first hosts is down for a time, one after the other.
+func restarts(hosts int, interval, down time.Duration) func(int, time.Duration) bool {
+	return func(host int, now time.Duration) bool {
+		turn, since := int(now/interval)%hosts, now%interval
+		return now < interval || host != turn || since > down
+	}
+}
+
 const simulationLength = 40 * time.Second
 
 // fleetCases are the fleets of the tests below.
@@ -217,11 +237,16 @@
 	"hosts join one after the other": {hosts: 8, perSecond: 3, demand: constant(4), alive: func(host int, now time.Duration) bool {
 		return now >= time.Duration(host)*3*time.Second
 	}},
-	"questions":                   {hosts: 8, perSecond: 0.5, demand: constant(1), questions: true},
-	"questions of many hosts":     {hosts: 15, perSecond: 1, demand: constant(2), questions: true},
-	"questions, then all at once": {hosts: 8, perSecond: 1.2, demand: bursts(8, 8), questions: true},
-	"questions and orders":        {hosts: 4, perSecond: 0.5, demand: bursts(4, 8), questions: true, orders: true},
-	"questions and orders, 2/s":   {hosts: 8, perSecond: 2, demand: bursts(8, 8), questions: true, orders: true},
+	"questions":                         {hosts: 8, perSecond: 0.5, demand: constant(1), questions: true},
+	"questions of many hosts":           {hosts: 15, perSecond: 1, demand: constant(2), questions: true},
+	"questions, then all at once":       {hosts: 8, perSecond: 1.2, demand: bursts(8, 8), questions: true},
+	"questions and orders":              {hosts: 4, perSecond: 0.5, demand: bursts(4, 8), questions: true, orders: true},
+	"questions and orders, 2/s":         {hosts: 8, perSecond: 2, demand: bursts(8, 8), questions: true, orders: true},
+	"restarts with questions":           {hosts: 4, perSecond: 0.5, demand: constant(2), items: true, questions: true, alive: restarts(4, 4*time.Second, 1500*time.Millisecond)},
+	"short restarts with questions":     {hosts: 4, perSecond: 0.5, demand: constant(2), items: true, questions: true, alive: restarts(4, 4*time.Second, 300*time.Millisecond)},
+	"restarts with questions, orders":   {hosts: 4, perSecond: 0.5, demand: bursts(4, 8), items: true, questions: true, orders: true, alive: restarts(4, 4*time.Second, 1500*time.Millisecond)},
+	"short restarts, questions, orders": {hosts: 4, perSecond: 0.5, demand: bursts(4, 8), items: true, questions: true, orders: true, alive: restarts(4, 4*time.Second, 300*time.Millisecond)},
+	"one restart, questions, orders":    {hosts: 4, perSecond: 0.5, demand: constant(2), items: true, questions: true, orders: true, alive: restarts(1, 9*time.Second, 300*time.Millisecond)},
 	"hosts restart in turns": {hosts: 8, perSecond: 3, demand: constant(4), alive: func(host int, now time.Duration) bool {
 		down := 5*time.Second + time.Duration(host)*4*time.Second
 		return now < down || now > down+1500*time.Millisecond
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -222,6 +222,7 @@
 
 // handleHeartbeat applies what another host tells of limits.
 func (p *Component) handleHeartbeat(now time.Duration, e event.BeatSeen, out *event.Batch) {
+	p.startup.hear(e.Host)
 	wasLost := p.fleet.lost[e.Host]
 	p.fleet.setLost(e.Host, false)
 	waited := e.Anchored && now-e.Anchor > maxBeatAge
