items: a whole text isn't dropped for the memory of others

Change: the end of a run keeps the text for good, under the lock under which texts are dropped, and ends as cut when the text has been dropped. TestWholeTextIsNotDropped fails without it (0 events of 1).

--- a/internal/budget/claim.go
+++ b/internal/budget/claim.go
@@ -137,6 +137,18 @@
 	b.waiting[c] = struct{}{}
 }
 
+// Keep lets the claim no longer be ended. It returns false when it has been.
+func (c *Claim) Keep() bool {
+	if c == nil {
+		return true
+	}
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.waiting, c)
+	return !c.ended
+}
+
 // Close gives everything back.
 func (c *Claim) Close() {
 	if c == nil {
--- a/internal/items/held.go
+++ b/internal/items/held.go
@@ -52,6 +52,17 @@
 	return err
 }
 
+// finish takes that the text is whole up to an event, so that it isn't dropped any more. The error tells that it was.
+func (t *itemText) finish(lastID string) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lastID == lastID && t.text.claim.Keep() {
+		return nil
+	}
+	t.clear()
+	return errTextDropped
+}
+
 // giveWay drops the text while it is still held by a claim. A run that goes on with it ends at its next event.
 func (t *itemText) giveWay(claim *budget.Claim) {
 	t.mu.Lock()
--- a/internal/items/held_test.go
+++ b/internal/items/held_test.go
@@ -61,6 +61,35 @@
 	}
 }
 
+// A text that was dropped after its last event, before it was listed, would be listed as whole without its events.
+func TestWholeTextIsNotDropped(t *testing.T) {
+	memory := newTestMemory(1 << 20)
+	add := func(text *itemText, id string) error { return text.add(id, make([]byte, 100<<10), 1, "") }
+	whole, dropped, other := &itemText{memory: memory}, &itemText{memory: memory}, &itemText{memory: memory}
+	if err := whole.add("1", make([]byte, 600<<10), 1, ""); err != nil {
+		t.Fatal(err)
+	}
+	if err := whole.finish("1"); err != nil {
+		t.Fatal(err)
+	}
+	for n := 1; add(other, fmt.Sprint(n)) == nil; n++ { // until it doesn't fit any more
+		if n > 10 {
+			t.Fatal("the budget has no end")
+		}
+	}
+	if events, _, _ := whole.state(); events != 1 {
+		t.Errorf("the whole text has %d events, want 1", events)
+	}
+	if err := add(dropped, "1"); err != nil {
+		t.Fatal(err)
+	}
+	claim := dropped.text.claim
+	dropped.giveWay(claim)
+	if err := dropped.finish("1"); err == nil {
+		t.Error("a text that was dropped is whole")
+	}
+}
+
 func TestHeldBytes(t *testing.T) {
 	memory := newTestMemory(1 << 20)
 	claim := memory.Open(nil)
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -235,7 +235,7 @@
 			if lastID == "" {
 				return errNoEvent
 			}
-			return nil
+			return t.finish(lastID)
 		}
 		if err != nil {
 			return errors.Wrap(err, "reading the stream")
