--- a/figbed/internal/soak/check_links.go
+++ b/figbed/internal/soak/check_links.go
@@ -27,11 +27,27 @@
 		}
 	}
 	for _, path := range estate.MixedRuns(runs) {
-		violations = append(violations, fmt.Sprintf("ORDER: %s holds events of two software versions", path))
+		violations = append(violations, fmt.Sprintf("ORDER: %s holds events of two software versions: %s", path, h.describeRuns(path)))
 	}
 	return violations
 }
 
+// describeRuns returns the runs of a path in the order in which they began.
+func (h *History) describeRuns(path string) string {
+	var runs []Run
+	for _, r := range h.Runs {
+		if r.Path == path {
+			runs = append(runs, r)
+		}
+	}
+	slices.SortStableFunc(runs, func(a, b Run) int { return a.At.Compare(b.At) })
+	var parts []string
+	for _, r := range runs {
+		parts = append(parts, fmt.Sprintf("%.3f s %s at %s after event %q: %d events", r.At.Sub(runs[0].At).Seconds(), r.Software, r.Server, r.LastEventID, len(r.EventVersions)))
+	}
+	return strings.Join(parts, "; ")
+}
+
 // checkLinks checks that callers of hosts that reach no server are served.
 func checkLinks(h *History, _ map[string][]Run) (violations []string) {
 	for _, s := range h.Spans {
