limit: a host that has just started tries each endpoint with one item or order

Cause: items and orders waited for the heartbeats of half of the other hosts after a start.

Change: until the others' limits are known one item or order goes to an endpoint until it has answered, and counts once the limit is named. TestSumOfAllHostsStaysWithinLimit passes as before.

--- a/internal/limit/component.go
+++ b/internal/limit/component.go
@@ -96,6 +96,7 @@
 		}})
 		return
 	}
+	p.startup.answered(now, id)
 	if e.Limited {
 		p.name(now, now, id, e.PerSecond, out)
 		return
@@ -123,7 +124,7 @@
 	}
 	if l.lifted {
 		l.sent, l.loggedAt = [sourceCount]int{}, now
-		l.bucket, l.wants, l.overdraft = bucket{at: now, left: 1, capacity: 1}, wants{}, 0
+		l.bucket, l.wants, l.overdraft = bucket{at: now, left: 1 - p.startup.sentAtFirst(now, id, l.atOnce), capacity: 1}, wants{}, 0
 		l.orders = bucket{at: now, left: ordersCapacity, capacity: ordersCapacity}
 	}
 	l.lifted, l.perSecond, l.at = false, perSecond, at
@@ -162,7 +163,7 @@
 func (p *Component) Allowance(now time.Duration, endpoint wire.LeaveMark, source Source) Allowance {
 	l := p.limits[endpoint]
 	if l == nil && (source == Items || source == Orders) && !p.startup.knowsLimits(now, len(p.fleet.hosts)-1) {
-		return Allowance{Limited: true} // calls wait by themselves, and polls are few
+		return p.startup.allowance(endpoint) // calls wait by themselves, and polls are few
 	}
 	if l == nil || l.lifted {
 		return Allowance{}
@@ -185,6 +186,9 @@
 	if source != Orders {
 		p.countSent(now, endpoint, n)
 	}
+	if source == Items || source == Orders {
+		p.startup.tried(now, endpoint)
+	}
 	l := p.limits[endpoint]
 	if l == nil || l.lifted {
 		return
