conns: a reset that a write met is an error of the answer too

An endpoint answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: the kernel tells a reset to one call only. If the write of the upload gets ECONNRESET, the read after it gets a plain end, and the end of the connection is the end of an answer without a length. The same holds for a connection that times out. It acts wherever an answer to a request with a body is read.

conns.Check wraps a transport and its connections: a read returns the error of a write that has failed in place of io.EOF. Before it returns io.EOF it waits for the write that is under way, so that the order of the two goroutines doesn't matter. That wait has an end: 100 ms after the other side's end a write that is still blocked stops without a failure.

An endpoint that ends its side properly and takes the rest of the request, or keeps the connection open, has answered whole (RFC 9112, section 9.6), as before: a server that refuses a long upload needs no more of it, and the caller needs its refusal.

--- a/figctl/flags.go
+++ b/figctl/flags.go
@@ -8,6 +8,7 @@
 
 	"github.com/figshift/figshift/internal/admin"
 	"github.com/figshift/figshift/internal/config"
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/kinds"
 )
 
@@ -55,4 +56,4 @@
 // callTimeout is the timeout of each HTTP call of a command.
 const callTimeout = 5 * time.Second
 
-func newHTTPClient() *http.Client { return &http.Client{Timeout: callTimeout} }
+func newHTTPClient() *http.Client { return conns.Client(callTimeout) }
--- a/figd/cluster.go
+++ b/figd/cluster.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/keys"
 	"github.com/figshift/figshift/internal/lease"
@@ -66,7 +67,7 @@
 }
 
 func (d *daemon) addObjectAPI() {
-	transport := &http.Transport{MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: platformIdleTimeout}
+	transport := conns.Check(&http.Transport{MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: platformIdleTimeout})
 	executor := &objapi.Executor{
 		Store: &objapi.Client{Base: d.process.Platform, HTTP: &http.Client{Transport: transport}},
 		Post:  d.loop.Post,
--- a/figd/rollouts.go
+++ b/figd/rollouts.go
@@ -1,11 +1,10 @@
 package main
 
 import (
-	"net/http"
-
 	"golang.org/x/time/rate"
 
 	"github.com/figshift/figshift/internal/block"
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/lots"
 	"github.com/figshift/figshift/internal/objapi"
 	"github.com/figshift/figshift/internal/swap"
@@ -25,11 +24,11 @@
 	blockStore := &block.Store{
 		Texts: samples,
 		Objects: &block.Client{
-			Store: &objapi.Client{Base: d.process.Platform, HTTP: &http.Client{}},
+			Store: &objapi.Client{Base: d.process.Platform, HTTP: conns.Client(0)},
 			Limit: rate.NewLimiter(blockCallsPerSecond, blockCallsPerSecond),
 		},
 		Cache: &block.Cache{MaxBytes: blockCacheBytes},
-		HTTP:  &http.Client{},
+		HTTP:  conns.Client(0),
 		Post:  d.loop.Post,
 	}
 	blockStore.Prepare()
--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 	"github.com/figshift/figshift/internal/wire"
@@ -108,7 +109,7 @@
 	a.handleResponse(resp)
 }
 
-func (a *attempt) transport() *http.Transport {
+func (a *attempt) transport() *conns.Checked {
 	switch {
 	case a.start.Identify:
 		return a.executor.streams
@@ -207,7 +208,7 @@
 // it writes.
 func (a *attempt) awaitSend(info httptrace.GotConnInfo) {
 	a.conn = info
-	if c, ok := info.Conn.(*gatedConn); ok {
+	if c, ok := conns.Inner(info.Conn).(*gatedConn); ok {
 		c.gate.Store(&a.gate)
 		a.executor.verify(c.Conn, wire.LeaveMark{Endpoint: a.start.Endpoint, Incarnation: a.start.Incarnation})
 	}
--- a/internal/call/conn.go
+++ b/internal/call/conn.go
@@ -78,8 +78,8 @@
 // request is written to a connection that the endpoint is about to close.
 //
 // With an identity, it is known to which incarnation of an endpoint each connection leads.
-func newTransport(dialer *net.Dialer, keepAlive bool, identity *conns.Identity) *http.Transport {
-	return &http.Transport{
+func newTransport(dialer *net.Dialer, keepAlive bool, identity *conns.Identity) *conns.Checked {
+	return conns.Check(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			dial := func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, network, address) }
 			conn, err := dialIdentified(ctx, identity, dial)
@@ -94,7 +94,7 @@
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: conns.MaxHeaderBytes,
 		ReadBufferSize:         readBufferBytes,
-	}
+	})
 }
 
 func dialIdentified(ctx context.Context, identity *conns.Identity, dial func(ctx context.Context) (net.Conn, error)) (net.Conn, error) {
--- a/internal/call/executor.go
+++ b/internal/call/executor.go
@@ -25,12 +25,12 @@
 	Secret      string      // of the hosts
 	SourceIP    net.IP      // of connections to endpoints, nil for any
 
-	keepAlive *http.Transport
-	singleUse *http.Transport
-	probes    *http.Transport // with a kept connection
-	trials    *http.Transport // with a new connection for each probe
-	streams   *http.Transport // single use, with connections that are identified
-	polls     *http.Transport
+	keepAlive *conns.Checked
+	singleUse *conns.Checked
+	probes    *conns.Checked // with a kept connection
+	trials    *conns.Checked // with a new connection for each probe
+	streams   *conns.Checked // single use, with connections that are identified
+	polls     *conns.Checked
 	closing   chan struct{}
 	mu        sync.Mutex
 	exchanges map[uint64]*Exchange
@@ -45,7 +45,7 @@
 	x.singleUse = newTransport(x.dialer(), false, nil)
 	x.streams = newTransport(x.dialer(), false, x.Names.Identity)
 	x.probes, x.trials = newProbeTransport(x.dialer(), true), newProbeTransport(x.dialer(), false)
-	x.polls = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
+	x.polls = conns.Check(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: conns.MaxHeaderBytes})
 	x.closing = make(chan struct{})
 	x.exchanges = map[uint64]*Exchange{}
 }
--- a/internal/call/probe.go
+++ b/internal/call/probe.go
@@ -22,7 +22,7 @@
 	x.Post(event.EndpointProbed{Endpoint: c.Endpoint, Incarnation: c.Incarnation, Answered: x.answers(ctx, transport, c)})
 }
 
-func (x *Executor) answers(ctx context.Context, transport *http.Transport, c event.ProbeEndpoint) bool {
+func (x *Executor) answers(ctx context.Context, transport *conns.Checked, c event.ProbeEndpoint) bool {
 	path := "/"
 	if x.Names.Identity != nil {
 		path = x.Names.Identity.Path
@@ -46,7 +46,7 @@
 }
 
 // newProbeTransport returns a transport for probes, which keeps one connection to an endpoint with keepAlive.
-func newProbeTransport(dialer *net.Dialer, keepAlive bool) *http.Transport {
+func newProbeTransport(dialer *net.Dialer, keepAlive bool) *conns.Checked {
 	transport := conns.IdentifyingTransport(dialer, nil, 1, idleTimeout)
 	transport.DisableKeepAlives = !keepAlive
 	return transport
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -62,24 +62,16 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// IdentifyingTransport returns a Transport whose connections are Identified, unless identity is nil.
-func IdentifyingTransport(dialer *net.Dialer, identity *Identity, idlePerHost int, idleTimeout time.Duration) *http.Transport {
-	transport := Transport(dialer.Timeout, idlePerHost, idleTimeout)
-	transport.DialContext = dialer.DialContext
-	if identity == nil {
-		return transport
+// IdentifyingTransport returns a Transport that uses dialer and whose connections are Identified, unless identity is nil.
+func IdentifyingTransport(dialer *net.Dialer, identity *Identity, idlePerHost int, idleTimeout time.Duration) *Checked {
+	dial := dialer.DialContext
+	if identity != nil {
+		dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			return identity.Dial(ctx, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, network, address) })
+		}
 	}
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return identity.Dial(ctx, func(ctx context.Context) (net.Conn, error) { return dial(ctx, network, address) })
-	}
-	return transport
-}
-
-// Transport returns an HTTP transport that uses Dialer. It neither requests compressed responses nor decompresses them.
-func Transport(dialTimeout time.Duration, idlePerHost int, idleTimeout time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext:         Dialer(dialTimeout).DialContext,
+	return Check(&http.Transport{
+		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -87,5 +79,10 @@
 		WriteBufferSize:     4 << 10,
 
 		MaxResponseHeaderBytes: MaxHeaderBytes,
-	}
+	})
+}
+
+// Transport returns an HTTP transport that uses Dialer. It neither requests compressed responses nor decompresses them.
+func Transport(dialTimeout time.Duration, idlePerHost int, idleTimeout time.Duration) *Checked {
+	return IdentifyingTransport(Dialer(dialTimeout), nil, idlePerHost, idleTimeout)
 }
--- a/internal/conns/identity.go
+++ b/internal/conns/identity.go
@@ -84,7 +84,7 @@
 // connection. A connection that leads to another incarnation than the one that is meant is closed, so that nothing is written
 // to it.
 func Verify(conn net.Conn, incarnation string) (found string, ok bool) {
-	c, ok := conn.(*Identified)
+	c, ok := Inner(conn).(*Identified)
 	if !ok {
 		return "", false
 	}
--- a/internal/items/broken_test.go
+++ b/internal/items/broken_test.go
@@ -124,16 +124,21 @@
 
 // run runs an item of which the first events are held.
 func (e *stoppingEngine) run(held int) (status int, reason string, text *itemText) {
+	return runItemAt(e.address, nil, held)
+}
+
+// runItemAt runs an item with a body, of which the first events are held, at the engine with an address.
+func runItemAt(address string, body []byte, held int) (status int, reason string, text *itemText) {
 	x := &Executor{HTTP: conns.Transport(time.Second, 1, time.Second), Now: func() time.Duration { return 0 }, Post: func(event.Event) bool { return true }}
 	x.Names = HeaderNames{HeaderNames: call.HeaderNames{Request: "Request", Stamp: "Stamp", NotRun: "Not-Run"}, LastEvent: "Last-Event-Id", GeneratedVersion: "Weight-Versions"}
 	text = &itemText{}
 	for n, data := range []string{"one", "two"}[:held] {
 		text.add(fmt.Sprint(n+1), []byte(data), 0, "")
 	}
-	j := &jobState{job: wire.Job{Items: []wire.JobItem{{ID: "i", Path: "/p"}}}, texts: []*itemText{text}}
+	j := &jobState{job: wire.Job{Items: []wire.JobItem{{ID: "i", Path: "/p", Body: body}}}, texts: []*itemText{text}}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	_, lastID, _ := text.state()
-	status, reason = x.runRequest(ctx, j, event.RunItem{Address: e.address}, text, lastID, func() {})
+	status, reason = x.runRequest(ctx, j, event.RunItem{Address: address}, text, lastID, func() {})
 	return status, reason, text
 }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -161,7 +161,7 @@
 		return EngineState{}, kinds.New(kinds.Internal, "%v", err)
 	}
 	maps.Copy(request.Header, stateCall.Header)
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
+	transport := conns.Check(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes})
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return EngineState{}, kinds.New(kinds.EndpointRefused, "%s: %v", stateCall.Target, err)
@@ -212,7 +212,7 @@
 	maps.Copy(request.Header, call.Header)
 	request.Header.Set("Content-Type", "application/json")
 	dialer := &dialer{now: x.Now, deadline: deadline}
-	transport := &http.Transport{DialContext: dialer.dial, DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
+	transport := conns.Check(&http.Transport{DialContext: dialer.dial, DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes})
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return dialer.sendError(call.Target, err)
--- a/internal/swap/executor.go
+++ b/internal/swap/executor.go
@@ -38,7 +38,7 @@
 	Now         func() time.Duration // the loop's clock
 
 	prepareReads sync.Once
-	reads        *http.Transport // for states and read slots
+	reads        *conns.Checked // for states and read slots
 }
 
 // Do starts to execute a SwapEngine or ReadEngine and reports whether the effect was one. It does not block.
@@ -118,7 +118,7 @@
 }
 
 // doJSON sends a call and decodes the answer into v. A redirect is no answer: an order would reach another engine.
-func (x *Executor) doJSON(transport *http.Transport, r *http.Request, v any) error {
+func (x *Executor) doJSON(transport *conns.Checked, r *http.Request, v any) error {
 	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return kinds.New(kinds.OutcomeUnknown, "%v", err)
@@ -188,13 +188,13 @@
 	return nil
 }
 
-func (x *Executor) readTransport() *http.Transport {
+func (x *Executor) readTransport() *conns.Checked {
 	x.prepareReads.Do(func() { x.reads = conns.Transport(dialTimeout, 1, idleTimeout) })
 	return x.reads
 }
 
 // leasedTransport returns a transport whose connections are used once and refuse writes from deadline on.
-func (x *Executor) leasedTransport(deadline time.Duration) *http.Transport {
+func (x *Executor) leasedTransport(deadline time.Duration) *conns.Checked {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		var d net.Dialer
 		c, err := d.DialContext(ctx, network, address)
@@ -203,7 +203,7 @@
 		}
 		return &leasedConn{Conn: c, deadline: deadline, now: x.Now}, nil
 	}
-	return &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes}
+	return conns.Check(&http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeaderBytes})
 }
 
 // leasedConn refuses writes from the lease's deadline on.
