conns: an answer whose head or trailer has a blank in a name is broken

An endpoint in trouble sent an answer in which the name of a field held a blank. Callers got it as an answer: without that field, with the bytes after its end ("Content-Length : 4", then partMORE), or with the lines of its chunks as the body ("Transfer-Encoding : chunked"). The same for an interim answer (1xx) and a trailer.

Cause: net/http refuses all other bytes that a name can't hold, but keeps a name with a blank as it came, so that the field is not read as what it was meant to be. No reader of ours asked.

conns.Checked asks for such names in the head, in interim answers and, at the end of the body, in the trailer, and closes the connection; Identity.Dial, which reads its answer by itself, asks too. All readers use one of the two, so that each of them does what it does for a broken answer: a request that may be repeated gets another endpoint's answer, any other one is told that its outcome is unknown. Nothing is read out of such a head, neither a limit nor that the endpoint leaves.

net/http leaves the number of interim answers to whoever looks at them. They may have 32 KB together as before, of which each counts as 256 bytes at least; without that TestEndlessAnswersEnd fails.

The rows for status 000 in items and in orders passed before; nothing was changed for it.

--- a/internal/call/endless_test.go
+++ b/internal/call/endless_test.go
@@ -29,6 +29,8 @@
 		"no HTTP":         {"", "garbage " + more},
 		"status line":     {"HTTP/1.1 200 ", more},
 		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\nX-More: " + more + "\r\n\r\n"},
+		"short interim":   {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"interim reasons": {"", "HTTP/1.1 102 " + strings.Repeat(more, 30) + "\r\n\r\n"},
 		"header line":     {head + "X-More: ", more},
 		"header fields":   {head, "X-More: " + more + "\r\n"},
 		"chunk header":    {head + "Transfer-Encoding: chunked\r\n\r\n5;x=", more},
--- a/internal/conns/checked.go
+++ b/internal/conns/checked.go
@@ -36,15 +36,19 @@
 	return &http.Client{Transport: Check(http.DefaultTransport.(*http.Transport).Clone()), Timeout: timeout}
 }
 
-// RoundTrip sends a request and returns the answer. Reads from the request's body must not block.
+// RoundTrip sends a request and returns the answer. It is an error, at the end of the body for a trailer, if the name of a field
+// holds a blank; the connection is closed then. Reads from the request's body must not block.
 func (t *Checked) RoundTrip(req *http.Request) (*http.Response, error) {
-	var current, writing *conn // the connection of the request, and the one on which its body is being written
+	var current net.Conn // of the request
+	var writing *conn    // on which the body is being written
+	var interim interimAnswers
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { current, _ = info.Conn.(*conn) },
+		Got1xxResponse: interim.add,
+		GotConn:        func(info httptrace.GotConnInfo) { current = info.Conn },
 		WroteHeaders: func() {
-			if current != nil {
-				current.body.Lock()
-				writing = current
+			if c, ok := current.(*conn); ok { // not for TLS, which tells a whole answer itself
+				c.body.Lock()
+				writing = c
 			}
 		},
 		WroteRequest: func(httptrace.WroteRequestInfo) {
@@ -54,5 +58,17 @@
 			}
 		},
 	}
-	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkNames(resp.Header); err != nil {
+		_ = current.Close() // it is kept already if the answer has no body
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &trailedBody{ReadCloser: resp.Body, answer: resp, conn: current}
+	}
+	return resp, nil
 }
--- a/internal/conns/identity.go
+++ b/internal/conns/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -66,9 +67,11 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	switch {
+	switch malformed := cmp.Or(checkNames(resp.Header), checkNames(resp.Trailer)); {
 	case err != nil:
 		return "", err
+	case malformed != nil:
+		return "", malformed
 	case resp.StatusCode != http.StatusOK:
 		return "", errors.Errorf("status %d", resp.StatusCode)
 	case resp.Close || reader.Buffered() > 0:
--- a/internal/conns/identity_test.go
+++ b/internal/conns/identity_test.go
@@ -29,6 +29,8 @@
 		"SecondAnswer":  {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n5HTTP/1.1 200 OK\r\n\r\n", "", true, false},
 		"WithoutAnEnd":  {"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + strings.Repeat("5", 2*maxIdentityBytes), "", true, false},
 		"CutInTheHead":  {"HTTP/1.1 200", "", true, false},
+		"BlankInAName":  {"HTTP/1.1 200 OK\r\nX Name: 1\r\nContent-Length: 1\r\n\r\n5", "", true, false},
+		"BlankInTheEnd": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n5\r\n0\r\nX Name: 1\r\n\r\n", "", true, false},
 		"MalformedBody": {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", "", true, false},
 	}
 	for name, c := range cases {
--- a/internal/faulty/server.go
+++ b/internal/faulty/server.go
@@ -39,6 +39,8 @@
 	Stuck
 	// Read reads the whole request before the answer and then closes the connection.
 	Read
+	// Kept keeps the connection open after the answer, as if another request could come.
+	Kept
 )
 
 // Resets are the endings that reset the connection while a request is being written, and Ends those that end the server's side
@@ -130,6 +132,8 @@
 	case Stuck:
 		_ = conn.CloseWrite()
 		<-done
+	case Kept:
+		<-done
 	case Read:
 	}
 }
--- a/internal/items/broken_test.go
+++ b/internal/items/broken_test.go
@@ -78,6 +78,9 @@
 		"no more events":        {answer(streamType, ""), 2, ""}, // the answer that brought the last one was cut after it
 		"events":                {answer(streamType, "id: 1\ndata: one\n\n"), 0, ""},
 		"no number":             {answer(streamType, "id: x\ndata: one\n\n"), 0, event.ReasonCut},
+		"blank in a name":       {"HTTP/1.1 200 OK\r\nStamp: s\r\n" + streamType + "X Name: 1\r\n\r\nid: 1\ndata: one\n\n", 0, event.ReasonBroken},
+		"blank in the trailer":  {"HTTP/1.1 200 OK\r\nStamp: s\r\n" + streamType + "Transfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n0\r\nX Name: 1\r\n\r\n", 0, event.ReasonCut},
+		"status 000":            {"HTTP/1.1 000 None\r\nStamp: s\r\n" + streamType + "\r\nid: 1\ndata: one\n\n", 0, event.ReasonBroken},
 		"events from the first": {answer(streamType, "id: 1\ndata: one\n\n"), 2, event.ReasonCut},
 	}
 	for name, c := range cases {
--- a/internal/orders/endless_test.go
+++ b/internal/orders/endless_test.go
@@ -63,6 +63,8 @@
 		"state, status 000":         {"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}", "", kinds.EndpointRefused, 0},
 		"order, status 000":         {ok + "\r\n{}", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", kinds.OutcomeUnknown, 1},
 		"order, status 999":         {ok + "\r\n{}", "HTTP/1.1 999 None\r\nContent-Length: 0\r\n\r\n", kinds.OutcomeUnknown, 1},
+		"state, blank in a name":    {ok + "X Name: 1\r\nContent-Length: 2\r\n\r\n{}", "", kinds.EndpointRefused, 0},
+		"order, blank in a name":    {ok + "\r\n{}", "HTTP/1.1 202 Accepted\r\nContent-Length : 0\r\n\r\n", kinds.OutcomeUnknown, 1},
 		"order, no HTTP":            {ok + "\r\n{}", "garbage\r\n\r\n", kinds.OutcomeUnknown, 1},
 	}
 	for name, c := range cases {
