figbed/proofs: uploads that are answered early by servers that reset

The incident with real processes: three hosts, two engines and two plain servers, which answer every second upload of 3.9 MB at once, without a length, and reset the connection. The servers' receive buffers are small, so that the upload is being written then.

--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -60,6 +60,9 @@
 	// Break returns the bytes that are sent in place of the answer to a request that runs, before its connection is closed. The
 	// answer is sound when it reports false, and when Break is nil.
 	Break func(r *http.Request) (answer string, broken bool)
+	// Early returns the bytes that are sent before the body of a request is read; the connection is then reset. The answer is
+	// sound when it reports false, and when Early is nil.
+	Early func(r *http.Request) (answer string, early bool)
 	// Endless returns what is sent in place of the answer to a request that runs, until the caller closes: first, and then
 	// more(0), more(1) and so on. The answer is sound when more is nil, and when Endless is nil.
 	Endless func(r *http.Request) (first string, more func(n int) string)
@@ -106,7 +109,11 @@
 
 // Start listens and registers the server in the store. The returned function stops the server without deregistering it.
 func (s *Server) Start(store *Store) (stop func(), err error) {
-	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	listen := func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+	if s.Early != nil {
+		listen = listenSmall
+	}
+	s.listener, err = listen()
 	if err != nil {
 		return nil, err
 	}
@@ -227,6 +234,12 @@
 		s.handleOrder(w, r)
 		return
 	}
+	if s.Early != nil {
+		if answer, early := s.Early(r); early {
+			sendEarly(w, answer)
+			return
+		}
+	}
 	body, _ := io.ReadAll(r.Body) // a disconnected caller is noticed when the response is written
 	runIndex, ok := s.beginRun(r)
 	if !ok {
--- a/figbed/internal/estate/trouble.go
+++ b/figbed/internal/estate/trouble.go
@@ -1,11 +1,14 @@
 package estate
 
 import (
+	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 )
 
@@ -89,6 +92,36 @@
 	_ = conn.Close()
 }
 
+// listenSmall listens with small buffers for what connections receive, so that the request that is answered early stays unwritten.
+func listenSmall() (net.Listener, error) {
+	const bufferBytes = 1 << 10
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var sockoptErr error
+		err := c.Control(func(fd uintptr) {
+			sockoptErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
+		})
+		return cmp.Or(err, sockoptErr)
+	}}
+	return config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+}
+
+// earlyTime is the time after an early answer until the connection is reset, in which the answer arrives.
+const earlyTime = 20 * time.Millisecond
+
+// sendEarly sends an answer and resets the connection, with the body of the request unread.
+func sendEarly(w http.ResponseWriter, answer string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // the connections of http.Server can be hijacked
+	}
+	_, _ = io.WriteString(conn, answer) // the caller may have closed the connection
+	time.Sleep(earlyTime)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // sendEndless sends bytes until the caller closes the connection.
 func sendEndless(w http.ResponseWriter, first string, more func(n int) string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
