conns, orders: the wait at the end of an answer keeps to the lease, and is told apart

An answer's end may wait 100 ms for the write that is under way and sets the connection's write deadline for that. For an order or a report that deadline could be after the lease's: bytes of a write that was blocked when the lease ended could have left up to 100 ms later, if the platform had ended its side before.

The hooks of a request become a type of their own; no change in what they do.

--- a/internal/conns/checked.go
+++ b/internal/conns/checked.go
@@ -39,36 +39,51 @@
 // RoundTrip sends a request and returns the answer. It is an error, at the end of the body for a trailer, if the name of a field
 // holds a blank; the connection is closed then. Reads from the request's body must not block.
 func (t *Checked) RoundTrip(req *http.Request) (*http.Response, error) {
-	var current net.Conn // of the request
-	var writing *conn    // on which the body is being written
-	var interim interimAnswers
-	trace := &httptrace.ClientTrace{
-		Got1xxResponse: interim.add,
-		GotConn:        func(info httptrace.GotConnInfo) { current = info.Conn },
-		WroteHeaders: func() {
-			if c, ok := current.(*conn); ok { // not for TLS, which tells a whole answer itself
-				c.body.Lock()
-				writing = c
-			}
-		},
-		WroteRequest: func(httptrace.WroteRequestInfo) {
-			if writing != nil {
-				writing.body.Unlock()
-				writing = nil
-			}
-		},
-	}
-	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	var e exchange
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), e.trace())))
 	if err != nil {
 		return nil, err
 	}
 	if err := checkNames(resp.Header); err != nil {
-		_ = current.Close() // it is kept already if the answer has no body
+		_ = e.conn.Close() // it is kept already if the answer has no body
 		_ = resp.Body.Close()
 		return nil, err
 	}
 	if len(resp.TransferEncoding) > 0 {
-		resp.Body = &trailedBody{ReadCloser: resp.Body, answer: resp, conn: current}
+		resp.Body = &trailedBody{ReadCloser: resp.Body, answer: resp, conn: e.conn}
 	}
 	return resp, nil
 }
+
+// exchange is a request and its answer on a connection, the last one if the transport needs several. An interim answer may come
+// while the body is written.
+type exchange struct {
+	conn    net.Conn
+	writing *conn // conn while the body of the request is written
+	interim interimAnswers
+}
+
+func (e *exchange) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { e.conn = info.Conn },
+		WroteHeaders:   e.beginBody,
+		WroteRequest:   func(httptrace.WroteRequestInfo) { e.endBody() },
+		Got1xxResponse: e.interim.add,
+	}
+}
+
+// beginBody has reads of the connection wait for endBody. It does nothing for TLS, which tells a whole answer itself.
+func (e *exchange) beginBody() {
+	if c, ok := e.conn.(*conn); ok {
+		c.body.Lock()
+		e.writing = c
+	}
+}
+
+// endBody is called without beginBody when the request failed before.
+func (e *exchange) endBody() {
+	if e.writing != nil {
+		e.writing.body.Unlock()
+		e.writing = nil
+	}
+}
--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -19,7 +19,7 @@
 // One goroutine writes, another one reads.
 type conn struct {
 	net.Conn
-	body    sync.Mutex // held while the body of a request is written, from one Write to the next
+	body    sync.Mutex // held while the body of a request is written, also between two Writes
 	writing sync.Mutex // held during a Write
 	failure error      // of the last Write; guarded by writing
 }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -257,11 +257,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := conn.SetWriteDeadline(time.Now().Add(d.deadline - d.now())); err != nil {
+	d.conn = &leasedConn{Conn: conn, dialer: d, until: time.Now().Add(d.deadline - d.now())}
+	if err := d.conn.SetWriteDeadline(d.conn.until); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	d.conn = &leasedConn{Conn: conn, dialer: d}
 	return d.conn, nil
 }
 
