items: copies are taken only by an answer that is whole

A process at another host's address answered long copies at once, without a length, and reset the connection while they were being written. The copies counted as taken, so that the next ones only brought what had been added since; a takeover by that host would have missed the text before.

Cause: the sender read the status alone, and the reset came after it. Hosts of ours answer when they have read the copies, with a length; addresses are used again, so that it may be another process.

--- a/internal/items/copies.go
+++ b/internal/items/copies.go
@@ -275,6 +275,9 @@
 		return CopyUnknown
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxPeerAnswer)); err != nil {
+		return CopyUnknown
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return CopyTaken
--- a/internal/items/early_test.go
+++ b/internal/items/early_test.go
@@ -1,10 +1,17 @@
 package items
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"testing"
+	"time"
 
+	"github.com/figshift/figshift/internal/conns"
+	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/faulty"
+	"github.com/figshift/figshift/internal/relay"
+	"github.com/figshift/figshift/internal/wire"
 )
 
 // An engine answered a long item at once, without a length, and reset the connection while the item was being written. The events
@@ -40,3 +47,24 @@
 		})
 	}
 }
+
+// A process at the address of another host answered long copies at once and reset the connection while they were being written.
+// The copies counted as taken.
+func TestEarlyAnswerThatIsResetTakesNoCopy(t *testing.T) {
+	updates := []jobCopy{{Job: "j", Body: &wire.Job{Items: []wire.JobItem{{ID: "i", Body: make([]byte, faulty.LongBody)}}}}}
+	for ending, e := range faulty.Resets {
+		t.Run(ending, func(t *testing.T) {
+			t.Parallel()
+			address, err := net.ResolveTCPAddr("tcp", faulty.Start(t, faulty.Always("HTTP/1.1 200 OK\r\n\r\n", e)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			hosts := &relay.HostAddresses{Port: address.Port}
+			hosts.Do(event.KnowHosts{Hosts: []event.Host{{Name: "h2", Address: address.String()}}})
+			p := &PeerClient{Hosts: hosts, HTTP: conns.Transport(time.Second, 1, time.Second)}
+			if outcome := p.Copy(context.Background(), "h2", updates); outcome != CopyUnknown {
+				t.Errorf("outcome %v, want %v", outcome, CopyUnknown)
+			}
+		})
+	}
+}
