--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -109,11 +109,7 @@
 
 // Start listens and registers the server in the store. The returned function stops the server without deregistering it.
 func (s *Server) Start(store *Store) (stop func(), err error) {
-	listen := func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
-	if s.Early != nil {
-		listen = listenSmall
-	}
-	s.listener, err = listen()
+	s.listener, err = s.listen()
 	if err != nil {
 		return nil, err
 	}
--- a/figbed/internal/estate/trouble.go
+++ b/figbed/internal/estate/trouble.go
@@ -92,17 +92,25 @@
 	_ = conn.Close()
 }
 
-// listenSmall listens with small buffers for what connections receive, so that the request that is answered early stays unwritten.
-func listenSmall() (net.Listener, error) {
+// listen listens for requests. A server that answers early has small buffers for them, so that they are still being written then.
+func (s *Server) listen() (net.Listener, error) {
 	const bufferBytes = 1 << 10
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	var config net.ListenConfig
+	if s.Early != nil {
+		config.Control = setReceiveBuffer(bufferBytes)
+	}
+	return config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+}
+
+// setReceiveBuffer returns a control function that sets the size of the receive buffer of a socket, in bytes.
+func setReceiveBuffer(size int) func(_, _ string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
 		var sockoptErr error
 		err := c.Control(func(fd uintptr) {
-			sockoptErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
+			sockoptErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
 		})
 		return cmp.Or(err, sockoptErr)
-	}}
-	return config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	}
 }
 
 // earlyTime is the time after an early answer until the connection is reset, in which the answer arrives.
