--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -7,7 +7,7 @@
 )
 
 func main() {
-	cases := map[string]func(*bed){"11": unstored}
+	cases := map[string]func(*bed){"11": unstored, "12": late}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: rig3 CASE, with ROOT and RECORD set")
 		os.Exit(2)
