--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -27,11 +26,11 @@
 	// events returns the number of events of an item's stream, and gap the time before each.
 	events func(id string) int
 	gap    time.Duration
-	factor *atomic.Int64 // by which all takes longer, nil for 1
 	// dataOf returns the data of an event, nil for eventData.
 	dataOf func(id string, n int) string
 
 	mu       sync.Mutex
+	back     chan struct{} // closed when the server, which is silent, is back; nil while it isn't silent
 	version  uint64
 	sequence uint64
 	fence    uint64
@@ -69,6 +68,10 @@
 
 // ServeHTTP answers a request, a report or an order.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if back := s.silent(); back != nil {
+		<-back
+		panic(http.ErrAbortHandler) // it has started again, and knows nothing of the connection
+	}
 	id := r.Header.Get("Figshift-Attempt-Id")
 	if id != "" {
 		w.Header().Set("Figshift-Attempt-Id", id)
@@ -172,13 +175,18 @@
 	w.Header().Set("Figshift-Weight-Versions", strconv.FormatUint(version, 10))
 	for n := last + 1; n <= s.events(id); n++ {
 		select {
-		case <-time.After(s.currentGap()):
+		case <-time.After(s.gap):
 		case <-r.Context().Done():
 			if s.runsOf(id) <= 10 {
 				s.bed.record("run      %s is dropped at %s before event %d", id, s.id, n)
 			}
 			return
 		}
+		if back := s.silent(); back != nil {
+			s.bed.record("run      %s is cut off at %s before event %d", id, s.id, n)
+			<-back
+			panic(http.ErrAbortHandler)
+		}
 		if now := s.currentVersion(); now != version {
 			version = now
 			_, _ = fmt.Fprintf(w, "figshift-weight-versions: %d\n", version)
@@ -208,11 +216,23 @@
 	return s.finished[id]
 }
 
-func (s *server) currentGap() time.Duration {
-	if s.factor == nil {
-		return s.gap
+// setDark makes the server silent, or has it come back without what it ran.
+func (s *server) setDark(dark bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if dark {
+		s.back = make(chan struct{})
+		return
 	}
-	return s.gap * time.Duration(s.factor.Load())
+	close(s.back)
+	s.back = nil
+}
+
+// silent returns what is closed when the server is back, nil while it isn't silent.
+func (s *server) silent() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.back
 }
 
 func (s *server) runsOf(id string) int {
