items: a submission whose caller has left is stored as it was decided

A submission that waits for the reducer is forgotten when its caller leaves. Its job was then taken from the table as it stands there: as the copy of another host's job, stored with that host as the owner while the reducer runs it here, or as the job of another organisation with that id.

takeSubmission now returns the table's job only for the organisation that submits it, and with the reducer's decision.

TestSubmissionWhoseCallerHasLeft failed in both cases before. The request of TestOwnerIsReadFromTheStore names its organisation now, as those of the reducer always do; what the test checks is unchanged.

--- a/internal/items/record_test.go
+++ b/internal/items/record_test.go
@@ -33,9 +33,38 @@
 	}
 	store.objects[wire.PrefixJobs+own.ID] = wire.Object{Name: wire.PrefixJobs + own.ID, Version: 1, Writer: "h1/7/1", Value: value}
 	x.jobTable.add(own)
-	x.storeJob(context.Background(), event.KeepJob{Seq: 3, Job: own.ID, Host: "h2", Incarnation: "1", Budget: time.Second})
+	x.storeJob(context.Background(), event.KeepJob{Seq: 3, Job: own.ID, Organisation: own.Organisation, Host: "h2", Incarnation: "1", Budget: time.Second})
 	want := event.JobKept{Seq: 3, Job: own.ID, Kind: kinds.Conflict, Owner: event.JobSeen{Job: own.ID, Host: "h1", Incarnation: "7"}, Organisation: stored.Organisation}
 	if diff := cmp.Diff(want, kept); diff != "" {
 		t.Errorf("outcome (-want +got):\n%s", diff)
 	}
 }
+
+// A submission whose caller had left was stored as the copy of another host's job, with that host as its owner, and run here; or as
+// another organisation's job.
+func TestSubmissionWhoseCallerHasLeft(t *testing.T) {
+	cases := map[string]struct {
+		organisation string // of the copy
+		kind         kinds.Kind
+		owner        string
+	}{
+		"of the job that is copied here": {"North", "", "h1"},
+		"another organisation's copy":    {"South", kinds.Internal, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x, store, _ := newExecutor(t)
+			delete(store.objects, wire.PrefixJobs+"j1")
+			var kept event.JobKept
+			x.Post = func(ev event.Event) bool { kept = ev.(event.JobKept); return true }
+			job := testJob()
+			job.Organisation = c.organisation
+			x.applyCopies([]jobCopy{{Job: "j1", Body: &job}})
+			x.storeJob(context.Background(), event.KeepJob{Seq: 1, Job: "j1", Organisation: "North", Host: "h1", Incarnation: "1", Budget: time.Second})
+			owner, _ := x.currentOwner(context.Background(), "j1")
+			if diff := cmp.Diff([]any{c.kind, c.owner, c.owner != ""}, []any{kept.Kind, owner.Host, x.jobTable.owns("j1")}); diff != "" {
+				t.Errorf("outcome, stored owner, owned here (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -153,20 +153,22 @@
 	return x.Host + "/" + x.Incarnation + "/" + strconv.FormatUint(seq, 10)
 }
 
-// takeSubmission removes a submission from those that wait and returns its job with the reducer's decision. A job whose
-// items already run is returned as it is.
+// takeSubmission removes a submission from those that wait and returns its job with the reducer's decision. It returns the
+// organisation's job from the table when the submission was taken before, as for a job whose items already run.
 func (x *Executor) takeSubmission(e event.KeepJob) (wire.Job, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	job, ok := x.submissions[e.Seq]
 	delete(x.submissions, e.Seq)
 	if !ok {
-		if j := x.jobTable.get(e.Job); j != nil {
-			return j.job, true // its items already run
+		j := x.jobTable.get(e.Job)
+		if j == nil || j.job.Organisation != e.Organisation {
+			return job, false
 		}
+		job = j.job
 	}
 	addDecision(&job, e)
-	return job, ok
+	return job, true
 }
 
 // beginJob adds a job whose items run while the job is still being stored.
