batch: results go on being listed after a takeover has read the chunk under way

Cause: a host that began a job stores a chunk of it while a takeover by the same host, whose answer was slow, reads that chunk from the store. confirmOwner raises the number of chunks, and handleChunkStored passed the outcome over as one of an earlier time: the job stayed in the state of storing a chunk, and nothing more was listed.

The outcome of the chunk that was offered last ends the storing now whatever its number; what the takeover has not listed is offered again.

TestChunkThatATakeoverHasRead failed in all cases before.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -50,6 +50,7 @@
 	groups       []group
 	chunks       int
 	storingChunk bool          // only one chunk is stored at a time
+	offeredChunk int           // number of the chunk that was last offered to the executor
 	nextChunkAt  time.Duration // earliest time of the next chunk after one could not be stored
 	lastChunkAt  time.Duration // when the last chunk was offered to the executor
 	unlisted     int           // items that are not listed
--- a/internal/batch/results.go
+++ b/internal/batch/results.go
@@ -42,7 +42,7 @@
 		chunk.Items = append(chunk.Items, it.index)
 		chunk.Down = append(chunk.Down, it.givenUp)
 	}
-	j.storingChunk, j.lastChunkAt = true, now
+	j.storingChunk, j.offeredChunk, j.lastChunkAt = true, j.chunks, now
 	out.Emit(chunk)
 }
 
@@ -87,7 +87,11 @@
 // items are already listed.
 func (p *Component) handleChunkStored(now time.Duration, e event.ChunkStored, out *event.Batch) {
 	j := p.jobs[e.Job]
-	if j == nil || e.Number != j.chunks {
+	if j == nil {
+		return
+	}
+	if e.Number != j.chunks {
+		p.releaseKnownChunk(now, j, e, out)
 		return
 	}
 	j.storingChunk = false
@@ -110,11 +114,7 @@
 	} else {
 		j.nextChunkAt = now + chunkRetryPause
 	}
-	for _, it := range j.items {
-		if it.state == listing {
-			it.state = finished
-		}
-	}
+	j.takeBackListing()
 	if k := p.ensureKnown(e.Job); j.unlisted == 0 && !k.Ended {
 		k.Ended = true // nothing is left to run
 		p.announce(k.JobSeen, out)
@@ -124,6 +124,25 @@
 	p.listResults(now, j, out)
 }
 
+// releaseKnownChunk ends the storing of a chunk that a takeover has read from the store meanwhile, with the items that it lists.
+func (p *Component) releaseKnownChunk(now time.Duration, j *job, e event.ChunkStored, out *event.Batch) {
+	if !j.storingChunk || e.Number != j.offeredChunk {
+		return
+	}
+	j.storingChunk = false
+	j.takeBackListing()
+	p.listResults(now, j, out)
+}
+
+// takeBackListing has the results that were offered for a chunk and are not listed wait for the next one.
+func (j *job) takeBackListing() {
+	for _, it := range j.items {
+		if it.state == listing {
+			it.state = finished
+		}
+	}
+}
+
 // observeListTime records how long a result waited to be listed.
 func (p *Component) observeListTime(now time.Duration, j *job, i int, out *event.Batch) {
 	if i >= 0 && i < len(j.items) && j.items[i].state == listing {
--- a/internal/batch/results_test.go
+++ b/internal/batch/results_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
 )
 
 // Many trainers submit steps of many groups, and each chunk costs a call to the store. Whole groups must wait to be listed
@@ -110,3 +111,27 @@
 	}
 	return sizes
 }
+
+// A takeover read a chunk that this host was storing, and the outcome was passed over: the job listed nothing more.
+func TestChunkThatATakeoverHasRead(t *testing.T) {
+	head := testHead(1, 2, noHints)
+	head.ID, head.Route, head.GiveUp = "j1", "rollouts", time.Hour
+	for name, kind := range map[string]kinds.Kind{"stored": "", "stored by another host": kinds.Conflict, "answer lost": kinds.StoreUnavailable} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			r.step(event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: head})
+			r.step(event.JobKept{Seq: 1, Job: "j1", Kind: kinds.OutcomeUnknown})
+			for _, run := range take[event.RunItem](r) {
+				r.step(event.ItemEnded{Job: "j1", Item: run.Item, Attempt: run.Attempt, Events: 1, Versions: []uint64{1}})
+			}
+			r.step(event.JobKept{Seq: 1, Job: "j1"})
+			r.step(event.JobTaken{Job: "j1", Epoch: 1, Head: head, Chunks: 1, Listed: []int{0}})
+			r.step(event.ChunkStored{Job: "j1", Number: 0, Items: []int{0}, Kind: kind})
+			r.tick(2 * maxListDelay)
+			want := []event.StoreChunk{{Job: "j1", Number: 0, Items: []int{0, 1}, Down: []bool{false, false}}, {Job: "j1", Number: 1, Items: []int{1}, Down: []bool{false}}}
+			if diff := cmp.Diff(want, take[event.StoreChunk](r)); diff != "" {
+				t.Errorf("chunks (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
