items, batch: a job is owned and accepted only once the store holds it

Cause: loadJob took a job in this host's table for the store's. The table also has copies of jobs that no store has accepted. A takeover wrote an owner's record without a job, startOwning held the job as stored, and submit answered from memory. An end and the reads did the same.

Each job in the table, and each copy, now tells whether the store is known to hold it. ensureStored asks the store otherwise, and stores a job that a copy was taken of, which nobody was told doesn't run.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -127,7 +127,8 @@
 		{Key: "Target", Value: strconv.Itoa(s.head.Target)},
 		{Key: "TookMS", Value: strconv.FormatInt((now - s.since).Milliseconds(), 10)},
 	}})
-	if e.Kind == kinds.Conflict && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation && p.jobs[e.Job] != nil {
+	foreign := e.Organisation != "" && e.Organisation != s.head.Organisation
+	if e.Kind == kinds.Conflict && !foreign && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation && p.jobs[e.Job] != nil {
 		// This host or another one stored the job earlier, with this host as its owner. When the job does not run here, a
 		// takeover has made it the owner, and the job starts with what is listed when that ends.
 		e.Kind, s.request.Host, s.request.Incarnation = "", p.Self.Name, p.Self.Incarnation
@@ -143,7 +144,10 @@
 	switch {
 	case e.Kind == kinds.Conflict && e.Organisation != "" && e.Organisation != s.head.Organisation:
 		p.answerOnce(s, kinds.Forbidden, out) // the id is that of another organisation's job
-		p.dropUnstored(j, out)
+		p.acceptOwner(now, j, e.Owner, out)
+		if j != nil && j.unstored {
+			out.Emit(event.DropJob{Job: e.Job})
+		}
 	case e.Kind == kinds.Conflict:
 		p.answerOnce(s, "", out) // another host has accepted the job
 		p.acceptOwner(now, j, e.Owner, out)
@@ -185,8 +189,11 @@
 // outcome is unknown, never that nothing has run.
 func (p *Component) retryStoring(now time.Duration, s submission, out *event.Batch) {
 	p.answerOnce(s, kinds.OutcomeUnknown, out)
-	if now >= s.head.GiveUp || p.stopping {
-		p.dropUnstored(p.jobs[s.head.ID], out)
+	switch {
+	case p.stopping:
+		return // the end of the drain gives the job to the host that has copies
+	case now >= s.head.GiveUp:
+		p.forgetUnstored(now, p.jobs[s.head.ID], out)
 		return
 	}
 	s.answered = true
@@ -208,6 +215,29 @@
 	p.announce(k.JobSeen, out)
 }
 
+// forgetUnstored drops a job that was not stored until its deadline. The store may hold it all the same, and other hosts have
+// copies of it, one of which is to find that out.
+func (p *Component) forgetUnstored(now time.Duration, j *job, out *event.Batch) {
+	if j == nil || !j.unstored {
+		return
+	}
+	p.dropUnstored(j, out)
+	k := p.ensureKnown(j.head.ID)
+	k.Host, k.Incarnation, k.orphanedAt, k.newsAt = "", "", now, now
+	p.announce(event.JobSeen{Job: j.head.ID, Epoch: j.epoch}, out)
+	out.Emit(event.DropJob{Job: j.head.ID})
+}
+
+// isSubmitted reports whether a submission of a job is being stored.
+func (p *Component) isSubmitted(job string) bool {
+	for _, s := range p.submissions {
+		if s.head.ID == job {
+			return true
+		}
+	}
+	return false
+}
+
 // dropUnstored stops and forgets a job that this host started before it was stored, and that another host owns or that
 // was never stored.
 func (p *Component) dropUnstored(j *job, out *event.Batch) {
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -18,7 +18,7 @@
 )
 
 // simulation runs several hosts with their store and their engines. Calls are performed in any order, their answers may
-// be lost or late, and hosts crash and start again.
+// be lost or late, and hosts crash and start again. Copies of the jobs that run may reach other hosts.
 type simulation struct {
 	t        *rapid.T
 	now      time.Duration
@@ -37,7 +37,9 @@
 	name   string
 	starts int
 	p      *Component
-	inbox  []event.PeerReceived // on their way to this host
+	inbox  []event.PeerReceived     // on their way to this host
+	copyTo map[string]string        // host that gets copies of a job of this one
+	copies map[string]event.JobSeen // jobs of which this host has a copy, with the host that runs them
 }
 
 // simCall is an effect that a host's executor has not performed yet.
@@ -93,7 +95,7 @@
 func (h *simHost) start() {
 	h.starts++
 	h.p = &Component{Self: h.self(), KeyOwners: h, Membership: h, NewStore: h.starts == 1}
-	h.inbox = nil
+	h.inbox, h.copyTo, h.copies = nil, map[string]string{}, map[string]event.JobSeen{}
 	h.step(event.ConfigInForce{Site: testSite()})
 	h.step(event.EndpointsListed{List: wire.EndpointList{Revision: 1, Endpoints: []wire.Endpoint{testEngine("e1", 1), testEngine("e2", 1)}}})
 	for _, other := range h.sim.hosts {
@@ -124,6 +126,10 @@
 				other.inbox = append(other.inbox, event.PeerReceived{Host: h.name, Message: e.Message})
 			}
 		}
+	case event.CopyJob:
+		h.copyTo[e.Job] = e.To
+	case event.DropJob:
+		delete(h.copies, e.Job)
 	case event.RunItem:
 		s.noteRun(e.Job)
 		s.calls = append(s.calls, simCall{host: h, starts: h.starts, effect: effect})
@@ -144,6 +150,9 @@
 		j.endCalls--
 	case e.Kind == "":
 		j.accepted = true
+		if !j.stored {
+			s.t.Fatalf("job %s was accepted and is not in the store", j.id)
+		}
 	case kinds.AnswerFor(e.Kind).Run == kinds.NotRun:
 		j.refused = true
 		s.checkRefusal(j)
@@ -326,7 +335,7 @@
 	case outcome == "refused":
 		done.Kind = kinds.StoreRefused
 		return done
-	case !j.stored:
+	case !s.ensureStored(h, j):
 		done.Kind = kinds.NotFound
 		return done
 	case j.owner.Epoch > e.Epoch && !own:
@@ -350,13 +359,22 @@
 	return done
 }
 
+// ensureStored stores a job that is not in the store and of which a host has a copy, and reports whether the store holds it.
+func (s *simulation) ensureStored(h *simHost, j *simJob) bool {
+	first, ok := h.copies[j.id]
+	if ok && !j.stored {
+		j.stored, j.owner = true, first
+	}
+	return j.stored
+}
+
 // endJob records the end of a job. When the store's answer is lost, the executor goes on until it knows the outcome.
 func (s *simulation) endJob(c simCall, e event.EndJob, outcome string) event.Event {
 	j := s.jobs[e.Job]
 	switch {
 	case outcome == "refused":
 		return event.JobEnded{Job: e.Job, Kind: kinds.StoreRefused}
-	case !j.stored && c.host.p.jobs[e.Job] == nil:
+	case !s.ensureStored(c.host, j):
 		return event.JobEnded{Job: e.Job, Kind: kinds.NotFound}
 	case outcome == "lost":
 		j.owner.Ended = j.owner.Ended || rapid.Bool().Draw(s.t, "end takes effect")
@@ -415,6 +433,7 @@
 	s.now += time.Duration(rapid.IntRange(10, 700).Draw(s.t, "ms")) * time.Millisecond
 	for _, h := range s.hosts {
 		h.step(event.Tick{})
+		s.sendCopies(h)
 		var beat wire.Beat
 		h.p.FillBeat(s.now, &beat)
 		for _, other := range s.hosts {
@@ -425,6 +444,21 @@
 	}
 }
 
+// sendCopies copies the jobs that a host runs to the hosts that are to take them over, unless a copy is lost. A host has a copy of
+// its own jobs.
+func (s *simulation) sendCopies(h *simHost) {
+	for _, j := range h.p.sortedJobs() {
+		id := j.head.ID
+		seen := event.JobSeen{Job: id, Host: h.name, Incarnation: fmt.Sprint(h.starts)}
+		h.copies[id] = seen
+		for _, other := range s.hosts {
+			if other.name == h.copyTo[id] && (s.noFaults || rapid.Bool().Draw(s.t, "copy arrives")) {
+				other.copies[id] = seen
+			}
+		}
+	}
+}
+
 // crash ends a host's process and starts another one.
 func (s *simulation) crash() {
 	if rapid.IntRange(0, 5).Draw(s.t, "crashes") > 0 {
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -170,6 +170,9 @@
 	case e.Kind == kinds.NotFound && !k.Ended:
 		// It may still be stored: by a submission under way, or when its caller submits it again.
 		delete(p.known, e.Job)
+		if p.jobs[e.Job] == nil && !p.isSubmitted(e.Job) {
+			out.Emit(event.DropJob{Job: e.Job})
+		}
 	case e.Kind == kinds.Conflict:
 		// Another host owns the job, even if it is not connected to this one.
 		k.Epoch, k.nextTakeover, k.newsAt = max(k.Epoch, e.Epoch), now+ownerSilenceTimeout, now
--- /dev/null
+++ b/internal/batch/unstored_test.go
@@ -0,0 +1,65 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+)
+
+// A job that was never stored stayed in memory, as one that this host runs, at its host and at those with copies.
+func TestJobThatIsNotStoredIsDropped(t *testing.T) {
+	const second = time.Second
+	submitted := event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 2, noHints)}
+	refused := event.JobKept{Seq: 1, Job: "j1", Kind: kinds.StoreRefused}
+	unknown := event.JobKept{Seq: 1, Job: "j1", Kind: kinds.OutcomeUnknown}
+	notFound := event.JobTaken{Job: "j1", Kind: kinds.NotFound}
+	foreign := event.JobKept{Seq: 1, Job: "j1", Kind: kinds.Conflict, Organisation: "South", Owner: event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"}}
+	foreignHere := foreign
+	foreignHere.Owner.Host = "h1"
+	giveUpAfter := testSite().Routes["rollouts"].Jobs.GiveUpAfter
+	type step struct {
+		ev    event.Event
+		after time.Duration
+	}
+	type end struct {
+		Drops int
+		Owner string // whom this host's readers and copies go by
+		Runs  bool
+	}
+	cases := map[string]struct {
+		steps []step
+		want  end
+	}{
+		"a takeover finds no record":                          {[]step{{notFound, 0}}, end{Drops: 1}},
+		"a takeover finds none of a job that is submitted":    {[]step{{submitted, 0}, {notFound, 0}}, end{}},
+		"a takeover finds none of a job that was begun":       {[]step{{submitted, 0}, {unknown, 0}, {notFound, 0}}, end{Owner: "h1", Runs: true}},
+		"refused until its deadline":                          {[]step{{submitted, second}, {refused, giveUpAfter}, {refused, 0}}, end{Drops: 1}},
+		"unknown until its deadline":                          {[]step{{submitted, 0}, {unknown, giveUpAfter}, {unknown, 0}}, end{Drops: 1}},
+		"the id is another organisation's":                    {[]step{{submitted, second}, {foreign, 0}}, end{Drops: 1, Owner: "h2"}},
+		"another organisation's, with this host as its owner": {[]step{{submitted, second}, {foreignHere, 0}}, end{Drops: 1, Owner: "h1"}},
+		"refused while this host stops":                       {[]step{{submitted, second}, {event.StopAsked{}, second}, {refused, second}}, end{Runs: true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			for _, s := range c.steps {
+				r.step(s.ev)
+				if s.after > 0 {
+					r.tick(s.after)
+				}
+			}
+			got := end{Drops: len(take[event.DropJob](r)), Runs: r.p.jobs["j1"] != nil}
+			for _, known := range take[event.KnowJob](r) {
+				got.Owner = known.Seen.Host
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("end (-want +got):\n%s", diff)
+			}
+			r.tick(second)
+		})
+	}
+}
--- a/internal/items/copies.go
+++ b/internal/items/copies.go
@@ -40,6 +40,7 @@
 type jobCopy struct {
 	Job    string
 	Body   *wire.Job // set in the first copy only
+	Stored bool      `msgpack:",omitempty"` // the store holds the job
 	Chunk  int       // number of the first chunk in Chunks
 	Chunks []wire.JobChunk
 	Parts  []textCopy
@@ -62,6 +63,7 @@
 type copyProgress struct {
 	receiver string
 	hasBody  bool
+	stored   bool // the copy says that the store holds the job
 	chunks   int
 	events   []int // number of events, by item
 	bytes    []int // size of the text, by item
@@ -113,7 +115,7 @@
 
 // acknowledge records that the host has taken a copy.
 func (c *copyProgress) acknowledge(sent jobCopy) {
-	c.hasBody = true
+	c.hasBody, c.stored = true, sent.Stored
 	c.chunks = sent.Chunk + len(sent.Chunks)
 	for _, part := range sent.Parts {
 		for len(c.events) <= part.Item {
@@ -137,7 +139,7 @@
 	if j == nil || !j.owned {
 		return jobCopy{}, false
 	}
-	missing := jobCopy{Job: id, Chunk: progress.chunks}
+	missing := jobCopy{Job: id, Stored: j.stored, Chunk: progress.chunks}
 	if !progress.hasBody {
 		job := j.job
 		missing.Body = &job
@@ -152,7 +154,7 @@
 			}
 		}
 	}
-	return missing, missing.Body != nil || len(missing.Chunks) > 0 || len(missing.Parts) > 0
+	return missing, missing.Body != nil || missing.Stored != progress.stored || len(missing.Chunks) > 0 || len(missing.Parts) > 0
 }
 
 // since returns the chunks from a number on.
@@ -198,13 +200,10 @@
 func (x *Executor) applyCopies(updates []jobCopy) bool {
 	fits := true
 	for _, update := range updates {
-		if update.Body != nil {
-			x.jobTable.add(*update.Body)
-		}
-		j := x.jobTable.get(update.Job)
 		if x.jobTable.owns(update.Job) {
 			continue
 		}
+		j := x.jobTable.addCopy(update)
 		if j == nil || update.Chunk > x.jobTable.chunkCount(update.Job) {
 			fits = false
 			continue
@@ -222,6 +221,23 @@
 	return fits
 }
 
+// addCopy adds the job of a copy that brings its body, and returns the state of the job, nil without one.
+func (jt *jobTable) addCopy(update jobCopy) *jobState {
+	if update.Body != nil && update.Stored {
+		return jt.addStored(*update.Body)
+	}
+	jt.mu.Lock()
+	defer jt.mu.Unlock()
+	if update.Body != nil {
+		jt.addLocked(*update.Body)
+	}
+	j := jt.jobs[update.Job]
+	if j != nil && update.Stored {
+		j.stored = true
+	}
+	return j
+}
+
 // appendPart appends a copied part, or replaces the text by a part from its start. It drops a part that does not follow
 // the held events, and reports whether it did follow them.
 func (t *itemText) appendPart(part textCopy) bool {
--- a/internal/items/endjob.go
+++ b/internal/items/endjob.go
@@ -91,10 +91,11 @@
 
 // tryEndJob makes one attempt to record that a job was ended. Its kind is "" when the store has recorded that.
 func (x *Executor) tryEndJob(ctx context.Context, id string, state *ending) kinds.Kind {
-	if x.jobTable.get(id) == nil && x.jobTable.owner(id).Job == "" {
-		if _, err := x.getCurrent(ctx, wire.PrefixJobs+id); err != nil {
-			return kinds.KindOf(err)
+	if _, err := x.ensureStored(ctx, id); err != nil {
+		if kinds.KindOf(err) == kinds.NotFound && x.jobTable.owner(id).Job != "" {
+			return kinds.StoreRefused // the host that runs it may be about to store it
 		}
+		return kinds.KindOf(err)
 	}
 	owner, version, err := x.readOwner(ctx, id)
 	if err != nil {
--- a/internal/items/jobs.go
+++ b/internal/items/jobs.go
@@ -38,6 +38,7 @@
 	chunkStarts []int         // positions in listed at which the chunks begin
 	changed     chan struct{} // closed when listed grows
 	owned       bool          // this host runs the job
+	stored      bool          // the store is known to hold the job
 	bytes       int64         // held by the job, without texts
 	// completeAt is a time at which the store had no chunk beyond the known ones, zero for none.
 	completeAt time.Time
@@ -67,6 +68,28 @@
 func (jt *jobTable) add(job wire.Job) *jobState {
 	jt.mu.Lock()
 	defer jt.mu.Unlock()
+	return jt.addLocked(job)
+}
+
+// addStored adds a job that the store holds, and returns its state. It replaces another job of that id, which was submitted
+// but not stored.
+func (jt *jobTable) addStored(job wire.Job) *jobState {
+	jt.mu.Lock()
+	defer jt.mu.Unlock()
+	if known := jt.jobs[job.ID]; known != nil && !isSameJob(&known.job, &job) {
+		jt.remove(known)
+	}
+	j := jt.addLocked(job)
+	j.stored = true
+	return j
+}
+
+// isSameJob reports whether two submissions are for the same items of the same organisation.
+func isSameJob(a, b *wire.Job) bool {
+	return a.Organisation == b.Organisation && slices.EqualFunc(a.Items, b.Items, func(x, y wire.JobItem) bool { return x.ID == y.ID })
+}
+
+func (jt *jobTable) addLocked(job wire.Job) *jobState {
 	if known := jt.jobs[job.ID]; known != nil {
 		return known
 	}
@@ -90,12 +113,46 @@
 	jt.mu.Lock()
 	defer jt.mu.Unlock()
 	if j := jt.jobs[id]; j != nil {
-		jt.held -= j.bytes
-		for _, t := range j.texts {
-			t.reset()
-		}
+		jt.remove(j)
+	}
+}
+
+// remove removes a job from the table, whose mutex is held.
+func (jt *jobTable) remove(j *jobState) {
+	jt.held -= j.bytes
+	for _, t := range j.texts {
+		t.reset()
+	}
+	delete(jt.jobs, j.job.ID)
+}
+
+// markStored records that the store holds an organisation's job.
+func (jt *jobTable) markStored(id, organisation string) {
+	jt.mu.Lock()
+	defer jt.mu.Unlock()
+	if j := jt.jobs[id]; j != nil && j.job.Organisation == organisation {
+		j.stored = true
+	}
+}
+
+// storedJob returns a job that the store is known to hold.
+func (jt *jobTable) storedJob(id string) (wire.Job, bool) {
+	jt.mu.Lock()
+	defer jt.mu.Unlock()
+	if j := jt.jobs[id]; j != nil && j.stored {
+		return j.job, true
+	}
+	return wire.Job{}, false
+}
+
+// ownedJob returns a job that this host runs.
+func (jt *jobTable) ownedJob(id string) (wire.Job, bool) {
+	jt.mu.Lock()
+	defer jt.mu.Unlock()
+	if j := jt.jobs[id]; j != nil && j.owned {
+		return j.job, true
 	}
-	delete(jt.jobs, id)
+	return wire.Job{}, false
 }
 
 // setOwned records whether this host runs a job.
--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -59,8 +59,9 @@
 	if owner.Epoch > e.Epoch && owner.Incarnation != x.Incarnation {
 		return kinds.Conflict
 	}
-	job, err := x.loadJob(ctx, e.Job)
+	job, err := x.ensureStored(ctx, e.Job)
 	if err != nil {
+		x.dropOwnerWithoutJob(ctx, e.Job, version, err)
 		return kinds.KindOf(err)
 	}
 	if host := cmp.Or(owner.Host, job.Host); host != e.Host {
@@ -76,7 +77,7 @@
 		}
 		done.Epoch = newOwner.Epoch
 	}
-	j := x.jobTable.add(job)
+	j := x.jobTable.addStored(job)
 	asked := time.Now()
 	chunks, err := x.chunks(ctx, e.Job)
 	if err != nil {
@@ -96,6 +97,14 @@
 	return ""
 }
 
+// dropOwnerWithoutJob deletes the record of a job's owner at a version, 0 for none, when the error of loading the job says that
+// there is no such job. A job is stored before its owners are recorded.
+func (x *Executor) dropOwnerWithoutJob(ctx context.Context, id string, version uint64, err error) {
+	if version != 0 && kinds.KindOf(err) == kinds.NotFound {
+		_ = x.delete(ctx, wire.Object{Name: wire.PrefixOwners + id, Version: version}) // the next takeover finds it again
+	}
+}
+
 // runsAt reports whether a host that this host considers gone still runs a job, and whether the job has ended there. In
 // a large fleet few hosts are connected to each other.
 func (x *Executor) runsAt(ctx context.Context, host, id string) (runs, ended bool) {
--- a/internal/items/pages.go
+++ b/internal/items/pages.go
@@ -156,7 +156,7 @@
 
 // storedPage returns a page from the chunks in the store. It waits up to wait for a first result.
 func (x *Executor) storedPage(ctx context.Context, id string, after int, wait time.Duration) (wire.JobPage, error) {
-	job, err := x.loadJobCached(ctx, id)
+	job, err := x.loadJob(ctx, id)
 	if err != nil {
 		return wire.JobPage{}, err
 	}
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -28,6 +28,7 @@
 	done := event.JobKept{Seq: e.Seq, Job: e.Job, Kind: x.createJob(ctx, e), Owner: event.JobSeen{Job: e.Job}}
 	if done.Kind == kinds.Conflict {
 		done.Owner, done.Organisation = x.currentOwner(ctx, e.Job)
+		x.jobTable.markStored(e.Job, done.Organisation)
 	}
 	x.Post(done)
 }
@@ -74,7 +75,7 @@
 		switch kind {
 		case "":
 			if job.Host == x.Host {
-				x.jobTable.add(job)
+				x.jobTable.addStored(job)
 				x.jobTable.setOwned(job.ID, true)
 			}
 			return ""
@@ -189,11 +190,25 @@
 	job.Host, job.Incarnation = e.Host, e.Incarnation
 }
 
-// loadJob returns a job from the table or the store.
+// loadJob returns a job that the store holds, from memory where it is known to do so. The job's body in memory alone says
+// nothing about the store: it is copied to other hosts also while the store has not accepted it.
 func (x *Executor) loadJob(ctx context.Context, id string) (wire.Job, error) {
-	if j := x.jobTable.get(id); j != nil {
-		return j.job, nil
+	if job, ok := x.storedJob(id); ok {
+		return job, nil
+	}
+	return x.readJob(ctx, id)
+}
+
+// storedJob returns a job that the store is known to hold, or has held.
+func (x *Executor) storedJob(id string) (wire.Job, bool) {
+	if job, ok := x.remoteJobs.job(id); ok {
+		return job, true
 	}
+	return x.jobTable.storedJob(id)
+}
+
+// readJob returns the job that the store holds.
+func (x *Executor) readJob(ctx context.Context, id string) (wire.Job, error) {
 	var job wire.Job
 	object, err := x.getCurrent(ctx, wire.PrefixJobs+id)
 	if err != nil {
@@ -202,9 +217,10 @@
 	return job, decode(object.Value, &job)
 }
 
-// loadJobCached returns a job from the cache of remote jobs, and otherwise loads it and adds it to the cache.
+// loadJobCached returns a job that this host runs, stored or not, or one that the store holds, which it adds to the cache of
+// remote jobs.
 func (x *Executor) loadJobCached(ctx context.Context, id string) (wire.Job, error) {
-	if job, ok := x.remoteJobs.job(id); ok {
+	if job, ok := x.jobTable.ownedJob(id); ok {
 		return job, nil
 	}
 	job, err := x.loadJob(ctx, id)
@@ -214,6 +230,47 @@
 	return job, err
 }
 
+// maxCopyAge is the time after its submission in which a job that was in the store is still there, and in which one that is
+// not in the store is stored from a copy. The objects of a job that has ended are kept for longer.
+const maxCopyAge = 5 * time.Minute
+
+// ensureStored returns a job that the store holds. A job that another host began while the store did not accept it, and that
+// this host has a copy of, is stored first, as its first owner would have done: no caller was told that it does not run. Its
+// error has kind NotFound when the store has no such job and this host has no copy that may still be stored.
+func (x *Executor) ensureStored(ctx context.Context, id string) (wire.Job, error) {
+	if job, ok := x.storedJob(id); ok && x.age(&job) < maxCopyAge {
+		return job, nil
+	}
+	job, err := x.readJob(ctx, id)
+	held := x.jobTable.get(id)
+	if kinds.KindOf(err) != kinds.NotFound || held == nil || !x.mayStillBeStored(&held.job) {
+		return job, err
+	}
+	value, err := encode(held.job)
+	if err != nil {
+		return job, err
+	}
+	_, err = x.putObject(ctx, wire.ObjectPut{Name: wire.PrefixJobs + id, Writer: x.writerID(0), Value: value})
+	switch kinds.KindOf(err) {
+	case "":
+		x.jobTable.markStored(id, held.job.Organisation)
+		return held.job, nil
+	case kinds.Conflict: // another host has stored it meanwhile
+		return x.readJob(ctx, id)
+	}
+	return job, err
+}
+
+// mayStillBeStored reports whether a job that is not in the store may be stored from a copy.
+func (x *Executor) mayStillBeStored(job *wire.Job) bool {
+	return x.age(job) < min(time.Duration(job.GiveUpMS)*time.Millisecond, maxCopyAge)
+}
+
+// age returns the time since a job was submitted.
+func (x *Executor) age(job *wire.Job) time.Duration {
+	return time.Duration(x.UnixMS()-job.Submitted) * time.Millisecond
+}
+
 // head returns what the reducer knows of a job, with the times converted to this daemon's clock.
 func (x *Executor) head(job wire.Job) event.JobHead {
 	head := JobHeadOf(job)
