batch, items: items past their deadline are ended in one place

Cause: the end of a run that was stopped at the deadline made the item wait, and dispatch, which did not look at the deadline, sent it again before a tick could give it up. Calls for scores went the same way on an idle host. The end of a run that was being stopped was passed over too, so that a whole text was lost and a status 500 not counted.

endIfLate decides what becomes of such an item, at the end of a run, at the end of a call for a score and at each tick; mayBeginRuns decides whether a run may begin, up to 50 ms before the deadline. A run without time isn't sent. A whole text is scored and listed also after the deadline.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -89,7 +89,7 @@
 	q := &waitingQueue{order: p.Order, left: map[need]int{}}
 	for _, j := range p.sortedJobs() {
 		r, ok := p.site.Routes[j.head.Route]
-		if j.ended || !ok {
+		if !ok || !j.mayBeginRuns(now) {
 			continue
 		}
 		for _, it := range j.items {
@@ -118,7 +118,7 @@
 	var needs []need // in a fixed order, since sums of fractions depend on it
 	for _, j := range p.sortedJobs() {
 		r, ok := p.site.Routes[j.head.Route]
-		if j.ended || !ok {
+		if !ok || !j.mayBeginRuns(now) {
 			continue
 		}
 		for _, it := range j.items {
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -51,7 +51,7 @@
 		out.Emit(event.Count{Name: "ItemRetries", Tags: []event.Field{{Key: "Reason", Value: e.Reason}}, N: 1})
 	}
 	switch {
-	case j.ended || stopped:
+	case j.ended:
 	case !j.acceptsHeldVersions(it):
 		it.beginAnew()
 	case e.Reason == "":
@@ -66,9 +66,10 @@
 		if it.failures >= p.maxFailures(j) {
 			p.giveUpItem(now, j, it, "Failures", out)
 		}
-	default:
+	case !stopped:
 		it.avoidEngine = it.engineName
 	}
+	p.endIfLate(now, j, it, out)
 	p.dispatch(now, out)
 }
 
@@ -136,10 +137,10 @@
 	p.score(now, j, it, out)
 }
 
-// score calls for the score of an item's text.
+// score calls for the score of an item's text. The call may go on after the job's deadline, since the text is whole.
 func (p *Component) score(now time.Duration, j *job, it *item, out *event.Batch) {
 	it.stateTime = 0 // the call is under way
-	out.Emit(event.ScoreItem{Job: j.head.ID, Item: it.index, Deadline: min(now+scoreTimeout, j.head.GiveUp)})
+	out.Emit(event.ScoreItem{Job: j.head.ID, Item: it.index, Deadline: now + scoreTimeout})
 }
 
 func (p *Component) handleItemScored(now time.Duration, e event.ItemScored, out *event.Batch) {
@@ -159,6 +160,7 @@
 		return
 	}
 	it.stateTime = now + scoreRetryPause
+	p.endIfLate(now, j, it, out)
 }
 
 // maxScoreFailures returns the number of failed calls for a score after which an item is given up.
@@ -183,25 +185,42 @@
 	p.finishItem(now, j, it, out)
 }
 
-// applyTimers makes failed calls for scores again after their pause, and after the job's deadline gives up the items
-// that are not finished and stops their runs.
+// applyTimers makes failed calls for scores again after their pause, and ends the items of a job that is past its deadline.
 func (p *Component) applyTimers(now time.Duration, j *job, out *event.Batch) {
 	if j.ended {
 		return
 	}
 	for _, it := range j.items {
-		switch {
-		case it.state == scoring && it.stateTime != 0 && now >= it.stateTime:
+		if p.endIfLate(now, j, it, out) {
+			continue
+		}
+		if it.state == scoring && it.stateTime != 0 && now >= it.stateTime {
 			p.score(now, j, it, out)
-		case now < j.head.GiveUp:
-		case it.state == waiting || it.state == scoring:
-			p.giveUpItem(now, j, it, "Late", out)
-		case it.state == running:
-			p.stopItem(j, it, out)
 		}
 	}
 }
 
+// minRunTime is the time before a job's deadline from which on no run begins: it would bring no event.
+const minRunTime = defaultGap
+
+// mayBeginRuns reports whether runs of a job's items may begin.
+func (j *job) mayBeginRuns(now time.Duration) bool { return !j.ended && now+minRunTime < j.head.GiveUp }
+
+// endIfLate ends an item whose job is past its deadline, and reports whether it is: a run is stopped, and an item of which
+// nothing is under way is given up. A call for the score of a whole text is awaited.
+func (p *Component) endIfLate(now time.Duration, j *job, it *item, out *event.Batch) bool {
+	if j.ended || now < j.head.GiveUp {
+		return false
+	}
+	switch {
+	case it.state == running:
+		p.stopItem(j, it, out)
+	case it.state == waiting, it.state == scoring && it.stateTime != 0:
+		p.giveUpItem(now, j, it, "Late", out)
+	}
+	return true
+}
+
 func (p *Component) stopItem(j *job, it *item, out *event.Batch) {
 	it.state = stopping
 	out.Emit(event.StopItem{Job: j.head.ID, Item: it.index, Attempt: it.attempt})
--- a/internal/items/executor.go
+++ b/internal/items/executor.go
@@ -194,7 +194,7 @@
 }
 
 func (x *Executor) startRun(e event.RunItem) {
-	ctx, cancel := context.WithTimeout(x.ctx, max(e.Deadline-x.Now(), time.Millisecond))
+	ctx, cancel := context.WithTimeout(x.ctx, e.Deadline-x.Now())
 	key := runKey{job: e.Job, attempt: e.Attempt}
 	x.mu.Lock()
 	x.runs[key] = cancel
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -85,6 +85,9 @@
 // runRequest sends an item to an engine and adds the events of the answer to the item's text. It calls onEvent after each
 // event. It returns the answer's status and the reason why the text is incomplete, "" for a complete one.
 func (x *Executor) runRequest(ctx context.Context, j *jobState, e event.RunItem, t *itemText, lastID string, onEvent func()) (int, string) {
+	if ctx.Err() != nil {
+		return 0, event.ReasonStopped // no engine can use a run without time
+	}
 	req, err := x.newRequest(ctx, j, e, lastID)
 	if err != nil {
 		return 0, event.ReasonBodyMissing
