items: texts keep empty lines, and every form of a line is read

Cause: readEvents took "no bytes of the event yet" for "no line yet". The format was read too narrowly elsewhere too: data without a colon, endings with CR alone, several CRs before an LF, a byte order mark.

Lines of data are counted, and lineReader knows the three endings.

--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -1,7 +1,6 @@
 package items
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -219,13 +218,13 @@
 // readEvents appends the events of a stream to t until the stream ends. An event that is cut off is dropped. A stream that goes on
 // after an event may bring no more, but one that begins has one at least.
 func (x *Executor) readEvents(body io.Reader, t *itemText, lastID string, by madeBy, onEvent func()) error {
-	r := bufio.NewReaderSize(body, readBufferBytes)
-	versionField := strings.ToLower(x.Names.GeneratedVersion) + ":"
-	longLine, data := heldBytes{claim: t.receiving}, heldBytes{claim: t.receiving}
-	id, pending := "", false
+	lines := newLineReader(body, t.receiving)
+	versionField := strings.ToLower(x.Names.GeneratedVersion)
+	data := heldBytes{claim: t.receiving}
+	id, pending, dataLines := "", false, 0
 	eventBytes, textBytes := 0, 0
 	for {
-		line, err := readLine(r, &longLine)
+		line, err := lines.next()
 		eventBytes += len(line) + 1
 		textBytes += len(line) + 1
 		if eventBytes > maxEventBytes {
@@ -234,7 +233,7 @@
 		if textBytes > maxTextBytes {
 			return errEndlessText
 		}
-		if err == io.EOF && len(line) == 0 && !pending {
+		if err == io.EOF && !pending {
 			if lastID == "" {
 				return errNoEvent
 			}
@@ -243,6 +242,8 @@
 		if err != nil {
 			return errors.Wrap(err, "reading the stream")
 		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
 		case len(line) == 0:
 			if !pending {
@@ -256,23 +257,24 @@
 					return errors.Wrap(err, "keeping the text")
 				}
 			}
-			lastID, id, pending, eventBytes = id, "", false, 0
+			lastID, id, pending, dataLines, eventBytes = id, "", false, 0, 0
 			data.drop()
 			onEvent()
-		case bytes.HasPrefix(line, []byte(versionField)):
-			by.weights, _ = strconv.ParseUint(string(bytes.TrimSpace(line[len(versionField):])), 10, 64)
+		case len(name) == 0: // a comment
+		case string(name) == versionField:
+			by.weights, _ = strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
 			pending = true
-		case bytes.HasPrefix(line, []byte("id:")):
-			id, pending = string(bytes.TrimSpace(line[3:])), true
-		case bytes.HasPrefix(line, []byte("data:")):
-			value := bytes.TrimPrefix(line[5:], []byte(" "))
+		case string(name) == "id":
+			id, pending = string(bytes.TrimSpace(value)), true
+		case string(name) == "data":
 			var separator []byte
-			if data.data != nil {
+			if dataLines > 0 {
 				separator = []byte{'\n'}
 			}
 			if err := data.append(slices.Concat(separator, value)...); err != nil {
 				return errors.Wrap(err, "keeping an event")
 			}
+			dataLines++
 			pending = true
 		}
 	}
@@ -290,32 +292,3 @@
 	lastNumber, err := strconv.ParseUint(lastID, 10, 64)
 	return err == nil && number == lastNumber+1
 }
-
-// readLine returns the next line without its line ending, which is valid until the next one is read. A line without an ending is an
-// error. Long holds one that doesn't fit into the reader.
-func readLine(r *bufio.Reader, long *heldBytes) ([]byte, error) {
-	long.drop()
-	line, err := r.ReadSlice('\n')
-	if err == nil {
-		return bytes.TrimRight(line, "\r\n"), nil
-	}
-	if err != bufio.ErrBufferFull {
-		if err == io.EOF && len(line) > 0 {
-			err = io.ErrUnexpectedEOF
-		}
-		return nil, err
-	}
-	for err == bufio.ErrBufferFull && len(long.data) < maxLineBytes {
-		if err := long.append(line...); err != nil {
-			return nil, err
-		}
-		line, err = r.ReadSlice('\n')
-	}
-	if err != nil {
-		return nil, io.ErrUnexpectedEOF
-	}
-	if err := long.append(line...); err != nil {
-		return nil, err
-	}
-	return bytes.TrimRight(long.data, "\r\n"), nil
-}
