batch: the simulation plays large fleets

Takeovers in fleets with hubs, in which a job whose owner told nobody is found by its readers, were simulated nowhere.

--- a/internal/batch/property_test.go
+++ b/internal/batch/property_test.go
@@ -23,7 +23,7 @@
 
 func playFailures(t *rapid.T) {
 	s := newSimulation(t)
-	actions := []func(){s.submit, s.performOne, s.performOne, s.performOne, s.performOne, s.deliver, s.deliver, s.tick, s.crash, s.end}
+	actions := []func(){s.submit, s.performOne, s.performOne, s.performOne, s.performOne, s.deliver, s.deliver, s.tick, s.crash, s.end, s.read}
 	steps := rapid.IntRange(20, 300).Draw(t, "steps")
 	for range steps {
 		actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
@@ -43,6 +43,7 @@
 		}
 		s.performOne()
 		s.deliver()
+		s.read()
 		if rapid.IntRange(0, 3).Draw(t, "time passes") == 0 {
 			s.tick()
 		}
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -30,6 +30,7 @@
 	submissions int
 	endCalls    map[uint64]bool // numbers of the calls that end a job
 	noFaults    bool            // calls and messages no longer fail
+	largeFleet  bool            // two hosts are hubs, and a job whose owner told nobody is found by its readers
 }
 
 type simHost struct {
@@ -68,7 +69,7 @@
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	s := &simulation{t: t, now: time.Second, jobs: map[string]*simJob{}, endCalls: map[uint64]bool{}}
+	s := &simulation{t: t, now: time.Second, jobs: map[string]*simJob{}, endCalls: map[uint64]bool{}, largeFleet: rapid.Bool().Draw(t, "large fleet")}
 	for i := range simHosts {
 		s.hosts = append(s.hosts, &simHost{sim: s, name: fmt.Sprintf("h%d", i+1)})
 	}
@@ -96,6 +97,9 @@
 	h.starts++
 	h.p = &Component{Self: h.self(), KeyOwners: h, Membership: h, NewStore: h.starts == 1}
 	h.inbox, h.copyTo, h.copies = nil, map[string]string{}, map[string]event.JobSeen{}
+	if h.sim.largeFleet {
+		h.step(event.HostsChanged{Hosts: h.Alive(0), Hubs: []string{"h1", "h2"}})
+	}
 	h.step(event.ConfigInForce{Site: testSite()})
 	h.step(event.EndpointsListed{List: wire.EndpointList{Revision: 1, Endpoints: []wire.Endpoint{testEngine("e1", 1), testEngine("e2", 1)}}})
 	for _, other := range h.sim.hosts {
@@ -213,6 +217,24 @@
 	return uint64(n) + 1000*uint64(draw+(maxDraw+1)*s.submissions)
 }
 
+// read has a caller read a job at any host, which reports an owner that does not run it.
+func (s *simulation) read() {
+	if s.jobCount == 0 {
+		return
+	}
+	j := s.jobs[jobOf(uint64(rapid.IntRange(0, s.jobCount-1).Draw(s.t, "job that is read")))]
+	h := s.hostOf("host that is read")
+	seen := j.owner
+	if k := h.p.known[j.id]; k != nil && k.Host != "" {
+		seen = k.JobSeen
+	}
+	runs := func(o *simHost) bool { return o.p.jobs[j.id] != nil && (o == h || o.name == seen.Host) }
+	if !j.stored || seen.Ended || slices.ContainsFunc(s.hosts, runs) {
+		return
+	}
+	h.step(event.JobSought{Seen: seen})
+}
+
 func (s *simulation) hostOf(label string) *simHost {
 	return s.hosts[rapid.IntRange(0, simHosts-1).Draw(s.t, label)]
 }
