conns: requests that are given up are lost with their link

Cause: attempts that are given up were closed, so that the kernel went on sending what was written.

A connection is reset when it is closed while an exchange on it was abandoned or has failed, and closed as before once its answer is whole.

--- a/internal/call/closed_test.go
+++ b/internal/call/closed_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,8 +49,32 @@
 	}
 }
 
+// An attempt that was given up closed its connection, and a link that held its bytes up delivered them later.
+func TestAttemptThatIsGivenUpIsReset(t *testing.T) {
+	for name, idempotent := range map[string]bool{"kept connections": true, "single use": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ends := make(chan error, 1)
+			attemptWith(t, event.StartAttempt{Idempotent: idempotent}, func(conn *net.TCPConn) {
+				_, _ = conn.Read(make([]byte, 1<<10))
+				_, err := conn.Read(make([]byte, 1<<10))
+				ends <- err
+			})
+			if err := <-ends; !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the connection ends with %v, want a reset", err)
+			}
+		})
+	}
+}
+
 // attemptAgainst sends a request to an endpoint that handles its connections with serve, and returns the report.
 func attemptAgainst(t *testing.T, serve func(conn *net.TCPConn)) event.AttemptDone {
+	t.Helper()
+	return attemptWith(t, event.StartAttempt{Idempotent: true}, serve)
+}
+
+// attemptWith makes an attempt of a kind.
+func attemptWith(t *testing.T, start event.StartAttempt, serve func(conn *net.TCPConn)) event.AttemptDone {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -84,7 +110,8 @@
 	e := &Exchange{Request: 1, Method: http.MethodPost, Target: "/", Header: http.Header{}, Body: []byte("x"), Sink: discardSink{}}
 	x.Open(e)
 	go e.Run(context.Background(), x, func() {})
-	x.Do(event.StartAttempt{Request: 1, Attempt: 1, Address: listener.Addr().String(), Deadline: 700 * time.Millisecond, Idempotent: true})
+	start.Request, start.Attempt, start.Address, start.Deadline = 1, 1, listener.Addr().String(), 700*time.Millisecond
+	x.Do(start)
 	select {
 	case report := <-reports:
 		return report
--- a/internal/call/conn.go
+++ b/internal/call/conn.go
@@ -26,6 +26,9 @@
 	gate atomic.Pointer[writeGate]
 }
 
+// NetConn returns the connection that was dialled.
+func (c *gatedConn) NetConn() net.Conn { return c.Conn }
+
 // Write writes p when the write gate of the attempt is open.
 func (c *gatedConn) Write(p []byte) (int, error) {
 	g := c.gate.Load()
--- a/internal/call/response.go
+++ b/internal/call/response.go
@@ -24,7 +24,7 @@
 // handleResponse checks the head of an endpoint's response, posts AttemptHead and forwards or reports the response.
 func (a *attempt) handleResponse(resp *http.Response) {
 	if !conns.EndsRequest(resp.StatusCode) {
-		_ = a.conn.Conn.Close() // a whole answer may still come on it
+		conns.Abandon(a.conn.Conn) // a whole answer may still come on it
 		a.fail(event.ReasonBroken)
 		return
 	}
@@ -34,7 +34,7 @@
 	}
 	names := &a.executor.Names
 	if !names.IsResponseTo(resp, a.exchange.ID, a.conn.Reused) {
-		_ = a.conn.Conn.Close() // the response that belongs to the attempt may still come on it
+		conns.Abandon(a.conn.Conn) // the response that belongs to the attempt may still come on it
 		a.fail(ForeignReason(a.conn.Reused))
 		return
 	}
--- a/internal/conns/checked.go
+++ b/internal/conns/checked.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,33 +40,55 @@
 // RoundTrip sends a request and returns the answer. It is an error, at the end of the body for a trailer, if the name of a field
 // holds a blank; the connection is closed then. Reads from the request's body must not block.
 func (t *Checked) RoundTrip(req *http.Request) (*http.Response, error) {
-	var e exchange
+	e := &exchange{ctx: req.Context()}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), e.trace())))
 	if err != nil {
 		return nil, err
 	}
 	if err := checkNames(resp.Header); err != nil {
-		_ = e.conn.Close() // it is kept already if the answer has no body
+		Abandon(e.conn) // it is kept already if the answer has no body
 		_ = resp.Body.Close()
 		return nil, err
 	}
-	if len(resp.TransferEncoding) > 0 {
-		resp.Body = &trailedBody{ReadCloser: resp.Body, answer: resp, conn: e.conn}
+	if resp.Body == http.NoBody {
+		e.end()
+		return resp, nil
 	}
+	resp.Body = &answerBody{ReadCloser: resp.Body, answer: resp, exchange: e}
 	return resp, nil
 }
 
 // exchange is a request and its answer on a connection, the last one if the transport needs several. An interim answer may come
 // while the body is written.
 type exchange struct {
-	conn    net.Conn
-	writing *conn // conn while the body of the request is written
-	interim interimAnswers
+	ctx       context.Context
+	conn      net.Conn
+	writing   *conn // conn while the body of the request is written
+	interim   interimAnswers
+	abandoned atomic.Bool // the answer's body was closed before its end
+}
+
+// isAbandoned reports whether nobody waits for the rest of the answer any more.
+func (e *exchange) isAbandoned() bool { return e.abandoned.Load() || e.ctx.Err() != nil }
+
+// end records that the answer is whole.
+func (e *exchange) end() {
+	if c, ok := e.conn.(*conn); ok {
+		c.user.CompareAndSwap(e, nil)
+	}
+}
+
+// begin records the connection of the exchange.
+func (e *exchange) begin(info httptrace.GotConnInfo) {
+	e.conn = info.Conn
+	if c, ok := info.Conn.(*conn); ok {
+		c.user.Store(e)
+	}
 }
 
 func (e *exchange) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { e.conn = info.Conn },
+		GotConn:        e.begin,
 		WroteHeaders:   e.beginBody,
 		WroteRequest:   func(httptrace.WroteRequestInfo) { e.endBody() },
 		Got1xxResponse: e.interim.add,
--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,11 +20,52 @@
 // One goroutine writes, another one reads.
 type conn struct {
 	net.Conn
-	body    sync.Mutex // held while the body of a request is written, also between two Writes
-	writing sync.Mutex // held during a Write
-	failure error      // of the last Write; guarded by writing
+	body    sync.Mutex               // held while the body of a request is written, also between two Writes
+	writing sync.Mutex               // held during a Write
+	failure error                    // of the last Write; guarded by writing
+	user    atomic.Pointer[exchange] // the last exchange on the connection, until its answer is whole
+	failed  atomic.Bool              // a Read or Write has failed
 }
 
+// Close closes the connection. It is reset when an exchange was abandoned on it or has failed: bytes of the request that a broken
+// link holds up would else reach the other side once the link is back, which would then run a request that nobody waits for.
+func (c *conn) Close() error {
+	if e := c.user.Load(); e != nil && (c.failed.Load() || e.isAbandoned()) {
+		resetOnClose(c.Conn)
+	}
+	return c.Conn.Close()
+}
+
+// Abandon closes a connection with a reset.
+func Abandon(c net.Conn) {
+	resetOnClose(c)
+	_ = c.Close()
+}
+
+// resetOnClose has a connection reset when it is closed.
+func resetOnClose(c net.Conn) {
+	if t := tcp(c); t != nil {
+		_ = t.SetLinger(0) // fails on a connection that is closed
+	}
+}
+
+// tcp returns the TCP connection inside others, which have a method NetConn as tls.Conn does; nil for none.
+func tcp(c net.Conn) *net.TCPConn {
+	for {
+		switch inner := c.(type) {
+		case *net.TCPConn:
+			return inner
+		case interface{ NetConn() net.Conn }:
+			c = inner.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
+// NetConn returns the connection that was dialled.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Inner returns the connection that was dialled for a Checked transport, and any other connection as it is.
 func Inner(c net.Conn) net.Conn {
 	if checked, ok := c.(*conn); ok {
@@ -40,6 +82,9 @@
 			err = failure
 		}
 	}
+	if err != nil && err != io.EOF {
+		c.failed.Store(true)
+	}
 	return n, err
 }
 
@@ -49,6 +94,9 @@
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
 	c.failure = err
+	if err != nil {
+		c.failed.Store(true)
+	}
 	return n, err
 }
 
--- a/internal/conns/identity.go
+++ b/internal/conns/identity.go
@@ -30,6 +30,9 @@
 	Incarnation string // "" when the endpoint does not tell it
 }
 
+// NetConn returns the connection that was dialled.
+func (c *Identified) NetConn() net.Conn { return c.Conn }
+
 // Dial opens a connection with dial and asks the endpoint at its other end for its incarnation. An answer that can't be read
 // is an error: the connection could not be used for anything else either.
 func (i *Identity) Dial(ctx context.Context, dial func(ctx context.Context) (net.Conn, error)) (*Identified, error) {
@@ -39,7 +42,7 @@
 	}
 	incarnation, err := i.ask(ctx, conn)
 	if err != nil {
-		_ = conn.Close()
+		Abandon(conn)
 		return nil, errors.Wrap(err, "identifying the endpoint")
 	}
 	return &Identified{Conn: conn, Incarnation: incarnation}, nil
--- a/internal/conns/names.go
+++ b/internal/conns/names.go
@@ -42,21 +42,28 @@
 	return checkNames(http.Header(h))
 }
 
-// trailedBody is the body of an answer whose trailer is checked at its end.
-type trailedBody struct {
+// answerBody is the body of an answer. Its trailer is checked at its end.
+type answerBody struct {
 	io.ReadCloser
-	answer *http.Response
-	conn   io.Closer
+	answer   *http.Response
+	exchange *exchange
 }
 
 // Read reads into p. The end of a body with a malformed trailer is an error.
-func (b *trailedBody) Read(p []byte) (int, error) {
+func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
+		b.exchange.end()
 		if malformed := checkNames(b.answer.Trailer); malformed != nil {
-			_ = b.conn.Close()
+			Abandon(b.exchange.conn)
 			err = malformed
 		}
 	}
 	return n, err
 }
+
+// Close closes the body. Before its end the exchange is abandoned.
+func (b *answerBody) Close() error {
+	b.exchange.abandoned.Store(true) // means nothing for an answer that is whole
+	return b.ReadCloser.Close()
+}
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -117,11 +117,11 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if !conns.EndsRequest(resp.StatusCode) {
-		_ = conn.Conn.Close() // a whole answer may still come on it
+		conns.Abandon(conn.Conn) // a whole answer may still come on it
 		return 0, event.ReasonBroken
 	}
 	if !x.Names.IsResponseTo(resp, j.job.Items[e.Item].ID, conn.Reused) {
-		_ = conn.Conn.Close() // the response that belongs to the item may still come on it
+		conns.Abandon(conn.Conn) // the response that belongs to the item may still come on it
 		return resp.StatusCode, call.ForeignReason(conn.Reused)
 	}
 	if answered, ok := x.Names.Answered(wire.LeaveMark{Endpoint: e.Endpoint, Incarnation: e.Incarnation}, sent, resp); ok {
--- a/internal/orders/conn.go
+++ b/internal/orders/conn.go
@@ -23,6 +23,9 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
+// NetConn returns the connection that was dialled.
+func (c *leasedConn) NetConn() net.Conn { return c.Conn }
+
 // Write writes b if the deadline has not passed.
 func (c *leasedConn) Write(b []byte) (int, error) {
 	if c.dialer.now() >= c.dialer.deadline {
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -118,3 +121,31 @@
 		t.Errorf("ended after %s, want about 200 ms", took)
 	}
 }
+
+// A report that got no answer closed its connection, and a link that held its bytes up delivered it later.
+func TestReportWithoutAnAnswerIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	ends := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, err = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+		}
+		ends <- err
+	}()
+	start := time.Now()
+	x := &orders.Executor{
+		BaseURL: "http://" + listener.Addr().String(), AnswerTimeout: 100 * time.Millisecond,
+		Now:  func() time.Duration { return time.Since(start) },
+		Post: func(event.Event) bool { return true },
+	}
+	x.Do(event.SendUsage{Seq: 1, Report: wire.UsageReport{ReportID: "r"}, Before: 100 * time.Millisecond})
+	if err := <-ends; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ends with %v, want a reset", err)
+	}
+}
