batch, items: nobody is taken for the owner of a job that isn't stored

A host whose submission ended without an outcome after its drain kept itself announced as the job's owner until it had exited. A host that had found no record of a job went on taking its last owner for one, so that the end of the job was asked again for 3 s and answered 503.

The first announces the job without an owner, the second records that it has none, and answers 404.

"unknown once this host's drain is over", "a takeover finds no record" and "ended, known to have no owner" failed before.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -127,8 +127,7 @@
 		{Key: "Target", Value: strconv.Itoa(s.head.Target)},
 		{Key: "TookMS", Value: strconv.FormatInt((now - s.since).Milliseconds(), 10)},
 	}})
-	foreign := e.Organisation != "" && e.Organisation != s.head.Organisation
-	if e.Kind == kinds.Conflict && !foreign && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation && p.jobs[e.Job] != nil {
+	if e.Kind == kinds.Conflict && !s.isForeign(e) && e.Owner.Host == p.Self.Name && e.Owner.Incarnation == p.Self.Incarnation && p.jobs[e.Job] != nil {
 		// This host or another one stored the job earlier, with this host as its owner. When the job does not run here, a
 		// takeover has made it the owner, and the job starts with what is listed when that ends.
 		e.Kind, s.request.Host, s.request.Incarnation = "", p.Self.Name, p.Self.Incarnation
@@ -142,7 +141,7 @@
 func (p *Component) finishStoring(now time.Duration, e event.JobKept, s submission, out *event.Batch) {
 	j := p.jobs[e.Job]
 	switch {
-	case e.Kind == kinds.Conflict && e.Organisation != "" && e.Organisation != s.head.Organisation:
+	case e.Kind == kinds.Conflict && s.isForeign(e):
 		p.answerOnce(s, kinds.Forbidden, out) // the id is that of another organisation's job
 		p.acceptOwner(now, j, e.Owner, out)
 		if j != nil && j.unstored {
@@ -172,6 +171,11 @@
 	}
 }
 
+// isForeign reports whether the store holds another organisation's job under the submission's id.
+func (s submission) isForeign(e event.JobKept) bool {
+	return e.Organisation != "" && e.Organisation != s.head.Organisation
+}
+
 // ownUnstored starts to run a job that may not be stored.
 func (p *Component) ownUnstored(now time.Duration, s submission, out *event.Batch) {
 	p.startOwning(now, event.JobTaken{Job: s.head.ID, Head: s.head}, out)
@@ -190,8 +194,11 @@
 func (p *Component) retryStoring(now time.Duration, s submission, out *event.Batch) {
 	p.answerOnce(s, kinds.OutcomeUnknown, out)
 	switch {
+	case p.stopping && p.drained:
+		p.announce(event.JobSeen{Job: s.head.ID, Epoch: p.jobs[s.head.ID].epoch}, out) // it may be stored, with this host as its owner
+		return
 	case p.stopping:
-		return // the end of the drain gives the job to the host that has copies
+		return // it is announced so at the end of the drain
 	case now >= s.head.GiveUp:
 		p.forgetUnstored(now, p.jobs[s.head.ID], out)
 		return
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -171,6 +171,7 @@
 		// It may still be stored: by a submission under way, or when its caller submits it again.
 		delete(p.known, e.Job)
 		if p.jobs[e.Job] == nil && !p.isSubmitted(e.Job) {
+			out.Emit(event.KnowJob{Seen: event.JobSeen{Job: e.Job}}) // no host runs it
 			out.Emit(event.DropJob{Job: e.Job})
 		}
 	case e.Kind == kinds.Conflict:
--- a/internal/batch/unstored_test.go
+++ b/internal/batch/unstored_test.go
@@ -12,7 +12,7 @@
 
 // A job that was never stored stayed in memory, as one that this host runs, at its host and at those with copies.
 func TestJobThatIsNotStoredIsDropped(t *testing.T) {
-	const second = time.Second
+	const second, notTold = time.Second, "not told"
 	submitted := event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 2, noHints)}
 	refused := event.JobKept{Seq: 1, Job: "j1", Kind: kinds.StoreRefused}
 	unknown := event.JobKept{Seq: 1, Job: "j1", Kind: kinds.OutcomeUnknown}
@@ -35,12 +35,13 @@
 		want  end
 	}{
 		"a takeover finds no record":                          {[]step{{notFound, 0}}, end{Drops: 1}},
-		"a takeover finds none of a job that is submitted":    {[]step{{submitted, 0}, {notFound, 0}}, end{}},
+		"a takeover finds none of a job that is submitted":    {[]step{{submitted, 0}, {notFound, 0}}, end{Owner: notTold}},
 		"a takeover finds none of a job that was begun":       {[]step{{submitted, 0}, {unknown, 0}, {notFound, 0}}, end{Owner: "h1", Runs: true}},
 		"refused until its deadline":                          {[]step{{submitted, second}, {refused, giveUpAfter}, {refused, 0}}, end{Drops: 1}},
 		"unknown until its deadline":                          {[]step{{submitted, 0}, {unknown, giveUpAfter}, {unknown, 0}}, end{Drops: 1}},
 		"the id is another organisation's":                    {[]step{{submitted, second}, {foreign, 0}}, end{Drops: 1, Owner: "h2"}},
 		"another organisation's, with this host as its owner": {[]step{{submitted, second}, {foreignHere, 0}}, end{Drops: 1, Owner: "h1"}},
+		"unknown once this host's drain is over":              {[]step{{submitted, 0}, {event.StopAsked{}, second}, {event.Tick{}, second}, {unknown, 0}}, end{Runs: true}},
 		"refused while this host stops":                       {[]step{{submitted, second}, {event.StopAsked{}, second}, {refused, second}}, end{Runs: true}},
 	}
 	for name, c := range cases {
@@ -52,7 +53,7 @@
 					r.tick(s.after)
 				}
 			}
-			got := end{Drops: len(take[event.DropJob](r)), Runs: r.p.jobs["j1"] != nil}
+			got := end{Owner: notTold, Drops: len(take[event.DropJob](r)), Runs: r.p.jobs["j1"] != nil}
 			for _, known := range take[event.KnowJob](r) {
 				got.Owner = known.Seen.Host
 			}
--- a/internal/items/endjob.go
+++ b/internal/items/endjob.go
@@ -92,7 +92,7 @@
 // tryEndJob makes one attempt to record that a job was ended. Its kind is "" when the store has recorded that.
 func (x *Executor) tryEndJob(ctx context.Context, id string, state *ending) kinds.Kind {
 	if _, err := x.ensureStored(ctx, id); err != nil {
-		if kinds.KindOf(err) == kinds.NotFound && x.jobTable.owner(id).Job != "" {
+		if kinds.KindOf(err) == kinds.NotFound && x.jobTable.owner(id).Host != "" {
 			return kinds.StoreRefused // the host that runs it may be about to store it
 		}
 		return kinds.KindOf(err)
--- a/internal/items/unstored_test.go
+++ b/internal/items/unstored_test.go
@@ -71,6 +71,7 @@
 		"taken over without a copy":            {testJob(), dropsCopy, takes, outcome{kinds.NotFound, nil}},
 		"ended without a copy":                 {testJob(), dropsCopy, ends, outcome{kinds.NotFound, nil}},
 		"ended, known by another host's claim": {testJob(), knownByClaim, ends, outcome{kinds.StoreRefused, nil}},
+		"ended, known to have no owner":        {testJob(), knownWithoutOwner, ends, outcome{kinds.NotFound, nil}},
 		"taken over, an older build's record":  {expiredJob(), ownerRecord, takes, outcome{kinds.NotFound, nil}},
 	}
 	for name, c := range cases {
@@ -118,6 +119,11 @@
 	x.jobTable.setOwner(event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"})
 }
 
+func knownWithoutOwner(x *Executor, store *memoryStore) {
+	knownByClaim(x, store)
+	x.jobTable.setOwner(event.JobSeen{Job: "j1"})
+}
+
 func ownerRecord(_ *Executor, store *memoryStore) {
 	store.objects[ownerObject] = wire.Object{Name: ownerObject, Version: 1, Value: []byte(`{"Host":"h3","Incarnation":"1","Epoch":1}`)}
 }
