figbed/estate: servers keep their ports while they start again

Cause: a server's port is one of the ephemeral range. While it started again, an outgoing connection got it; those that go to loopback addresses come from 127.0.0.1, where the servers listened. They listen at 127.0.0.2 now, from which nothing is dialled.

TestServerKeepsItsPort ended with the same panic 3 of 3 before, and passes.

--- a/figbed/internal/estate/trouble.go
+++ b/figbed/internal/estate/trouble.go
@@ -69,7 +69,7 @@
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		panic(err) // no other listener has the address
+		panic(err) // nobody else has the address
 	}
 	s.mu.Lock()
 	s.listener, s.startMS, s.restarting = listener, time.Now().UnixMilli(), false
@@ -92,6 +92,10 @@
 	_ = conn.Close()
 }
 
+// serverListen is the address at which servers listen. Outgoing connections have another IP, so that none of them has a server's port
+// while the server starts again.
+const serverListen = "127.0.0.2:0"
+
 // listen listens for requests. A server that answers early has small buffers for them, so that they are still being written then.
 func (s *Server) listen() (net.Listener, error) {
 	const bufferBytes = 1 << 10
@@ -99,7 +103,7 @@
 	if s.Early != nil {
 		config.Control = setReceiveBuffer(bufferBytes)
 	}
-	return config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	return config.Listen(context.Background(), "tcp", serverListen)
 }
 
 // setReceiveBuffer returns a control function that sets the size of the receive buffer of a socket, in bytes.
