batch: the supposed owner of a job is queried although readers ask for the job

A host that takes another one for the owner of a job queries it when it has told nothing for 3 s: the other may not know that it is taken for the owner, or that the store names it. Each read that the owner did not answer, and each submission that met the job in the store, set back that time although it repeated only what was known. With readers that ask every second the query never came, and an accepted job that nobody ran stayed so.

TestSilentOwnerIsQueried fails before for reads and for submissions.

Why it works: only a change of what is known counts as news, so that the query is sent 3 s after the owner was last heard; the host that is asked reads the store's record and runs the job or learns who does.

--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -154,10 +154,10 @@
 	k.mayTakeOver, k.unoffered = true, true
 }
 
-// noteOwner records the owner of a job that another host has accepted.
+// noteOwner records the owner of a job that another host has accepted. What is known already is no news: the owner itself has
+// not been heard.
 func (p *Component) noteOwner(now time.Duration, s event.JobSeen, out *event.Batch) {
 	k := p.ensureKnown(s.Job)
-	k.newsAt = now
 	before := k.JobSeen
 	if !k.Ended && (k.Host == "" || k.Epoch < s.Epoch) {
 		k.JobSeen = s
@@ -166,6 +166,7 @@
 		p.markEnded(s.Job, out)
 	}
 	if k.JobSeen != before {
+		k.newsAt = now
 		out.Emit(event.KnowJob{Seen: k.JobSeen})
 	}
 }
--- a/internal/batch/owner_test.go
+++ b/internal/batch/owner_test.go
@@ -87,6 +87,39 @@
 	}
 }
 
+// Readers and submissions that come again and again repeat whom this host takes for a job's owner, which may be a host that is
+// alive and does not know the job. They put off the question to that host without end, and nobody ran the job.
+func TestSilentOwnerIsQueried(t *testing.T) {
+	owner := event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"}
+	const interval = 500 * time.Millisecond
+	cases := map[string]func(r *rig, n uint64){
+		"nobody asks": func(*rig, uint64) {},
+		"read":        func(r *rig, _ uint64) { r.step(event.JobSought{Seen: owner}) },
+		"submitted": func(r *rig, n uint64) {
+			r.step(event.JobCalled{Seq: n, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 1, noHints)})
+			r.step(event.JobKept{Seq: n, Job: "j1", Kind: kinds.Conflict, Owner: owner})
+		},
+	}
+	for name, ask := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.tick(startupGrace)
+			r.step(newsFrom("h2", owner))
+			r.effects = nil
+			for n := range uint64(2 * ownerSilenceTimeout / interval) {
+				r.tick(interval)
+				ask(r, n+1)
+			}
+			r.tick(interval)
+			news := wire.JobNews(owner)
+			want := event.SendPeer{Host: "h2", Message: wire.Message{News: &news}}
+			if diff := cmp.Diff([]event.SendPeer{want, want}, take[event.SendPeer](r)); diff != "" {
+				t.Errorf("messages (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Power returns to all hosts at once, and no host has heard another one yet. A job whose owner's process is known to be
 // gone must be taken over at once; any other owner may be alive.
 func TestTakeoverAtAStart(t *testing.T) {
