items: a host that is taken for a job's owner learns the first owner from the store

What callers saw: hosts that began one job while the store was down may each take another one for its owner. Each is told so, reads the store's record of the owner, and should find there who runs the job. Until a job is taken over or ends there is no such record, and the read ended without a word: nobody ran an accepted job, for good.

Cause: checkOwner read Owners/<job> alone. The job's own record names its first owner; takeovers, lists and submissions go by it.

Evidence: TestCheckedOwner fails before in 3 of 5 cases.

Why it works: without an owner's record the job is read from the store, not from memory, where a copy may name this host. A host that runs the job as its first owner is told nothing new by that, and doesn't read it.

--- a/internal/items/owner.go
+++ b/internal/items/owner.go
@@ -159,13 +159,20 @@
 	x.Post(done)
 }
 
-// checkOwner reads the store's record of a job's owner and posts it like a message from a peer. It posts nothing when
-// the store can't be read or has no record.
+// checkOwner reads from the store who owns a job and posts it like a message from a peer. It posts nothing when the store can't
+// be read or does not hold the job, and for a job that this host runs as its first owner.
 func (x *Executor) checkOwner(ctx context.Context, id string) {
 	owner, version, err := x.readOwner(ctx, id)
-	if err != nil || version == 0 {
+	if err != nil || version == 0 && x.jobTable.owns(id) {
 		return
 	}
+	if version == 0 {
+		job, err := x.readJob(ctx, id) // a copy in memory may name another owner
+		if err != nil {
+			return
+		}
+		owner.Host, owner.Incarnation = job.Host, job.Incarnation
+	}
 	x.Post(event.PeerReceived{Message: wire.Message{News: &wire.JobNews{
 		Job: id, Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch, Ended: owner.Ended,
 	}}})
--- a/internal/items/record_test.go
+++ b/internal/items/record_test.go
@@ -40,6 +40,51 @@
 	}
 }
 
+// A host that is taken for the owner of a job learns from the store who owns it. It learnt nothing of a job that no host had taken
+// over, so that hosts that took each other for the owner went on doing so, and nobody ran the job.
+func TestCheckedOwner(t *testing.T) {
+	news := func(n wire.JobNews) []event.Event {
+		return []event.Event{event.PeerReceived{Message: wire.Message{News: &n}}}
+	}
+	cases := map[string]struct {
+		before func(x *Executor, store *memoryStore)
+		want   []event.Event
+		reads  int
+	}{
+		"taken over":       {ownerRecord, news(wire.JobNews{Job: "j1", Host: "h3", Incarnation: "1", Epoch: 1}), 1},
+		"never taken over": {nil, news(wire.JobNews{Job: "j1", Host: "h2", Incarnation: "7"}), 2},
+		"never taken over, begun here as well": {func(x *Executor, _ *memoryStore) {
+			job := testJob()
+			job.Host, job.Incarnation = "h1", "1"
+			x.jobTable.add(job)
+			x.jobTable.markStored("j1", job.Organisation)
+		}, news(wire.JobNews{Job: "j1", Host: "h2", Incarnation: "7"}), 2},
+		"runs here":  {func(x *Executor, _ *memoryStore) { x.jobTable.addStored(testJob()); x.jobTable.setOwned("j1", true) }, nil, 1},
+		"not stored": {func(_ *Executor, store *memoryStore) { delete(store.objects, jobObject) }, nil, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x, store, _ := newExecutor(t)
+			var got []event.Event
+			x.Post = func(ev event.Event) bool { got = append(got, ev); return true }
+			stored := testJob()
+			stored.Host, stored.Incarnation = "h2", "7"
+			store.seed(t, jobObject, stored)
+			if c.before != nil {
+				c.before(x, store)
+			}
+			store.reads = 0
+			x.checkOwner(context.Background(), "j1")
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("events (-want +got):\n%s", diff)
+			}
+			if store.reads != c.reads {
+				t.Errorf("%d calls to the store, want %d", store.reads, c.reads)
+			}
+		})
+	}
+}
+
 // A submission whose caller had left was stored as the copy of another host's job, with that host as its owner, and run here; or as
 // another organisation's job.
 func TestSubmissionWhoseCallerHasLeft(t *testing.T) {
