batch: a claim of a job's owner doesn't replace the one that the store names

What callers saw: a job stood still for some seconds after the store had told who owns it, although that owner was gone.

Cause: a host that begins a job while the store is away claims epoch 0, as does the owner that the store has accepted. A host that knew the owner from the store took a later message with such a claim for better, and a submission or a list that named the owner did not correct a claim. The job then waited until the claimant, which lives and may not run it any more, was asked.

Why it works: the store names one owner for an epoch. A host keeps what the store said last, apart from what others say; a claim of that epoch by another process is passed over and is no news of the job. Later epochs are recorded before they are announced, and replace it.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -152,7 +152,7 @@
 		p.acceptOwner(now, j, e.Owner, out)
 	case e.Kind == "" && s.request.Host != p.Self.Name:
 		p.answerOnce(s, "", out)
-		p.noteOwner(now, event.JobSeen{Job: e.Job, Host: s.request.Host, Incarnation: s.request.Incarnation}, out)
+		p.noteStoredOwner(now, event.JobSeen{Job: e.Job, Host: s.request.Host, Incarnation: s.request.Incarnation}, out)
 	case e.Kind == "" && j == nil:
 		p.startOwning(now, event.JobTaken{Job: e.Job, Head: s.head}, out) // announces the job before its caller is answered
 		p.answerOnce(s, "", out)
@@ -212,12 +212,13 @@
 // owner to the hosts that took this one for it.
 func (p *Component) acceptOwner(now time.Duration, j *job, owner event.JobSeen, out *event.Batch) {
 	if j == nil || !j.unstored {
-		p.noteOwner(now, owner, out)
+		p.noteStoredOwner(now, owner, out)
 		return
 	}
 	p.dropUnstored(j, out)
 	k := p.ensureKnown(owner.Job)
 	owner.Ended = owner.Ended || k.Ended
+	k.setStored(owner)
 	k.JobSeen, k.newsAt, k.orphanedAt = owner, now, 0
 	p.announce(k.JobSeen, out)
 }
--- a/internal/batch/component.go
+++ b/internal/batch/component.go
@@ -135,7 +135,8 @@
 	case event.JobPlaced:
 		p.handleJobPlaced(now, e, out)
 	case event.JobSought:
-		p.noteFound(now, e.Seen, out)
+		p.noteOwner(now, e.Seen, out)
+		p.noteFound(e.Seen.Job)
 	case event.JobTaken:
 		p.handleJobTaken(now, e, out)
 	case event.PeerReceived:
--- a/internal/batch/news.go
+++ b/internal/batch/news.go
@@ -81,14 +81,20 @@
 // with a higher epoch ends this host's ownership.
 func (p *Component) handleNews(now time.Duration, from string, n wire.JobNews, out *event.Batch) {
 	k := p.ensureKnown(n.Job)
-	k.newsAt = now
+	if from == "" {
+		k.setStored(event.JobSeen(n))
+	}
+	refuted := k.isRefuted(n)
+	if !refuted {
+		k.newsAt = now
+	}
 	k.mayTakeOver = k.mayTakeOver || n.Host == "" || n.Host == from
 	before := k.JobSeen
 	ended := k.Ended || n.Ended
 	// Of two hosts that began a job before it was stored, each takes itself for the owner until the store has told. Meanwhile neither
 	// may take the other's texts for those of its own runs.
 	rival := p.runs(n.Job, n.Epoch) && n.Host != p.Self.Name
-	if n.Host != "" && !rival && (n.Epoch > k.Epoch || k.Host == "" || n.Epoch == k.Epoch && isAuthoritative(from, n)) {
+	if n.Host != "" && !rival && !refuted && (n.Epoch > k.Epoch || k.Host == "" || n.Epoch == k.Epoch && isAuthoritative(from, n)) {
 		k.Host, k.Incarnation, k.Epoch, k.orphanedAt = n.Host, n.Incarnation, n.Epoch, 0
 		k.Next, k.Route, k.Items = cmp.Or(n.Next, k.Next), cmp.Or(n.Route, k.Route), max(n.Items, k.Items)
 	}
@@ -144,6 +150,13 @@
 // forwards may be older than what is known, unless their epoch is higher.
 func isAuthoritative(from string, n wire.JobNews) bool { return from == n.Host || from == "" }
 
+// isRefuted reports whether the store names another owner for the epoch of news. A host that began a job before it was stored
+// claims it until it has heard from the store.
+func (k *knownJob) isRefuted(n wire.JobNews) bool {
+	s := k.stored
+	return n.Host != "" && s.Host != "" && s.Epoch == n.Epoch && (s.Host != n.Host || s.Incarnation != n.Incarnation)
+}
+
 // forwardNews forwards news to hosts that are not connected to the job's owner. In a large fleet, a hub forwards news to
 // the hosts of its zone, and news from its zone to the other hubs as well.
 func (p *Component) forwardNews(from string, s event.JobSeen, out *event.Batch) {
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -38,6 +39,7 @@
 	takingOver    bool
 	endAsked      bool          // a caller has ended it at this host after it had ended
 	textsDropped  bool          // the executor was told to drop its texts
+	stored        event.JobSeen // the owner that the store named last, without a host before
 	mayTakeOver   bool          // this host may take it over: its owner announced it, or it was found without one
 	unoffered     bool          // found in the store or by a reader, and not yet offered to another host, which may not know it
 	nextTakeover  time.Duration // no attempt to take it over before
@@ -146,24 +148,46 @@
 	return heard >= len(p.hosts)
 }
 
-// noteFound records a job that was found in the store's list, or that a caller reads while its owner does not answer.
-// The owner may have died before it announced the job.
-func (p *Component) noteFound(now time.Duration, s event.JobSeen, out *event.Batch) {
-	p.noteOwner(now, s, out)
-	k := p.ensureKnown(s.Job)
+// noteFound records that a job was found in the store's list, or that a caller reads it while its owner does not answer. The
+// owner may have died before it announced the job.
+func (p *Component) noteFound(job string) {
+	k := p.ensureKnown(job)
 	k.mayTakeOver, k.unoffered = true, true
 }
 
-// noteOwner records the owner of a job that another host has accepted. What is known already is no news: the owner itself has
-// not been heard.
+// noteOwner records the supposed owner of a job. What is known already is no news: the owner itself has not been heard.
 func (p *Component) noteOwner(now time.Duration, s event.JobSeen, out *event.Batch) {
 	k := p.ensureKnown(s.Job)
 	before := k.JobSeen
 	if !k.Ended && (k.Host == "" || k.Epoch < s.Epoch) {
 		k.JobSeen = s
 	}
-	if s.Ended {
-		p.markEnded(s.Job, out)
+	p.noteChange(now, k, before, s.Ended, out)
+}
+
+// noteStoredOwner records the owner that the store names for a job, which decides between claims of one epoch.
+func (p *Component) noteStoredOwner(now time.Duration, s event.JobSeen, out *event.Batch) {
+	k := p.ensureKnown(s.Job)
+	before := k.JobSeen
+	k.setStored(s)
+	if !k.Ended && (k.Host == "" || k.Epoch < s.Epoch || k.Epoch == s.Epoch && s.Host != "" && !p.runs(s.Job, s.Epoch)) {
+		s.Next, s.Route, s.Items = cmp.Or(s.Next, k.Next), cmp.Or(s.Route, k.Route), max(s.Items, k.Items)
+		k.JobSeen = s
+	}
+	p.noteChange(now, k, before, s.Ended, out)
+}
+
+// setStored records the owner that the store has named, unless it has named a later one.
+func (k *knownJob) setStored(s event.JobSeen) {
+	if s.Host != "" && s.Epoch >= k.stored.Epoch {
+		k.stored = s
+	}
+}
+
+// noteChange records whether a job has ended, and tells the executor what has changed.
+func (p *Component) noteChange(now time.Duration, k *knownJob, before event.JobSeen, ended bool, out *event.Batch) {
+	if ended {
+		p.markEnded(k.Job, out)
 	}
 	if k.JobSeen != before {
 		k.newsAt = now
@@ -210,7 +234,8 @@
 	}
 	p.startupListed = true
 	for _, s := range e.Jobs {
-		p.noteFound(now, s, out)
+		p.noteStoredOwner(now, s, out)
+		p.noteFound(s.Job)
 	}
 	out.Emit(event.Log{Level: "info", Event: "JobsListed", Fields: []event.Field{{Key: "Jobs", Value: strconv.Itoa(len(e.Jobs))}}})
 }
--- a/internal/batch/owner_test.go
+++ b/internal/batch/owner_test.go
@@ -87,6 +87,41 @@
 	}
 }
 
+// The store has named a job's owner, which is gone, and a host that began the job as well still claims the same epoch: its message
+// was under way, or it has not heard from the store. The job stood still until that host had been asked.
+func TestClaimAfterTheStoreRecord(t *testing.T) {
+	const gone = "h9"
+	stored := event.JobSeen{Job: "j1", Host: gone, Incarnation: "1"}
+	claim := newsFrom("h2", event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1", Next: "h2"})
+	submitted := event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 1, noHints)}
+	unknown := event.JobKept{Seq: 1, Job: "j1", Kind: kinds.OutcomeUnknown}
+	met := event.JobKept{Seq: 1, Job: "j1", Kind: kinds.Conflict, Owner: stored}
+	cases := map[string][]event.Event{
+		"read at a check":                {newsFrom("", stored), claim},
+		"read at a check, claimed first": {claim, newsFrom("", stored)},
+		"listed":                         {event.JobsListed{Jobs: []event.JobSeen{stored}}, claim},
+		"listed, claimed first":          {claim, event.JobsListed{Jobs: []event.JobSeen{stored}}},
+		"met by a submission":            {submitted, met, claim},
+		"met, claimed first":             {submitted, claim, met},
+		"met, begun here":                {submitted, unknown, met, claim},
+	}
+	for name, events := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.tick(startupGrace)
+			for _, ev := range events {
+				r.step(ev)
+			}
+			for range 4 {
+				r.tick(rankDelay)
+			}
+			if diff := cmp.Diff([]event.TakeJob{{Job: "j1", Host: gone}}, take[event.TakeJob](r)); diff != "" {
+				t.Errorf("takeovers (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Readers and submissions that come again and again repeat whom this host takes for a job's owner, which may be a host that is
 // alive and does not know the job. They put off the question to that host without end, and nobody ran the job.
 func TestSilentOwnerIsQueried(t *testing.T) {
