flow, call: calls for scores leave a silent endpoint

Cause: an attempt ended with its connection or with the call's deadline, whichever came first; both leave no time for another endpoint.

Why it works: the first attempt must be answered within a third of the call's time. It is then given up with a reset, which drops what the link holds up, counts as a failure of the endpoint, and is followed by another attempt elsewhere with all that is left. Requests of callers, also those that other hosts pass on, have no such bound.

--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -33,6 +33,8 @@
 	sentAt          time.Duration // when the attempt was allowed to write, 0 before
 	sendDeadline    chan time.Duration
 	forwarding      atomic.Bool // the response is being forwarded
+	answerDecided   atomic.Bool // the endpoint has begun to answer, or is silent
+	silent          atomic.Bool // the endpoint has not begun to answer in time
 	report          event.AttemptDone
 }
 
@@ -42,6 +44,9 @@
 	a.ctx, a.cancel = context.WithTimeout(ctx, c.Deadline-x.Now())
 	defer a.cancel()
 	a.gate.now, a.gate.ctx = x.Now, a.ctx
+	if c.AnswerBy > 0 {
+		defer time.AfterFunc(c.AnswerBy-x.Now(), a.endSilent).Stop()
+	}
 	a.report = event.AttemptDone{Request: c.Request, Attempt: c.Attempt, Run: kinds.NotRun}
 	defer e.clearCurrent()
 	if !e.setCurrent(a) {
@@ -71,12 +76,22 @@
 		return reason
 	case a.callerCtx.Err() != nil:
 		return event.ReasonCallerWrite
+	case a.silent.Load():
+		return event.ReasonSilent
 	case a.ctx.Err() != nil && reason != event.ReasonCallerWrite:
 		return event.ReasonStopped
 	}
 	return reason
 }
 
+// endSilent ends an attempt whose endpoint has not begun to answer.
+func (a *attempt) endSilent() {
+	if a.answerDecided.CompareAndSwap(false, true) {
+		a.silent.Store(true)
+		a.cancel()
+	}
+}
+
 // allowWrites lets the attempt write if its first byte leaves before deadline.
 func (a *attempt) allowWrites(deadline time.Duration) {
 	select {
@@ -106,6 +121,10 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !a.answerDecided.CompareAndSwap(false, true) {
+		a.fail(event.ReasonSilent)
+		return
+	}
 	a.handleResponse(resp)
 }
 
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -105,6 +105,7 @@
 	Pass         *wire.PassTerms `json:",omitempty"`
 	PassErrors   bool            // forward the endpoint's own 5xx answer instead of reporting it
 	Deadline     time.Duration
+	AnswerBy     time.Duration // the attempt ends with ReasonSilent if the endpoint has not begun to answer by then, 0 for no such time
 	Sample       *SampleRef
 }
 
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -140,10 +140,24 @@
 		Identify:     identify,
 		PassErrors:   !p.mayRetry(now, r),
 		Deadline:     r.deadline,
+		AnswerBy:     p.answerBy(now, r),
 		Sample:       r.arrived.Sample,
 	})
 }
 
+// firstAnswerShare is the share of the time for a call of this host's own within which its first attempt must be answered. The
+// rest is left to another endpoint.
+const firstAnswerShare = 1.0 / 3
+
+// answerBy returns the time by which an endpoint must have begun to answer the attempt that starts, 0 for none. A caller's request
+// has none: its endpoint may take as long as the caller waits.
+func (p *Component) answerBy(now time.Duration, r *request) time.Duration {
+	if !r.arrived.Own || r.arrived.Pass != nil || r.attempts > 1 || !p.mayRetry(now, r) {
+		return 0
+	}
+	return now + time.Duration(float64(r.deadline-now)*firstAnswerShare)
+}
+
 // beginAttempt numbers the next attempt at a request.
 func (p *Component) beginAttempt(now time.Duration, r *request, out *event.Batch) {
 	p.lastAttempt++
@@ -288,7 +302,7 @@
 		return route.Succeeded
 	case event.ReasonRefused:
 		return route.Refused
-	case event.ReasonDial, event.ReasonBroken, event.ReasonStatus, event.ReasonCut:
+	case event.ReasonDial, event.ReasonBroken, event.ReasonSilent, event.ReasonStatus, event.ReasonCut:
 		return route.Failed
 	default:
 		return route.Inconclusive
@@ -328,7 +342,7 @@
 	switch e.Reason {
 	case event.ReasonDial, event.ReasonRefused:
 		return e.Run == kinds.NotRun
-	case event.ReasonBroken, event.ReasonForeign, event.ReasonStatus, event.ReasonCut:
+	case event.ReasonBroken, event.ReasonSilent, event.ReasonForeign, event.ReasonStatus, event.ReasonCut:
 		return (r.idempotent || e.Run == kinds.NotRun) && (!e.Begun || e.CanResume)
 	default:
 		return false
