call, conns: calls for scores have connections without probes

Cause: on the users' platform a connection across a cut ends by its keep-alive probes 3.0 s after the cut began, and what was written to it goes on to the server once the link is back. Only a reset before that, or the end by TCP_USER_TIMEOUT, 2.5 s after the request was sent, drops it. The probes that count are those with which a connection was opened, so that pausing them, as was tried, changed nothing.

Why it works: a call for a score ends by itself after 1 s at its first endpoint and after 3 s in all, always with a reset while its connection still stands. Probes told it nothing sooner. Requests of callers and items keep their probes.

--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -129,13 +129,18 @@
 }
 
 func (a *attempt) transport() *conns.Checked {
+	x := a.executor
 	switch {
 	case a.start.Identify:
-		return a.executor.streams
-	case !a.start.Idempotent:
-		return a.executor.singleUse
+		return x.streams
+	case a.start.Brief && a.start.Idempotent:
+		return x.brief
+	case a.start.Brief:
+		return x.briefOnce
+	case a.start.Idempotent:
+		return x.keepAlive
 	default:
-		return a.executor.keepAlive
+		return x.singleUse
 	}
 }
 
--- a/internal/call/executor.go
+++ b/internal/call/executor.go
@@ -27,6 +27,8 @@
 
 	keepAlive *conns.Checked
 	singleUse *conns.Checked
+	brief     *conns.Checked // as keepAlive, for brief attempts
+	briefOnce *conns.Checked // as singleUse, for brief attempts
 	probes    *conns.Checked // with a kept connection
 	trials    *conns.Checked // with a new connection for each probe
 	streams   *conns.Checked // single use, with connections that are identified
@@ -43,6 +45,8 @@
 	}
 	x.keepAlive = newTransport(x.dialer(), true, nil)
 	x.singleUse = newTransport(x.dialer(), false, nil)
+	brief := conns.BriefDialer(x.SourceIP, dialTimeout)
+	x.brief, x.briefOnce = newTransport(brief, true, nil), newTransport(brief, false, nil)
 	x.streams = newTransport(x.dialer(), false, x.Names.Identity)
 	x.probes, x.trials = newProbeTransport(x.dialer(), true), newProbeTransport(x.dialer(), false)
 	x.polls = conns.Check(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: conns.MaxHeaderBytes})
@@ -55,6 +59,7 @@
 	<-ctx.Done()
 	close(x.closing)
 	x.keepAlive.CloseIdleConnections()
+	x.brief.CloseIdleConnections()
 	x.polls.CloseIdleConnections()
 	x.probes.CloseIdleConnections()
 	return nil
--- a/internal/call/silent_test.go
+++ b/internal/call/silent_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/event"
 	"github.com/figshift/figshift/internal/kinds"
 )
@@ -66,3 +67,22 @@
 		})
 	}
 }
+
+// Calls for scores were made on connections with keep-alive probes, whose end left the call under way.
+func TestBriefAttemptsHaveNoProbes(t *testing.T) {
+	x := &Executor{Now: func() time.Duration { return 0 }}
+	x.Prepare()
+	names := map[*conns.Checked]string{x.brief: "brief", x.briefOnce: "brief, single use", x.keepAlive: "kept", x.singleUse: "single use", x.streams: "streams"}
+	for name, start := range map[string]event.StartAttempt{
+		"brief":             {Brief: true, Idempotent: true},
+		"brief, single use": {Brief: true},
+		"kept":              {Idempotent: true},
+		"single use":        {},
+		"streams":           {Identify: true, Idempotent: true},
+	} {
+		a := &attempt{executor: x, start: start}
+		if got := names[a.transport()]; got != name {
+			t.Errorf("%+v has connections of kind %q, want %q", start, got, name)
+		}
+	}
+}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -45,6 +45,14 @@
 	return dialer
 }
 
+// BriefDialer returns a DialerFrom whose connections have no keep-alive probes, for requests that end before probes would tell
+// anything. An end by probes may leave bytes under way that arrive once the link is back, long after the request was given up.
+func BriefDialer(ip net.IP, timeout time.Duration) *net.Dialer {
+	dialer := DialerFrom(ip, timeout)
+	dialer.KeepAlive, dialer.KeepAliveConfig = -1, net.KeepAliveConfig{}
+	return dialer
+}
+
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var sockoptErr error
 	err := c.Control(func(fd uintptr) {
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -104,6 +104,7 @@
 	Relay        string          `json:",omitempty"`
 	Pass         *wire.PassTerms `json:",omitempty"`
 	PassErrors   bool            // forward the endpoint's own 5xx answer instead of reporting it
+	Brief        bool            // it ends before keep-alive probes would tell that the endpoint is silent
 	Deadline     time.Duration
 	AnswerBy     time.Duration // the attempt ends with ReasonSilent if the endpoint has not begun to answer by then, 0 for no such time
 	Sample       *SampleRef
--- a/internal/flow/attempt.go
+++ b/internal/flow/attempt.go
@@ -139,6 +139,7 @@
 		Generation:   r.generation,
 		Identify:     identify,
 		PassErrors:   !p.mayRetry(now, r),
+		Brief:        r.arrived.Own && r.arrived.Pass == nil,
 		Deadline:     r.deadline,
 		AnswerBy:     p.answerBy(now, r),
 		Sample:       r.arrived.Sample,
--- a/internal/flow/silent_test.go
+++ b/internal/flow/silent_test.go
@@ -20,11 +20,12 @@
 	cases := map[string]struct {
 		arrived event.RequestArrived
 		want    time.Duration // until the endpoint must have begun to answer, 0 for no bound
+		brief   bool
 	}{
-		"own":                 {own("/public"), left / 3},
-		"own, not repeatable": {own("/order"), 0},
-		"a caller's":          {arrival(1, "Ledger", "/lookup"), 0},
-		"passed on":           {passedArrival(1), 0},
+		"own":                 {own("/public"), left / 3, true},
+		"own, not repeatable": {own("/order"), 0, true},
+		"a caller's":          {arrival(1, "Ledger", "/lookup"), 0, false},
+		"passed on":           {passedArrival(1), 0, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -35,15 +36,15 @@
 			if c.want > 0 {
 				want = c.arrived.Deadline - left + c.want
 			}
-			if diff := cmp.Diff(want, s.AnswerBy); diff != "" {
-				t.Errorf("answer by (-want +got):\n%s", diff)
+			if diff := cmp.Diff([]any{want, c.brief}, []any{s.AnswerBy, s.Brief}); diff != "" {
+				t.Errorf("answer by, brief (-want +got):\n%s", diff)
 			}
 			if want == 0 {
 				return
 			}
 			wantAnswers(t, g.step(attemptDone(s, kinds.Unknown, event.ReasonSilent)))
 			next := requireStarted(t, g.advance(200*time.Millisecond))
-			if next.Endpoint == s.Endpoint || next.AnswerBy != 0 || next.Deadline != c.arrived.Deadline {
+			if next.Endpoint == s.Endpoint || next.AnswerBy != 0 || !next.Brief || next.Deadline != c.arrived.Deadline {
 				t.Errorf("the next attempt is at %s, answer by %v, deadline %v; want another endpoint and all that is left", next.Endpoint, next.AnswerBy, next.Deadline)
 			}
 		})
