clock: a host that hears nobody keeps to the agreed time

Cause: the time of day is the median of the readings of this host and its peers. A host that was cut off forgot its peers' readings with its peers, and went by its own clock alone, which jumped 6.4 s ahead meanwhile. When it was reached again, it reported at once.

That the reporting host was the one that was cut off follows from the faults' times; its log was not kept.

Why it works: what was agreed with others, and the steady clock since, tell more than one clock that jumps. For a minute after the last reading of another host the agreed time takes the place of the median; a step of up to half a second is followed as before.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -20,6 +20,10 @@
 // few of them, what they echo is up to 2.4 s old.
 const maxReadingAge = 3 * time.Second
 
+// lonelyTime is the time after the last reading of another host for which this host keeps to the agreed time although it has nothing
+// but its own clock. Later it goes by that, which may have been set right.
+const lonelyTime = time.Minute
+
 // sendInterval is the interval at which this host sends its own reading, each time in heartbeatsPerSend consecutive
 // heartbeats, since some hosts receive only one of several heartbeats. Clocks drift by less than a millisecond in this
 // interval, and a jump is detected after one interval at most.
@@ -30,11 +34,12 @@
 
 // Component is the component of the reducer that agrees on the time of day. It uses this host's own reading unless that
 // is far from the median of the readings of this host and its peers, so a minority of clocks that have jumped has no
-// effect. Its fields are set by Step.
+// effect. A host that hears no peer any more keeps to the time that was agreed before. Its fields are set by Step.
 type Component struct {
 	ownEpoch    time.Duration            // of this host's own clock
 	ownKnown    bool                     // ownEpoch is valid
 	peerEpochs  map[string]time.Duration // by host
+	heardAt     time.Duration            // when a peer's reading was last taken, 0 before
 	agreedEpoch time.Duration
 	agreedKnown bool // agreedEpoch is valid
 	skewed      bool // the own clock differs from the agreed time by more than maxSkew
@@ -53,6 +58,7 @@
 	case event.BeatSeen:
 		if e.Beat.UnixMS != 0 && (!e.Anchored || now-e.Anchor <= maxReadingAge) {
 			p.recordPeer(e.Host, time.Duration(e.Beat.UnixMS)*time.Millisecond-now)
+			p.heardAt = now
 		}
 	case event.HostLost:
 		delete(p.peerEpochs, e.Host)
@@ -79,7 +85,7 @@
 }
 
 func (p *Component) updateAgreed(now time.Duration, out *event.Batch) {
-	if epoch := p.chooseEpoch(); !p.agreedKnown || (epoch-p.agreedEpoch).Abs() >= time.Millisecond {
+	if epoch := p.chooseEpoch(now); !p.agreedKnown || (epoch-p.agreedEpoch).Abs() >= time.Millisecond {
 		p.agreedEpoch, p.agreedKnown = epoch, true
 		out.Emit(event.KnowClock{Epoch: epoch})
 	}
@@ -87,9 +93,13 @@
 	out.Raise(event.WallClock{Unix: now + p.agreedEpoch})
 }
 
-// chooseEpoch returns the own epoch, or the median when the own one differs by more than maxSkew.
-func (p *Component) chooseEpoch() time.Duration {
+// chooseEpoch returns the own epoch, or the median when the own one differs by more than maxSkew. While no peer is heard, the epoch
+// that was agreed before takes the place of the median.
+func (p *Component) chooseEpoch(now time.Duration) time.Duration {
 	median := p.median()
+	if len(p.peerEpochs) == 0 && p.agreedKnown && p.heardAt != 0 && now-p.heardAt <= lonelyTime {
+		median = p.agreedEpoch
+	}
 	if (p.ownEpoch - median).Abs() <= maxSkew {
 		return p.ownEpoch
 	}
