view: a fully connected fleet follows changes from its first lists on

Cause: a prefix was watched only a second after its first list, so that no host of a fleet that had just started saw a change in that second. The delay keeps all hosts of a large fleet from watching before they hear the hubs, but held in every fleet.

Ruled out: the decision on an unreadable entry and the interval between endpoint lists (such a change is raised at once).

Now hosts that know all hosts and no hubs watch at once.

--- a/internal/view/cache.go
+++ b/internal/view/cache.go
@@ -24,6 +24,7 @@
 	inFlight       bool
 	callSeq        uint64
 	nextCall       time.Duration
+	watchFrom      time.Duration // end of the start-up delay, which holds in fleets that may be large
 	failures       int
 
 	unreadable int // objects without readable metadata in the last list
@@ -198,7 +199,7 @@
 		p.reportUnreadable(c, list.Unreadable, out)
 		changed = c.replace(list)
 		if c.syncedRevision == 0 && c.prefix != PrefixHosts { // the first list of this process
-			c.nextCall, c.nextRelist = now+startupDelay, now+startupDelay
+			c.watchFrom, c.nextRelist = now+startupDelay, now+startupDelay
 		}
 	}
 	if c.listed {
--- a/internal/view/large_test.go
+++ b/internal/view/large_test.go
@@ -195,6 +195,40 @@
 	}
 }
 
+// Guards against a fully connected fleet that saw no change in the second after its start: endpoints that left got calls until then.
+func TestChangesRightAfterAStart(t *testing.T) {
+	cases := map[string]struct {
+		hubs []string
+		want []string // prefixes watched right after the first lists
+	}{
+		"fully connected": {nil, []string{PrefixConfig, PrefixEndpoints, PrefixVersions, PrefixHosts}},
+		"large":           {[]string{"h2", "h3"}, []string{PrefixHosts}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "h1")
+			r.step(event.HostsChanged{Hosts: []event.Host{{Name: "h1"}}})
+			for _, prefix := range []string{PrefixConfig, PrefixEndpoints, PrefixVersions} {
+				r.answer(prefix, "", list(5))
+			}
+			r.tick(50 * time.Millisecond)
+			if n := len(effectsOf[event.WatchObjects](r.pendingCalls)); n != 0 {
+				t.Errorf("%d watches before the hosts are listed, want none", n)
+			}
+			r.answer(PrefixHosts, "", list(5))
+			r.step(event.HostsChanged{Hosts: []event.Host{{Name: "h1"}, {Name: "h2"}, {Name: "h3"}}, Hubs: c.hubs})
+			r.tick(50 * time.Millisecond)
+			var watched []string
+			for _, e := range effectsOf[event.WatchObjects](r.pendingCalls) {
+				watched = append(watched, e.(event.WatchObjects).Prefix)
+			}
+			if diff := cmp.Diff(c.want, watched); diff != "" {
+				t.Errorf("prefixes watched (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against odd entries of 1 MB each that make a push longer than a frame may be, by which links between hosts end again
 // and again.
 func TestLongOddEntriesAreNotSentOn(t *testing.T) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -49,9 +49,10 @@
 	raiseIntervalPerEndpoint = 100 * time.Microsecond
 	minRaiseInterval         = 25 * time.Millisecond
 	// startupDelay is the time after a prefix's first list during which it is neither watched nor listed again, except
-	// for the hosts prefix. A host that has just started receives the first heartbeats from the hosts that do so for it
-	// only after a few intervals. It needs the hosts that start at the same time at once, because they take over
-	// copies and batch jobs.
+	// for the hosts prefix and, in a fully connected fleet, the watches. A host that has just started receives the first
+	// heartbeats from the hosts that do so for it only after a few intervals; until then all hosts of a large fleet that
+	// start at once would watch. It needs the hosts that start at the same time at once, because they take over copies
+	// and batch jobs.
 	startupDelay = time.Second
 	// maxOddBytes is the maximum length of what is kept of an entry that can't be decoded.
 	maxOddBytes = 4 << 10
@@ -166,7 +167,7 @@
 
 // callStore lists a prefix that has not been listed yet and watches one that has.
 func (p *Component) callStore(now time.Duration, c *prefixCache, out *event.Batch) {
-	if c.inFlight || now < c.nextCall || c.listed && !p.isWatcher(c) {
+	if c.inFlight || now < c.nextCall || c.listed && (!p.isWatcher(c) || now < c.watchFrom && !p.isFullyConnected()) {
 		return
 	}
 	c.inFlight = true
@@ -221,6 +222,12 @@
 // hasHubs reports whether the fleet is so large that only its hubs are all connected to each other.
 func (p *Component) hasHubs() bool { return len(p.hubs) > 0 }
 
+// isFullyConnected reports whether the known hosts are few enough for all to be connected to each other; false until they have been
+// listed.
+func (p *Component) isFullyConnected() bool {
+	return p.zoneOf != nil && p.prefixCache(PrefixHosts).listed && !p.hasHubs()
+}
+
 // isRelistTurn reports whether it is this host's turn to list a prefix again.
 func (p *Component) isRelistTurn(c *prefixCache, turn int) bool {
 	rank := p.rank(c)
