figbed/soak: the check for mixed texts reads the listed texts

Each run without a last event counted as the new beginning of the text.

The soak's engines tell their software version in each event, and a listed text must be of one version throughout: what callers get. The runs of an item must go on after an event that a run of their own version has made; this also finds what the old form passed, a run that goes on from a text that it never reached. Callers' streams, which begin once, are checked as before, and so are the process tests.

Two existing cases moved the first run of an item away, so that its last run goes on after events that nobody made. One expects that violation besides; the other moves an item of one run. Four new cases.

--- a/figbed/internal/estate/server.go
+++ b/figbed/internal/estate/server.go
@@ -46,6 +46,7 @@
 	Zone          string
 	Software      string // version of the server's software; "v1" when empty
 	Untold        bool   // the server's entry doesn't tell the version of its software
+	TellsSoftware bool   // the data of events tell it: EventDataOf in place of EventData
 	Models        []string
 	Slots         int
 	Events        int           // events per stream
@@ -321,6 +322,9 @@
 // EventData returns the data of event n of an item's stream.
 func EventData(id string, n int) string { return id + "/" + strconv.Itoa(n) }
 
+// EventDataOf returns the data of an event that tells the software version of the server that made it.
+func EventDataOf(id string, n int, software string) string { return EventData(id, n) + " " + software }
+
 func (s *Server) streamEvents(w http.ResponseWriter, r *http.Request, runIndex int) {
 	lastID, _ := strconv.Atoi(r.Header.Get(HeaderLastEventID)) // 0 if the header is missing
 	model := r.Header.Get("Figshift-Model")
@@ -342,11 +346,21 @@
 			version = current
 			_, _ = fmt.Fprintf(w, "figshift-weight-versions: %d\n", version)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(r.Header.Get(HeaderAttemptID), n))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, s.eventData(runIndex, r.Header.Get(HeaderAttemptID), n))
 		w.(http.Flusher).Flush()
 	}
 }
 
+// eventData returns the data of an event of a run.
+func (s *Server) eventData(runIndex int, id string, n int) string {
+	if !s.TellsSoftware {
+		return EventData(id, n)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return EventDataOf(id, n, s.runs[runIndex].Software)
+}
+
 // recordEvent records and returns the model's weight version for the next event of a run.
 func (s *Server) recordEvent(runIndex int, model string) uint64 {
 	s.mu.Lock()
--- a/figbed/internal/soak/check.go
+++ b/figbed/internal/soak/check.go
@@ -196,11 +196,7 @@
 	if result.State != "completed" {
 		return nil
 	}
-	var wantEvents []string
-	for n := 1; n <= h.Events(result.ID); n++ {
-		wantEvents = append(wantEvents, estate.EventData(result.ID, n))
-	}
-	if result.Text != strings.Join(wantEvents, "\n") {
+	if !isWholeText(result, h.Events(result.ID)) {
 		violations = append(violations, fmt.Sprintf("ORDER: the text of item %s is %q", result.ID, result.Text))
 	}
 	violations = append(violations, checkVersions(j, result, runs[result.ID])...)
@@ -210,6 +206,16 @@
 	return violations
 }
 
+// isWholeText reports whether the text of a result has each event once and in order, all of one software version.
+func isWholeText(result Result, events int) bool {
+	_, software, _ := strings.Cut(strings.SplitN(result.Text, "\n", 2)[0], " ")
+	var want []string
+	for n := 1; n <= events; n++ {
+		want = append(want, estate.EventDataOf(result.ID, n, software))
+	}
+	return software != "" && result.Text == strings.Join(want, "\n")
+}
+
 // checkVersions checks the weight versions of a result. An event that was streamed more than once, possibly under different
 // versions, does not show which of them the result used. The result must thus list every version that is the only one of
 // some event, and no version under which no event was generated.
--- a/figbed/internal/soak/check_links.go
+++ b/figbed/internal/soak/check_links.go
@@ -18,15 +18,20 @@
 	linksPart  = 50
 )
 
-// checkSoftware checks that no stream went on at another software version than the one that began it.
+// checkSoftware checks that no stream and no item's text went on at another software version than the one that began it. An item
+// may be begun anew while the text before is kept, so that its runs alone don't tell which text they go on from: checkResult
+// checks the listed one.
 func checkSoftware(h *History, _ map[string][]Run) (violations []string) {
-	var runs []estate.Run
+	var streams, texts []estate.Run
 	for _, r := range h.Runs {
-		if strings.HasPrefix(r.Path, estate.Streams) || strings.HasPrefix(r.Path, estate.Rollouts) {
-			runs = append(runs, r.Run)
+		switch {
+		case strings.HasPrefix(r.Path, estate.Streams):
+			streams = append(streams, r.Run)
+		case strings.HasPrefix(r.Path, estate.Rollouts):
+			texts = append(texts, r.Run)
 		}
 	}
-	for _, path := range estate.MixedRuns(runs) {
+	for _, path := range append(estate.MixedRuns(streams), estate.MixedTexts(texts)...) {
 		violations = append(violations, fmt.Sprintf("ORDER: %s holds events of two software versions: %s", path, h.describeRuns(path)))
 	}
 	return violations
--- a/figbed/internal/soak/check_test.go
+++ b/figbed/internal/soak/check_test.go
@@ -19,7 +19,7 @@
 func eventTexts(item string, events int) string {
 	var lines []string
 	for n := 1; n <= events; n++ {
-		lines = append(lines, estate.EventData(item, n))
+		lines = append(lines, estate.EventDataOf(item, n, "v1"))
 	}
 	return strings.Join(lines, "\n")
 }
@@ -97,6 +97,15 @@
 	}
 }
 
+// addOtherText adds a run of another software version that begins item j1-1 anew before the item's last run goes on, which is of
+// the version that made a number of events fewer than it goes on after.
+func addOtherText(h *History, fewer int) {
+	other := h.Runs[3]
+	other.Software, other.EventVersions = "v2", []uint64{5}
+	h.Runs[3].EventVersions = h.Runs[3].EventVersions[:3-fewer]
+	h.Runs = slices.Insert(h.Runs, 4, other)
+}
+
 // addHarmfulRuns adds the crashes of three servers under a call at second 1, and further runs of the call.
 func addHarmfulRuns(h *History, runs int, seconds float64) {
 	const path = harmfulPath + "1"
@@ -160,6 +169,19 @@
 			h.Runs[4].Software, h.Runs[4].LastEventID, h.Runs[4].EventVersions = "v2", "", []uint64{5, 5, 5}
 			h.Reads[0].Results[1].Versions, h.Reads[1].Results[0].Versions = []uint64{5}, []uint64{5}
 		}, nil},
+		"a text goes on after one of another version was begun": {func(h *History) { addOtherText(h, 1) }, nil},
+		"a text goes on from one of another version":            {func(h *History) { addOtherText(h, 2) }, []string{"ORDER: " + itemPath("j1-1") + " holds events of two"}},
+		"a listed text of two software versions": {func(h *History) {
+			h.Reads[0].Results[0].Text = strings.Replace(h.Reads[0].Results[0].Text, "/3 v1", "/3 v2", 1)
+		}, []string{"ORDER: the text of item j1-0 is"}},
+		"a stream goes on after one of another version was begun": {func(h *History) {
+			addOtherText(h, 1)
+			for _, r := range h.Runs[3:6] {
+				r.ID, r.Path = "s1", estate.Streams+"s1"
+				h.Runs = append(h.Runs, r)
+			}
+			h.Calls = append(h.Calls, Call{ID: "s1", Path: estate.Streams + "s1", Key: estate.Key, Host: 1, Sent: at(1)})
+		}, []string{"ORDER: " + estate.Streams + "s1 holds events of two"}},
 		"a host without links serves nobody":     {func(h *History) { addLinkCalls(h, 3, 5, 0) }, []string{"RECOVER: host-1 reached no server and served 0 of 20 calls"}},
 		"a host without links serves a part":     {func(h *History) { addLinkCalls(h, 3, 5, 14) }, nil},
 		"calls soon after the links were lost":   {func(h *History) { addLinkCalls(h, 0, 2.9, 0) }, nil},
@@ -179,7 +201,7 @@
 		"a withdrawn key during a disruption":    {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1); h.Spans = cutSpans(5, 7) }, nil},
 		"a withdrawn key during planned work":    {func(h *History) { h.Calls[1].Sent, h.Calls[1].Ended = at(6), at(6.1); h.Spans = stopSpans(5, 7) }, []string{"CONFIG: c2 ran via host-2"}},
 		"a graceful stop cuts a request":         {func(h *History) { h.Calls[1].Status = 0; h.Spans = stopSpans(0, 3) }, []string{"LOST: c2 ran but got no response"}},
-		"an item of a refused job runs":          {func(h *History) { h.Runs[3].ID, h.Runs[3].Path = "j2-0", itemPath("j2-0") }, []string{"REFUSED: item j2-0", "VERSION: item j1-1 lists version 4, under which none"}},
+		"an item of a refused job runs":          {func(h *History) { h.Runs[3].ID, h.Runs[3].Path = "j2-0", itemPath("j2-0") }, []string{"REFUSED: item j2-0", "VERSION: item j1-1 lists version 4, under which none", "ORDER: " + itemPath("j1-1") + " holds events of two"}},
 		"an accepted job is not known":           {func(h *History) { h.Reads[1] = Read{Job: "j1", Host: 2, At: at(4), Status: 404} }, []string{"LOST: host-2 does not know"}},
 		"a wrong total":                          {func(h *History) { h.Reads[1].Total = 3 }, []string{"MIXED: job j1 has 2 items"}},
 		"a position changes":                     {func(h *History) { h.Reads[1].Results[0].Score = "plain-1.score-j1-0" }, []string{"TWICE: position 1 of job j1"}},
--- a/figbed/internal/soak/testbed.go
+++ b/figbed/internal/soak/testbed.go
@@ -93,7 +93,7 @@
 		b.platform.Servers = append(b.platform.Servers, &estate.Server{
 			Name: fmt.Sprintf("engine-%d", n+1), Service: "engines", Zone: fmt.Sprintf("zone-%d", n%2+1), Models: []string{estate.Model},
 			Slots: engineSlots, EventInterval: eventInterval, EventsOf: streamEvents, RegisterAddress: b.startServerProxy,
-			Software: softwareVersions[n%len(softwareVersions)], RestartTime: restartTime, RegisterDelay: registerDelay,
+			Software: softwareVersions[n%len(softwareVersions)], TellsSoftware: true, RestartTime: restartTime, RegisterDelay: registerDelay,
 		})
 	}
 	return b
--- a/figbed/internal/soak/upgrade_test.go
+++ b/figbed/internal/soak/upgrade_test.go
@@ -54,7 +54,7 @@
 	}{
 		"never ended":         {0, 9, nil, ""},
 		"soon after the end":  {2, 4.9, nil, ""},
-		"long after the end":  {2, 5.1, nil, "UNASKED: item j1-1 began at engine-1"},
+		"long after the end":  {2, 5.1, nil, "UNASKED: item j1-0 began at engine-1"},
 		"during a disruption": {2, 5.1, cutSpans(1, 3), ""},
 	}
 	for name, c := range cases {
@@ -63,7 +63,7 @@
 			if c.ended > 0 {
 				h.Jobs[0].Ending, h.Jobs[0].Ended = at(c.ended), at(c.ended)
 			}
-			h.Runs[3].At, h.Spans, h.Drains = at(c.ran), c.spans, nil
+			h.Runs[2].At, h.Spans, h.Drains = at(c.ran), c.spans, nil
 			got := strings.Join(CheckHistory(h), "\n")
 			if c.want == "" && got != "" || !strings.HasPrefix(got, c.want) || strings.Count(got, "\n") > 0 {
 				t.Errorf("violations %q, want %q", got, c.want)
