items: a submission doesn't run on the copy of another organisation's job

Two organisations submit jobs of one id while the store answers nothing, which is as likely as callers count their jobs from 1. A host that holds a copy of the one takes the other's submission: its items then ran with the bodies and went on from the texts of the other organisation's job, its pages named the other organisation, and an item beyond the other job's last one ended the host (index out of range). Where this host had taken the other job over meanwhile, that job no longer counted as run here.

Cause: beginJob, and createJob when the outcome is unknown, added the job by its id alone, and jobTable.add returns whatever job has the id.

jobTable.addSubmitted replaces a copy of another job, as addStored does, and leaves a job alone that this host runs. Runs and score calls of an item that the job in memory doesn't have end as for a missing body.

--- a/internal/items/jobs.go
+++ b/internal/items/jobs.go
@@ -84,6 +84,21 @@
 	return j
 }
 
+// addSubmitted adds a job that a caller has submitted here and that the store may not hold, and records whether this host runs it.
+// It replaces a copy of another job of that id, but not one that this host runs.
+func (jt *jobTable) addSubmitted(job wire.Job, owned bool) {
+	jt.mu.Lock()
+	defer jt.mu.Unlock()
+	if known := jt.jobs[job.ID]; known != nil && !isSameJob(&known.job, &job) {
+		if known.owned {
+			return
+		}
+		jt.remove(known)
+	}
+	j := jt.addLocked(job)
+	j.owned = j.owned || owned
+}
+
 // isSameJob reports whether two submissions are for the same items of the same organisation.
 func isSameJob(a, b *wire.Job) bool {
 	return a.Organisation == b.Organisation && slices.EqualFunc(a.Items, b.Items, func(x, y wire.JobItem) bool { return x.ID == y.ID })
@@ -109,6 +124,16 @@
 	return jt.jobs[id]
 }
 
+// withItem returns a job that has an item, nil for none: the job that the item was of may have been replaced by another one of
+// that id.
+func (jt *jobTable) withItem(id string, item int) *jobState {
+	j := jt.get(id)
+	if j == nil || item >= len(j.texts) {
+		return nil
+	}
+	return j
+}
+
 func (jt *jobTable) drop(id string) {
 	jt.mu.Lock()
 	defer jt.mu.Unlock()
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -41,7 +41,7 @@
 func (x *Executor) run(ctx context.Context, cancel context.CancelFunc, e event.RunItem) event.ItemEnded {
 	start := x.Now()
 	done := event.ItemEnded{Job: e.Job, Item: e.Item, Attempt: e.Attempt, Reason: event.ReasonBodyMissing}
-	j := x.jobTable.get(e.Job)
+	j := x.jobTable.withItem(e.Job, e.Item)
 	if j == nil {
 		return done
 	}
--- /dev/null
+++ b/internal/items/sameid_test.go
@@ -0,0 +1,76 @@
+package items
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/figshift/figshift/internal/event"
+	"github.com/figshift/figshift/internal/kinds"
+	"github.com/figshift/figshift/internal/wire"
+)
+
+// southJob returns another organisation's job that has the id of testJob and fewer items.
+func southJob() wire.Job {
+	job := testJob()
+	job.Organisation, job.Items = "South", job.Items[:2]
+	return job
+}
+
+// A submission that the store doesn't answer was run on the copy of another organisation's job of the same id: with the bodies and
+// texts of the other one, and beyond its last item, which ended the host.
+func TestSubmissionBesideACopyOfAnotherOrganisationsJob(t *testing.T) {
+	cases := map[string]struct {
+		owned bool // this host has taken the other job over meanwhile
+		call  func(x *Executor, e event.KeepJob)
+		want  []any // organisation, number of items and of texts with events, whether it runs here
+	}{
+		"begun before it is stored": {false, func(x *Executor, e event.KeepJob) { x.beginJob(event.BeginJob{Keep: e}) }, []any{"North", 4, 0, true}},
+		"the outcome is unknown":    {false, func(x *Executor, e event.KeepJob) { x.storeJob(context.Background(), e) }, []any{"North", 4, 0, true}},
+		"begun, the other runs here": {
+			true, func(x *Executor, e event.KeepJob) { x.beginJob(event.BeginJob{Keep: e}) }, []any{"South", 2, 1, true},
+		},
+		"unknown, the other runs here": {
+			true, func(x *Executor, e event.KeepJob) {
+				e.Host = "h2"
+				x.storeJob(context.Background(), e)
+			}, []any{"South", 2, 1, true},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x, store := beganElsewhere(t, southJob())
+			x.jobTable.setOwned("j1", c.owned)
+			store.nextLoss = func() loss { return lossChange }
+			keep := event.KeepJob{Seq: 1, Job: "j1", Organisation: "North", GiveUp: time.Minute, Host: x.Host, Incarnation: x.Incarnation}
+			own := testJob()
+			own.Host = x.Host
+			x.submissions[keep.Seq], x.storing[keep.Seq] = own, own
+			c.call(x, keep)
+			j := x.jobTable.get("j1")
+			got := []any{j.job.Organisation, len(j.texts), len(j.heldItems()), j.owned}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("job in memory (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A host ended when an item was to run, or to be scored, of a job in whose place another one of that id has been stored.
+func TestItemOfAJobThatWasReplaced(t *testing.T) {
+	x, _, _ := newExecutor(t)
+	x.jobTable.addSubmitted(testJob(), true)
+	x.jobTable.addStored(southJob())
+	var scored event.ItemScored
+	x.Post = func(e event.Event) bool {
+		scored = e.(event.ItemScored)
+		return true
+	}
+	x.score(event.ScoreItem{Job: "j1", Item: 3})
+	ran := x.run(context.Background(), func() {}, event.RunItem{Job: "j1", Item: 3, Attempt: 1, Silence: time.Second})
+	if diff := cmp.Diff([]any{kinds.NotFound, event.ReasonBodyMissing}, []any{scored.Kind, ran.Reason}); diff != "" {
+		t.Errorf("ends of the score call and of the run (-want +got):\n%s", diff)
+	}
+}
--- a/internal/items/score.go
+++ b/internal/items/score.go
@@ -15,7 +15,7 @@
 
 // score sends the call that scores an item's text as a request of figshift's own, and posts ItemScored.
 func (x *Executor) score(e event.ScoreItem) {
-	j := x.jobTable.get(e.Job)
+	j := x.jobTable.withItem(e.Job, e.Item)
 	if j == nil || j.job.Items[e.Item].Reward == nil {
 		x.Post(event.ItemScored{Job: e.Job, Item: e.Item, Kind: kinds.NotFound})
 		return
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -87,8 +87,7 @@
 		}
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			if mayBeStored {
-				x.jobTable.add(job) // the stored record may name this host as the owner
-				x.jobTable.setOwned(job.ID, job.Host == x.Host)
+				x.jobTable.addSubmitted(job, job.Host == x.Host) // the stored record may name this host as the owner
 				return kinds.OutcomeUnknown
 			}
 			return kinds.StoreRefused
@@ -178,8 +177,7 @@
 	job, ok := x.storing[e.Keep.Seq]
 	x.mu.Unlock()
 	if ok {
-		x.jobTable.add(job)
-		x.jobTable.setOwned(job.ID, true)
+		x.jobTable.addSubmitted(job, true)
 	}
 }
 
