items: a conflict tells whose job the store holds

A submission whose id is another organisation's was answered with 202 when the store stopped to answer between two reads: the one that found the conflict, and the one of the job's owner. Without an organisation the conflict counted as the caller's own job that another host had stored. Its caller waited for a job that nobody runs.

The conflict is now judged by the job that was read to find it, and only the present owner is read after that; when that fails, the first owner counts, as before. One read of the job less for each conflict. A job that can't be decoded there leaves the outcome unknown.

TestConflictTellsWhoseJobItIs failed before, with no organisation after the first read. TestSubmissionWhoseCallerHasLeft reads the stored job itself for its owner, since currentOwner takes it now.

--- a/internal/items/record_test.go
+++ b/internal/items/record_test.go
@@ -106,7 +106,8 @@
 			job.Organisation = c.organisation
 			x.applyCopies([]jobCopy{{Job: "j1", Body: &job}})
 			x.storeJob(context.Background(), event.KeepJob{Seq: 1, Job: "j1", Organisation: "North", Host: "h1", Incarnation: "1", Budget: time.Second})
-			owner, _ := x.currentOwner(context.Background(), "j1")
+			stored, _ := x.readJob(context.Background(), "j1") // no job when there is none
+			owner := x.currentOwner(context.Background(), stored)
 			if diff := cmp.Diff([]any{c.kind, c.owner, c.owner != ""}, []any{kept.Kind, owner.Host, x.jobTable.owns("j1")}); diff != "" {
 				t.Errorf("outcome, stored owner, owned here (-want +got):\n%s", diff)
 			}
--- a/internal/items/sameid_test.go
+++ b/internal/items/sameid_test.go
@@ -74,3 +74,41 @@
 		t.Errorf("ends of the score call and of the run (-want +got):\n%s", diff)
 	}
 }
+
+// readsOnce is a store that answers a number of reads and then none.
+type readsOnce struct {
+	*memoryStore
+	left int
+}
+
+func (r *readsOnce) Get(ctx context.Context, name string) (wire.Object, error) {
+	if r.left--; r.left < 0 {
+		return wire.Object{}, kinds.New(kinds.StoreUnavailable, "away")
+	}
+	return r.memoryStore.Get(ctx, name)
+}
+
+// A submission whose id is another organisation's was answered as accepted when the store stopped to answer after the conflict.
+func TestConflictTellsWhoseJobItIs(t *testing.T) {
+	for reads, want := range []event.JobKept{
+		{Kind: kinds.OutcomeUnknown, Owner: event.JobSeen{Job: "j1"}},
+		{Kind: kinds.Conflict, Organisation: "South", Owner: event.JobSeen{Job: "j1", Host: "h2", Incarnation: "1"}},
+		{Kind: kinds.Conflict, Organisation: "South", Owner: event.JobSeen{Job: "j1", Host: "h3", Incarnation: "2", Epoch: 4}},
+	} {
+		x, store, _ := newExecutor(t)
+		store.seed(t, jobObject, southJob())
+		store.objects[ownerObject] = wire.Object{Name: ownerObject, Version: 1, Value: []byte(`{"Host":"h3","Incarnation":"2","Epoch":4}`)}
+		x.Store = &readsOnce{store, reads}
+		var got event.JobKept
+		x.Post = func(e event.Event) bool {
+			got = e.(event.JobKept)
+			return true
+		}
+		x.submissions[1] = testJob()
+		x.storeJob(context.Background(), event.KeepJob{Seq: 1, Job: "j1", Organisation: "North", GiveUp: time.Minute, Host: x.Host, Incarnation: "1"})
+		want.Seq, want.Job = 1, "j1"
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("outcome after %d reads (-want +got):\n%s", reads, diff)
+		}
+	}
+}
--- a/internal/items/store.go
+++ b/internal/items/store.go
@@ -25,52 +25,45 @@
 // storeJob stores a submitted job and posts JobKept. A conflict with this process's own write, whose answer was lost, is a
 // success.
 func (x *Executor) storeJob(ctx context.Context, e event.KeepJob) {
-	done := event.JobKept{Seq: e.Seq, Job: e.Job, Kind: x.createJob(ctx, e), Owner: event.JobSeen{Job: e.Job}}
+	done := event.JobKept{Seq: e.Seq, Job: e.Job, Owner: event.JobSeen{Job: e.Job}}
+	var stored wire.Job
+	stored, done.Kind = x.createJob(ctx, e)
 	if done.Kind == kinds.Conflict {
-		done.Owner, done.Organisation = x.currentOwner(ctx, e.Job)
+		done.Owner, done.Organisation = x.currentOwner(ctx, stored), stored.Organisation
 		x.jobTable.markStored(e.Job, done.Organisation)
 	}
 	x.Post(done)
 }
 
-// currentOwner reads from the store who runs a job, and whose job it is. It returns no host and no organisation when the store
-// does not answer.
-func (x *Executor) currentOwner(ctx context.Context, id string) (currentOwner event.JobSeen, organisation string) {
-	currentOwner = event.JobSeen{Job: id}
-	var job wire.Job // the store's: this host may run the job with itself as the owner, before it is stored
-	object, err := x.get(ctx, wire.PrefixJobs+id)
-	if err == nil {
-		err = decode(object.Value, &job)
-	}
-	if err != nil {
-		return currentOwner, ""
+// currentOwner returns who runs a job that the store holds: its first owner when the store does not answer.
+func (x *Executor) currentOwner(ctx context.Context, job wire.Job) event.JobSeen {
+	owner, _, err := x.readOwner(ctx, job.ID)
+	if err != nil || owner.Host == "" {
+		return event.JobSeen{Job: job.ID, Host: job.Host, Incarnation: job.Incarnation}
 	}
-	currentOwner.Host, currentOwner.Incarnation = job.Host, job.Incarnation
-	owner, _, err := x.readOwner(ctx, id)
-	if err == nil && owner.Host != "" {
-		currentOwner = event.JobSeen{Job: id, Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch, Ended: owner.Ended}
-	}
-	return currentOwner, job.Organisation
+	return event.JobSeen{Job: job.ID, Host: owner.Host, Incarnation: owner.Incarnation, Epoch: owner.Epoch, Ended: owner.Ended}
 }
 
-func (x *Executor) createJob(ctx context.Context, e event.KeepJob) kinds.Kind {
+// createJob stores a submitted job. With the kind Conflict, it returns the job that the store holds under the id.
+func (x *Executor) createJob(ctx context.Context, e event.KeepJob) (wire.Job, kinds.Kind) {
 	job, ok := x.takeSubmission(e)
 	if !ok {
-		return kinds.Internal
+		return wire.Job{}, kinds.Internal
 	}
 	x.setStoring(e.Seq, &job)
 	defer x.setStoring(e.Seq, nil)
 	value, err := encode(job)
 	if err != nil {
-		return kinds.Internal
+		return wire.Job{}, kinds.Internal
 	}
 	put := wire.ObjectPut{Name: wire.PrefixJobs + job.ID, Writer: x.writerID(e.Seq), Value: value}
 	deadline := time.Now().Add(e.Budget)
 	mayBeStored := false
 	for {
+		var stored wire.Job
 		kind := x.put(ctx, put)
 		if kind == kinds.Conflict {
-			kind = x.resolveConflict(ctx, put)
+			stored, kind = x.resolveConflict(ctx, put)
 		}
 		switch kind {
 		case "":
@@ -78,9 +71,9 @@
 				x.jobTable.addStored(job)
 				x.jobTable.setOwned(job.ID, true)
 			}
-			return ""
+			return stored, ""
 		case kinds.Conflict:
-			return kinds.Conflict
+			return stored, kinds.Conflict
 		case kinds.StoreRefused:
 		default:
 			mayBeStored = true
@@ -88,9 +81,9 @@
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			if mayBeStored {
 				x.jobTable.addSubmitted(job, job.Host == x.Host) // the stored record may name this host as the owner
-				return kinds.OutcomeUnknown
+				return stored, kinds.OutcomeUnknown
 			}
-			return kinds.StoreRefused
+			return stored, kinds.StoreRefused
 		}
 		_ = retry.Sleep(ctx, storeRetryInterval) // the next round sees that ctx has ended
 	}
@@ -119,16 +112,20 @@
 	return x.Store.Put(ctx, put)
 }
 
-// resolveConflict returns "" after a conflict when the stored object is this very write, and Conflict when it is another.
-func (x *Executor) resolveConflict(ctx context.Context, put wire.ObjectPut) kinds.Kind {
+// resolveConflict returns "" after a conflict when the stored job is this very write, and Conflict with the job when it is another.
+func (x *Executor) resolveConflict(ctx context.Context, put wire.ObjectPut) (wire.Job, kinds.Kind) {
+	var stored wire.Job
 	object, err := x.get(ctx, put.Name)
+	if err == nil {
+		err = decode(object.Value, &stored)
+	}
 	switch {
 	case err != nil:
-		return kinds.StoreUnavailable
+		return stored, kinds.StoreUnavailable
 	case object.Writer == put.Writer:
-		return ""
+		return stored, ""
 	default:
-		return kinds.Conflict
+		return stored, kinds.Conflict
 	}
 }
 
