items: copies of two organisations' jobs of one id aren't mixed

Copies are sent on under the job's id alone. A host that held a copy of one organisation's job took the texts of another organisation's job of that id into it, and the word that the store holds the job; a takeover then went on from texts of the other job, or took the wrong body for the stored one.

A copy now names its organisation (older builds don't and are taken as before). One that brings the job's body replaces the copy of another job, unless the store is known to hold that one; one that only goes on doesn't fit, so that its sender sends the job in full the next time.

--- a/internal/items/copies.go
+++ b/internal/items/copies.go
@@ -38,12 +38,13 @@
 
 // jobCopy is a message with the changes to a job since the last copy that the receiving host acknowledged.
 type jobCopy struct {
-	Job    string
-	Body   *wire.Job // set in the first copy only
-	Stored bool      `msgpack:",omitempty"` // the store holds the job
-	Chunk  int       // number of the first chunk in Chunks
-	Chunks []wire.JobChunk
-	Parts  []textCopy
+	Job          string
+	Organisation string    `msgpack:",omitempty"` // whose job it is; older builds don't tell
+	Body         *wire.Job // set in the first copy only
+	Stored       bool      `msgpack:",omitempty"` // the store holds the job
+	Chunk        int       // number of the first chunk in Chunks
+	Chunks       []wire.JobChunk
+	Parts        []textCopy
 }
 
 // textCopy is the part of an item's text that follows its first From events.
@@ -139,7 +140,7 @@
 	if j == nil || !j.owned {
 		return jobCopy{}, false
 	}
-	missing := jobCopy{Job: id, Stored: j.stored, Chunk: progress.chunks}
+	missing := jobCopy{Job: id, Organisation: j.job.Organisation, Stored: j.stored, Chunk: progress.chunks}
 	if !progress.hasBody {
 		job := j.job
 		missing.Body = &job
@@ -221,23 +222,37 @@
 	return fits
 }
 
-// addCopy adds the job of a copy that brings its body, and returns the state of the job, nil without one.
+// addCopy adds the job of a copy that brings its body, and returns the state of the job. It returns nil when the table doesn't have
+// the job, or has another one of that id: the copy replaces that one only if it brings the body and the store isn't known to hold
+// the other.
 func (jt *jobTable) addCopy(update jobCopy) *jobState {
-	if update.Body != nil && update.Stored {
-		return jt.addStored(*update.Body)
-	}
 	jt.mu.Lock()
 	defer jt.mu.Unlock()
-	if update.Body != nil {
-		jt.addLocked(*update.Body)
-	}
 	j := jt.jobs[update.Job]
+	if j != nil && update.isOfAnother(&j.job) {
+		if update.Body == nil || j.stored && !update.Stored {
+			return nil
+		}
+		jt.remove(j)
+		j = nil
+	}
+	if j == nil && update.Body != nil {
+		j = jt.addLocked(*update.Body)
+	}
 	if j != nil && update.Stored {
 		j.stored = true
 	}
 	return j
 }
 
+// isOfAnother reports whether a copy is of another job than the one of its id that is known here.
+func (c *jobCopy) isOfAnother(known *wire.Job) bool {
+	if c.Body != nil {
+		return !isSameJob(known, c.Body)
+	}
+	return c.Organisation != "" && c.Organisation != known.Organisation
+}
+
 // appendPart appends a copied part, or replaces the text by a part from its start. It drops a part that does not follow
 // the held events, and reports whether it did follow them.
 func (t *itemText) appendPart(part textCopy) bool {
--- a/internal/items/sameid_test.go
+++ b/internal/items/sameid_test.go
@@ -75,6 +75,43 @@
 	}
 }
 
+// Copies of two organisations' jobs of one id must not be mixed: their host may take over either.
+func TestCopiesOfTwoJobsOfOneID(t *testing.T) {
+	north, south := testJob(), southJob()
+	part := func(from int, data string) []textCopy {
+		return []textCopy{{From: from, Events: from + 1, Last: "1", Versions: []uint64{1}, Data: []byte(data)}}
+	}
+	type held struct {
+		Fits, Stored       bool
+		Organisation, Text string
+	}
+	cases := map[string]struct {
+		before, then jobCopy
+		want         held
+	}{
+		"neither is stored":       {jobCopy{Body: &south, Parts: part(0, "s")}, jobCopy{Body: &north, Parts: part(0, "n")}, held{true, false, "North", "n"}},
+		"the first is stored":     {jobCopy{Body: &south, Stored: true, Parts: part(0, "s")}, jobCopy{Body: &north, Parts: part(0, "n")}, held{false, true, "South", "s"}},
+		"the second is stored":    {jobCopy{Body: &south, Parts: part(0, "s")}, jobCopy{Body: &north, Stored: true, Parts: part(0, "n")}, held{true, true, "North", "n"}},
+		"without the body":        {jobCopy{Body: &south, Parts: part(0, "s")}, jobCopy{Organisation: "North", Parts: part(1, "n")}, held{false, false, "South", "s"}},
+		"found in the store":      {jobCopy{Body: &south, Parts: part(0, "s")}, jobCopy{Organisation: "North", Stored: true}, held{false, false, "South", "s"}},
+		"the same, as it goes on": {jobCopy{Body: &south, Parts: part(0, "s")}, jobCopy{Organisation: "South", Stored: true, Parts: part(1, "t")}, held{true, true, "South", "st"}},
+		"of an older build":       {jobCopy{Body: &south, Parts: part(0, "s")}, jobCopy{Parts: part(1, "t")}, held{true, false, "South", "st"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x, _, _ := newExecutor(t)
+			c.before.Job, c.then.Job = "j1", "j1"
+			x.applyCopies([]jobCopy{c.before})
+			fits := x.applyCopies([]jobCopy{c.then})
+			j := x.jobTable.get("j1")
+			got := held{fits, j.stored, j.job.Organisation, string(j.texts[0].text.data)}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("copy (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // readsOnce is a store that answers a number of reads and then none.
 type readsOnce struct {
 	*memoryStore
