batch: a takeover of another organisation's job doesn't confirm the own one

A host begins an organisation's job while the store answers nothing, and takes a job of the same id over that the store holds for another organisation. The takeover counted as the confirmation of its own job: its items went on running and were listed as the other organisation's, whose items no host ran.

Where the stored job is another organisation's, the own one is dropped now and the other begins as after any takeover. The submission that is still being stored ends with the conflict as before.

--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -186,6 +186,9 @@
 	case p.stopping: // the store names this host as the owner
 		k.Host, k.Incarnation, k.Epoch, k.newsAt, k.orphanedAt = "", "", e.Epoch, now, now
 		p.announce(event.JobSeen{Job: e.Job, Epoch: e.Epoch}, out)
+	case p.jobs[e.Job] != nil && p.jobs[e.Job].isOfAnother(e.Head):
+		p.dropUnstored(p.jobs[e.Job], out) // the store holds another organisation's job under the id
+		p.startOwning(now, e, out)
 	case p.jobs[e.Job] != nil:
 		p.confirmOwner(now, p.jobs[e.Job], e, out)
 	default:
@@ -193,6 +196,11 @@
 	}
 }
 
+// isOfAnother reports whether a job that the store may not hold is another organisation's than the one that it holds.
+func (j *job) isOfAnother(stored event.JobHead) bool {
+	return j.unstored && stored.Organisation != "" && stored.Organisation != j.head.Organisation
+}
+
 // confirmOwner records a takeover of a job that this host has started meanwhile, since the store had not accepted a
 // submission of it. Its runs go on: to begin them again would add two runs to one text.
 func (p *Component) confirmOwner(now time.Duration, j *job, e event.JobTaken, out *event.Batch) {
--- a/internal/batch/unstored_test.go
+++ b/internal/batch/unstored_test.go
@@ -64,3 +64,34 @@
 		})
 	}
 }
+
+// A host that had begun an organisation's job before it was stored took another organisation's job of the same id over as that one:
+// its items ran and were listed as the other job's.
+func TestTakeoverOfAnotherOrganisationsJob(t *testing.T) {
+	for name, groups := range map[string]int{"with more items": 4, "with fewer items": 1} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, testEngine("e1", 1))
+			r.step(event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(2, 2, noHints)})
+			r.step(event.JobKept{Seq: 1, Job: "j1", Kind: kinds.OutcomeUnknown})
+			r.tick(time.Second)
+			began := len(take[event.RunItem](r))
+			theirs := testHead(groups, 2, noHints)
+			theirs.ID, theirs.Organisation, theirs.Route = "j1", "South", "rollouts"
+			theirs.Due, theirs.GiveUp = r.now+7*time.Second, r.now+40*time.Second
+			last := len(theirs.Items) - 1
+			r.step(event.JobTaken{Job: "j1", Epoch: 1, Head: theirs, Listed: []int{last}, Chunks: 1})
+			r.step(event.JobKept{Seq: 1, Job: "j1", Kind: kinds.Conflict, Organisation: "South", Owner: event.JobSeen{Job: "j1", Host: "h1", Incarnation: "1", Epoch: 1}})
+			r.tick(time.Second)
+			type end struct {
+				Organisation           string
+				Items, Unlisted, Drops int
+				Stopped                int // of the runs that had begun
+			}
+			j := r.p.jobs["j1"]
+			got := end{j.head.Organisation, len(j.items), j.unlisted, len(take[event.DropJob](r)), len(take[event.StopItem](r))}
+			if diff := cmp.Diff(end{"South", 2 * groups, 2*groups - 1, 0, began}, got); diff != "" || began == 0 {
+				t.Errorf("%d runs had begun; end (-want +got):\n%s", began, diff)
+			}
+		})
+	}
+}
