conns, call, items, serve: targets are sent byte for byte

A caller that sends a whole URL in place of a path, as to a proxy, got 404.

Cause: the request to the endpoint was made from a URL, whose EscapedPath escapes what isn't escaped, and a URL's fragment isn't sent. Ruled out: the listener, which keeps RequestURI as it came.

Callers' targets are taken from what was received, and from the URL for a proxy's form.

Queries in the own protocol are still rebuilt without credentials, as before.

--- a/internal/call/attempt.go
+++ b/internal/call/attempt.go
@@ -171,7 +171,7 @@
 	if target == "" {
 		target = a.exchange.Target
 	}
-	req, err := http.NewRequestWithContext(a.traced(), a.exchange.Method, "http://"+a.start.Address+target, nil)
+	req, err := conns.NewRequest(a.traced(), a.exchange.Method, a.start.Address, target)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -176,7 +176,7 @@
 
 func (x *Executor) newRequest(ctx context.Context, j *jobState, e event.RunItem, lastID string) (*http.Request, error) {
 	item := j.job.Items[e.Item]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+item.Path, nil)
+	req, err := conns.NewRequest(ctx, http.MethodPost, e.Address, item.Path)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/serve/credentials.go
+++ b/internal/serve/credentials.go
@@ -53,7 +53,8 @@
 	if key != "" && (strings.Contains(r.URL.Path, key) || strings.Contains(r.URL.EscapedPath(), key)) {
 		return sanitizedHead{}, kinds.New(kinds.BadRequest, "the path contains the API key")
 	}
-	sanitized := sanitizedHead{header: call.ForwardableHeader(r.Header), target: r.URL.EscapedPath()}
+	path, _, _ := strings.Cut(Target(r), "?")
+	sanitized := sanitizedHead{header: call.ForwardableHeader(r.Header), target: path}
 	for name, values := range sanitized.header {
 		if credentialNames[normalizeName(name)] || containsKey(key, append(values, name)...) {
 			delete(sanitized.header, name)
@@ -65,6 +66,14 @@
 	return sanitized, nil
 }
 
+// Target returns the path and query of a request as the caller sent them. It may be called concurrently.
+func Target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI() // the caller took this host for a proxy and sent a URL
+}
+
 func normalizeName(name string) string {
 	return strings.ReplaceAll(strings.ToLower(textproto.TrimString(name)), "_", "-")
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/figshift/figshift/internal/conns"
 	"github.com/figshift/figshift/internal/wire"
 )
 
@@ -243,3 +245,26 @@
 		t.Error(got)
 	}
 }
+
+// Callers' paths reached the endpoints escaped anew, or without what followed a "#".
+func TestPathReachesTheEndpointAsItIs(t *testing.T) {
+	seen := make(chan string, 1)
+	ts := newTestServer(t, service(t, "a", func(_ http.ResponseWriter, r *http.Request) { seen <- r.RequestURI }))
+	for _, target := range []string{"/lookup/a%2Fb", "/lookup/a|b", `/lookup/{"a"}?x=1`, "/lookup/a^`b\\<c>", "/lookup/\u00e9", "/lookup/a#b"} {
+		req, err := conns.NewRequest(context.Background(), http.MethodGet, strings.TrimPrefix(ts.url, "http://"), target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: status %d", target, resp.StatusCode)
+		} else if diff := cmp.Diff(target, <-seen); diff != "" {
+			t.Errorf("target (-want +got):\n%s", diff)
+		}
+	}
+}
