items: items that no request can hold are refused

Found by reading. A job was accepted with an item whose path, id, field or score call can't be put into a request: a blank or a line break in the path, a malformed escape, a field's name with a blank, a value with a line break. A path that can't be parsed ended each run at once and the next began without a pause, until the item's deadline. A field that net/http refuses counted as a failure of the engine, which had got nothing: other organisations' items avoided healthy engines then.

Such a submission is refused with 400 now, before anything runs or is stored.

Besides, an item's fields that concern one connection only, or that figshift sets itself, are taken out, as those of callers' requests are: "Connection: close" ended each connection, and a Last-Event-Id of the item's own made the engine leave out the text's beginning.

--- a/internal/items/run.go
+++ b/internal/items/run.go
@@ -185,8 +185,8 @@
 	// The transport repeats a request of which it could write nothing, as on a connection that was closed meanwhile.
 	req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(item.Body)), nil }
 	req.ContentLength = int64(len(item.Body))
-	for name, value := range item.Headers {
-		req.Header.Set(name, value)
+	if req.Header, err = x.itemHeader(&item); err != nil {
+		return nil, err
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header.Set("User-Agent", "")
--- a/internal/items/submit.go
+++ b/internal/items/submit.go
@@ -101,6 +101,9 @@
 	if x.MaxStoredBytes > 0 && storedBytes(&job) > x.MaxStoredBytes {
 		return event.JobAnswer{Kind: kinds.BodyTooLarge}
 	}
+	if err := checkSendable(&job); err != nil {
+		return refusedMemory(err)
+	}
 	if kind := x.jobTable.admit(&job, x.MaxJobBytes); kind != "" {
 		return event.JobAnswer{Kind: kind, RetryAfter: gate.RetryAfter(kind)}
 	}
