batch: a run that can't begin is not repeated at once

An item whose run the executor can't begin, since it has no body for it or can't make a request of it, went back to it at once, and again without a pause until the item's deadline: a loop of the host's decisions, a log line each.

Such an item pauses for half a second, and its engine isn't avoided: it got nothing.

Failed before: TestRunWithoutABodyIsNotRepeatedAtOnce, 200 runs in 2 s, one in each step of the test; 5 at the most now.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		for _, it := range j.items {
-			if it.state != waiting {
+			if it.state != waiting || now < it.pausedUntil {
 				continue
 			}
 			p.giveUpHeldEvents(now, j, it, r, out)
@@ -122,7 +122,7 @@
 			continue
 		}
 		for _, it := range j.items {
-			if it.state != waiting {
+			if it.state != waiting || now < it.pausedUntil {
 				continue
 			}
 			n := j.needOf(it, r)
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -27,15 +27,16 @@
 	long              bool // expected to be among the longest of the job
 	state             itemState
 	givenUp           bool
-	attempt           uint64   // of its last run, 0 before the first
-	engineName        string   // of its last run
-	heldEvents        int      // events of its text that the executor holds
-	heldVersions      []uint64 // weight versions that made the held events, in order
-	heldSoftware      string   // software version that made the held events
-	failures          int      // answers with status 500
-	scoreFailures     int      // answers with status 500 to the call that scores it
-	permanentFailures int      // answers that the item can never succeed
-	avoidEngine       string   // engine that is used only when no other fits
+	attempt           uint64        // of its last run, 0 before the first
+	engineName        string        // of its last run
+	heldEvents        int           // events of its text that the executor holds
+	heldVersions      []uint64      // weight versions that made the held events, in order
+	heldSoftware      string        // software version that made the held events
+	failures          int           // answers with status 500
+	scoreFailures     int           // answers with status 500 to the call that scores it
+	permanentFailures int           // answers that the item can never succeed
+	avoidEngine       string        // engine that is used only when no other fits
+	pausedUntil       time.Duration // no run begins before
 	// stateTime is when the item began to wait for its next run, in waiting, and when the result began to wait, in finished
 	// and listing; in scoring it is when to call for the score again, 0 while a call is under way.
 	stateTime time.Duration
--- a/internal/batch/late_test.go
+++ b/internal/batch/late_test.go
@@ -171,3 +171,20 @@
 		})
 	}
 }
+
+// An item whose run the executor can't begin was sent to it again at once, without a pause, until its deadline.
+func TestRunWithoutABodyIsNotRepeatedAtOnce(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1), testEngine("e2", 1))
+	r.submit("j1", testHead(1, 1, noHints))
+	runs := 0
+	for end := r.now + 2*time.Second; r.now < end; r.tick(10 * time.Millisecond) {
+		for _, e := range take[event.RunItem](r) {
+			runs++
+			r.effects = nil
+			r.step(event.ItemEnded{Job: e.Job, Item: e.Item, Attempt: e.Attempt, Reason: event.ReasonBodyMissing})
+		}
+	}
+	if most := int(2*time.Second/bodyMissingPause) + 1; runs < 2 || runs > most {
+		t.Errorf("%d runs in 2 s, want 2 to %d", runs, most)
+	}
+}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -20,6 +20,8 @@
 	// defaultMaxFailures is the number of failed runs, or of failed calls for a score, after which an item is given up on
 	// a route that sets none.
 	defaultMaxFailures = 3
+	// bodyMissingPause is the pause after a run that the executor could not begin, which costs no time by itself.
+	bodyMissingPause = 500 * time.Millisecond
 )
 
 func (p *Component) logItem(j *job, it *item, name string, out *event.Batch, fields ...event.Field) {
@@ -66,6 +68,8 @@
 		if it.failures >= p.maxFailures(j) {
 			p.giveUpItem(now, j, it, "Failures", out)
 		}
+	case e.Reason == event.ReasonBodyMissing:
+		it.pausedUntil = now + bodyMissingPause
 	case !stopped:
 		it.avoidEngine = it.engineName
 	}
