--- a/internal/items/submit.go
+++ b/internal/items/submit.go
@@ -57,7 +57,7 @@
 			break
 		}
 		if err := claim.Grow(budget.Bodies, int64(len(body))); err != nil { // for the copy that is sent
-			return withoutFalseNotRun(refusedMemory(err), mayRun)
+			return withoutFalseNotRun(refusal(err), mayRun)
 		}
 		start := x.Now()
 		answer, sent, err := x.Peers.Submit(ctx, placement.Host, c, body)
@@ -74,8 +74,8 @@
 	return withoutFalseNotRun(x.SubmitLocal(ctx, c, body), mayRun)
 }
 
-// refusedMemory returns the answer to a submission that got no memory or can't be decoded.
-func refusedMemory(err error) event.JobAnswer {
+// refusal returns the answer to a submission that got no memory, or whose job can't be decoded or run.
+func refusal(err error) event.JobAnswer {
 	kind := kinds.KindOf(err)
 	return event.JobAnswer{Kind: kind, RetryAfter: gate.RetryAfter(kind)}
 }
@@ -96,13 +96,13 @@
 	hold := func(item []byte) error { return claim.Grow(budget.Jobs, itemCost(item)) }
 	job, err := x.Decode(c, body, x.UnixMS(), hold)
 	if err != nil {
-		return refusedMemory(err)
+		return refusal(err)
 	}
 	if x.MaxStoredBytes > 0 && storedBytes(&job) > x.MaxStoredBytes {
 		return event.JobAnswer{Kind: kinds.BodyTooLarge}
 	}
 	if err := checkSendable(&job); err != nil {
-		return refusedMemory(err)
+		return refusal(err)
 	}
 	if kind := x.jobTable.admit(&job, x.MaxJobBytes); kind != "" {
 		return event.JobAnswer{Kind: kind, RetryAfter: gate.RetryAfter(kind)}
@@ -165,7 +165,7 @@
 		err = gate.From(r.Context()).Claim().Grow(budget.Bodies, int64(len(body))) // for the decoded copy
 	}
 	if err != nil {
-		writeAnswer(w, refusedMemory(err))
+		writeAnswer(w, refusal(err))
 		return
 	}
 	if msgpack.Unmarshal(body, &forwarded) != nil {
