--- a/internal/batch/unstored_test.go
+++ b/internal/batch/unstored_test.go
@@ -95,3 +95,17 @@
 		})
 	}
 }
+
+// Guards against another organisation's job that the store holds with this host as its owner, by a submission at a host that took
+// the own unstored job for it, and that nobody runs.
+func TestStoredJobOfAnotherOrganisationIsTakenOver(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	r.step(event.JobCalled{Seq: 1, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 2, noHints)})
+	r.tick(time.Second)
+	r.step(event.JobKept{Seq: 1, Job: "j1", Kind: kinds.Conflict, Organisation: "South", Owner: event.JobSeen{Job: "j1", Host: "h1", Incarnation: "1"}})
+	r.tick(time.Second)
+	r.tick(time.Second)
+	if n := len(take[event.TakeJob](r)); n != 1 {
+		t.Errorf("%d takeovers, want one", n)
+	}
+}
