batch: one organisation at a time submits a job's id at a host

Two organisations submit jobs of one id to the same host, while both are being stored. The host began the items of the first, the store took the second, and the host took its outcome for that of the job it ran: the second was answered 202, and the items of the first were run and listed as its results.

The second submission is refused for the moment now, with 503 and Retry-After, which says truly that nothing runs: it is the store that decides whose id it is. Once a job of the id runs here, or is stored, the answer is 403 as before.

TestSubmissionsOfOneIDByTwoOrganisations failed before.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -81,6 +81,10 @@
 		p.answer(e.Seq, e.Job, "", organisation, out)
 		return
 	}
+	if p.isSubmittedByAnother(e.Job, organisation) {
+		p.answer(e.Seq, e.Job, kinds.StoreRefused, organisation, out) // the store is to decide whose id it is
+		return
+	}
 	head := e.Head
 	head.ID, head.Organisation, head.Route, head.Single = e.Job, organisation, r.Name, r.Jobs.SingleVersion
 	head.Due, head.GiveUp = now+r.Jobs.Due, now+r.Jobs.GiveUpAfter
@@ -246,6 +250,16 @@
 	return false
 }
 
+// isSubmittedByAnother reports whether another organisation's submission of a job's id is being stored by this host.
+func (p *Component) isSubmittedByAnother(job, organisation string) bool {
+	for _, s := range p.submissions {
+		if s.head.ID == job && s.head.Organisation != organisation {
+			return true
+		}
+	}
+	return false
+}
+
 // dropUnstored stops and forgets a job that this host started before it was stored, and that another host owns or that
 // was never stored.
 func (p *Component) dropUnstored(j *job, out *event.Batch) {
--- a/internal/batch/rig_test.go
+++ b/internal/batch/rig_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -20,9 +21,13 @@
 	p       *Component
 	alive   []event.Host
 	effects []event.Effect // of all steps, until a test clears them
+	// organisation is whose keys all calls carry; "North" when empty.
+	organisation string
 }
 
-func (r *rig) OrganisationOf(time.Duration, string) (string, kinds.Kind) { return "North", "" }
+func (r *rig) OrganisationOf(time.Duration, string) (string, kinds.Kind) {
+	return cmp.Or(r.organisation, "North"), ""
+}
 
 func (r *rig) Alive(time.Duration) []event.Host { return r.alive }
 
--- a/internal/batch/unstored_test.go
+++ b/internal/batch/unstored_test.go
@@ -109,3 +109,31 @@
 		t.Errorf("%d takeovers, want one", n)
 	}
 }
+
+// A submission made another organisation's job of the same id, which this host had begun while both were being stored, the stored
+// one: its items ran and were listed for the wrong organisation.
+func TestSubmissionsOfOneIDByTwoOrganisations(t *testing.T) {
+	r := newRig(t, testEngine("e1", 1))
+	submit := func(seq uint64) {
+		r.step(event.JobCalled{Seq: seq, Call: event.JobSubmit, Path: "/r/x", Job: "j1", Head: testHead(1, 2, noHints)})
+	}
+	submit(1)
+	r.organisation = "South"
+	submit(2)
+	r.tick(time.Second) // North's begins
+	submit(3)
+	type answer struct {
+		Seq  uint64
+		Kind kinds.Kind
+	}
+	var got []answer
+	for _, a := range take[event.JobAnswer](r) {
+		got = append(got, answer{a.Seq, a.Kind})
+	}
+	if diff := cmp.Diff([]answer{{2, kinds.StoreRefused}, {3, kinds.Forbidden}}, got); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+	if n := len(take[event.KeepJob](r)); n != 1 {
+		t.Errorf("%d submissions are being stored, want one", n)
+	}
+}
