batch: in the simulation two organisations submit jobs of one id

Half of the plays have them. An accepted job must be the one that the store holds, and no host may list results while it runs another organisation's job of the id. A lost answer no longer tells the owner and the organisation either.

--- a/internal/batch/simulation_checks_test.go
+++ b/internal/batch/simulation_checks_test.go
@@ -17,8 +17,8 @@
 		j.endCalls--
 	case e.Kind == "":
 		j.accepted = true
-		if !j.stored {
-			s.t.Fatalf("job %s was accepted and is not in the store", j.id)
+		if !j.stored || j.storedOf != s.submitters[e.Seq] {
+			s.t.Fatalf("job %s of %s was accepted, and the store holds that of %q", j.id, s.submitters[e.Seq], j.storedOf)
 		}
 	case kinds.AnswerFor(e.Kind).Run == kinds.NotRun:
 		j.refused = true
@@ -34,6 +34,14 @@
 	s.checkRefusal(j)
 }
 
+// checkLister fails the test when a host lists results of a stored job while it runs another organisation's job of that id.
+func (s *simulation) checkLister(h *simHost, id string) {
+	j, run := s.jobs[id], h.p.jobs[id]
+	if run != nil && j.stored && run.head.Organisation != j.storedOf {
+		s.t.Fatalf("%s runs %s of %s and lists it as that of %s", h.name, id, run.head.Organisation, j.storedOf)
+	}
+}
+
 // checkRefusal fails the test when a job ran although every answer said that nothing runs.
 func (s *simulation) checkRefusal(j *simJob) {
 	if j.ran && j.refused && !j.accepted && !j.unknown && !j.stored && !s.storingUnderWay(j) {
--- a/internal/batch/simulation_store_test.go
+++ b/internal/batch/simulation_store_test.go
@@ -19,14 +19,14 @@
 	case outcome == "refused":
 		done.Kind = kinds.StoreRefused
 	case j.stored:
-		done.Kind = kinds.Conflict
+		done.Kind, done.Organisation = kinds.Conflict, j.storedOf
 	default:
-		j.stored = true
+		j.stored, j.storedOf = true, e.Organisation
 		j.owner = event.JobSeen{Job: e.Job, Host: e.Host, Incarnation: e.Incarnation, Ended: j.owner.Ended}
 		done.Owner = j.owner
 	}
 	if outcome == "lost" {
-		done.Kind = kinds.OutcomeUnknown
+		done.Kind, done.Organisation, done.Owner = kinds.OutcomeUnknown, "", event.JobSeen{Job: e.Job}
 	}
 	return done
 }
@@ -92,7 +92,7 @@
 		return done
 	}
 	done.Epoch, done.Head, done.Chunks = j.owner.Epoch, j.head, len(j.chunks)
-	done.Head.ID, done.Head.Route, done.Head.GiveUp = j.id, "rollouts", s.now+time.Hour
+	done.Head.ID, done.Head.Organisation, done.Head.Route, done.Head.GiveUp = j.id, j.storedOf, "rollouts", s.now+time.Hour
 	for _, chunk := range j.chunks {
 		done.Listed = append(done.Listed, chunk...)
 	}
@@ -103,7 +103,7 @@
 func (s *simulation) ensureStored(h *simHost, j *simJob) bool {
 	first, ok := h.copies[j.id]
 	if ok && !j.stored {
-		j.stored, j.owner = true, first
+		j.stored, j.storedOf, j.owner = true, first.organisation, first.owner
 	}
 	return j.stored
 }
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -28,9 +28,11 @@
 	jobCount int
 	// submissions is the number of submissions, by which their numbers differ.
 	submissions int
-	endCalls    map[uint64]bool // numbers of the calls that end a job
-	noFaults    bool            // calls and messages no longer fail
-	largeFleet  bool            // two hosts are hubs, and a job whose owner told nobody is found by its readers
+	endCalls    map[uint64]bool   // numbers of the calls that end a job
+	noFaults    bool              // calls and messages no longer fail
+	largeFleet  bool              // two hosts are hubs, and a job whose owner told nobody is found by its readers
+	rivals      bool              // two organisations submit jobs of the same ids
+	submitters  map[uint64]string // organisations of the submissions by number
 }
 
 type simHost struct {
@@ -38,9 +40,15 @@
 	name   string
 	starts int
 	p      *Component
-	inbox  []event.PeerReceived     // on their way to this host
-	copyTo map[string]string        // host that gets copies of a job of this one
-	copies map[string]event.JobSeen // jobs of which this host has a copy, with the host that runs them
+	inbox  []event.PeerReceived // on their way to this host
+	copyTo map[string]string    // host that gets copies of a job of this one
+	copies map[string]simCopy   // jobs of which this host has a copy
+}
+
+// simCopy is the copy of an organisation's job with the host that runs it.
+type simCopy struct {
+	organisation string
+	owner        event.JobSeen
 }
 
 // simCall is an effect that a host's executor has not performed yet.
@@ -57,6 +65,7 @@
 	id       string
 	head     event.JobHead
 	stored   bool
+	storedOf string // organisation of the stored job
 	owner    event.JobSeen
 	chunks   [][]int
 	accepted bool
@@ -69,7 +78,8 @@
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	s := &simulation{t: t, now: time.Second, jobs: map[string]*simJob{}, endCalls: map[uint64]bool{}, largeFleet: rapid.Bool().Draw(t, "large fleet")}
+	s := &simulation{t: t, now: time.Second, jobs: map[string]*simJob{}, endCalls: map[uint64]bool{}, submitters: map[uint64]string{}}
+	s.largeFleet, s.rivals = rapid.Bool().Draw(t, "large fleet"), rapid.Bool().Draw(t, "rivals")
 	for i := range simHosts {
 		s.hosts = append(s.hosts, &simHost{sim: s, name: fmt.Sprintf("h%d", i+1)})
 	}
@@ -79,7 +89,8 @@
 	return s
 }
 
-func (h *simHost) OrganisationOf(time.Duration, string) (string, kinds.Kind) { return "North", "" }
+// OrganisationOf returns the organisation of a key, which is its name.
+func (h *simHost) OrganisationOf(_ time.Duration, key string) (string, kinds.Kind) { return key, "" }
 
 func (h *simHost) Alive(time.Duration) []event.Host {
 	var all []event.Host
@@ -96,7 +107,7 @@
 func (h *simHost) start() {
 	h.starts++
 	h.p = &Component{Self: h.self(), KeyOwners: h, Membership: h, NewStore: h.starts == 1}
-	h.inbox, h.copyTo, h.copies = nil, map[string]string{}, map[string]event.JobSeen{}
+	h.inbox, h.copyTo, h.copies = nil, map[string]string{}, map[string]simCopy{}
 	if h.sim.largeFleet {
 		h.step(event.HostsChanged{Hosts: h.Alive(0), Hubs: []string{"h1", "h2"}})
 	}
@@ -137,7 +148,10 @@
 	case event.RunItem:
 		s.noteRun(e.Job)
 		s.calls = append(s.calls, simCall{host: h, starts: h.starts, effect: effect})
-	case event.KeepJob, event.TakeJob, event.CheckJob, event.ListJobs, event.EndJob, event.ScoreItem, event.StoreChunk, event.StopItem:
+	case event.StoreChunk:
+		s.checkLister(h, e.Job)
+		s.calls = append(s.calls, simCall{host: h, starts: h.starts, effect: effect})
+	case event.KeepJob, event.TakeJob, event.CheckJob, event.ListJobs, event.EndJob, event.ScoreItem, event.StopItem:
 		s.calls = append(s.calls, simCall{host: h, starts: h.starts, effect: effect})
 	}
 }
@@ -165,7 +179,12 @@
 
 func (s *simulation) submitAt(n int) {
 	j := s.jobs[jobOf(uint64(n))]
-	s.hostOf("host").step(event.JobCalled{Seq: s.nextSeq(n), Call: event.JobSubmit, Path: "/r/x", Job: j.id, Head: j.head})
+	seq, organisation := s.nextSeq(n), "North"
+	if s.rivals && rapid.Bool().Draw(s.t, "of the other organisation") {
+		organisation = "South"
+	}
+	s.submitters[seq] = organisation
+	s.hostOf("host").step(event.JobCalled{Seq: seq, Call: event.JobSubmit, KeyHash: organisation, Path: "/r/x", Job: j.id, Head: j.head})
 }
 
 // nextSeq returns a number for a call about job n. A host never uses a number twice.
@@ -294,7 +313,7 @@
 func (s *simulation) sendCopies(h *simHost) {
 	for _, j := range h.p.sortedJobs() {
 		id := j.head.ID
-		seen := event.JobSeen{Job: id, Host: h.name, Incarnation: fmt.Sprint(h.starts)}
+		seen := simCopy{j.head.Organisation, event.JobSeen{Job: id, Host: h.name, Incarnation: fmt.Sprint(h.starts)}}
 		h.copies[id] = seen
 		for _, other := range s.hosts {
 			if other.name == h.copyTo[id] && (s.noFaults || rapid.Bool().Draw(s.t, "copy arrives")) {
