items: a page from the cache has what the store has listed since

Two hosts answered a read from the start with ten results, the third with eight, 46 s after it had given a reader all ten.

Cause: a host that doesn't run a job answered a page that holds any result from the chunks that it had once read, however long ago; it asked the store only for the position behind them. The last chunk had come from the owner and wasn't in the cache.

The users' page allows the shorter page, and its next one has the rest; but readers are served better by one page with all that others have read. The store is now asked for more before such a page is answered, unless it said so within 0.7 s, and for 0.3 s at the most.

--- a/internal/items/pages.go
+++ b/internal/items/pages.go
@@ -18,6 +18,8 @@
 	pollInterval = 400 * time.Millisecond
 	// maxOvertime is the time beyond its wait after which a read is refused. Readers give up soon after.
 	maxOvertime = 1300 * time.Millisecond
+	// extendTimeout bounds the calls to the store for results behind those that a reader gets anyway.
+	extendTimeout = 300 * time.Millisecond
 )
 
 // Sources of a page of results.
@@ -163,6 +165,9 @@
 	j := x.remoteJobs.state(job)
 	deadline := time.Now().Add(wait)
 	page := x.remoteJobs.page(j, after)
+	if len(page.Results) > 0 {
+		return x.extendPage(ctx, j, after, page), nil
+	}
 	for repeated := false; page.Unfinished(); {
 		asked := time.Now()
 		found, err := x.readMoreChunks(ctx, j)
@@ -185,6 +190,24 @@
 	return page, nil
 }
 
+// extendPage returns a page from the cache with the results that the store may have listed behind it since it was last asked: a
+// reader from the start would get fewer than others have read. It returns the page as it is when the store doesn't answer.
+func (x *Executor) extendPage(ctx context.Context, j *remoteJob, after int, page wire.JobPage) wire.JobPage {
+	ctx, cancel := context.WithTimeout(ctx, extendTimeout)
+	defer cancel()
+	for x.remoteJobs.mayLack(j, page.Next, x.maxAge()) {
+		found, err := x.readMoreChunks(ctx, j)
+		if err != nil {
+			return page
+		}
+		page = x.remoteJobs.page(j, after)
+		if !found {
+			return page
+		}
+	}
+	return page
+}
+
 // ageMS returns the time since a moment in ms, rounded up and at least 1.
 func ageMS(since time.Time) int64 { return time.Since(since).Milliseconds() + 1 }
 
@@ -192,16 +215,18 @@
 // the next one by later ones.
 func (x *Executor) readMoreChunks(ctx context.Context, j *remoteJob) (bool, error) {
 	number, listed := x.remoteJobs.progress(j)
+	asked := time.Now()
 	if !listed {
 		chunks, err := x.chunks(ctx, j.job.ID)
 		if err != nil {
 			return false, err
 		}
-		x.remoteJobs.appendChunks(j, chunks)
+		x.remoteJobs.appendChunks(j, chunks, asked)
 		return len(chunks) > 0, nil
 	}
 	chunk, err := x.chunk(ctx, j.job.ID, number)
 	if kinds.KindOf(err) == kinds.NotFound {
+		x.remoteJobs.markComplete(j, number, asked)
 		return false, nil
 	}
 	if err != nil {
--- a/internal/items/readers_test.go
+++ b/internal/items/readers_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -44,3 +47,38 @@
 		t.Errorf("%d of %d readers got an empty page at a position that had been stored before", empty, rounds*readers)
 	}
 }
+
+// A page from the cache ended where this host had last read the store, at whatever time: a reader from the start got fewer results
+// than others had read long ago.
+func TestStoredPageHasWhatOthersHaveRead(t *testing.T) {
+	const settle = 40 * time.Millisecond
+	results := func(x *Executor) int {
+		page, err := x.storedPage(context.Background(), "j1", 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(page.Results)
+	}
+	x, store, _ := newExecutor(t)
+	x.Settle = settle
+	reading := &readsOnce{store, 100}
+	x.Store = reading
+	store.seed(t, chunkName("j1", 0), chunkOf(0, 1))
+	got := []int{results(x)}
+	store.seed(t, chunkName("j1", 1), chunkOf(2))
+	before := reading.left
+	got = append(got, results(x)) // the store was asked just now
+	asked := before - reading.left
+	time.Sleep(settle)
+	got = append(got, results(x))
+	store.seed(t, chunkName("j1", 2), chunkOf(3))
+	time.Sleep(settle)
+	left := reading.left
+	reading.left = 0
+	got = append(got, results(x)) // the store is away
+	reading.left = left
+	got = append(got, results(x), results(x))
+	if diff := cmp.Diff([]int{2, 2, 3, 3, 4, 4}, got); diff != "" || asked != 0 {
+		t.Errorf("%d calls to the store while its word is recent; results (-want +got):\n%s", asked, diff)
+	}
+}
--- a/internal/items/remotejobs.go
+++ b/internal/items/remotejobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/figshift/figshift/internal/wire"
 )
@@ -69,8 +70,25 @@
 	return j.chunks, j.listRead
 }
 
-// appendChunks adds the chunks of a list of all chunks, of which some may be known.
-func (c *remoteJobs) appendChunks(j *remoteJob, chunks []wire.JobChunk) {
+// mayLack reports whether the store may have listed results from a position on, the one behind the cached results, since it was last
+// asked: more than maxAge ago.
+func (c *remoteJobs) mayLack(j *remoteJob, next int, maxAge time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return next == len(j.listed) && next < len(j.job.Items) && time.Since(j.completeAt) > maxAge
+}
+
+// markComplete records that the store, asked at a time, had no chunk of that number, which is the next one.
+func (c *remoteJobs) markComplete(j *remoteJob, number int, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j.chunks == number {
+		j.noteComplete(at)
+	}
+}
+
+// appendChunks adds the chunks of a list of all chunks, of which some may be known, that the store was asked for at a time.
+func (c *remoteJobs) appendChunks(j *remoteJob, chunks []wire.JobChunk, asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j.listRead = true
@@ -78,6 +96,9 @@
 		j.chunks++
 		j.listed = append(j.listed, chunk.Results...)
 	}
+	if j.chunks == len(chunks) {
+		j.noteComplete(asked)
+	}
 }
 
 // appendChunk adds the chunk of a number, unless it is known.
